--- /dev/null
+++ b/Makefile
@@ -0,0 +1,30 @@
+VENV := .venv
+PYTHON := $(VENV)/bin/python
+STAMP := $(VENV)/.installed
+
+.PHONY: setup format lint test demo clean
+
+setup: $(STAMP)
+
+$(STAMP): requirements.txt pyproject.toml
+	python3 -m venv $(VENV)
+	$(PYTHON) -m pip install --quiet --requirement requirements.txt
+	$(PYTHON) -m pip install --quiet --no-deps --no-build-isolation --editable .
+	touch $(STAMP)
+
+format: setup
+	$(VENV)/bin/ruff format .
+	$(VENV)/bin/ruff check --fix .
+
+lint: setup
+	$(VENV)/bin/ruff format --check .
+	$(VENV)/bin/ruff check .
+
+test: lint
+	$(PYTHON) -m pytest
+
+demo: setup
+	$(PYTHON) -m bench.demo
+
+clean:
+	rm -rf $(VENV) build *.egg-info src/*.egg-info
--- /dev/null
+++ b/bench/processes.py
@@ -0,0 +1,75 @@
+"""Starts daemons and stand-ins as processes and ends them by id."""
+
+import os
+import signal
+import subprocess
+import sys
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent.parent
+STOP_TIMEOUT_S = 15.0
+
+
+class Process:
+    """One child process that announces itself with a line `ready <port>`."""
+
+    def __init__(
+        self, *, name: str, arguments: list[str], log_path: Path | None = None
+    ):
+        self.name = name
+        self.log_path = log_path
+        self.log = open(log_path, "ab") if log_path else subprocess.DEVNULL
+        self.popen = subprocess.Popen(
+            [sys.executable, *arguments],
+            cwd=ROOT,
+            stdout=subprocess.PIPE,
+            stderr=self.log,
+            text=True,
+        )
+        self.port = self._read_port()
+
+    def _read_port(self) -> int:
+        line = self.popen.stdout.readline()
+        if not line.startswith("ready "):
+            self.kill()
+            raise RuntimeError(f"{self.name} did not start; it printed {line!r}")
+        return int(line.split()[1])
+
+    @property
+    def url(self) -> str:
+        return f"http://127.0.0.1:{self.port}"
+
+    def signal(self, number: int) -> None:
+        """Sends a signal to the process, for example `signal.SIGSTOP`."""
+        os.kill(self.popen.pid, number)
+
+    def stop(self) -> int:
+        """Ends the process gracefully, by force after a time-out."""
+        if self.popen.poll() is None:
+            self.signal(signal.SIGCONT)
+            self.signal(signal.SIGTERM)
+        try:
+            self.popen.wait(STOP_TIMEOUT_S)
+        except subprocess.TimeoutExpired:
+            self.kill()
+        self._close()
+        return self.popen.returncode
+
+    def kill(self) -> None:
+        """Ends the process at once."""
+        if self.popen.poll() is None:
+            self.signal(signal.SIGKILL)
+        self.popen.wait()
+        self._close()
+
+    def _close(self) -> None:
+        self.popen.stdout.close()
+        if self.log is not subprocess.DEVNULL:
+            self.log.close()
+
+
+def start_stand_in(module: str, *arguments: str, name: str = "") -> Process:
+    """Starts `standins.<module>` on an ephemeral loopback port."""
+    return Process(
+        name=name or module, arguments=["-m", f"standins.{module}", *arguments]
+    )
--- /dev/null
+++ b/src/lagoonrill/_internal/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Commands of the lagoonrill tool, one class each."""
--- /dev/null
+++ b/src/lagoonrill/_internal/coordination/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions that involve callers, endpoints, peers or the platform."""
--- /dev/null
+++ b/src/lagoonrill/_internal/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""Types and codecs that every other layer shares; no I/O and no threads."""
--- /dev/null
+++ b/src/lagoonrill/_internal/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Listeners and clients: the only modules that open sockets."""
--- /dev/null
+++ b/src/lagoonrill/manifest.py
@@ -0,0 +1,25 @@
+"""The manifest that operators' pipelines generate."""
+
+from ._internal.protocol.manifest import (
+    Endpoint,
+    LatencyTarget,
+    Manifest,
+    Model,
+    RequestClass,
+    Service,
+    ServiceRoute,
+    Team,
+    parse_manifest,
+)
+
+__all__ = [
+    "Endpoint",
+    "LatencyTarget",
+    "Manifest",
+    "Model",
+    "RequestClass",
+    "Service",
+    "ServiceRoute",
+    "Team",
+    "parse_manifest",
+]
--- /dev/null
+++ b/standins/server.py
@@ -0,0 +1,124 @@
+"""The HTTP frame that all stand-ins share.
+
+A stand-in is a `StandIn` subclass with routes. It runs as a process of its own:
+`python -m standins.engine --port 0` prints `ready <port>` and serves until it is
+terminated. `POST /faults` with a JSON object sets the attributes of `faults`.
+"""
+
+import argparse
+import re
+import signal
+import sys
+import threading
+from collections.abc import Callable, Iterable
+
+import msgspec
+from cheroot import wsgi
+
+Route = Callable[..., "Response"]
+
+
+class Response:
+    """Status, body (bytes or an iterable of bytes for a stream) and headers."""
+
+    __slots__ = ("body", "headers", "status")
+
+    def __init__(
+        self,
+        *,
+        status: int = 200,
+        body: bytes | Iterable[bytes] = b"",
+        headers: dict[str, str] | None = None,
+    ):
+        self.status = status
+        self.body = body
+        self.headers = headers or {}
+
+
+def json_response(value: object, *, status: int = 200) -> Response:
+    """Encodes a value as the JSON body of a response."""
+    return Response(
+        status=status,
+        body=msgspec.json.encode(value),
+        headers={"Content-Type": "application/json"},
+    )
+
+
+class Request:
+    """One request: method, path, query, headers and the whole body."""
+
+    __slots__ = ("body", "environ", "method", "path", "query")
+
+    def __init__(self, *, environ: dict):
+        from urllib.parse import parse_qsl
+
+        self.environ = environ
+        self.method = environ["REQUEST_METHOD"]
+        self.path = environ["PATH_INFO"]
+        self.query = dict(parse_qsl(environ.get("QUERY_STRING", "")))
+        length = int(environ.get("CONTENT_LENGTH") or 0)
+        self.body = environ["wsgi.input"].read(length) if length else b""
+
+    def header(self, name: str) -> str | None:
+        """Returns a request header or None."""
+        return self.environ.get("HTTP_" + name.upper().replace("-", "_"))
+
+
+class StandIn:
+    """Base of all stand-ins: routes, faults and the server."""
+
+    def __init__(self, *, faults: msgspec.Struct, threads: int = 64):
+        self.faults = faults
+        self.threads = threads
+        self.routes: list[tuple[str, re.Pattern, Route]] = []
+        self.add_route("POST", r"/faults", self.set_faults)
+        self.add_route("GET", r"/faults", lambda request: json_response(self.faults))
+
+    def add_route(self, method: str, pattern: str, handler: Route) -> None:
+        """Adds a route; groups of the pattern are passed to the handler."""
+        self.routes.append((method, re.compile(pattern + "$"), handler))
+
+    def set_faults(self, request: Request) -> Response:
+        """Replaces the named attributes of `faults`."""
+        changes = msgspec.json.decode(request.body)
+        merged = msgspec.to_builtins(self.faults) | changes
+        self.faults = msgspec.convert(merged, type(self.faults))
+        return json_response(self.faults)
+
+    def handle(self, request: Request) -> Response:
+        """Finds the route of a request and calls its handler."""
+        for method, pattern, handler in self.routes:
+            match = pattern.match(request.path)
+            if match and method in (request.method, "*"):
+                return handler(request, *match.groups())
+        return json_response({"error": "no such path"}, status=404)
+
+    def __call__(self, environ, start_response):
+        response = self.handle(Request(environ=environ))
+        headers = list(response.headers.items())
+        body = response.body
+        if isinstance(body, bytes):
+            headers.append(("Content-Length", str(len(body))))
+            body = [body]
+        start_response(f"{response.status} Status", headers)
+        return body
+
+
+def run(stand_in: StandIn, *, host: str = "127.0.0.1", port: int = 0) -> None:
+    """Serves until SIGTERM; prints `ready <port>` once the socket listens."""
+    server = wsgi.Server((host, port), stand_in, numthreads=stand_in.threads)
+    server.prepare()
+    signal.signal(
+        signal.SIGTERM, lambda *_: threading.Thread(target=server.stop).start()
+    )
+    print(f"ready {server.bind_addr[1]}", flush=True)
+    server.serve()
+    sys.exit(0)
+
+
+def argument_parser(description: str) -> argparse.ArgumentParser:
+    """Returns a parser with the arguments that all stand-ins take."""
+    parser = argparse.ArgumentParser(description=description)
+    parser.add_argument("--host", default="127.0.0.1")
+    parser.add_argument("--port", type=int, default=0)
+    return parser
--- /dev/null
+++ b/tests/test_messages.py
@@ -0,0 +1,28 @@
+"""Guards against peer messages that lose fields on the wire."""
+
+import msgspec
+import pytest
+
+from lagoonrill._internal.protocol.messages import (
+    EndpointUse,
+    Heartbeat,
+    decode_message,
+    encode_message,
+)
+
+
+def test_heartbeat_survives_the_wire():
+    heartbeat = Heartbeat(
+        instance="a",
+        zone="tunis-a",
+        incarnation=1,
+        sequence=7,
+        generation=3,
+        uses=[EndpointUse(endpoint="llm-1", in_use=2, waiting=1)],
+    )
+    assert decode_message(encode_message(heartbeat)) == heartbeat
+
+
+def test_unknown_message_is_refused():
+    with pytest.raises(msgspec.ValidationError):
+        decode_message(msgspec.msgpack.encode({"type": "Unknown"}))
