Open the log of a child process only while it is started

Cause: the linter (SIM115) reports a file handle that outlives its block. Change: the child inherits the handle; the parent closes it at once.

--- a/bench/processes.py
+++ b/bench/processes.py
@@ -17,15 +17,14 @@
         self, *, name: str, arguments: list[str], log_path: Path | None = None
     ):
         self.name = name
-        self.log_path = log_path
-        self.log = open(log_path, "ab") if log_path else subprocess.DEVNULL
-        self.popen = subprocess.Popen(
-            [sys.executable, *arguments],
-            cwd=ROOT,
-            stdout=subprocess.PIPE,
-            stderr=self.log,
-            text=True,
-        )
+        with open(log_path or os.devnull, "ab") as log:
+            self.popen = subprocess.Popen(
+                [sys.executable, *arguments],
+                cwd=ROOT,
+                stdout=subprocess.PIPE,
+                stderr=log,
+                text=True,
+            )
         self.port = self._read_port()
 
     def _read_port(self) -> int:
@@ -52,7 +51,7 @@
             self.popen.wait(STOP_TIMEOUT_S)
         except subprocess.TimeoutExpired:
             self.kill()
-        self._close()
+        self.popen.stdout.close()
         return self.popen.returncode
 
     def kill(self) -> None:
@@ -60,12 +59,7 @@
         if self.popen.poll() is None:
             self.signal(signal.SIGKILL)
         self.popen.wait()
-        self._close()
-
-    def _close(self) -> None:
         self.popen.stdout.close()
-        if self.log is not subprocess.DEVNULL:
-            self.log.close()
 
 
 def start_stand_in(module: str, *arguments: str, name: str = "") -> Process:
