--- /dev/null
+++ b/bench/proof/__init__.py
@@ -0,0 +1,1 @@
+"""History checking of concurrent runs and the fault matrix."""
