--- a/src/lagoonrill/_internal/protocol/messages.py
+++ b/src/lagoonrill/_internal/protocol/messages.py
@@ -45,7 +45,11 @@
 
 
 class ClaimRequest(PeerMessage):
-    """Asks a peer that reaches the store to append a claim for the sender."""
+    """Asks a peer that reaches the store to append a claim for the sender.
+
+    `body_digest` is hexadecimal; `deadline_s` is the time left, since the clocks of
+    two processes differ.
+    """
 
     team: str
     key: str
@@ -60,7 +64,7 @@
     kind: str
     detail: str = ""
     status: int = 0
-    content_type: str = ""
+    headers: dict[str, str] = {}
     body: bytes = b""
 
 
--- /dev/null
+++ b/standins/object_store.py
@@ -0,0 +1,383 @@
+"""Stand-in of the Object API.
+
+It serves on an event loop, because hundreds of watches wait at the same time. It prints
+`ready <port> <control port>`: the control port serves the same paths and stays open
+while `down` closes the other one, so that the fault can be cleared.
+
+`GET /stats` returns the counters, `POST /faults` sets attributes of `Faults`.
+"""
+
+import asyncio
+import random
+import signal
+
+import msgspec
+from aiohttp import web
+from sortedcontainers import SortedDict
+
+from lagoonrill._internal.protocol.objects import VersionedObject, WatchBatch
+
+from .server import argument_parser
+
+MAX_VALUE_BYTES = 1_000_000
+# Older deletions are forgotten; a watch from before them is refused.
+KEPT_DELETIONS = 100_000
+
+
+class Faults(msgspec.Struct, kw_only=True, forbid_unknown_fields=True):
+    """Faults in force; `prefix` limits the faults of writes to such names.
+
+    `down` refuses connections. `slow_ms` delays every call before it takes effect. A
+    lost answer drops the connection after the write took effect, a late write drops it
+    `late_ms` before. Calls of `refused_instances` are dropped without effect.
+    """
+
+    down: bool = False
+    slow_ms: float = 0.0
+    prefix: str = ""
+    lose_share: float = 0.0
+    lose_next: int = 0
+    late_share: float = 0.0
+    late_next: int = 0
+    late_ms: float = 100.0
+    silent_watches: bool = False
+    refused_instances: list[str] = []
+
+
+class Stats(msgspec.Struct, kw_only=True):
+    """Calls by kind, bodies in bytes, and calls that a fault hit."""
+
+    reads: int = 0
+    writes: int = 0
+    conflicts: int = 0
+    watches: int = 0
+    waiting_watches: int = 0
+    received_bytes: int = 0
+    sent_bytes: int = 0
+    lost_answers: int = 0
+    late_writes: int = 0
+    refused: int = 0
+    revision: int = 0
+    objects: int = 0
+
+
+class Conflict(Exception):
+    """The condition of a write does not hold."""
+
+
+class ObjectStore:
+    """Objects with versions; a version is the revision of the last write."""
+
+    def __init__(self):
+        self.revision = 0
+        self.objects: SortedDict[str, VersionedObject] = SortedDict()
+        # Both are ordered by revision, since a changed name is inserted again.
+        self.changed: dict[str, int] = {}
+        self.deleted: dict[str, int] = {}
+        self.forgotten = 0
+
+    def get(self, name: str) -> VersionedObject | None:
+        """Returns an object or None."""
+        return self.objects.get(name)
+
+    def put(self, name: str, value: bytes, *, condition: int | None = None) -> int:
+        """Writes an object; `condition` is the current version, 0 for absent."""
+        self.check(name, condition)
+        self.revision += 1
+        self.objects[name] = VersionedObject(
+            name=name, version=self.revision, value=value
+        )
+        self.deleted.pop(name, None)
+        self.changed.pop(name, None)
+        self.changed[name] = self.revision
+        return self.revision
+
+    def delete(self, name: str, *, condition: int | None = None) -> bool:
+        """Deletes an object; returns whether it existed."""
+        self.check(name, condition)
+        if self.objects.pop(name, None) is None:
+            return False
+        self.revision += 1
+        self.changed.pop(name)
+        self.deleted[name] = self.revision
+        if len(self.deleted) > KEPT_DELETIONS:
+            self.forgotten = self.deleted.pop(next(iter(self.deleted)))
+        return True
+
+    def check(self, name: str, condition: int | None) -> None:
+        """Raises `Conflict` if the condition does not hold."""
+        current = self.objects.get(name)
+        if condition is not None and condition != (current.version if current else 0):
+            raise Conflict(f"{name} is at {current.version if current else 'no'}")
+
+    def list(self, prefix: str, after: str, limit: int) -> list[VersionedObject]:
+        """Returns objects with the prefix, those after a name, in order."""
+        found = []
+        for name in self.objects.irange(max(prefix, after)):
+            if len(found) == limit or not name.startswith(prefix):
+                break
+            if name > after:
+                found.append(self.objects[name])
+        return found
+
+    def changes(self, prefix: str, since: int) -> WatchBatch:
+        """Returns what changed after a revision."""
+        objects = [self.objects[name] for name in recent(self.changed, prefix, since)]
+        deleted = recent(self.deleted, prefix, since) if since else []
+        return WatchBatch(revision=self.revision, objects=objects, deleted=deleted)
+
+
+def recent(revisions: dict[str, int], prefix: str, since: int) -> list[str]:
+    """Returns the names that changed after a revision, oldest first."""
+    names = []
+    for name, revision in reversed(revisions.items()):
+        if revision <= since:
+            break
+        if name.startswith(prefix):
+            names.append(name)
+    return names[::-1]
+
+
+class ObjectStoreServer:
+    """Serves an `ObjectStore` over HTTP with faults and counters."""
+
+    def __init__(self, *, seed: int = 0):
+        self.store = ObjectStore()
+        self.faults = Faults()
+        self.stats = Stats()
+        self.random = random.Random(seed)
+        self.waiting: dict[str, set[asyncio.Future]] = {}
+        self.server = web.Server(self.handle, access_log=None)
+        self.runner = web.ServerRunner(self.server)
+        self.site: web.TCPSite | None = None
+        self.address = ("127.0.0.1", 0)
+
+    async def start(self, host: str, port: int) -> tuple[int, int]:
+        """Opens both ports and returns them."""
+        await self.runner.setup()
+        self.address = (host, port)
+        await self.open_port()
+        control = web.TCPSite(self.runner, host, 0)
+        await control.start()
+        return self.address[1], self.runner.addresses[-1][1]
+
+    async def open_port(self) -> None:
+        """Listens for calls again, on the same port as before."""
+        host, port = self.address
+        self.site = web.TCPSite(self.runner, host, port)
+        await self.site.start()
+        self.address = (host, self.site._server.sockets[0].getsockname()[1])
+
+    async def close_port(self, except_for: web.BaseRequest) -> None:
+        """Refuses new connections and drops the open ones."""
+        await self.site.stop()
+        self.site = None
+        for connection in self.server.connections:
+            transport = connection.transport
+            if transport is None or transport is except_for.transport:
+                continue
+            if transport.get_extra_info("sockname")[1] == self.address[1]:
+                transport.abort()
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answers one request."""
+        if request.path == "/faults":
+            return await self.handle_faults(request)
+        if request.path == "/stats":
+            return self.answer_stats()
+        if request.headers.get("X-Instance", "") in self.faults.refused_instances:
+            self.stats.refused += 1
+            return self.drop(request)
+        if request.path == "/watch" and request.method == "GET":
+            return await self.watch(request)
+        if self.faults.slow_ms:
+            await asyncio.sleep(self.faults.slow_ms / 1000)
+        if request.path == "/objects" and request.method == "GET":
+            return self.list(request)
+        if request.path.startswith("/objects/"):
+            return await self.handle_object(request, request.path[len("/objects/") :])
+        return web.Response(status=400, text="no such path")
+
+    async def handle_faults(self, request: web.BaseRequest) -> web.Response:
+        """Returns the faults; POST changes the named ones first."""
+        if request.method == "POST":
+            try:
+                changes = msgspec.json.decode(await request.read())
+                merged = msgspec.to_builtins(self.faults) | changes
+                self.faults = msgspec.convert(merged, Faults)
+            except (msgspec.DecodeError, TypeError) as error:
+                return web.Response(status=400, text=str(error))
+            if self.faults.down and self.site:
+                await self.close_port(request)
+            elif not self.faults.down and not self.site:
+                await self.open_port()
+        answer = json_answer(self.faults)
+        if self.faults.down:
+            answer.force_close()
+        return answer
+
+    def answer_stats(self) -> web.Response:
+        """Returns the counters."""
+        self.stats.revision = self.store.revision
+        self.stats.objects = len(self.store.objects)
+        self.stats.waiting_watches = sum(map(len, self.waiting.values()))
+        return json_answer(self.stats)
+
+    async def handle_object(self, request: web.BaseRequest, name: str):
+        """Reads or writes one object."""
+        if request.method == "GET":
+            return self.get(name)
+        value = await request.read()
+        self.stats.writes += 1
+        self.stats.received_bytes += len(value)
+        if len(value) > MAX_VALUE_BYTES:
+            return web.Response(status=413, text="value above 1 MB")
+        write = self.writer(request, name, value)
+        if self.strikes(name, "late"):
+            self.stats.late_writes += 1
+            asyncio.get_running_loop().call_later(self.faults.late_ms / 1000, write)
+            return self.drop(request)
+        answer = write()
+        if answer.status < 300 and self.strikes(name, "lose"):
+            self.stats.lost_answers += 1
+            return self.drop(request)
+        return answer
+
+    def writer(self, request: web.BaseRequest, name: str, value: bytes):
+        """Returns a function that applies the write and returns its answer."""
+        method = request.method
+        condition = None
+        if request.headers.get("If-None-Match") == "*":
+            condition = 0
+        elif "If-Match" in request.headers:
+            condition = int(request.headers["If-Match"])
+
+        def write() -> web.Response:
+            try:
+                return self.write(method, name, value, condition)
+            except Conflict as error:
+                self.stats.conflicts += 1
+                return web.Response(status=412, text=str(error))
+
+        return write
+
+    def write(self, method, name, value, condition) -> web.Response:
+        """Applies a write and wakes the watches that it concerns."""
+        if method == "PUT":
+            version = self.store.put(name, value, condition=condition)
+            answer = web.Response(headers={"ETag": str(version)})
+        elif method == "DELETE":
+            existed = self.store.delete(name, condition=condition)
+            answer = web.Response(status=204 if existed else 404)
+        else:
+            return web.Response(status=405)
+        if not self.faults.silent_watches:
+            self.wake(name)
+        return answer
+
+    def wake(self, name: str) -> None:
+        """Wakes the watches whose prefix matches a name."""
+        for prefix, watches in self.waiting.items():
+            if name.startswith(prefix):
+                for watch in watches:
+                    if not watch.done():
+                        watch.set_result(None)
+
+    def strikes(self, name: str, fault: str) -> bool:
+        """Decides whether a fault of writes hits this one."""
+        if not name.startswith(self.faults.prefix):
+            return False
+        left = getattr(self.faults, f"{fault}_next")
+        if left > 0:
+            setattr(self.faults, f"{fault}_next", left - 1)
+            return True
+        share = getattr(self.faults, f"{fault}_share")
+        return share > 0 and self.random.random() < share
+
+    def drop(self, request: web.BaseRequest) -> web.Response:
+        """Drops the connection, so that the answer never leaves."""
+        if request.transport is not None:
+            request.transport.abort()
+        return web.Response(status=500)
+
+    def get(self, name: str) -> web.Response:
+        """Returns one object."""
+        self.stats.reads += 1
+        found = self.store.get(name)
+        if found is None:
+            return web.Response(status=404)
+        self.stats.sent_bytes += len(found.value)
+        return web.Response(body=found.value, headers={"ETag": str(found.version)})
+
+    def list(self, request: web.BaseRequest) -> web.Response:
+        """Returns a page of objects."""
+        self.stats.reads += 1
+        query = request.query
+        page = self.store.list(
+            query.get("prefix", ""), query.get("after", ""), int(query["limit"])
+        )
+        return self.counted(json_answer(page))
+
+    async def watch(self, request: web.BaseRequest) -> web.Response:
+        """Waits for a change under a prefix."""
+        self.stats.watches += 1
+        prefix = request.query.get("prefix", "")
+        since = int(request.query.get("since", "0"))
+        wait_s = float(request.query.get("wait_s", "0"))
+        if since and since < self.store.forgotten:
+            return web.Response(status=410, text="revision too old, start from 0")
+        batch = self.store.changes(prefix, since)
+        if self.faults.silent_watches or not (batch.objects or batch.deleted):
+            await self.wait(prefix, wait_s)
+            batch = self.store.changes(prefix, since)
+        if self.faults.silent_watches:
+            batch = WatchBatch(revision=since, objects=[])
+        return self.counted(json_answer(batch))
+
+    async def wait(self, prefix: str, wait_s: float) -> None:
+        """Waits until a name with the prefix changes."""
+        changed = asyncio.get_running_loop().create_future()
+        watches = self.waiting.setdefault(prefix, set())
+        watches.add(changed)
+        try:
+            await asyncio.wait([changed], timeout=wait_s)
+        finally:
+            watches.discard(changed)
+            if not watches and self.waiting.get(prefix) is watches:
+                del self.waiting[prefix]
+
+    def counted(self, answer: web.Response) -> web.Response:
+        """Adds the body of an answer to the counters."""
+        self.stats.sent_bytes += len(answer.body)
+        return answer
+
+
+def json_answer(value: object) -> web.Response:
+    """Encodes a value as the JSON body of an answer."""
+    return web.Response(
+        body=msgspec.json.encode(value), content_type="application/json"
+    )
+
+
+async def serve(host: str, port: int, seed: int) -> None:
+    """Serves until SIGTERM or SIGINT."""
+    server = ObjectStoreServer(seed=seed)
+    stopped = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopped.set)
+    port, control_port = await server.start(host, port)
+    print(f"ready {port} {control_port}", flush=True)
+    await stopped.wait()
+
+
+def main() -> None:
+    """Parses the arguments and serves."""
+    parser = argument_parser(__doc__.splitlines()[0])
+    parser.add_argument("--seed", type=int, default=0)
+    arguments = parser.parse_args()
+    asyncio.run(serve(arguments.host, arguments.port, arguments.seed))
+
+
+if __name__ == "__main__":
+    main()
