--- /dev/null
+++ b/src/lagoonrill/_internal/coordination/policy/admission.py
@@ -0,0 +1,54 @@
+"""Admission: whether a request may join the queue."""
+
+from ...state.scheduling import Outlook, Refusal
+from ...state.tickets import Ticket
+from .registry import Registry
+
+ADMISSION = Registry(decision="admission")
+
+# The predicted wait is a mean. Only a request whose wait is predicted at three times
+# its remaining time is refused early, so that a wrong estimate costs few requests.
+HOPELESS_WAIT_RATIO = 3.0
+
+
+def queue_refusal(ticket: Ticket, outlook: Outlook) -> Refusal | None:
+    """Refuses when the class's queue or the whole queue is full."""
+    limit = ticket.request_class.max_queue
+    if outlook.class_waiting >= limit:
+        return Refusal(
+            reason="class_queue_full", detail=f"{limit} requests of the class wait"
+        )
+    if outlook.total_waiting >= outlook.total_limit:
+        return Refusal(
+            reason="queue_full", detail=f"{outlook.total_limit} requests wait"
+        )
+    return None
+
+
+@ADMISSION.register("default")
+class DeadlineAwareAdmission:
+    """Queue limits, and early refusal of requests that cannot start in time."""
+
+    displaces_lower_tiers = True
+
+    def refuse(self, ticket: Ticket, outlook: Outlook) -> Refusal | None:
+        refusal = queue_refusal(ticket, outlook)
+        if refusal is not None or ticket.request_class.protected:
+            return refusal
+        remaining_s = ticket.deadline - outlook.now
+        if outlook.predicted_wait_s > HOPELESS_WAIT_RATIO * remaining_s:
+            return Refusal(
+                reason="predicted_late",
+                detail=f"the expected wait is {outlook.predicted_wait_s:.1f} s",
+            )
+        return None
+
+
+@ADMISSION.register("fifo_round_robin", "least_outstanding")
+class QueueLimitAdmission:
+    """Queue limits only."""
+
+    displaces_lower_tiers = False
+
+    def refuse(self, ticket: Ticket, outlook: Outlook) -> Refusal | None:
+        return queue_refusal(ticket, outlook)
--- /dev/null
+++ b/src/lagoonrill/_internal/coordination/policy/endpoint_choice.py
@@ -0,0 +1,122 @@
+"""Endpoint choice: which endpoint with a free slot serves a request."""
+
+from ...state.endpoint_table import EndpointView
+from ...state.tickets import Ticket
+from .prefix_affinity import BLOCK_TOKENS, PrefixIndex
+from .registry import Registry
+
+ENDPOINT_CHOICE = Registry(decision="endpoint choice")
+
+# Prefill time of one prompt token; used for the difference between endpoints only.
+PREFILL_S_PER_TOKEN = 0.0004
+DEFAULT_FIRST_TOKEN_S = 0.2
+# Two to ten times the round trip between zones, so that the zone decides between
+# endpoints that are otherwise about equal.
+OTHER_ZONE_PENALTY_S = 0.01
+# Larger than any other term: an endpoint that makes the target goes before one that
+# does not, in whichever zone it is.
+MISSED_TARGET_PENALTY_S = 60.0
+# A queue at the engine beyond its slots delays the first token by about this much for
+# each waiting request and slot.
+ENGINE_QUEUE_STEP_S = 1.0
+
+
+@ENDPOINT_CHOICE.register("default")
+class LowestPlacementCost:
+    """Expected wait, straggler penalty, uncached prompt and zone as one cost in s."""
+
+    def __init__(self, *, zone: str, prefixes: PrefixIndex):
+        self.zone = zone
+        self.prefixes = prefixes
+
+    def choose(
+        self, ticket: Ticket, views: list[EndpointView], now: float
+    ) -> EndpointView | None:
+        trial = self._trial_for(ticket, views)
+        if trial is not None:
+            return trial
+        proven = [view for view in views if not view.trial] or views
+        return min(proven, key=lambda view: self.cost(ticket, view, now))
+
+    def _trial_for(
+        self, ticket: Ticket, views: list[EndpointView]
+    ) -> EndpointView | None:
+        # A trial may fail, so a request that can be repeated and is not protected goes.
+        request_class = ticket.request_class
+        if request_class.protected or not request_class.repeatable:
+            return None
+        return next((view for view in views if view.trial), None)
+
+    def cost(self, ticket: Ticket, view: EndpointView, now: float) -> float:
+        """Returns the placement cost in seconds."""
+        first_token_s = self._first_token_s(ticket, view)
+        cost_s = first_token_s
+        if view.endpoint.zone != self.zone:
+            cost_s += OTHER_ZONE_PENALTY_S
+        if self._misses_target(ticket, view, first_token_s, now):
+            cost_s += MISSED_TARGET_PENALTY_S * view.slowdown
+        return cost_s
+
+    def _first_token_s(self, ticket: Ticket, view: EndpointView) -> float:
+        cached = self.prefixes.cached_blocks(view.endpoint.id, ticket.prompt_blocks)
+        uncached_tokens = max(0, ticket.prompt_tokens - cached * BLOCK_TOKENS)
+        prefill_s = uncached_tokens * PREFILL_S_PER_TOKEN
+        ahead = max(0, view.running + view.waiting + 1 - view.slots)
+        queue_s = ahead / max(1, view.slots) * ENGINE_QUEUE_STEP_S
+        # Load decides between endpoints that are equal in everything else.
+        load_s = 0.01 * view.running / max(1, view.slots)
+        base_s = view.first_token_s or DEFAULT_FIRST_TOKEN_S
+        return base_s + (prefill_s + queue_s + load_s) * view.slowdown
+
+    def _misses_target(
+        self, ticket: Ticket, view: EndpointView, first_token_s: float, now: float
+    ) -> bool:
+        latency = ticket.request_class.latency
+        if latency.token_gap_ms is not None and view.token_gap_s is not None:
+            gap_ms = view.token_gap_s * 1000.0
+            if gap_ms > latency.token_gap_ms and view.slowdown > 1.5:
+                return True
+        due_at = ticket.deadline
+        if latency.first_token_ms is not None:
+            due_at = min(due_at, ticket.arrived_at + latency.first_token_ms / 1000.0)
+        return now + first_token_s > due_at
+
+    def note_sent(self, ticket: Ticket, endpoint_id: str) -> None:
+        self.prefixes.note_sent(endpoint_id, ticket.prompt_blocks)
+
+
+@ENDPOINT_CHOICE.register("fifo_round_robin")
+class RoundRobin:
+    """The next endpoint with a free slot, in turn."""
+
+    def __init__(self, *, zone: str, prefixes: PrefixIndex):
+        self.last: dict[str, str] = {}
+
+    def choose(
+        self, ticket: Ticket, views: list[EndpointView], now: float
+    ) -> EndpointView | None:
+        ordered = sorted(views, key=lambda view: view.endpoint.id)
+        last = self.last.get(ticket.target, "")
+        later = [view for view in ordered if view.endpoint.id > last]
+        chosen = (later or ordered)[0]
+        self.last[ticket.target] = chosen.endpoint.id
+        return chosen
+
+    def note_sent(self, ticket: Ticket, endpoint_id: str) -> None:
+        pass
+
+
+@ENDPOINT_CHOICE.register("least_outstanding")
+class LeastOutstanding:
+    """The endpoint with the fewest requests of this instance in flight."""
+
+    def __init__(self, *, zone: str, prefixes: PrefixIndex):
+        pass
+
+    def choose(
+        self, ticket: Ticket, views: list[EndpointView], now: float
+    ) -> EndpointView | None:
+        return min(views, key=lambda view: view.in_flight)
+
+    def note_sent(self, ticket: Ticket, endpoint_id: str) -> None:
+        pass
--- /dev/null
+++ b/src/lagoonrill/_internal/coordination/policy/preemption.py
@@ -0,0 +1,38 @@
+"""Preemption: when a waiting request may take the slot of lower-tier work."""
+
+from ...state.scheduling import Outlook
+from ...state.tickets import Ticket
+from .registry import Registry
+
+PREEMPTION = Registry(decision="preemption")
+
+# Share of the time to the target that a request waits for a slot to become free by
+# itself; preempting later would miss the target, earlier would repeat more prefill.
+PATIENCE_SHARE = 0.5
+
+
+@PREEMPTION.register("default")
+class PreemptForTarget:
+    """Preempts when waiting for a free slot would probably miss the target."""
+
+    def due_at(self, ticket: Ticket, outlook: Outlook) -> float | None:
+        slack_s = self._target_s(ticket) - outlook.service_s
+        waited_s = outlook.now - ticket.arrived_at
+        if outlook.predicted_wait_s > slack_s - waited_s:
+            return outlook.now
+        return max(outlook.now, ticket.arrived_at + PATIENCE_SHARE * slack_s)
+
+    def _target_s(self, ticket: Ticket) -> float:
+        latency = ticket.request_class.latency
+        target_ms = latency.first_token_ms or latency.whole_answer_ms
+        if target_ms is None:
+            return ticket.deadline - ticket.arrived_at
+        return target_ms / 1000.0
+
+
+@PREEMPTION.register("fifo_round_robin", "least_outstanding")
+class NeverPreempt:
+    """Running work always keeps its slot."""
+
+    def due_at(self, ticket: Ticket, outlook: Outlook) -> float | None:
+        return None
--- /dev/null
+++ b/src/lagoonrill/_internal/coordination/policy/retries.py
@@ -0,0 +1,127 @@
+"""Retry budget and hedge decision, for repeatable classes only."""
+
+import threading
+
+import msgspec
+
+from ...protocol.manifest import RequestClass
+from .registry import Registry
+
+RETRIES = Registry(decision="retries")
+
+BUDGET_SHARE = 0.1
+# A quiet instance may still retry a few requests; a burst cannot save up more.
+MAX_BUDGET_TOKENS = 20.0
+# A request without a first token after three times the usual time is hedged.
+HEDGE_AFTER_RATIO = 3.0
+MIN_HEDGE_DELAY_S = 0.2
+
+
+class RetryDump(msgspec.Struct, kw_only=True):
+    """Counters of retries and hedges; wasted tokens are those of discarded answers."""
+
+    budget: float
+    retries: dict[str, int]
+    hedges: dict[str, int]
+    denied: dict[str, int]
+    wasted_tokens: dict[str, int]
+
+
+class RetryCounters:
+    """Shared counting of what retries and hedges cost."""
+
+    def __init__(self):
+        self.lock = threading.Lock()
+        self.budget = 0.0
+        self.retries: dict[str, int] = {}
+        self.hedges: dict[str, int] = {}
+        self.denied: dict[str, int] = {}
+        self.wasted_tokens: dict[str, int] = {}
+
+    def note_wasted(self, request_class: str, tokens: int) -> None:
+        """Counts the tokens of an answer, or part, that nobody received."""
+        with self.lock:
+            add(self.wasted_tokens, request_class, tokens)
+
+    def dump(self) -> RetryDump:
+        with self.lock:
+            return RetryDump(
+                budget=self.budget,
+                retries=dict(self.retries),
+                hedges=dict(self.hedges),
+                denied=dict(self.denied),
+                wasted_tokens=dict(self.wasted_tokens),
+            )
+
+
+def add(counts: dict[str, int], key: str, amount: int = 1) -> None:
+    """Adds to a counter that may not exist yet."""
+    counts[key] = counts.get(key, 0) + amount
+
+
+@RETRIES.register("default")
+class RetryBudget(RetryCounters):
+    """Token bucket: every request adds 0.1, every retry or hedge takes 1.
+
+    >>> budget = RetryBudget()
+    >>> for _ in range(11):
+    ...     budget.note_request()
+    >>> [budget.take_token(), budget.take_token()]
+    [True, False]
+    """
+
+    def note_request(self) -> None:
+        """Counts a first attempt."""
+        with self.lock:
+            self.budget = min(MAX_BUDGET_TOKENS, self.budget + BUDGET_SHARE)
+
+    def take_token(self) -> bool:
+        with self.lock:
+            if self.budget < 1.0:
+                return False
+            self.budget -= 1.0
+            return True
+
+    def allow_retry(self, request_class: RequestClass) -> bool:
+        """Takes a token for a retry; never for a class that is not repeatable."""
+        return self._allow(request_class, self.retries)
+
+    def hedge_delay_s(
+        self, request_class: RequestClass, first_token_s: float | None
+    ) -> float | None:
+        """Returns after how long without a first token to hedge, None for never."""
+        if not request_class.repeatable or first_token_s is None:
+            return None
+        return max(MIN_HEDGE_DELAY_S, HEDGE_AFTER_RATIO * first_token_s)
+
+    def allow_hedge(self, request_class: RequestClass) -> bool:
+        """Takes a token for a hedge; never for a class that is not repeatable."""
+        return self._allow(request_class, self.hedges)
+
+    def _allow(self, request_class: RequestClass, counts: dict[str, int]) -> bool:
+        allowed = request_class.repeatable and self.take_token()
+        with self.lock:
+            add(counts if allowed else self.denied, request_class.name)
+        return allowed
+
+
+@RETRIES.register("fifo_round_robin", "least_outstanding")
+class UnlimitedRetries(RetryCounters):
+    """Repeatable classes are retried without a budget and never hedged."""
+
+    def note_request(self) -> None:
+        pass
+
+    def allow_retry(self, request_class: RequestClass) -> bool:
+        allowed = request_class.repeatable
+        with self.lock:
+            add(self.retries if allowed else self.denied, request_class.name)
+        return allowed
+
+    def hedge_delay_s(
+        self, request_class: RequestClass, first_token_s: float | None
+    ) -> float | None:
+        return None
+
+    def allow_hedge(self, request_class: RequestClass) -> bool:
+        return False
--- /dev/null
+++ b/src/lagoonrill/_internal/state/class_queue.py
@@ -0,0 +1,238 @@
+"""Waiting requests of one class for one target: fair over teams, deadlines within."""
+
+import heapq
+import itertools
+import threading
+from collections.abc import Callable
+
+from ..protocol.errors import RequestError
+from ..protocol.manifest import RequestClass
+from .tickets import SlotGrant, Ticket
+
+# Unused credit is capped, so that a class that waited long cannot then take many slots
+# at once from a burst of a higher tier.
+MAX_CREDIT_SLOT_S = 4.0
+# A class that ran above its floor while higher tiers waited pays for it, but never more
+# than it earns back in this time. This bounds its wait for the next slot.
+MAX_DEBT_S = 30.0
+FLOOR_PRICE_SLOT_S = 1.0
+# A correction may make a pick almost free, but virtual time must always advance.
+MIN_CHARGE_SHARE = 0.1
+MIN_STALE_ENTRIES = 16
+
+
+class Waiting:
+    """One ticket that waits; it ends once, with a grant or an error.
+
+    `wakeup` is set at the end and when the timer moved forward.
+    """
+
+    __slots__ = (
+        "ticket",
+        "queue",
+        "team_key",
+        "order_key",
+        "sequence",
+        "grant",
+        "error",
+        "is_ended",
+        "wakeup",
+        "latest_start",
+        "wake_at",
+        "victim",
+    )
+
+    def __init__(self, *, ticket: Ticket, sequence: int, wakeup: threading.Event):
+        self.ticket = ticket
+        self.queue: ClassQueue | None = None
+        self.team_key = ""
+        self.order_key = 0.0
+        self.sequence = sequence
+        self.grant: SlotGrant | None = None
+        self.error: RequestError | None = None
+        self.is_ended = False
+        self.wakeup = wakeup
+        self.latest_start = ticket.deadline
+        self.wake_at = ticket.deadline
+        self.victim: SlotGrant | None = None
+
+    def end(
+        self, *, grant: SlotGrant | None = None, error: RequestError | None = None
+    ) -> None:
+        self.grant = grant
+        self.error = error
+        self.is_ended = True
+        self.wakeup.set()
+
+
+class TeamQueue:
+    """Waiting requests of one team in one class, earliest deadline first."""
+
+    __slots__ = ("name", "weight", "heap", "live", "start_tag", "correction", "listed")
+
+    def __init__(self, *, name: str, weight: float):
+        self.name = name
+        self.weight = weight
+        self.heap: list[tuple[float, int, Waiting]] = []
+        self.live = 0
+        self.start_tag = 0.0
+        self.correction = 0.0
+        self.listed = False
+
+    def push(self, entry: Waiting) -> None:
+        heapq.heappush(self.heap, (entry.order_key, entry.sequence, entry))
+        self.live += 1
+
+    def head(self) -> Waiting | None:
+        while self.heap and self.heap[0][2].is_ended:
+            heapq.heappop(self.heap)
+        return self.heap[0][2] if self.heap else None
+
+    def pop(self) -> Waiting:
+        self.live -= 1
+        return heapq.heappop(self.heap)[2]
+
+    def forget_one(self) -> None:
+        """Counts a ticket that ended in the queue; its heap entry goes later."""
+        self.live -= 1
+        if len(self.heap) > 2 * self.live + MIN_STALE_ENTRIES:
+            self.heap = [item for item in self.heap if not item[2].is_ended]
+            heapq.heapify(self.heap)
+
+
+class ClassQueue:
+    """Start-time fair queue over the teams of one class and target.
+
+    It also keeps the class's floor credit in slot-seconds. All methods need the
+    scheduler's lock. Picking costs O(log teams).
+    """
+
+    def __init__(self, *, request_class: RequestClass, target: str):
+        self.request_class = request_class
+        self.target = target
+        self.teams: dict[str, TeamQueue] = {}
+        self.ready: list[tuple[float, int, TeamQueue]] = []
+        self.blocked: set[str] = set()
+        self.waiting: dict[Waiting, None] = {}
+        self.running: dict[SlotGrant, None] = {}
+        self.signalled: dict[SlotGrant, None] = {}
+        self.virtual_time = 0.0
+        self.class_tag = 0.0
+        self.floor_slots = 0.0
+        self.credit = 0.0
+        self.advanced_at = 0.0
+        self.sequence = itertools.count()
+
+    @property
+    def tier(self) -> int:
+        return self.request_class.tier
+
+    def push(self, entry: Waiting, *, weight: float) -> None:
+        team = self.teams.get(entry.team_key)
+        if team is None:
+            team = TeamQueue(name=entry.team_key, weight=weight)
+            self.teams[entry.team_key] = team
+        team.weight = weight
+        self.waiting[entry] = None
+        entry.queue = self
+        team.push(entry)
+        self._list(team)
+
+    def _list(self, team: TeamQueue) -> None:
+        if team.listed or team.name in self.blocked:
+            return
+        team.start_tag = max(team.start_tag, self.virtual_time)
+        team.listed = True
+        heapq.heappush(self.ready, (team.start_tag, next(self.sequence), team))
+
+    def head(self, is_full: Callable[[str], bool]) -> Waiting | None:
+        """Returns the next request; teams at their limit are put aside."""
+        while self.ready:
+            team = self.ready[0][2]
+            entry = team.head()
+            if entry is not None and not is_full(team.name):
+                return entry
+            heapq.heappop(self.ready)
+            team.listed = False
+            if entry is not None:
+                self.blocked.add(team.name)
+        return None
+
+    def unblock(self, team_name: str) -> None:
+        """Brings a team back that has dropped below its in-flight limit."""
+        if team_name not in self.blocked:
+            return
+        self.blocked.discard(team_name)
+        self._list(self.teams[team_name])
+
+    def take_head(self, cost: float) -> Waiting:
+        """Removes the request that `head` returned and charges its team."""
+        team = self.ready[0][2]
+        entry = team.pop()
+        del self.waiting[entry]
+        self.virtual_time = max(self.virtual_time, team.start_tag)
+        charge = max(cost + team.correction, MIN_CHARGE_SHARE * cost)
+        team.correction += cost - charge
+        team.start_tag += charge / team.weight
+        self._relist(team)
+        return entry
+
+    def set_head_aside(self) -> Waiting:
+        """Removes the head without a charge; `restore` brings it back."""
+        team = self.ready[0][2]
+        entry = team.pop()
+        self._relist(team)
+        return entry
+
+    def restore(self, entry: Waiting) -> None:
+        team = self.teams[entry.team_key]
+        team.push(entry)
+        self._list(team)
+
+    def _relist(self, team: TeamQueue) -> None:
+        if team.head() is None:
+            heapq.heappop(self.ready)
+            team.listed = False
+            return
+        item = (team.start_tag, next(self.sequence), team)
+        heapq.heapreplace(self.ready, item)
+
+    def discard(self, entry: Waiting) -> None:
+        """Forgets a request that ended while it waited."""
+        del self.waiting[entry]
+        self.teams[entry.team_key].forget_one()
+
+    def correct(self, team_name: str, difference: float) -> None:
+        """Charges a team with its next pick what the estimate was short of."""
+        team = self.teams.get(team_name)
+        if team is not None:
+            team.correction += difference
+
+    def newest(self) -> Waiting:
+        return next(reversed(self.waiting))
+
+    def oldest(self) -> Waiting:
+        return next(iter(self.waiting))
+
+    def advance(self, now: float, *, higher_waits: bool) -> None:
+        """Earns credit while the class waits and pays for slots that others want."""
+        elapsed_s = now - self.advanced_at
+        self.advanced_at = now
+        if self.floor_slots <= 0.0 or elapsed_s <= 0.0:
+            return
+        if self.waiting:
+            self.credit += self.floor_slots * elapsed_s
+        if higher_waits:
+            self.credit -= len(self.running) * elapsed_s
+        lowest = -self.floor_slots * MAX_DEBT_S
+        self.credit = min(MAX_CREDIT_SLOT_S, max(lowest, self.credit))
+
+    def has_floor_credit(self) -> bool:
+        return self.floor_slots > 0.0 and self.credit >= FLOOR_PRICE_SLOT_S
+
+    def pay_floor_price(self) -> None:
+        self.credit -= FLOOR_PRICE_SLOT_S
+
+    def has_slots_beyond_floor(self) -> bool:
+        """Tells whether a running grant may be preempted without touching the floor."""
+        return len(self.running) - len(self.signalled) > int(self.floor_slots)
--- /dev/null
+++ b/src/lagoonrill/_internal/state/endpoint_table.py
@@ -0,0 +1,476 @@
+"""What this instance knows about every endpoint of the manifest."""
+
+import threading
+import time
+from collections import deque
+from collections.abc import Callable
+
+import msgspec
+
+from ..protocol.manifest import Endpoint, Manifest
+
+# The first retry comes quickly, because most refusals are restarts of a worker; the
+# cap keeps a dead endpoint from costing more than one request in 15 s.
+FIRST_BACKOFF_S = 0.5
+MAX_BACKOFF_S = 15.0
+# Other failures than a refused connection may be the request's own fault, so several
+# in a row are needed before the endpoint counts as down.
+FAILURES_BEFORE_DOWN = 3
+# A report that is older than this says less than what this instance sent itself.
+MAX_REPORT_AGE_S = 5.0
+# Peers repeat what they know with every heartbeat (0.5 s). Their word lapses after ten
+# missed heartbeats, so that two instances cannot confirm each other for ever.
+PEER_WORD_TTL_S = 5.0
+PEER_SOURCE_PREFIX = "peer"
+LOAD_REPORT_SOURCE = "load_report"
+ANSWER_SOURCE = "answer"
+MANIFEST_SOURCE = "manifest"
+# Weight of a new sample in the estimates; five samples move an estimate by two thirds.
+SAMPLE_WEIGHT = 0.2
+# Without new samples an estimate returns to the median, or a straggler that receives
+# no work could never show that it has recovered.
+ESTIMATE_HALF_LIFE_S = 20.0
+MIN_SAMPLES = 2
+
+
+class LoadReport(msgspec.Struct, kw_only=True):
+    """An engine's own report; it describes the engine `age_s` seconds ago."""
+
+    running: int
+    waiting: int
+    slots: int
+    state: str = "live"
+    age_s: float = 0.0
+
+
+class EndpointView(msgspec.Struct, kw_only=True):
+    """A snapshot of one endpoint for a routing decision.
+
+    `running` and `waiting` are corrected for what this instance sent and saw come back
+    since the report. `slowdown` is the endpoint's time per token relative to the median
+    of the endpoints for the same target (1.0 for the median and faster ones). `trial`
+    marks an endpoint that is down and due for a single trial request.
+    """
+
+    endpoint: Endpoint
+    running: int
+    waiting: int
+    in_flight: int
+    slots: int
+    first_token_s: float | None = None
+    token_gap_s: float | None = None
+    slowdown: float = 1.0
+    trial: bool = False
+
+
+class EndpointDump(msgspec.Struct, kw_only=True):
+    """One endpoint in the state dump."""
+
+    endpoint: str
+    down: bool
+    down_reason: str
+    leaving_sources: list[str]
+    in_flight: int
+    running: int
+    waiting: int
+    first_token_s: float | None
+    token_gap_s: float | None
+
+
+class EndpointTableDump(msgspec.Struct, kw_only=True):
+    """State dump of the endpoint table."""
+
+    endpoints: list[EndpointDump]
+
+
+class Estimate:
+    """Exponentially weighted mean of the instance's own measurements."""
+
+    __slots__ = ("mean", "samples", "updated_at")
+
+    def __init__(self):
+        self.mean = 0.0
+        self.samples = 0
+        self.updated_at = 0.0
+
+    def add(self, value: float, now: float) -> None:
+        weight = max(SAMPLE_WEIGHT, 1.0 / (self.samples + 1))
+        self.mean += weight * (value - self.mean)
+        self.samples += 1
+        self.updated_at = now
+
+    def value(self) -> float | None:
+        return self.mean if self.samples >= MIN_SAMPLES else None
+
+    def slowdown(self, median: float, now: float) -> float:
+        """Returns the ratio to the median, which fades without new samples."""
+        if self.samples < MIN_SAMPLES or median <= 0.0:
+            return 1.0
+        excess = max(0.0, self.mean / median - 1.0)
+        idle_s = max(0.0, now - self.updated_at)
+        return 1.0 + excess * 0.5 ** (idle_s / ESTIMATE_HALF_LIFE_S)
+
+
+class EndpointEntry:
+    """Mutable state of one endpoint; guarded by the table's lock."""
+
+    __slots__ = (
+        "endpoint",
+        "in_flight",
+        "report",
+        "sampled_at",
+        "changes",
+        "leaving_sources",
+        "down",
+        "down_reason",
+        "failures",
+        "backoffs",
+        "probe_at",
+        "trial_running",
+        "first_token",
+        "token_gap",
+    )
+
+    def __init__(self, *, endpoint: Endpoint):
+        self.endpoint = endpoint
+        self.in_flight = 0
+        self.report: LoadReport | None = None
+        self.sampled_at = 0.0
+        # (time, +1 sent or -1 came back) since the sample of the last report.
+        self.changes: deque[tuple[float, int]] = deque()
+        self.leaving_sources: dict[str, float] = {}
+        self.down = False
+        self.down_reason = ""
+        self.failures = 0
+        self.backoffs = 0
+        self.probe_at = 0.0
+        self.trial_running = False
+        self.first_token = Estimate()
+        self.token_gap = Estimate()
+
+    def is_leaving(self, now: float) -> bool:
+        return any(until > now for until in self.leaving_sources.values())
+
+    def is_candidate(self, now: float) -> bool:
+        if self.leaving_sources and self.is_leaving(now):
+            return False
+        return not self.down or self.is_trial_due(now)
+
+    def is_trial_due(self, now: float) -> bool:
+        return self.down and not self.trial_running and now >= self.probe_at
+
+    def record_change(self, delta: int, now: float) -> None:
+        self.in_flight = max(0, self.in_flight + delta)
+        if self.report is not None:
+            self.changes.append((now, delta))
+        while self.changes and self.changes[0][0] < now - MAX_REPORT_AGE_S:
+            self.changes.popleft()
+
+    def accept_report(self, report: LoadReport, sampled_at: float) -> None:
+        self.report = report
+        self.sampled_at = sampled_at
+        while self.changes and self.changes[0][0] <= sampled_at:
+            self.changes.popleft()
+
+    def load(self, now: float) -> tuple[int, int]:
+        """Returns running and waiting requests, corrected by own sends and returns."""
+        if self.report is None or now - self.sampled_at > MAX_REPORT_AGE_S:
+            return self.in_flight, 0
+        total = self.report.running + self.report.waiting
+        total += sum(delta for _, delta in self.changes)
+        total = max(total, self.in_flight)
+        running = min(total, max(self.report.slots, self.report.running))
+        return running, total - running
+
+
+class EndpointTable:
+    """Endpoints of the manifest in force with load, speed and state.
+
+    Endpoints that are leaving or down are left out of `candidates` at once. An endpoint
+    that is down becomes a candidate for a single trial request after its back-off.
+
+    >>> from lagoonrill._internal.protocol.manifest import Endpoint, Manifest
+    >>> table = EndpointTable()
+    >>> engine = Endpoint(id="e1", url="http://x", zone="z", slots=4, models=["m"])
+    >>> table.apply_manifest(Manifest(classes=[], endpoints=[engine], teams=[]))
+    >>> [view.endpoint.id for view in table.candidates("m")]
+    ['e1']
+    >>> table.mark_leaving("e1", "instance_list")
+    >>> table.candidates("m")
+    []
+    """
+
+    def __init__(self, *, clock: Callable[[], float] = time.monotonic):
+        self.clock = clock
+        self.lock = threading.Lock()
+        self.entries: dict[str, EndpointEntry] = {}
+        self.by_target: dict[str, list[EndpointEntry]] = {}
+        self.callbacks: list[Callable[[], None]] = []
+
+    def subscribe(self, callback: Callable[[], None]) -> None:
+        """Calls back, without a lock held, after the state of an endpoint changed."""
+        self.callbacks.append(callback)
+
+    def apply_manifest(self, manifest: Manifest) -> None:
+        with self.lock:
+            self.entries = {
+                endpoint.id: self._entry_for(endpoint)
+                for endpoint in manifest.endpoints
+            }
+            self.by_target = {}
+            for entry in self.entries.values():
+                for target in targets_of(entry.endpoint):
+                    self.by_target.setdefault(target, []).append(entry)
+        self._notify()
+
+    def _entry_for(self, endpoint: Endpoint) -> EndpointEntry:
+        entry = self.entries.get(endpoint.id)
+        if entry is None or entry.endpoint.url != endpoint.url:
+            entry = EndpointEntry(endpoint=endpoint)
+        entry.endpoint = endpoint
+        if endpoint.drain:
+            entry.leaving_sources[MANIFEST_SOURCE] = float("inf")
+        else:
+            entry.leaving_sources.pop(MANIFEST_SOURCE, None)
+        return entry
+
+    def candidates(self, target: str) -> list[EndpointView]:
+        """Returns the endpoints that may receive a request for the target now."""
+        now = self.clock()
+        with self.lock:
+            entries = self.by_target.get(target, ())
+            usable = [entry for entry in entries if entry.is_candidate(now)]
+            return self._views(usable, now)
+
+    def _views(self, entries: list[EndpointEntry], now: float) -> list[EndpointView]:
+        gap = median([e.token_gap.value() for e in entries])
+        first = median([e.first_token.value() for e in entries])
+        return [self._view(entry, gap, first, now) for entry in entries]
+
+    def _view(
+        self, entry: EndpointEntry, gap: float, first: float, now: float
+    ) -> EndpointView:
+        running, waiting = entry.load(now)
+        # The first token depends on the prompt's length, so the gap decides if known.
+        if entry.token_gap.value() is not None:
+            slowdown = entry.token_gap.slowdown(gap, now)
+        else:
+            slowdown = entry.first_token.slowdown(first, now)
+        return EndpointView(
+            endpoint=entry.endpoint,
+            running=running,
+            waiting=waiting,
+            in_flight=entry.in_flight,
+            slots=entry.endpoint.slots,
+            first_token_s=entry.first_token.value(),
+            token_gap_s=entry.token_gap.value(),
+            slowdown=slowdown,
+            trial=entry.down,
+        )
+
+    def has_candidates(self, target: str) -> bool:
+        """Tells whether `candidates` would return any endpoint; cheaper than it."""
+        now = self.clock()
+        with self.lock:
+            return any(e.is_candidate(now) for e in self.by_target.get(target, ()))
+
+    def next_probe_at(self, target: str) -> float | None:
+        """Returns when the next trial of a down endpoint of the target is due."""
+        now = self.clock()
+        with self.lock:
+            times = [
+                entry.probe_at
+                for entry in self.by_target.get(target, ())
+                if entry.down and not entry.trial_running and not entry.is_leaving(now)
+            ]
+        return min(times, default=None)
+
+    def has_trial_running(self, target: str) -> bool:
+        """Tells whether a trial request may soon bring back an endpoint."""
+        with self.lock:
+            return any(e.trial_running for e in self.by_target.get(target, ()))
+
+    def report_load(self, endpoint_id: str, report: LoadReport) -> None:
+        """Takes an engine's report; one sampled before the last one is ignored."""
+        now = self.clock()
+        sampled_at = now - report.age_s
+        with self.lock:
+            entry = self.entries.get(endpoint_id)
+            if entry is None or sampled_at < entry.sampled_at:
+                return
+            was_leaving = entry.is_leaving(now)
+            entry.accept_report(report, sampled_at)
+            if report.state == "leaving":
+                entry.leaving_sources[LOAD_REPORT_SOURCE] = float("inf")
+            else:
+                entry.leaving_sources.pop(LOAD_REPORT_SOURCE, None)
+                entry.leaving_sources.pop(ANSWER_SOURCE, None)
+            changed = entry.is_leaving(now) != was_leaving
+        if changed:
+            self._notify()
+
+    def mark_leaving(self, endpoint_id: str, source: str) -> None:
+        """Stops new work for the endpoint; `peer:<instance>` marks a peer's word."""
+        until = float("inf")
+        if source.startswith(PEER_SOURCE_PREFIX):
+            until = self.clock() + PEER_WORD_TTL_S
+        with self.lock:
+            entry = self.entries.get(endpoint_id)
+            if entry is None:
+                return
+            was_leaving = entry.is_leaving(self.clock())
+            entry.leaving_sources[source] = until
+        if not was_leaving:
+            self._notify()
+
+    def clear_leaving(self, endpoint_id: str, source: str) -> None:
+        """Withdraws what one source said, for example after a restart."""
+        with self.lock:
+            entry = self.entries.get(endpoint_id)
+            if entry is not None:
+                entry.leaving_sources.pop(source, None)
+        self._notify()
+
+    def mark_down(self, endpoint_id: str, reason: str) -> None:
+        """Stops new work for the endpoint until a trial or `mark_up` succeeds."""
+        now = self.clock()
+        with self.lock:
+            entry = self.entries.get(endpoint_id)
+            if entry is not None:
+                self._take_down(entry, reason, now)
+        self._notify()
+
+    def _take_down(self, entry: EndpointEntry, reason: str, now: float) -> None:
+        # Streams that fail together count as one failure, so only a failed trial or a
+        # new failure after the back-off lengthens it.
+        if entry.down and not entry.trial_running and now < entry.probe_at:
+            return
+        backoff_s = min(MAX_BACKOFF_S, FIRST_BACKOFF_S * 2.0**entry.backoffs)
+        entry.backoffs += 1
+        entry.down = True
+        entry.down_reason = reason
+        entry.trial_running = False
+        entry.probe_at = now + backoff_s
+
+    def mark_up(self, endpoint_id: str) -> None:
+        with self.lock:
+            entry = self.entries.get(endpoint_id)
+            if entry is not None:
+                self._bring_up(entry)
+        self._notify()
+
+    def _bring_up(self, entry: EndpointEntry) -> None:
+        entry.down = False
+        entry.down_reason = ""
+        entry.failures = 0
+        entry.backoffs = 0
+        entry.trial_running = False
+
+    def note_sent(self, endpoint_id: str) -> None:
+        """Counts a request that this instance sends to the endpoint."""
+        now = self.clock()
+        with self.lock:
+            entry = self.entries.get(endpoint_id)
+            if entry is None:
+                return
+            entry.trial_running = entry.trial_running or entry.is_trial_due(now)
+            entry.record_change(1, now)
+
+    def note_speed(
+        self,
+        endpoint_id: str,
+        *,
+        first_token_s: float | None = None,
+        token_gap_s: float | None = None,
+    ) -> None:
+        """Adds own measurements; relays may call it while the stream still runs."""
+        now = self.clock()
+        with self.lock:
+            entry = self.entries.get(endpoint_id)
+            if entry is None:
+                return
+            if first_token_s is not None:
+                entry.first_token.add(first_token_s, now)
+            if token_gap_s is not None:
+                entry.token_gap.add(token_gap_s, now)
+
+    def note_returned(
+        self, endpoint_id: str, *, failed: bool, succeeded: bool, trial: bool = False
+    ) -> None:
+        """Counts a request that came back; neither flag is set for a cancelled one."""
+        now = self.clock()
+        with self.lock:
+            entry = self.entries.get(endpoint_id)
+            if entry is None:
+                return
+            entry.record_change(-1, now)
+            self._judge(entry, failed, succeeded, trial, now)
+
+    def _judge(
+        self,
+        entry: EndpointEntry,
+        failed: bool,
+        succeeded: bool,
+        trial: bool,
+        now: float,
+    ) -> None:
+        if succeeded:
+            entry.failures = 0
+            if trial:
+                self._bring_up(entry)
+            return
+        if failed:
+            entry.failures += 1
+            if trial or entry.failures >= FAILURES_BEFORE_DOWN:
+                self._take_down(entry, "requests failed", now)
+        if trial:
+            entry.trial_running = False
+
+    def leaving(self) -> list[str]:
+        """Returns endpoints known at first hand to be leaving, for the heartbeat."""
+        now = self.clock()
+        with self.lock:
+            return sorted(
+                entry.endpoint.id
+                for entry in self.entries.values()
+                if any(
+                    until > now and not source.startswith(PEER_SOURCE_PREFIX)
+                    for source, until in entry.leaving_sources.items()
+                )
+            )
+
+    def dump(self) -> EndpointTableDump:
+        now = self.clock()
+        with self.lock:
+            entries = [self._dump_entry(e, now) for e in self.entries.values()]
+        return EndpointTableDump(endpoints=entries)
+
+    def _dump_entry(self, entry: EndpointEntry, now: float) -> EndpointDump:
+        running, waiting = entry.load(now)
+        sources = [s for s, until in entry.leaving_sources.items() if until > now]
+        return EndpointDump(
+            endpoint=entry.endpoint.id,
+            down=entry.down,
+            down_reason=entry.down_reason,
+            leaving_sources=sources,
+            in_flight=entry.in_flight,
+            running=running,
+            waiting=waiting,
+            first_token_s=entry.first_token.value(),
+            token_gap_s=entry.token_gap.value(),
+        )
+
+    def _notify(self) -> None:
+        for callback in self.callbacks:
+            callback()
+
+
+def targets_of(endpoint: Endpoint) -> list[str]:
+    """Returns the models, or the service, that an endpoint serves."""
+    return [endpoint.service] if endpoint.service else list(endpoint.models)
+
+
+def median(values: list[float | None]) -> float:
+    """Returns the lower median of the known values, 0.0 without any."""
+    known = sorted(value for value in values if value is not None)
+    return known[(len(known) - 1) // 2] if known else 0.0
--- /dev/null
+++ b/src/lagoonrill/_internal/state/request_queue.py
@@ -0,0 +1,845 @@
+"""The scheduler: one queue per target, with the endpoints' slots as servers."""
+
+import heapq
+import itertools
+import threading
+import time
+from collections.abc import Callable
+
+import msgspec
+
+from ..protocol.errors import DeadlineExceeded, NoEndpoint, Overloaded, RequestError
+from ..protocol.manifest import Manifest, RequestClass, Team
+from ..protocol.messages import EndpointUse
+from .class_queue import ClassQueue, Waiting
+from .endpoint_table import EndpointTable, EndpointView, targets_of
+from .pools import Pool, build_pools
+from .scheduling import Outlook, SchedulingPolicy
+from .slots import SlotShares
+from .tickets import Cancelled, SlotGrant, Ticket, Usage
+
+__all__ = ["Cancelled", "Scheduler", "SlotGrant", "Ticket", "Usage"]
+
+# One thread waits for each request, so this exceeds the callers' threads (640) by
+# default and bounds the memory of a driver that submits without threads.
+MAX_WAITING = 4_000
+# A stream checks for preemption between tokens (72 ms at the target). One that has not
+# released its slot after this time does not count as a slot that can be had.
+PREEMPTION_ANSWER_S = 1.0
+PREEMPTION_RECHECK_S = 0.05
+TEAM_LIMIT_RECHECK_S = 0.25
+MIN_RETRY_AFTER_S = 0.5
+MAX_RETRY_AFTER_S = 30.0
+MIN_TEAM_WEIGHT = 0.001
+
+
+class ClassCounters(msgspec.Struct, kw_only=True):
+    """Counters of one class since the start; `sheds` is by reason."""
+
+    granted: int = 0
+    granted_by_floor: int = 0
+    preempted: int = 0
+    failed: int = 0
+    cancelled: int = 0
+    tokens: int = 0
+    wasted_tokens: int = 0
+    longest_wait_s: float = 0.0
+    sheds: dict[str, int] = {}
+
+
+class QueueDump(msgspec.Struct, kw_only=True):
+    """One class queue in the state dump."""
+
+    request_class: str
+    target: str
+    tier: int
+    waiting: int
+    running: int
+    floor_slots: float
+    credit: float
+
+
+class SchedulerDump(msgspec.Struct, kw_only=True):
+    """State dump of the scheduler."""
+
+    queues: list[QueueDump]
+    in_use: dict[str, int]
+    limits: dict[str, int]
+    counters: dict[str, ClassCounters]
+
+
+class Scheduler:
+    """Grants slots of endpoints to waiting requests.
+
+    `acquire` blocks its own thread. The timers of waiting requests run in the threads
+    that wait, so the scheduler owns no thread.
+    """
+
+    def __init__(
+        self,
+        *,
+        instance: str,
+        table: EndpointTable,
+        policy: SchedulingPolicy,
+        max_waiting: int = MAX_WAITING,
+        clock: Callable[[], float] = time.monotonic,
+    ):
+        self.table = table
+        self.policy = policy
+        self.max_waiting = max_waiting
+        self.clock = clock
+        self.shares = SlotShares(instance=instance)
+        self.lock = threading.Lock()
+        self.pools: dict[str, Pool] = {}
+        self.queues: dict[tuple[str, str], ClassQueue] = {}
+        self.classes: dict[str, RequestClass] = {}
+        self.teams: dict[str, Team] = {}
+        self.top_tier = 0
+        self.limits: dict[str, int] = {}
+        self.in_use: dict[str, int] = {}
+        self.team_in_use: dict[str, int] = {}
+        self.entries: dict[Ticket, Waiting] = {}
+        self.timers: list[tuple[float, int, Waiting]] = []
+        self.sequence = itertools.count()
+        self.counters: dict[str, ClassCounters] = {}
+        table.subscribe(self.refresh)
+
+    # Configuration.
+
+    def apply_manifest(self, manifest: Manifest) -> None:
+        """Takes classes, teams and slots; the endpoint table takes it first."""
+        with self.lock:
+            now = self.clock()
+            self.classes = {item.name: item for item in manifest.classes}
+            self.teams = {team.name: team for team in manifest.teams}
+            tiers = [item.tier for item in manifest.classes]
+            self.top_tier = min(tiers, default=0)
+            self.shares.apply_endpoints(manifest.endpoints)
+            self.pools = build_pools(manifest)
+            self._place_queues(now)
+            self._shares_changed(now)
+
+    def _place_queues(self, now: float) -> None:
+        for (target, class_name), queue in list(self.queues.items()):
+            queue.request_class = self.classes.get(class_name, queue.request_class)
+            pool = self.pools.get(target)
+            if pool is not None:
+                pool.add_queue(queue)
+                continue
+            for entry in list(queue.waiting):
+                self._end_without_endpoint(entry, "the manifest removed the target")
+            if not queue.running:
+                del self.queues[target, class_name]
+
+    def update_peers(self, uses: dict[str, list[EndpointUse]]) -> None:
+        """Takes the slots that all live peers use, from their last heartbeats."""
+        with self.lock:
+            self.shares.update_peers(uses)
+            self._shares_changed(self.clock())
+
+    def refresh(self) -> None:
+        """Grants what became possible, for example after an endpoint came back."""
+        with self.lock:
+            self._dispatch_all(self.clock())
+
+    def _shares_changed(self, now: float) -> None:
+        self.limits = self.shares.limits()
+        for queue in self.queues.values():
+            self._set_floor(queue)
+        self._dispatch_all(now)
+
+    def _set_floor(self, queue: ClassQueue) -> None:
+        pool = self.pools.get(queue.target)
+        if pool is None or queue.tier <= self.top_tier:
+            queue.floor_slots = 0.0
+            return
+        endpoints = pool.endpoints[queue.target]
+        slots = sum(self.shares.base(endpoint.id) for endpoint in endpoints)
+        queue.floor_slots = queue.request_class.floor * slots
+
+    def local_uses(self) -> list[EndpointUse]:
+        """Returns slots in use and requests waiting per endpoint, for the heartbeat."""
+        with self.lock:
+            waiting: dict[str, int] = {}
+            for queue in self.queues.values():
+                if queue.head(self._is_team_full) is not None:
+                    total = waiting.get(queue.target, 0) + len(queue.waiting)
+                    waiting[queue.target] = total
+            endpoints = {
+                endpoint.id: endpoint
+                for pool in self.pools.values()
+                for group in pool.endpoints.values()
+                for endpoint in group
+            }
+            return [
+                EndpointUse(
+                    endpoint=endpoint.id,
+                    in_use=self.in_use.get(endpoint.id, 0),
+                    waiting=sum(waiting.get(t, 0) for t in targets_of(endpoint)),
+                )
+                for endpoint in endpoints.values()
+            ]
+
+    # Requests.
+
+    def acquire(self, ticket: Ticket) -> SlotGrant:
+        """Blocks until a slot is granted.
+
+        Raises `Overloaded`, `DeadlineExceeded` or `NoEndpoint` when the request is
+        shed, and `Cancelled` after `cancel`. In all these cases it was not run.
+        """
+        entry = self.submit(ticket)
+        try:
+            while not entry.is_ended:
+                entry.wakeup.wait(self._timeout_s(entry))
+                entry.wakeup.clear()
+                self.poll()
+        except BaseException:
+            self._abandon(entry)
+            raise
+        if entry.error is not None:
+            raise entry.error
+        return entry.grant
+
+    def _timeout_s(self, entry: Waiting) -> float | None:
+        if entry.wake_at == float("inf"):
+            return None
+        return max(0.0, entry.wake_at - self.clock())
+
+    def submit(
+        self, ticket: Ticket, *, wakeup: threading.Event | None = None
+    ) -> Waiting:
+        """Queues a ticket without blocking.
+
+        `wakeup` is set when the entry has its grant or error. A driver without threads
+        calls `poll` at the times that `next_wake` names.
+        """
+        entry = Waiting(
+            ticket=ticket,
+            sequence=next(self.sequence),
+            wakeup=wakeup or threading.Event(),
+        )
+        with self.lock:
+            if ticket in self.entries:
+                raise ValueError(f"ticket {ticket.request_id} waits already")
+            self._accept(entry, self.clock())
+        return entry
+
+    def cancel(self, ticket: Ticket) -> bool:
+        """Ends the wait of a ticket; returns False if it no longer waits."""
+        with self.lock:
+            entry = self.entries.get(ticket)
+            if entry is None:
+                return False
+            counters = self._counters(ticket.request_class)
+            counters.cancelled += 1
+            self._end(entry, Cancelled(message="The caller cancelled the request"))
+            return True
+
+    def release(self, grant: SlotGrant, usage: Usage) -> None:
+        """Returns a slot; a second release of the same grant has no effect."""
+        with self.lock:
+            if grant.released:
+                return
+            now = self.clock()
+            grant.released = True
+            queue = self.queues[self._queue_key(grant.ticket)]
+            pool = self.pools.get(queue.target)
+            if pool is not None:
+                pool.advance(now)
+            self._forget_running(grant, queue)
+            self._learn(grant, queue, usage, now)
+            if pool is not None:
+                self._dispatch(pool, now)
+
+    def poll(self) -> None:
+        """Handles the timers of waiting tickets that are due."""
+        with self.lock:
+            now = self.clock()
+            while self.timers and self.timers[0][0] <= now:
+                wake_at, _, entry = heapq.heappop(self.timers)
+                if entry.wake_at == wake_at and not entry.is_ended:
+                    self._wake(entry, now)
+
+    def next_wake(self) -> float | None:
+        """Returns when `poll` is next due, None if nothing waits."""
+        with self.lock:
+            self._drop_stale_timers()
+            return self.timers[0][0] if self.timers else None
+
+    def dump(self) -> SchedulerDump:
+        with self.lock:
+            return SchedulerDump(
+                queues=[dump_queue(queue) for queue in self.queues.values()],
+                in_use=dict(self.in_use),
+                limits=dict(self.limits),
+                counters={
+                    name: msgspec.structs.replace(item, sheds=dict(item.sheds))
+                    for name, item in self.counters.items()
+                },
+            )
+
+    def _abandon(self, entry: Waiting) -> None:
+        # Reached when the waiting thread itself is interrupted.
+        if not self.cancel(entry.ticket) and entry.grant is not None:
+            self.release(entry.grant, Usage())
+
+    # Admission.
+
+    def _accept(self, entry: Waiting, now: float) -> None:
+        ticket = entry.ticket
+        pool = self.pools.get(ticket.target)
+        if pool is None:
+            self._end_without_endpoint(entry, "no endpoint serves the target")
+            return
+        pool.advance(now)
+        queue = self._queue_for(ticket, pool, now)
+        views = self.table.candidates(ticket.target)
+        self._set_latest_start(entry, views)
+        if not self._may_find_endpoint(entry, views):
+            self._end_without_endpoint(entry, "every endpoint is down or leaving")
+            return
+        error = self._refusal(entry, queue, pool, now)
+        if error is not None:
+            self._shed(entry, error[0], error[1], error[2], now)
+            return
+        self._enqueue(entry, queue)
+        self._dispatch(pool, now)
+        if not entry.is_ended:
+            self._wake(entry, now)
+
+    def _queue_key(self, ticket: Ticket) -> tuple[str, str]:
+        return ticket.target, ticket.request_class.name
+
+    def _queue_for(self, ticket: Ticket, pool: Pool, now: float) -> ClassQueue:
+        key = self._queue_key(ticket)
+        queue = self.queues.get(key)
+        if queue is None:
+            queue = ClassQueue(request_class=ticket.request_class, target=ticket.target)
+            queue.advanced_at = now
+            self.queues[key] = queue
+            pool.add_queue(queue)
+            self._set_floor(queue)
+        return queue
+
+    def _set_latest_start(self, entry: Waiting, views: list[EndpointView]) -> None:
+        ticket = entry.ticket
+        if ticket.resumes:
+            entry.latest_start = float("inf")
+        elif ticket.request_class.protected:
+            # No estimate may shed a protected request.
+            entry.latest_start = ticket.deadline
+        else:
+            least_s = self.policy.load_estimate.least_service_s(ticket, views)
+            entry.latest_start = ticket.deadline - least_s
+
+    def _may_find_endpoint(self, entry: Waiting, views: list[EndpointView]) -> bool:
+        excluded = entry.ticket.excluded
+        if any(view.endpoint.id not in excluded for view in views):
+            return True
+        probe_at = self.table.next_probe_at(entry.ticket.target)
+        if probe_at is not None and probe_at < entry.latest_start:
+            return True
+        return self.table.has_trial_running(entry.ticket.target)
+
+    def _refusal(
+        self, entry: Waiting, queue: ClassQueue, pool: Pool, now: float
+    ) -> tuple[type[RequestError], str, str] | None:
+        ticket = entry.ticket
+        if ticket.resumes:
+            return None
+        if entry.latest_start <= now:
+            return DeadlineExceeded, "deadline", "the deadline cannot be met any more"
+        outlook = self._outlook(ticket, queue, pool, now)
+        refusal = self.policy.admission.refuse(ticket, outlook)
+        if refusal is None:
+            return None
+        if refusal.reason == "queue_full" and self._displace_lower(ticket):
+            return None
+        if ticket.request_class.protected and self._is_lower_work_usable(entry, now):
+            return None
+        return Overloaded, refusal.reason, refusal.detail
+
+    def _displace_lower(self, ticket: Ticket) -> bool:
+        """Sheds the newest waiting request of the lowest tier for a higher one."""
+        if not self.policy.admission.displaces_lower_tiers:
+            return False
+        request_class = ticket.request_class
+        lower = [
+            queue
+            for queue in self.queues.values()
+            if queue.tier > request_class.tier
+            and (request_class.protected or not queue.request_class.protected)
+        ]
+        for queue in sorted(lower, key=lambda item: -item.tier):
+            victim = next(
+                (e for e in reversed(queue.waiting) if not e.ticket.resumes), None
+            )
+            if victim is not None:
+                detail = "a request of a higher tier took its place in the full queue"
+                self._shed(victim, Overloaded, "displaced", detail, self.clock())
+                return True
+        return False
+
+    def _enqueue(self, entry: Waiting, queue: ClassQueue) -> None:
+        ticket = entry.ticket
+        fairness = self.policy.team_fairness
+        entry.team_key = fairness.team_key(ticket)
+        entry.order_key = fairness.order_key(ticket)
+        team = self.teams.get(ticket.team)
+        weight = team.weight if team is not None and entry.team_key else 1.0
+        if not queue.waiting:
+            tags = [q.class_tag for q in self._same_tier(queue) if q.waiting]
+            queue.class_tag = max(queue.class_tag, min(tags, default=0.0))
+        queue.push(entry, weight=max(MIN_TEAM_WEIGHT, weight))
+        self.entries[ticket] = entry
+
+    def _same_tier(self, queue: ClassQueue) -> list[ClassQueue]:
+        queues = self.pools[queue.target].queues
+        return [other for other in queues if other.tier == queue.tier]
+
+    def _outlook(
+        self, ticket: Ticket, queue: ClassQueue, pool: Pool, now: float
+    ) -> Outlook:
+        views = self.table.candidates(ticket.target)
+        return Outlook(
+            now=now,
+            class_waiting=len(queue.waiting),
+            total_waiting=len(self.entries),
+            total_limit=self.max_waiting,
+            predicted_wait_s=self._predicted_wait_s(ticket, queue, pool, views),
+            service_s=self.policy.load_estimate.service_s(ticket, views),
+        )
+
+    def _predicted_wait_s(
+        self,
+        ticket: Ticket,
+        queue: ClassQueue,
+        pool: Pool,
+        views: list[EndpointView],
+    ) -> float:
+        if self._views_with_room(views):
+            return 0.0
+        load = self.policy.load_estimate
+        ahead_s = sum(
+            len(other.waiting) * load.hold_s(other.request_class.name)
+            for other in pool.queues
+            if other is not queue and other.tier <= queue.tier
+        )
+        own_ahead = self._ahead_in_class(ticket, queue)
+        ahead_s += own_ahead * load.hold_s(queue.request_class.name)
+        running = [q for q in pool.queues if q.running]
+        count = sum(len(q.running) for q in running)
+        if not count:
+            return 0.0
+        held_s = sum(
+            len(q.running) * load.hold_s(q.request_class.name) for q in running
+        )
+        return ahead_s / count + held_s / count**2
+
+    def _ahead_in_class(self, ticket: Ticket, queue: ClassQueue) -> int:
+        """Counts the requests that fair queueing serves before a new one of the team.
+
+        A team with few requests does not wait for all requests of a team with many.
+        """
+        team = queue.teams.get(self.policy.team_fairness.team_key(ticket))
+        own = team.live if team is not None else 0
+        return min(len(queue.waiting), (own + 1) * len(queue.ready))
+
+    # Dispatch.
+
+    def _dispatch_all(self, now: float) -> None:
+        for pool in {id(pool): pool for pool in self.pools.values()}.values():
+            pool.advance(now)
+            self._dispatch(pool, now)
+
+    def _dispatch(self, pool: Pool, now: float) -> None:
+        """Grants free slots until none is free or nobody can use one.
+
+        Only requests that exclude endpoints are ever put aside, so the cost of a pick
+        does not grow with the number of waiting requests.
+        """
+        views: dict[str, list[EndpointView]] = {}
+        aside: list[Waiting] = []
+        while True:
+            queues = [q for q in pool.queues if self._can_serve(q, pool, views)]
+            if not queues:
+                break
+            pick = self.policy.queue_order.pick(queues)
+            entry = pick.queue.head(self._is_team_full)
+            view = self._choose(entry.ticket, views[pick.queue.target], now)
+            if view is None:
+                aside.append(pick.queue.set_head_aside())
+                continue
+            self._grant(entry, view, by_floor=pick.by_floor, now=now)
+            self._count_in_views(view.endpoint.id, views)
+        for entry in aside:
+            entry.queue.restore(entry)
+        self._watch_targets(pool, now)
+
+    def _watch_targets(self, pool: Pool, now: float) -> None:
+        """Sets timers for trials and ends the wait for targets that have no endpoint.
+
+        One request per queue watches for the next trial, since one is enough for it.
+        """
+        for queue in pool.queues:
+            if not queue.waiting:
+                continue
+            probe_at = self.table.next_probe_at(queue.target)
+            if probe_at is not None:
+                head = queue.head(self._is_team_full)
+                if head is not None and now < probe_at < head.wake_at:
+                    self._set_timer(head, probe_at)
+                    head.wakeup.set()
+            elif not self._has_endpoint(queue.target):
+                for entry in list(queue.waiting):
+                    self._end_without_endpoint(entry, "every endpoint is leaving")
+
+    def _has_endpoint(self, target: str) -> bool:
+        has_candidates = self.table.has_candidates(target)
+        return has_candidates or self.table.has_trial_running(target)
+
+    def _can_serve(
+        self, queue: ClassQueue, pool: Pool, views: dict[str, list[EndpointView]]
+    ) -> bool:
+        if not queue.waiting or queue.head(self._is_team_full) is None:
+            return False
+        target = queue.target
+        if target not in views:
+            views[target] = self._free_views(target, pool)
+        return bool(views[target])
+
+    def _free_views(self, target: str, pool: Pool) -> list[EndpointView]:
+        if not any(self._room(item.id) for item in pool.endpoints[target]):
+            return []
+        return self._views_with_room(self.table.candidates(target))
+
+    def _views_with_room(self, views: list[EndpointView]) -> list[EndpointView]:
+        return [view for view in views if self._room(view.endpoint.id) > 0]
+
+    def _room(self, endpoint_id: str) -> int:
+        used = self.in_use.get(endpoint_id, 0)
+        return max(0, self.limits.get(endpoint_id, 0) - used)
+
+    def _choose(
+        self, ticket: Ticket, views: list[EndpointView], now: float
+    ) -> EndpointView | None:
+        usable = [v for v in views if v.endpoint.id not in ticket.excluded]
+        if not usable:
+            return None
+        return self.policy.endpoint_choice.choose(ticket, usable, now)
+
+    def _grant(
+        self, entry: Waiting, view: EndpointView, *, by_floor: bool, now: float
+    ) -> None:
+        ticket = entry.ticket
+        queue = entry.queue
+        cost = self._estimated_cost(ticket)
+        queue.take_head(cost)
+        queue.class_tag += cost
+        if by_floor:
+            queue.pay_floor_price()
+        grant = SlotGrant(
+            ticket=ticket,
+            endpoint=view.endpoint,
+            granted_at=now,
+            by_floor=by_floor,
+            trial=view.trial,
+            estimated_cost=cost,
+        )
+        queue.running[grant] = None
+        self._add_use(grant, 1)
+        self.table.note_sent(view.endpoint.id)
+        self.policy.endpoint_choice.note_sent(ticket, view.endpoint.id)
+        self._count_grant(ticket, by_floor, now)
+        del self.entries[ticket]
+        entry.end(grant=grant)
+
+    def _estimated_cost(self, ticket: Ticket) -> float:
+        tokens = self.policy.output_length.estimate(
+            ticket.request_class.name, ticket.team
+        )
+        return self.policy.team_fairness.cost(ticket.prompt_tokens, tokens)
+
+    def _count_in_views(
+        self, endpoint_id: str, views: dict[str, list[EndpointView]]
+    ) -> None:
+        """Brings the views of this dispatch up to date after a grant."""
+        for target, target_views in views.items():
+            for view in target_views:
+                if view.endpoint.id == endpoint_id:
+                    view.running += 1
+                    view.in_flight += 1
+            views[target] = [
+                view
+                for view in target_views
+                if self._room(view.endpoint.id) > 0
+                and not (view.trial and view.endpoint.id == endpoint_id)
+            ]
+
+    def _add_use(self, grant: SlotGrant, change: int) -> None:
+        endpoint_id = grant.endpoint.id
+        self.in_use[endpoint_id] = self.in_use.get(endpoint_id, 0) + change
+        team = grant.ticket.team
+        self.team_in_use[team] = self.team_in_use.get(team, 0) + change
+        if not self.team_in_use[team]:
+            del self.team_in_use[team]
+
+    def _is_team_full(self, team_name: str) -> bool:
+        team = self.teams.get(team_name)
+        if team is None or not self.policy.team_fairness.limits_in_flight:
+            return False
+        return self.team_in_use.get(team_name, 0) >= team.max_in_flight
+
+    def _count_grant(self, ticket: Ticket, by_floor: bool, now: float) -> None:
+        counters = self._counters(ticket.request_class)
+        counters.granted += 1
+        counters.granted_by_floor += by_floor
+        if not ticket.resumes:
+            waited_s = now - ticket.arrived_at
+            counters.longest_wait_s = max(counters.longest_wait_s, waited_s)
+
+    # Release.
+
+    def _forget_running(self, grant: SlotGrant, queue: ClassQueue) -> None:
+        queue.running.pop(grant, None)
+        queue.signalled.pop(grant, None)
+        self._add_use(grant, -1)
+        if not self._is_team_full(grant.ticket.team):
+            for other in self.queues.values():
+                other.unblock(grant.ticket.team)
+
+    def _learn(
+        self, grant: SlotGrant, queue: ClassQueue, usage: Usage, now: float
+    ) -> None:
+        ticket = grant.ticket
+        preempted = grant.preempted.is_set()
+        finished = not usage.failed and not preempted and usage.tokens > 0
+        counters = self._counters(ticket.request_class)
+        counters.tokens += usage.tokens
+        counters.wasted_tokens += usage.wasted_tokens
+        counters.failed += usage.failed
+        if preempted and not usage.failed:
+            ticket.resumes = True
+        actual = self.policy.team_fairness.cost(ticket.prompt_tokens, usage.tokens)
+        team_key = self.policy.team_fairness.team_key(ticket)
+        queue.correct(team_key, actual - grant.estimated_cost)
+        queue.class_tag += actual - grant.estimated_cost
+        if finished:
+            name = ticket.request_class.name
+            self.policy.output_length.note(name, ticket.team, usage.tokens)
+        if not usage.failed:
+            hold_s = now - grant.granted_at
+            self.policy.load_estimate.note_hold(queue.request_class.name, hold_s)
+        self._tell_table(grant, usage)
+
+    def _tell_table(self, grant: SlotGrant, usage: Usage) -> None:
+        endpoint_id = grant.endpoint.id
+        self.table.note_speed(
+            endpoint_id,
+            first_token_s=usage.first_token_s,
+            token_gap_s=usage.token_gap_s,
+        )
+        succeeded = not usage.failed and (
+            usage.tokens > 0 or usage.first_token_s is not None
+        )
+        self.table.note_returned(
+            endpoint_id, failed=usage.failed, succeeded=succeeded, trial=grant.trial
+        )
+
+    # Timers and preemption.
+
+    def _wake(self, entry: Waiting, now: float) -> None:
+        """Sheds, preempts or sets the next timer of a waiting request."""
+        ticket = entry.ticket
+        pool = self.pools[ticket.target]
+        pool.advance(now)
+        views = self.table.candidates(ticket.target)
+        if self._free_views(ticket.target, pool):
+            self._dispatch(pool, now)
+            if entry.is_ended:
+                return
+        if not self._may_find_endpoint(entry, views):
+            self._end_without_endpoint(entry, "every endpoint is down or leaving")
+            return
+        if now >= entry.latest_start and not self._keep_protected(entry, now):
+            detail = "the deadline passed before a slot was free"
+            self._shed(entry, DeadlineExceeded, "deadline", detail, now)
+            return
+        self._set_timer(entry, self._next_step_at(entry, pool, now))
+
+    def _keep_protected(self, entry: Waiting, now: float) -> bool:
+        """Keeps a protected request while lower work holds a slot that it can use."""
+        if not entry.ticket.request_class.protected:
+            return False
+        if not self._is_lower_work_usable(entry, now):
+            return False
+        if not self._is_victim_pending(entry, now):
+            self._preempt_for(entry, now)
+        return True
+
+    def _next_step_at(self, entry: Waiting, pool: Pool, now: float) -> float:
+        times = [self._preemption_step_at(entry, pool, now)]
+        if entry.latest_start > now:
+            times.append(entry.latest_start)
+        else:
+            times.append(now + PREEMPTION_RECHECK_S)
+        probe_at = self.table.next_probe_at(entry.ticket.target)
+        if probe_at is not None and probe_at > now:
+            times.append(probe_at)
+        return min(times)
+
+    def _preemption_step_at(self, entry: Waiting, pool: Pool, now: float) -> float:
+        """Preempts if it is due and returns when to look again."""
+        if not any(q.running and q.tier > entry.queue.tier for q in pool.queues):
+            return float("inf")
+        outlook = self._outlook(entry.ticket, entry.queue, pool, now)
+        due_at = self.policy.preemption.due_at(entry.ticket, outlook)
+        if due_at is None:
+            return float("inf")
+        if due_at > now:
+            return due_at
+        if self._is_team_full(entry.team_key):
+            return now + TEAM_LIMIT_RECHECK_S
+        if self._is_victim_pending(entry, now):
+            return entry.victim.preempted_at + PREEMPTION_ANSWER_S
+        pending = pool.signalled_since(now - PREEMPTION_ANSWER_S)
+        if pending >= pool.waiting_up_to(entry.queue.tier):
+            return now + PREEMPTION_RECHECK_S
+        self._preempt_for(entry, now)
+        return now + PREEMPTION_ANSWER_S
+
+    def _is_victim_pending(self, entry: Waiting, now: float) -> bool:
+        victim = entry.victim
+        if victim is None or victim.released:
+            return False
+        return now - victim.preempted_at < PREEMPTION_ANSWER_S
+
+    def _preempt_for(self, entry: Waiting, now: float) -> bool:
+        """Signals the newest grant of the lowest tier that the request can use."""
+        usable = self._usable_endpoints(entry.ticket)
+        for queue in self._lower_queues(entry):
+            if not queue.has_slots_beyond_floor():
+                continue
+            for grant in reversed(queue.running):
+                if grant.preempted_at is None and is_preemptible(grant, usable):
+                    self._signal(grant, queue, now)
+                    entry.victim = grant
+                    return True
+        return False
+
+    def _signal(self, grant: SlotGrant, queue: ClassQueue, now: float) -> None:
+        grant.preempted_at = now
+        grant.preempted.set()
+        queue.signalled[grant] = None
+        self._counters(grant.ticket.request_class).preempted += 1
+
+    def _is_lower_work_usable(self, entry: Waiting, now: float) -> bool:
+        """Tells whether lower-tier work holds a slot that the request could use."""
+        ticket = entry.ticket
+        if self._is_team_full(self.policy.team_fairness.team_key(ticket)):
+            return False
+        usable = self._usable_endpoints(ticket)
+        return any(
+            is_preemptible(grant, usable) and self._can_be_had(grant, queue, now)
+            for queue in self._lower_queues(entry)
+            for grant in queue.running
+        )
+
+    def _can_be_had(self, grant: SlotGrant, queue: ClassQueue, now: float) -> bool:
+        if grant.preempted_at is not None:
+            return now - grant.preempted_at < PREEMPTION_ANSWER_S
+        return queue.has_slots_beyond_floor()
+
+    def _lower_queues(self, entry: Waiting) -> list[ClassQueue]:
+        """Returns the queues of lower tiers, the lowest first."""
+        pool = self.pools[entry.ticket.target]
+        tier = entry.ticket.request_class.tier
+        return [queue for queue in reversed(pool.queues) if queue.tier > tier]
+
+    def _usable_endpoints(self, ticket: Ticket) -> set[str]:
+        views = self.table.candidates(ticket.target)
+        return {view.endpoint.id for view in views} - ticket.excluded
+
+    # Ends and timers.
+
+    def _shed(
+        self,
+        entry: Waiting,
+        error: type[RequestError],
+        reason: str,
+        detail: str,
+        now: float,
+    ) -> None:
+        ticket = entry.ticket
+        pool = self.pools.get(ticket.target)
+        retry_after_s = MIN_RETRY_AFTER_S
+        if pool is not None:
+            queue = self._queue_for(ticket, pool, now)
+            views = self.table.candidates(ticket.target)
+            retry_after_s = self._predicted_wait_s(ticket, queue, pool, views)
+        retry_after_s = min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, retry_after_s))
+        self._count_shed(ticket, reason)
+        name = ticket.request_class.name
+        message = f"Class {name} was shed ({reason}): {detail}"
+        self._end(entry, error(message=message, retry_after_s=retry_after_s))
+
+    def _end_without_endpoint(self, entry: Waiting, detail: str) -> None:
+        ticket = entry.ticket
+        probe_at = self.table.next_probe_at(ticket.target)
+        wait_s = probe_at - self.clock() if probe_at is not None else 0.0
+        retry_after_s = min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, wait_s))
+        self._count_shed(ticket, "no_endpoint")
+        name = ticket.request_class.name
+        message = f"Class {name} on {ticket.target} was shed (no_endpoint): {detail}"
+        self._end(entry, NoEndpoint(message=message, retry_after_s=retry_after_s))
+
+    def _end(self, entry: Waiting, error: RequestError) -> None:
+        if self.entries.get(entry.ticket) is entry:
+            del self.entries[entry.ticket]
+            entry.queue.discard(entry)
+        entry.end(error=error)
+
+    def _counters(self, request_class: RequestClass) -> ClassCounters:
+        return self.counters.setdefault(request_class.name, ClassCounters())
+
+    def _count_shed(self, ticket: Ticket, reason: str) -> None:
+        sheds = self._counters(ticket.request_class).sheds
+        sheds[reason] = sheds.get(reason, 0) + 1
+
+    def _set_timer(self, entry: Waiting, wake_at: float) -> None:
+        entry.wake_at = wake_at
+        if wake_at < float("inf"):
+            heapq.heappush(self.timers, (wake_at, next(self.sequence), entry))
+        if len(self.timers) > 4 * len(self.entries) + 64:
+            self.timers = [t for t in self.timers if not is_stale(t)]
+            heapq.heapify(self.timers)
+
+    def _drop_stale_timers(self) -> None:
+        while self.timers and is_stale(self.timers[0]):
+            heapq.heappop(self.timers)
+
+
+def is_stale(timer: tuple[float, int, Waiting]) -> bool:
+    """Tells whether a timer's request has ended or set a later timer."""
+    wake_at, _, entry = timer
+    return entry.is_ended or entry.wake_at != wake_at
+
+
+def is_preemptible(grant: SlotGrant, usable: set[str]) -> bool:
+    """Tells whether a grant runs a resumable stream on one of the endpoints."""
+    resumable = grant.ticket.request_class.repeatable and not grant.by_floor
+    return resumable and grant.endpoint.id in usable
+
+
+def dump_queue(queue: ClassQueue) -> QueueDump:
+    """Builds the dump of one class queue."""
+    return QueueDump(
+        request_class=queue.request_class.name,
+        target=queue.target,
+        tier=queue.tier,
+        waiting=len(queue.waiting),
+        running=len(queue.running),
+        floor_slots=queue.floor_slots,
+        credit=queue.credit,
+    )
--- /dev/null
+++ b/src/lagoonrill/_internal/state/tickets.py
@@ -0,0 +1,64 @@
+"""Types that pass between the dispatcher and the scheduler."""
+
+import threading
+
+import msgspec
+
+from ..protocol.errors import RequestError, request_error
+from ..protocol.manifest import Endpoint, RequestClass
+
+
+@request_error("cancelled", http_status=499)
+class Cancelled(RequestError):
+    """The caller went away while its request waited."""
+
+    default_remedy = "Send the request again if it is still wanted"
+
+
+class Ticket(msgspec.Struct, kw_only=True, eq=False):
+    """One request that asks for a slot; times are `time.monotonic()` seconds.
+
+    `deadline` is the latest time at which the request is still worth starting.
+    `excluded` holds the ids of endpoints that already failed for this request.
+    `resumes` is set once a stream was preempted: it was accepted and keeps its tokens,
+    so neither its deadline nor a queue limit applies while it waits to go on.
+    """
+
+    request_id: str
+    team: str
+    request_class: RequestClass
+    target: str
+    arrived_at: float
+    deadline: float
+    prompt_tokens: int = 0
+    prompt_blocks: tuple[int, ...] = ()
+    excluded: set[str] = msgspec.field(default_factory=set)
+    resumes: bool = False
+
+
+class SlotGrant(msgspec.Struct, kw_only=True, eq=False):
+    """The right to use one slot of an endpoint until `Scheduler.release`.
+
+    `preempted` is set when the stream should pause, release and acquire again.
+    `by_floor` marks a grant that the class's floor paid for; it is never preempted.
+    """
+
+    ticket: Ticket
+    endpoint: Endpoint
+    granted_at: float
+    preempted: threading.Event = msgspec.field(default_factory=threading.Event)
+    by_floor: bool = False
+    trial: bool = False
+    preempted_at: float | None = None
+    estimated_cost: float = 0.0
+    released: bool = False
+
+
+class Usage(msgspec.Struct, kw_only=True):
+    """What came of one use of a slot; `tokens` counts generated tokens."""
+
+    tokens: int = 0
+    wasted_tokens: int = 0
+    first_token_s: float | None = None
+    token_gap_s: float | None = None
+    failed: bool = False
