--- /dev/null
+++ b/tests/test_scheduler_rules.py
@@ -0,0 +1,293 @@
+"""Guards the scheduler's rules one by one, with a clock that the tests move."""
+
+import pytest
+from scheduler_kit import COUNTER, LOOKUP, PLAN, Kit, engine, request_class
+
+from lagoonrill._internal.protocol.errors import (
+    DeadlineExceeded,
+    NoEndpoint,
+    Overloaded,
+)
+from lagoonrill._internal.state.request_queue import Cancelled, Usage
+
+
+def test_higher_tier_goes_first():
+    """A plan that arrived earlier must not delay a lookup."""
+    kit = Kit(endpoints=[engine("e1", slots=1)])
+    running = kit.submit(LOOKUP)
+    plan, lookup = kit.submit(PLAN), kit.submit(LOOKUP)
+    kit.release(running)
+    assert lookup.grant is not None
+    assert plan.grant is None
+
+
+def test_earliest_deadline_goes_first_within_a_team():
+    """An urgent request must not wait behind a patient one of its own team."""
+    kit = Kit(endpoints=[engine("e1", slots=1)])
+    running = kit.submit(LOOKUP)
+    patient, urgent = kit.submit(LOOKUP, wait_s=9), kit.submit(LOOKUP, wait_s=5)
+    kit.release(running)
+    assert urgent.grant is not None
+    assert patient.grant is None
+
+
+def test_teams_share_by_weight():
+    """A team of weight 2 gets two thirds of the slots that both teams want."""
+    teams = [("oak", {"weight": 2.0}), ("elm", {"weight": 1.0})]
+    kit = Kit(endpoints=[engine("e1", slots=1)], teams=teams)
+    entries = [kit.submit(PLAN, team) for _ in range(60) for team in ("oak", "elm")]
+    served = serve_in_turn(kit, entries, 60)
+    assert served.count("oak") == pytest.approx(40, abs=2)
+
+
+def test_actual_usage_corrects_the_share():
+    """A team whose answers are ten times longer must get fewer of them."""
+    kit = Kit(endpoints=[engine("e1", slots=1)])
+    entries = [kit.submit(PLAN, team) for _ in range(60) for team in ("oak", "elm")]
+    served = serve_in_turn(kit, entries, 55, tokens={"oak": 1000, "elm": 100})
+    assert served.count("oak") <= 9
+
+
+def serve_in_turn(kit, entries, count, tokens=None):
+    """Serves `count` requests one after the other and returns their teams."""
+    served = []
+    for _ in range(count):
+        entry = next(e for e in entries if e.grant and not e.grant.released)
+        served.append(entry.ticket.team)
+        kit.release(entry, tokens=(tokens or {}).get(entry.ticket.team, 100))
+    return served
+
+
+def test_team_limit_holds_back_only_that_team():
+    """A team at its in-flight limit waits; other teams use the free slots."""
+    kit = Kit(endpoints=[engine("e1", slots=3)], teams=[("oak", {"max_in_flight": 1})])
+    first, second = kit.submit(LOOKUP), kit.submit(LOOKUP)
+    other = kit.submit(LOOKUP, "elm")
+    assert (first.grant is None, second.grant is None) == (False, True)
+    assert other.grant is not None
+    kit.release(first)
+    assert second.grant is not None
+
+
+def test_full_class_queue_sheds_the_newcomer():
+    """A class must not use more memory than its queue limit allows."""
+    small = request_class("small", 1, max_queue=1)
+    kit = Kit(endpoints=[engine("e1", slots=1)], classes=[small])
+    kit.submit(small), kit.submit(small)
+    shed = kit.submit(small)
+    assert isinstance(shed.error, Overloaded)
+    assert "small" in shed.error.message
+    assert "class_queue_full" in shed.error.message
+    assert shed.error.retry_after_s > 0
+    assert kit.sheds(small) == {"class_queue_full": 1}
+
+
+def test_full_queue_sheds_the_newest_of_the_lowest_tier():
+    """A counter question must not be refused because plans fill the queue."""
+    kit = Kit(endpoints=[engine("e1", slots=1)], max_waiting=2)
+    kit.submit(COUNTER)
+    old, new = kit.submit(PLAN), kit.submit(PLAN)
+    question = kit.submit(COUNTER)
+    assert isinstance(new.error, Overloaded)
+    assert old.error is None and question.error is None
+    assert isinstance(kit.submit(PLAN).error, Overloaded)
+    assert kit.sheds(PLAN) == {"displaced": 1, "queue_full": 1}
+
+
+def test_deadline_is_decided_when_it_passes():
+    """A request whose deadline passes must be answered at that moment, not later."""
+    kit = Kit(endpoints=[engine("e1", slots=1)])
+    kit.submit(LOOKUP)
+    late = kit.submit(LOOKUP, wait_s=3)
+    kit.advance(2.99)
+    assert not late.is_ended
+    kit.advance(0.02)
+    assert isinstance(late.error, DeadlineExceeded)
+    assert kit.sheds(LOOKUP) == {"deadline": 1}
+
+
+def test_deadline_accounts_for_the_least_service_time():
+    """A request that cannot be answered in time any more must not take a slot."""
+    kit = Kit(endpoints=[engine("e1", slots=1)])
+    for _ in range(3):
+        kit.release(kit.submit(LOOKUP), first_token_s=4.0)
+    assert isinstance(kit.submit(LOOKUP, wait_s=1.9).error, DeadlineExceeded)
+    assert kit.submit(LOOKUP, wait_s=2.1).grant is not None
+
+
+def test_hopeless_request_is_refused_on_arrival():
+    """A caller must not wait in vain when the queue ahead is far too long."""
+    kit = Kit(endpoints=[engine("e1", slots=1)])
+    for _ in range(40):
+        kit.submit(LOOKUP, wait_s=500)
+    refused = kit.submit(LOOKUP, wait_s=5)
+    assert isinstance(refused.error, Overloaded)
+    assert refused.error.retry_after_s == 30.0
+    assert kit.sheds(LOOKUP) == {"predicted_late": 1}
+
+
+def test_cancelled_ticket_leaves_the_queue():
+    """A caller that went away must not use a slot later."""
+    kit = Kit(endpoints=[engine("e1", slots=1)])
+    running = kit.submit(LOOKUP)
+    gone, next_one = kit.submit(LOOKUP), kit.submit(LOOKUP)
+    assert kit.scheduler.cancel(gone.ticket)
+    assert not kit.scheduler.cancel(running.ticket)
+    kit.release(running)
+    assert isinstance(gone.error, Cancelled)
+    assert next_one.grant is not None
+
+
+def test_second_release_has_no_effect():
+    """A slot that is released twice must not be counted twice."""
+    kit = Kit(endpoints=[engine("e1", slots=1)])
+    entry = kit.submit(LOOKUP)
+    kit.release(entry)
+    kit.release(entry)
+    assert kit.submit(LOOKUP).grant is not None
+    assert kit.submit(LOOKUP).grant is None
+
+
+def test_excluded_endpoint_is_not_used_again():
+    """A retry must not go back to the endpoint that failed it, nor block others."""
+    kit = Kit(endpoints=[engine("e1", slots=1), engine("e2", slots=1)])
+    running = [kit.submit(LOOKUP), kit.submit(LOOKUP)]
+    retry = kit.submit(LOOKUP, excluded={"e1"}, wait_s=5)
+    other = kit.submit(LOOKUP, wait_s=9)
+    on_first = next(e for e in running if e.grant.endpoint.id == "e1")
+    kit.release(on_first)
+    assert retry.grant is None and other.grant.endpoint.id == "e1"
+    excluded = kit.submit(LOOKUP, excluded={"e1", "e2"})
+    assert isinstance(excluded.error, NoEndpoint)
+
+
+def test_preemption_takes_the_newest_lowest_grant_only():
+    """A question that would be late preempts one plan, the one that loses least."""
+    kit = Kit()
+    old, new = kit.submit(PLAN), kit.submit(PLAN)
+    question = kit.submit(COUNTER)
+    kit.advance(0.6)
+    assert new.grant.preempted.is_set() and not old.grant.preempted.is_set()
+    kit.release(new)
+    assert question.grant is not None
+
+
+def test_preempted_stream_resumes_after_its_deadline():
+    """An accepted plan must not be lost because its first deadline has passed."""
+    kit = Kit(endpoints=[engine("e1", slots=1)])
+    plan = kit.submit(PLAN, wait_s=1)
+    question = kit.submit(COUNTER)
+    kit.advance(2)
+    assert plan.grant.preempted.is_set()
+    kit.release(plan)
+    resumed = kit.scheduler.submit(plan.ticket)
+    assert resumed.error is None
+    kit.advance(60)
+    assert resumed.error is None
+    kit.release(question)
+    assert resumed.grant is not None
+
+
+def test_work_that_cannot_resume_is_not_preempted():
+    """A call that may run only once must never be stopped half-way."""
+    order = request_class("order", 2, repeatable=False)
+    kit = Kit(classes=[COUNTER, order], endpoints=[engine("e1", slots=1)])
+    running = kit.submit(order)
+    question = kit.submit(COUNTER, wait_s=3)
+    kit.advance(3.1)
+    assert not running.grant.preempted.is_set()
+    assert isinstance(question.error, DeadlineExceeded)
+
+
+def test_equal_tier_is_not_preempted():
+    """Classes of one tier wait for each other."""
+    kit = Kit(endpoints=[engine("e1", slots=1)])
+    running = kit.submit(LOOKUP)
+    kit.submit(LOOKUP)
+    kit.advance(4)
+    assert not running.grant.preempted.is_set()
+
+
+def test_protected_request_outlasts_its_deadline_for_a_signalled_slot():
+    """A question must not be shed while a plan is about to release its slot."""
+    kit = Kit(endpoints=[engine("e1", slots=1)])
+    plan = kit.submit(PLAN)
+    question = kit.submit(COUNTER, wait_s=0.3)
+    kit.advance(0.5)
+    assert plan.grant.preempted.is_set() and not question.is_ended
+    kit.release(plan)
+    assert question.grant is not None
+
+
+def test_protected_request_does_not_hang_on_a_stuck_stream():
+    """A plan that ignores its preemption must not keep a question for ever."""
+    kit = Kit(endpoints=[engine("e1", slots=1)])
+    kit.submit(PLAN)
+    question = kit.submit(COUNTER, wait_s=2)
+    kit.advance(3.2)
+    assert isinstance(question.error, DeadlineExceeded)
+
+
+def test_request_without_any_endpoint_fails_at_once():
+    """A caller must not wait for endpoints that are all leaving."""
+    kit = Kit()
+    kit.table.mark_leaving("e1", "instance_list")
+    assert isinstance(kit.submit(COUNTER).error, NoEndpoint)
+    assert isinstance(kit.submit(COUNTER, target="other").error, NoEndpoint)
+
+
+def test_waiting_requests_end_when_the_last_endpoint_leaves():
+    """Requests that wait already must not hang until their deadline."""
+    kit = Kit(endpoints=[engine("e1", slots=1)])
+    kit.submit(LOOKUP)
+    waiting = kit.submit(LOOKUP)
+    kit.table.mark_leaving("e1", "answer")
+    assert isinstance(waiting.error, NoEndpoint)
+
+
+def test_down_endpoint_gets_one_trial_after_its_backoff():
+    """Requests wait for the back-off, and only one of them risks the trial."""
+    kit = Kit()
+    kit.table.mark_down("e1", "connection refused")
+    first, second = kit.submit(LOOKUP), kit.submit(LOOKUP)
+    assert first.grant is None
+    kit.advance(0.6)
+    assert first.grant.trial and second.grant is None
+    kit.release(first)
+    assert second.grant is not None and not second.grant.trial
+
+
+def test_models_on_one_endpoint_share_its_tiers():
+    """A plan for one model must not pass a question for another on one engine."""
+    shared = engine("e1", slots=1, models=("m", "n"))
+    kit = Kit(endpoints=[shared, engine("e2", slots=1, models=("n",))])
+    running = kit.submit(COUNTER)
+    plan, question = kit.submit(PLAN), kit.submit(COUNTER)
+    other = kit.submit(PLAN, target="n")
+    assert other.grant.endpoint.id == "e2"
+    waiting = kit.submit(PLAN, target="n")
+    kit.release(running)
+    assert question.grant is not None
+    assert plan.grant is None and waiting.grant is None
+
+
+def test_manifest_without_the_target_ends_its_requests():
+    """Requests for a model that a new manifest removes must be answered."""
+    kit = Kit(endpoints=[engine("e1", slots=1), engine("e2", models=("n",))])
+    running, waiting = kit.submit(LOOKUP), kit.submit(LOOKUP)
+    kit.endpoints = [engine("e2", models=("n",))]
+    kit.apply()
+    assert isinstance(waiting.error, NoEndpoint)
+    kit.release(running)
+    assert kit.scheduler.dump().in_use["e1"] == 0
+
+
+def test_baseline_serves_in_order_of_arrival():
+    """The baselines must ignore tiers, or the comparison says nothing."""
+    kit = Kit(endpoints=[engine("e1", slots=1)], policy="fifo_round_robin")
+    running = kit.submit(PLAN)
+    plan, question = kit.submit(PLAN), kit.submit(COUNTER)
+    kit.advance(2)
+    assert not running.grant.preempted.is_set()
+    kit.scheduler.release(running.grant, Usage(tokens=5))
+    assert plan.grant is not None and question.grant is None
