--- /dev/null
+++ b/src/lagoonrill/_internal/logs.py
@@ -0,0 +1,123 @@
+"""Logging with logbook: one line per event on standard error.
+
+Each component has its own logger, whose name is the fixed prefix of its lines:
+
+>>> logger = get_logger("claims")
+>>> logger.name
+'claims'
+>>> remove_keys("refused 'Authorization: Bearer abc123'")
+"refused 'Authorization: [removed]'"
+
+Daemons hold only digests of bearer keys. A key that reaches a log line anyway, for
+example inside a quoted header, is removed: by its form, and by comparing the digest of
+each word with the known digests.
+"""
+
+import hashlib
+import re
+import sys
+from datetime import UTC, datetime
+from typing import TextIO
+
+import logbook
+import msgspec
+
+from .protocol.settings import LogSettings
+
+_BEARER = re.compile(r"(?i)\b(?:bearer|basic)[\s:=]+[^\s\"',;]+")
+_WORD = re.compile(r"[A-Za-z0-9._~+/=-]{8,}")
+_REMOVED = "[removed]"
+
+_known_digests: set[str] = set()
+_installed: list[logbook.Handler] = []
+
+
+class LogLine(msgspec.Struct, kw_only=True):
+    """One event in the JSON form; `time` is UTC in ISO 8601."""
+
+    time: str
+    level: str
+    component: str
+    message: str
+    error: str = ""
+
+
+def get_logger(component: str) -> logbook.Logger:
+    """Returns the logger of a component; its lines begin with the component's name."""
+    return logbook.Logger(component)
+
+
+def protect_keys(digests: list[str]) -> None:
+    """Adds SHA-256 digests of bearer keys that must not appear in any line."""
+    _known_digests.update(digests)
+
+
+def remove_keys(text: str) -> str:
+    """Replaces credentials by their form, and words whose digest is a known key's."""
+    text = _BEARER.sub(_REMOVED, text)
+    if not _known_digests:
+        return text
+    return _WORD.sub(_remove_known_key, text)
+
+
+def _remove_known_key(match: re.Match) -> str:
+    word = match.group()
+    for candidate in {word, word.rstrip(".="), word.rpartition("=")[2]}:
+        if hashlib.sha256(candidate.encode()).hexdigest() in _known_digests:
+            return _REMOVED
+    return word
+
+
+class LineHandler(logbook.Handler):
+    """Writes each record as one line of text or JSON."""
+
+    def __init__(self, *, stream: TextIO, level: str, form: str):
+        super().__init__(level=level.upper(), bubble=False)
+        self.stream = stream
+        self.form = form
+
+    def emit(self, record: logbook.LogRecord) -> None:
+        line = self.format_line(record)
+        # A single write keeps lines of several threads apart.
+        self.stream.write(line + "\n")
+        self.stream.flush()
+
+    def format_line(self, record: logbook.LogRecord) -> str:
+        """Returns the line without its end; it holds no line break and no key."""
+        time = datetime.now(UTC).isoformat(timespec="milliseconds")
+        error = record.exception_name or ""
+        if error:
+            error = f"{error.rpartition('.')[2]}: {record.exception_message}"
+        line = LogLine(
+            time=time,
+            level=record.level_name.lower(),
+            component=record.channel,
+            message=remove_keys(record.message),
+            error=remove_keys(error),
+        )
+        if self.form == "json":
+            return msgspec.json.encode(line).decode()
+        text = f"{line.time} {line.level} {line.component}: {line.message}"
+        if line.error:
+            text += f" ({line.error})"
+        return _one_line(text)
+
+
+def _one_line(text: str) -> str:
+    return " ".join(text.splitlines())
+
+
+def install(settings: LogSettings, *, stream: TextIO | None = None) -> None:
+    """Sends the lines of all components to `stream` (default: standard error)."""
+    uninstall()
+    handler = LineHandler(
+        stream=stream or sys.stderr, level=settings.level, form=settings.form
+    )
+    handler.push_application()
+    _installed.append(handler)
+
+
+def uninstall() -> None:
+    """Removes the handler that `install` added."""
+    while _installed:
+        _installed.pop().pop_application()
--- a/src/lagoonrill/_internal/protocol/errors.py
+++ b/src/lagoonrill/_internal/protocol/errors.py
@@ -91,6 +91,12 @@
     default_remedy = "Try another peer"
 
 
+class PlatformError(LagoonrillError):
+    """The Instance list did not answer or its answer was not valid."""
+
+    default_remedy = "Check the Instance list's address; it is asked again"
+
+
 class RequestError(LagoonrillError):
     """An answer other than success for one request of a caller."""
 
--- a/src/lagoonrill/_internal/protocol/objects.py
+++ b/src/lagoonrill/_internal/protocol/objects.py
@@ -6,6 +6,10 @@
 
 COMMITTED_NAME = "config/committed"
 PROPOSAL_NAME = "config/proposal"
+CONFIG_PREFIX = "config/"
+# Rewritten after each change of the two objects above. Its version is what instances
+# poll, because the whole manifest every 2 s would exceed 13 KB/s per daemon.
+CONFIG_MARK_NAME = "config/mark"
 STATUS_PREFIX = "status/"
 CLAIM_PREFIX = "claims/"
 
@@ -27,7 +31,11 @@
 
 
 class ConfigRecord(msgspec.Struct, kw_only=True):
-    """A proposed or committed manifest with its generation."""
+    """A proposed or committed manifest with its generation.
+
+    `base_proposal_id` is the proposal that became the base generation. A writer whose
+    answer was lost recognises by it that its manifest was committed and replaced.
+    """
 
     generation: int
     base_generation: int
@@ -35,6 +43,14 @@
     digest: str
     manifest: Manifest
     written_at: float
+    base_proposal_id: str = ""
+
+
+class ProposalHead(msgspec.Struct, kw_only=True):
+    """The part of a `ConfigRecord` that is readable even if its manifest is not."""
+
+    generation: int
+    proposal_id: str
 
 
 class InstanceStatus(msgspec.Struct, kw_only=True):
@@ -48,3 +64,14 @@
     in_force: int = 0
     digest: str = ""
     written_at: float = 0.0
+
+
+class ListedInstance(msgspec.Struct, kw_only=True):
+    """One entry of the Instance list; `role` is `entry` or `endpoint`."""
+
+    id: str
+    zone: str
+    role: str
+    address: str
+    peer_address: str = ""
+    state: str = "live"
--- /dev/null
+++ b/src/lagoonrill/_internal/transport/instance_list.py
@@ -0,0 +1,51 @@
+"""Client of the platform's Instance list."""
+
+import msgspec
+import urllib3
+from returns.result import Failure, Result, Success
+
+from ..protocol.codec import from_json
+from ..protocol.errors import PlatformError
+from ..protocol.objects import ListedInstance
+from ..protocol.settings import PlatformSettings
+
+# 5,000 entries of 200 bytes each are 1 MB; a larger answer is not the list.
+MAX_ANSWER_BYTES = 8_000_000
+
+
+class InstanceList:
+    """Fetches the live and leaving instances; the list lags behind reality.
+
+    A call takes at most `call_timeout_s` of the settings for the connection and for
+    each read, and is not repeated.
+    """
+
+    def __init__(self, *, settings: PlatformSettings):
+        self.url = settings.instance_list_url.rstrip("/") + "/instances"
+        timeout = urllib3.Timeout(settings.call_timeout_s)
+        self.pool = urllib3.PoolManager(timeout=timeout, retries=False)
+
+    def fetch(self) -> Result[list[ListedInstance], PlatformError]:
+        """Returns all entries, or a `PlatformError` if there was no valid answer."""
+        try:
+            answer = self.pool.request("GET", self.url, preload_content=False)
+            data = answer.read(MAX_ANSWER_BYTES + 1)
+            answer.release_conn()
+        except (urllib3.exceptions.HTTPError, OSError) as error:
+            return _failure(f"{self.url} did not answer: {error}")
+        if answer.status != 200:
+            return _failure(f"{self.url} answered with status {answer.status}")
+        if len(data) > MAX_ANSWER_BYTES:
+            return _failure(f"{self.url} sent more than {MAX_ANSWER_BYTES} bytes")
+        try:
+            return Success(from_json(data, list[ListedInstance]))
+        except msgspec.DecodeError as error:
+            return _failure(f"{self.url} sent no valid list: {error}")
+
+    def close(self) -> None:
+        """Closes the idle connections."""
+        self.pool.clear()
+
+
+def _failure(message: str) -> Failure[PlatformError]:
+    return Failure(PlatformError(message=message))
--- /dev/null
+++ b/standins/instance_list.py
@@ -0,0 +1,96 @@
+"""Stand-in of the platform's Instance list.
+
+`PUT /instances/<id>` adds or changes an entry, `DELETE /instances/<id>` removes it, and
+`GET /instances` returns the entries as they were `lag_s` ago.
+"""
+
+import threading
+import time
+
+import msgspec
+
+from lagoonrill._internal.protocol.objects import ListedInstance
+
+from .server import Request, Response, StandIn, argument_parser, json_response, run
+
+# Older states of the list are forgotten, except for the one in force then.
+LONGEST_LAG_S = 600.0
+
+
+class Faults(msgspec.Struct, kw_only=True, forbid_unknown_fields=True):
+    """`lag_s` delays changes, `down` answers 503, `slow_ms` delays each answer."""
+
+    lag_s: float = 0.0
+    down: bool = False
+    slow_ms: float = 0.0
+
+
+class State(msgspec.Struct, kw_only=True):
+    """The entries from a moment on (monotonic seconds)."""
+
+    since: float
+    entries: list[ListedInstance]
+
+
+class InstanceListStandIn(StandIn):
+    """Keeps the states of the list over time and serves a past one."""
+
+    def __init__(self, *, lag_s: float = 0.0):
+        super().__init__(faults=Faults(lag_s=lag_s))
+        self.lock = threading.Lock()
+        self.states = [State(since=float("-inf"), entries=[])]
+        self.add_route("GET", r"/instances", self.get_entries)
+        self.add_route("PUT", r"/instances/([^/]+)", self.put_entry)
+        self.add_route("DELETE", r"/instances/([^/]+)", self.delete_entry)
+
+    def get_entries(self, request: Request) -> Response:
+        """Returns the entries as of `lag_s` ago."""
+        time.sleep(self.faults.slow_ms / 1000)
+        if self.faults.down:
+            return json_response({"error": "outage"}, status=503)
+        as_of = time.monotonic() - self.faults.lag_s
+        with self.lock:
+            past = [state for state in self.states if state.since <= as_of]
+            return json_response(past[-1].entries)
+
+    def put_entry(self, request: Request, instance: str) -> Response:
+        """Adds or replaces one entry; the body is a `ListedInstance`."""
+        try:
+            entry = msgspec.json.decode(request.body, type=ListedInstance)
+        except msgspec.DecodeError as error:
+            return json_response({"error": str(error)}, status=400)
+        if entry.id != instance:
+            message = f"the entry's id is {entry.id!r}"
+            return json_response({"error": message}, status=400)
+        self.change(instance, entry)
+        return json_response(entry)
+
+    def delete_entry(self, request: Request, instance: str) -> Response:
+        """Removes one entry."""
+        self.change(instance, None)
+        return json_response(None)
+
+    def change(self, instance: str, entry: ListedInstance | None) -> None:
+        """Appends a state in which one entry is replaced or removed."""
+        now = time.monotonic()
+        with self.lock:
+            entries = [old for old in self.states[-1].entries if old.id != instance]
+            if entry is not None:
+                entries.append(entry)
+            entries.sort(key=lambda item: item.id)
+            self.states.append(State(since=now, entries=entries))
+            while self.states[1].since < now - LONGEST_LAG_S:
+                self.states.pop(0)
+
+
+def main() -> None:
+    """Parses the arguments and serves."""
+    parser = argument_parser(__doc__.splitlines()[0])
+    parser.add_argument("--lag-s", type=float, default=0.0)
+    arguments = parser.parse_args()
+    stand_in = InstanceListStandIn(lag_s=arguments.lag_s)
+    run(stand_in, host=arguments.host, port=arguments.port)
+
+
+if __name__ == "__main__":
+    main()
