Add the command-line tool

Cause: operators and pipelines had no way to check, apply and look at a manifest. Ruled out: keys as options, because other users of the machine can read them. Change: cli.py with one class a command, exit statuses as named constants, keys from a file or an environment variable, shell completion by typer.

--- /dev/null
+++ b/src/lagoonrill/_internal/cli.py
@@ -0,0 +1,251 @@
+"""The command-line tool `lagoonrill`. Heavy modules are imported inside functions."""
+
+import sys
+from typing import Annotated, Optional
+
+import typer
+
+from .commands.exit_status import ExitStatus
+
+DEFAULT_TIMEOUT_S = 60.0
+ASK_TIMEOUT_S = 600.0
+
+app = typer.Typer(
+    name="lagoonrill",
+    help="Applies manifests to a lagoonrill fleet and looks at its daemons.",
+    no_args_is_help=True,
+    pretty_exceptions_enable=False,
+    rich_markup_mode=None,
+)
+
+Json = Annotated[bool, typer.Option("--json", help="Print the result as JSON.")]
+Config = Annotated[
+    Optional[str],  # noqa: UP045
+    typer.Option(
+        envvar="LAGOONRILL_CONFIG", help="JSON file with addresses and key files."
+    ),
+]
+ObjectApiUrl = Annotated[
+    Optional[str],  # noqa: UP045
+    typer.Option("--object-api-url", help="URL of the Object API."),
+]
+InstanceListUrl = Annotated[
+    Optional[str],  # noqa: UP045
+    typer.Option("--instance-list-url", help="URL of the Instance list."),
+]
+OperatorKeyFile = Annotated[
+    Optional[str],  # noqa: UP045
+    typer.Option(help="File with the operator key; else $LAGOONRILL_OPERATOR_KEY."),
+]
+Address = Annotated[
+    str, typer.Argument(help="Operators' listener, for example 10.0.0.5:9000.")
+]
+ManifestPath = Annotated[str, typer.Argument(metavar="MANIFEST", help="JSON file.")]
+
+
+@app.command()
+def check(manifest: ManifestPath, as_json: Json = False) -> None:
+    """Checks a manifest and prints every mistake."""
+    from .commands.check import CheckCommand
+
+    finish(CheckCommand(path=manifest, as_json=as_json))
+
+
+@app.command()
+def apply(
+    manifest: ManifestPath,
+    base_generation: Annotated[
+        Optional[int],  # noqa: UP045
+        typer.Option(min=0, help="Generation from which the manifest was generated."),
+    ] = None,
+    timeout_s: Annotated[
+        float, typer.Option(min=1.0, max=3_600.0, help="Longest wait in seconds.")
+    ] = DEFAULT_TIMEOUT_S,
+    config: Config = None,
+    object_api_url: ObjectApiUrl = None,
+    instance_list_url: InstanceListUrl = None,
+    as_json: Json = False,
+) -> None:
+    """Brings the fleet in line with a manifest and says whether it is in force."""
+    from .commands.apply import ApplyCommand
+    from .commands.connection import read_file
+    from .protocol.manifest import parse_manifest
+
+    store, instance_list = open_platform(config, object_api_url, instance_list_url)
+    finish(
+        ApplyCommand(
+            manifest=parse_manifest(read_file(manifest)),
+            store=store,
+            instance_list=instance_list,
+            base_generation=base_generation,
+            timeout_s=timeout_s,
+            as_json=as_json,
+        )
+    )
+
+
+@app.command()
+def status(
+    config: Config = None,
+    object_api_url: ObjectApiUrl = None,
+    instance_list_url: InstanceListUrl = None,
+    as_json: Json = False,
+) -> None:
+    """Prints the committed generation and what each instance has in force."""
+    from .commands.status import StatusCommand
+
+    store, instance_list = open_platform(config, object_api_url, instance_list_url)
+    finish(StatusCommand(store=store, instance_list=instance_list, as_json=as_json))
+
+
+@app.command()
+def dump(
+    address: Address,
+    config: Config = None,
+    operator_key_file: OperatorKeyFile = None,
+    as_json: Json = False,
+) -> None:
+    """Prints the state dump of a daemon; it is JSON with and without --json."""
+    from .commands.operator import DumpCommand
+
+    client = open_operator_client(address, config, operator_key_file)
+    finish(DumpCommand(client=client))
+
+
+@app.command()
+def drain(
+    address: Address,
+    config: Config = None,
+    operator_key_file: OperatorKeyFile = None,
+    as_json: Json = False,
+) -> None:
+    """Starts the planned shutdown of a daemon."""
+    from .commands.operator import DrainCommand
+
+    client = open_operator_client(address, config, operator_key_file)
+    finish(DrainCommand(client=client, as_json=as_json))
+
+
+@app.command()
+def ask(
+    prompt: Annotated[str, typer.Argument(help="Text, or '-' for standard input.")],
+    model: Annotated[str, typer.Option(help="Model that the manifest declares.")],
+    address: Annotated[
+        Optional[str],  # noqa: UP045
+        typer.Option(help="Callers' listener, for example 10.0.0.5:8080."),
+    ] = None,
+    request_class: Annotated[
+        Optional[str],  # noqa: UP045
+        typer.Option("--class", help="Request class; else the model's default."),
+    ] = None,
+    deadline_ms: Annotated[
+        Optional[int],  # noqa: UP045
+        typer.Option(min=1, help="Deadline of the request in milliseconds."),
+    ] = None,
+    idempotency_key: Annotated[
+        Optional[str],  # noqa: UP045
+        typer.Option(help="Key with which a retry finds the running answer."),
+    ] = None,
+    stream: Annotated[
+        bool, typer.Option("--stream/--whole", help="Print the answer as it arrives.")
+    ] = True,
+    timeout_s: Annotated[
+        float, typer.Option(min=0.1, help="Longest wait for the next part in seconds.")
+    ] = ASK_TIMEOUT_S,
+    team_key_file: Annotated[
+        Optional[str],  # noqa: UP045
+        typer.Option(help="File with the team's key; else $LAGOONRILL_TEAM_KEY."),
+    ] = None,
+    config: Config = None,
+    as_json: Json = False,
+) -> None:
+    """Sends a chat request and prints the answer as it arrives."""
+    from .commands import connection
+    from .commands.ask import AskCommand
+    from .commands.http import DaemonClient
+    from .commands.output import CommandError
+
+    options = {"team_key_file": team_key_file}
+    settings = connection.load_tool_settings(config, options)
+    url = address or settings.callers_url
+    if url is None:
+        message = "callers_url is missing. Give --address or set it in --config"
+        raise CommandError(status=ExitStatus.USAGE, message=message)
+    key = connection.read_key(settings.team_key_file, connection.TEAM_KEY_VARIABLE)
+    headers = {
+        "X-Request-Class": request_class,
+        "X-Deadline-Ms": str(deadline_ms) if deadline_ms else None,
+        "Idempotency-Key": idempotency_key,
+    }
+    finish(
+        AskCommand(
+            client=DaemonClient(address=url, key=key, timeout_s=timeout_s),
+            model=model,
+            prompt=sys.stdin.read() if prompt == "-" else prompt,
+            headers={name: value for name, value in headers.items() if value},
+            stream=stream,
+            as_json=as_json,
+        )
+    )
+
+
+@app.command()
+def schema(
+    document: Annotated[str, typer.Argument(help="'manifest' or 'settings'.")],
+) -> None:
+    """Prints the JSON Schema of the manifest or of the daemon's settings."""
+    from .commands.schema import SCHEMAS, SchemaCommand
+
+    if document not in SCHEMAS:
+        raise typer.BadParameter(f"{document!r}; use 'manifest' or 'settings'")
+    finish(SchemaCommand(document=document))
+
+
+def open_platform(
+    config: str | None, object_api_url: str | None, instance_list_url: str | None
+):
+    """Returns clients of the Object API and the Instance list."""
+    from .commands import connection
+
+    options = {
+        "object_api_url": object_api_url,
+        "instance_list_url": instance_list_url,
+    }
+    settings = connection.load_tool_settings(config, options)
+    platform = connection.platform_settings(settings)
+    return connection.open_store(platform), connection.open_instance_list(platform)
+
+
+def open_operator_client(address: str, config: str | None, key_file: str | None):
+    """Returns a client of a daemon's operators' listener."""
+    from .commands import connection
+    from .commands.http import DaemonClient
+
+    options = {"operator_key_file": key_file}
+    settings = connection.load_tool_settings(config, options)
+    variable = connection.OPERATOR_KEY_VARIABLE
+    key = connection.read_key(settings.operator_key_file, variable)
+    timeout_s = settings.call_timeout_s
+    return DaemonClient(address=address, key=key, timeout_s=timeout_s)
+
+
+def finish(command) -> None:
+    """Runs a command and exits with its status."""
+    raise typer.Exit(int(command.run()))
+
+
+def main() -> None:
+    """Runs the tool; errors of the input end it with a message and a status."""
+    from .commands.output import CommandError, print_error
+    from .protocol.errors import ConfigError
+
+    try:
+        app(prog_name="lagoonrill")
+    except CommandError as error:
+        print_error(f"lagoonrill: {error.message}")
+        sys.exit(error.status)
+    except ConfigError as error:
+        print_error(str(error))
+        sys.exit(ExitStatus.USAGE)
+    except KeyboardInterrupt:
+        sys.exit(ExitStatus.INTERRUPTED)
--- /dev/null
+++ b/src/lagoonrill/_internal/commands/exit_status.py
@@ -0,0 +1,18 @@
+"""Exit statuses of the command-line tool; `docs/cli.md` documents them."""
+
+import enum
+
+
+class ExitStatus(enum.IntEnum):
+    """Stable statuses that pipelines may rely on."""
+
+    OK = 0
+    USAGE = 2
+    PENDING = 3
+    LOST_RACE = 4
+    REFUSED = 5
+    UNREACHABLE = 6
+    NOT_RUN = 7
+    OUTCOME_UNKNOWN = 8
+    UNAUTHORIZED = 9
+    INTERRUPTED = 130
