--- /dev/null
+++ b/src/lagoonrill/_internal/coordination/instance_watch.py
@@ -0,0 +1,105 @@
+"""Polls the Instance list and hands each answer to its subscribers."""
+
+import random
+import threading
+import time
+from collections.abc import Callable
+
+import logbook
+import msgspec
+from returns.pipeline import is_successful
+
+log = logbook.Logger("instance-list")
+
+# At the target size the list has 990 entries of about 120 bytes. Polled every second,
+# it would cost 119 KB/s of the 13 KB/s that a daemon has. Peers pass on what one of
+# them read, so each daemon reads it at this rate at most.
+LIST_BYTES_PER_S = 2_000
+BYTES_PER_ENTRY = 120
+SMALL_LIST_ENTRIES = 64
+JITTER = 0.1
+
+
+class InstanceWatchDump(msgspec.Struct, kw_only=True):
+    """State of the poll for the state dump; `age_s` is None before the first answer."""
+
+    entries: int
+    age_s: float | None
+    interval_s: float
+    failures: int
+    last_error: str
+
+
+class InstanceWatch:
+    """Polls every `interval_s`, less often when the list is long."""
+
+    def __init__(
+        self,
+        *,
+        instance_list,
+        interval_s: float,
+        subscribers: list[Callable[[list], None]],
+    ):
+        self.instance_list = instance_list
+        self.interval_s = interval_s
+        self.subscribers = subscribers
+        self.entries = 0
+        self.answered_at: float | None = None
+        self.failures = 0
+        self.last_error = ""
+        self.stopping = threading.Event()
+        self.thread = threading.Thread(
+            target=self._run, name="instance-list", daemon=True
+        )
+
+    def start(self) -> None:
+        """Starts the polling thread."""
+        self.thread.start()
+
+    def stop(self) -> None:
+        """Stops polling; a call in progress ends with its own time-out."""
+        self.stopping.set()
+
+    def current_interval_s(self) -> float:
+        """Returns the interval for the length of the last list."""
+        if self.entries <= SMALL_LIST_ENTRIES:
+            return self.interval_s
+        return max(self.interval_s, self.entries * BYTES_PER_ENTRY / LIST_BYTES_PER_S)
+
+    def poll(self) -> None:
+        """Fetches the list once; on a failure the subscribers keep the last one."""
+        result = self.instance_list.fetch()
+        if not is_successful(result):
+            self.failures += 1
+            error = str(result.failure())
+            if error != self.last_error:
+                log.warning("the Instance list is not available: {}", error)
+            self.last_error = error
+            return
+        instances = result.unwrap()
+        self.entries = len(instances)
+        self.answered_at = time.monotonic()
+        self.last_error = ""
+        for subscriber in self.subscribers:
+            subscriber(instances)
+
+    def dump(self) -> InstanceWatchDump:
+        """Returns the state of the poll."""
+        answered_at = self.answered_at
+        age_s = None if answered_at is None else time.monotonic() - answered_at
+        return InstanceWatchDump(
+            entries=self.entries,
+            age_s=age_s,
+            interval_s=self.current_interval_s(),
+            failures=self.failures,
+            last_error=self.last_error,
+        )
+
+    def _run(self) -> None:
+        while not self.stopping.is_set():
+            try:
+                self.poll()
+            except Exception:
+                log.exception("a poll of the Instance list failed")
+            jitter = random.uniform(1 - JITTER, 1 + JITTER)
+            self.stopping.wait(self.current_interval_s() * jitter)
--- /dev/null
+++ b/src/lagoonrill/_internal/coordination/membership.py
@@ -0,0 +1,497 @@
+"""Membership: heartbeats between instances and what they carry.
+
+The ticker sends one heartbeat per interval to every linked peer, moves silent peers on
+and keeps the links in line with the members. Up to 8 instances form a full mesh. Above
+that, an instance links some peers of each zone, heartbeats carry a bounded number of
+entries, and notices (endpoints leaving or down, instances gone) are passed on.
+"""
+
+import contextlib
+import random
+import threading
+import time
+from collections.abc import Callable, Iterable
+from concurrent.futures import ThreadPoolExecutor
+
+import logbook
+import msgspec
+from returns.result import Failure, Result
+
+from ..protocol.errors import PeerError
+from ..protocol.messages import (
+    EndpointLoad,
+    EndpointUse,
+    Heartbeat,
+    Leaving,
+    Notice,
+    NoticeKind,
+    PeerMessage,
+    encode_message,
+)
+from ..protocol.settings import PeerSettings
+from ..state.membership_table import (
+    ListedMember,
+    MembershipDump,
+    MembershipTable,
+    MemberState,
+    PeerView,
+    Transition,
+)
+from ..state.notice_board import NoticeBoard
+from ..state.peer_uses import PeerUses, UseRotation
+from ..state.rendezvous import weight
+from .peer_choice import choose_links, is_full_mesh
+
+log = logbook.Logger("membership")
+
+# A tick that is later than this counts as a pause of the whole process. It is below
+# the 2 s after which a silent peer is suspected.
+PAUSE_TOLERANCE_S = 1.0
+# Links outside the chosen ones (requests, peers with another view of the members).
+EXTRA_LINK_LIFETIME_S = 30.0
+USES_PER_HEARTBEAT = 16
+NOTICES_PER_HEARTBEAT = 64
+
+
+def _nothing(*_args) -> None:
+    pass
+
+
+def _empty() -> list:
+    return []
+
+
+class LocalState:
+    """Callables that give the contents of this instance's heartbeats.
+
+    They are called once per interval and must not block. `leaving_endpoints` and
+    `down_endpoints` are first-hand observations; what peers reported must not be in
+    them, or a notice would confirm itself for ever.
+    """
+
+    __slots__ = ("down_endpoints", "generation", "leaving_endpoints", "loads", "uses")
+
+    def __init__(
+        self,
+        *,
+        generation: Callable[[], int] = lambda: 0,
+        uses: Callable[[], list[EndpointUse]] = _empty,
+        leaving_endpoints: Callable[[], list[str]] = _empty,
+        down_endpoints: Callable[[], list[str]] = _empty,
+        loads: Callable[[], list[EndpointLoad]] = _empty,
+    ):
+        self.generation = generation
+        self.uses = uses
+        self.leaving_endpoints = leaving_endpoints
+        self.down_endpoints = down_endpoints
+        self.loads = loads
+
+
+class PeerReports:
+    """Callables that take what peers report.
+
+    `uses`, `leaving_endpoints`, `down_endpoints` and `loads` run on the threads of the
+    membership and must not block. `generation` (instance, its higher generation),
+    `gone` (instance) and `paused` (seconds) run on a thread of their own and may make
+    requests to peers.
+    """
+
+    __slots__ = (
+        "down_endpoints",
+        "generation",
+        "gone",
+        "leaving_endpoints",
+        "loads",
+        "paused",
+        "uses",
+    )
+
+    def __init__(
+        self,
+        *,
+        generation: Callable[[str, int], None] = _nothing,
+        uses: Callable[[dict[str, list[EndpointUse]]], None] = _nothing,
+        leaving_endpoints: Callable[[set[str]], None] = _nothing,
+        down_endpoints: Callable[[set[str]], None] = _nothing,
+        loads: Callable[[list[EndpointLoad]], None] = _nothing,
+        gone: Callable[[str], None] = _nothing,
+        paused: Callable[[float], None] = _nothing,
+    ):
+        self.generation = generation
+        self.uses = uses
+        self.leaving_endpoints = leaving_endpoints
+        self.down_endpoints = down_endpoints
+        self.loads = loads
+        self.gone = gone
+        self.paused = paused
+
+
+class Membership:
+    """Keeps the set of live instances; `link` is a `transport.peer_link.PeerLink`."""
+
+    def __init__(
+        self,
+        *,
+        instance: str,
+        zone: str,
+        link,
+        settings: PeerSettings,
+        local: LocalState,
+        reports: PeerReports,
+        incarnation: int | None = None,
+    ):
+        self.instance = instance
+        self.zone = zone
+        self.link = link
+        self.settings = settings
+        self.local = local
+        self.reports = reports
+        self.incarnation = incarnation or time.time_ns()
+        self.table = MembershipTable(
+            instance=instance,
+            zone=zone,
+            suspect_after_s=settings.suspect_after_s,
+            drop_after_s=settings.drop_after_s,
+        )
+        self.notices = NoticeBoard()
+        self.peer_uses = PeerUses()
+        self.rotation = UseRotation(limit=USES_PER_HEARTBEAT)
+        self.lock = threading.Lock()
+        self.sequence = 0
+        self.leaving = False
+        self.extra_links: dict[str, float] = {}
+        self.chosen: set[str] = set()
+        self.chosen_for = -1
+        self.generation_pending = False
+        self.stopping = threading.Event()
+        self.worker = ThreadPoolExecutor(1, "membership-reports")
+        self.thread = threading.Thread(
+            target=self._run, name="membership-ticker", daemon=True
+        )
+        link.register_handler(Heartbeat, self._hear, inline=True)
+        link.register_handler(Leaving, self._take_leaving, inline=True)
+
+    def start(self) -> None:
+        """Binds the peer socket and starts to send heartbeats."""
+        self.link.start()
+        self.thread.start()
+
+    def stop(self) -> None:
+        """Stops the ticker and closes all links; sends no message of its own."""
+        self.stopping.set()
+        if self.thread.ident is not None:
+            self.thread.join()
+        self.worker.shutdown(wait=False, cancel_futures=True)
+        self.link.stop()
+
+    def peers(self) -> list[PeerView]:
+        """Returns all known other instances, also leaving and dropped ones."""
+        return self.table.peers()
+
+    def live_peers(self) -> list[PeerView]:
+        """Returns other instances that are live or suspected."""
+        return self.table.live()
+
+    def members(self) -> dict[str, str]:
+        """Returns the zones of this instance and its live peers by instance."""
+        zones = {view.instance: view.zone for view in self.table.live()}
+        zones[self.instance] = self.zone
+        return zones
+
+    def home(self, key: str) -> str:
+        """Returns the instance that is responsible for a key (rendezvous hash).
+
+        Instances agree while they agree on the live members. A leaving instance is
+        nobody's home; when all leave, the home is this instance.
+        """
+        names = [view.instance for view in self.table.live()]
+        if not self.leaving or not names:
+            names.append(self.instance)
+        return max(names, key=lambda name: weight(key, name))
+
+    def register_handler(
+        self, message_type: type, handler: Callable[[PeerMessage], PeerMessage | None]
+    ) -> None:
+        """Sets the handler of a message type; it may block and returns a reply or None.
+
+        Handlers run on a few threads that all peers share.
+        """
+        self.link.register_handler(message_type, handler)
+
+    def send(self, instance: str, message: PeerMessage) -> None:
+        """Queues a one-way message; dropped when the peer is unknown or too slow."""
+        address = self._connected_address(instance)
+        if address is None or not self.link.send(address, message):
+            log.debug("dropped a {} to {}", type(message).__name__, instance)
+
+    def request(
+        self, instance: str, message: PeerMessage, timeout_s: float
+    ) -> Result[PeerMessage, PeerError]:
+        """Sends a request and waits for the reply, at most `timeout_s`."""
+        address = self._connected_address(instance)
+        if address is None:
+            return Failure(PeerError(message=f"instance {instance} is not known"))
+        return self.link.request(address, message, timeout_s)
+
+    def update_listed(self, listed: Iterable[ListedMember]) -> None:
+        """Takes the entry instances of the Instance list."""
+        self.table.update_listed(listed, time.monotonic())
+
+    def begin_leaving(self) -> None:
+        """Tells peers that this instance takes no new work, with the next heartbeat."""
+        self.leaving = True
+        self._send_heartbeats(time.monotonic())
+
+    def announce_exit(self) -> None:
+        """Sends `Leaving` to every linked peer; `stop` flushes it."""
+        message = Leaving(instance=self.instance, incarnation=self.incarnation)
+        for address in self.link.addresses():
+            self.link.send(address, message)
+
+    def dump(self) -> MembershipDump:
+        """Returns members and counters."""
+        return self.table.dump()
+
+    def _run(self) -> None:
+        interval = self.settings.heartbeat_interval_s
+        self.stopping.wait(random.uniform(0, interval / 4))
+        last = time.monotonic()
+        while not self.stopping.is_set():
+            now = time.monotonic()
+            paused_s = now - last - interval
+            last = now
+            try:
+                self._tick(now, paused_s)
+            except Exception:
+                # The ticker must survive a fault of an injected callable.
+                log.exception("a membership tick failed")
+            self.stopping.wait(interval)
+
+    def _tick(self, now: float, paused_s: float) -> None:
+        if paused_s > PAUSE_TOLERANCE_S:
+            log.warning("this process was paused for {:.1f} s", paused_s)
+            self.table.restart_silence(now)
+            self._submit(self._report, self.reports.paused, paused_s)
+        self._apply_gone_notices(now)
+        for change in self.table.advance(now):
+            self._report_transition(change)
+        self._sync_links(now)
+        self._send_heartbeats(now)
+        self._report_notices(now)
+        self.reports.uses(self.peer_uses.snapshot())
+
+    def _submit(self, function: Callable, *arguments) -> None:
+        # The pool refuses work once `stop` has begun.
+        with contextlib.suppress(RuntimeError):
+            self.worker.submit(function, *arguments)
+
+    def _report(self, callback: Callable, *arguments) -> None:
+        try:
+            callback(*arguments)
+        except Exception:
+            log.exception("a report of the membership failed")
+
+    def _full_mesh(self) -> bool:
+        return is_full_mesh(len(self.table.live()) + 1)
+
+    # Sending
+
+    def _send_heartbeats(self, now: float) -> None:
+        views = {view.peer_address: view for view in self.table.peers()}
+        with self.lock:
+            self.sequence += 1
+            own_zone, other_zones = self._encode_heartbeats(now)
+        lifetime_s = self.settings.heartbeat_interval_s * 2
+        for address in self.link.addresses():
+            view = views.get(address)
+            near = view is None or view.zone == self.zone
+            payload = own_zone if near else other_zones
+            self.link.send_latest(address, payload, lifetime_s)
+
+    def _encode_heartbeats(self, now: float) -> tuple[bytes, bytes]:
+        full_mesh = self._full_mesh()
+        heartbeat = Heartbeat(
+            instance=self.instance,
+            zone=self.zone,
+            incarnation=self.incarnation,
+            sequence=self.sequence,
+            generation=self.local.generation(),
+            leaving=self.leaving,
+            peer_address=self.link.address,
+            leaving_endpoints=self.local.leaving_endpoints(),
+        )
+        if full_mesh:
+            heartbeat.uses = self.local.uses()
+            payload = encode_message(heartbeat)
+            return payload, payload
+        heartbeat.notices = self._notices_to_send(now)
+        other_zones = encode_message(heartbeat)
+        # Uses and loads matter where the same endpoints are used: in the own zone.
+        heartbeat.uses = self.rotation.select(self.local.uses())
+        heartbeat.uses_partial = True
+        heartbeat.loads = self.local.loads()
+        return encode_message(heartbeat), other_zones
+
+    def _notices_to_send(self, now: float) -> list[Notice]:
+        own = [
+            Notice(kind=NoticeKind.ENDPOINT_DOWN, subject=endpoint, age_ms=0)
+            for endpoint in self.local.down_endpoints()
+        ]
+        # Only an instance's own zone can tell it from a zone that is cut off.
+        own += [
+            Notice(kind=NoticeKind.INSTANCE_GONE, subject=instance, age_ms=0)
+            for instance in self.table.silent_in_own_zone()
+        ]
+        known = {(notice.kind, notice.subject) for notice in own}
+        heard = self.notices.fresh(now, NOTICES_PER_HEARTBEAT)
+        heard = [item for item in heard if (item.kind, item.subject) not in known]
+        return (own + heard)[:NOTICES_PER_HEARTBEAT]
+
+    # Receiving
+
+    def _hear(self, heartbeat: Heartbeat) -> None:
+        now = time.monotonic()
+        if heartbeat.instance == self.instance:
+            self._check_own_name(heartbeat)
+            return
+        change = self.table.hear(heartbeat, now)
+        if change is None:
+            return
+        if change.replaced:
+            self.peer_uses.drop(heartbeat.instance)
+        if change.before is not change.after or change.replaced:
+            self._report_transition(change)
+        self._link_back(heartbeat, now)
+        self.peer_uses.take(
+            heartbeat.instance, heartbeat.uses, partial=heartbeat.uses_partial
+        )
+        if heartbeat.loads:
+            self.reports.loads(heartbeat.loads)
+        self._take_notices(heartbeat, now)
+        if heartbeat.generation > self.local.generation():
+            self._report_generation(heartbeat.instance, heartbeat.generation)
+
+    def _check_own_name(self, heartbeat: Heartbeat) -> None:
+        # A seed address of the settings may be this instance's own.
+        if heartbeat.incarnation != self.incarnation:
+            log.error(
+                "instance id {} is used by another process at {}; give each instance "
+                "its own id",
+                self.instance,
+                heartbeat.peer_address,
+            )
+
+    def _link_back(self, heartbeat: Heartbeat, now: float) -> None:
+        """Answers a new peer at once, so that it need not wait for a tick."""
+        address = heartbeat.peer_address
+        if not address or heartbeat.instance in self.chosen:
+            return
+        with self.lock:
+            known = heartbeat.instance in self.extra_links
+            if not known:
+                self.extra_links[heartbeat.instance] = now + EXTRA_LINK_LIFETIME_S
+        if not known:
+            self.link.connect(address)
+
+    def _take_notices(self, heartbeat: Heartbeat, now: float) -> None:
+        notices = list(heartbeat.notices)
+        notices += [
+            Notice(kind=NoticeKind.ENDPOINT_LEAVING, subject=endpoint, age_ms=0)
+            for endpoint in heartbeat.leaving_endpoints
+        ]
+        if self.notices.take(notices, now):
+            self._report_notices(now)
+
+    def _take_leaving(self, message: Leaving) -> None:
+        change = self.table.leave(message, time.monotonic())
+        if change is not None:
+            self._report_transition(change)
+
+    def _apply_gone_notices(self, now: float) -> None:
+        gone = self.notices.subjects(NoticeKind.INSTANCE_GONE, now)
+        for instance, until in gone.items():
+            self.table.notice_gone(instance, until)
+
+    def _report_notices(self, now: float) -> None:
+        leaving = self.notices.subjects(NoticeKind.ENDPOINT_LEAVING, now)
+        down = self.notices.subjects(NoticeKind.ENDPOINT_DOWN, now)
+        self.reports.leaving_endpoints(set(leaving))
+        self.reports.down_endpoints(set(down))
+
+    def _report_transition(self, change: Transition) -> None:
+        before = change.before or "unknown"
+        note = " with a new incarnation" if change.replaced else ""
+        log.info("{}: {} -> {}{}", change.instance, before, change.after, note)
+        if change.after is MemberState.DROPPED:
+            self.peer_uses.drop(change.instance)
+        if change.after is MemberState.DROPPED or change.replaced:
+            self._submit(self._report, self.reports.gone, change.instance)
+
+    def _report_generation(self, instance: str, generation: int) -> None:
+        with self.lock:
+            if self.generation_pending or self.stopping.is_set():
+                return
+            self.generation_pending = True
+        self._submit(self._run_generation_report, instance, generation)
+
+    def _run_generation_report(self, instance: str, generation: int) -> None:
+        try:
+            if generation > self.local.generation():
+                self._report(self.reports.generation, instance, generation)
+        finally:
+            with self.lock:
+                self.generation_pending = False
+
+    # Links
+
+    def _connected_address(self, instance: str) -> str | None:
+        view = self.table.get(instance)
+        if view is None or not view.peer_address:
+            return None
+        if instance not in self.chosen:
+            with self.lock:
+                until = time.monotonic() + EXTRA_LINK_LIFETIME_S
+                self.extra_links[instance] = until
+        self.link.connect(view.peer_address)
+        return view.peer_address
+
+    def _sync_links(self, now: float) -> None:
+        # Read first: a connection opened meanwhile must not be closed below.
+        current = self.link.addresses()
+        views = self.table.peers()
+        with self.lock:
+            self.extra_links = {
+                name: until for name, until in self.extra_links.items() if until > now
+            }
+            wanted = self._choose(views) | set(self.extra_links)
+        addresses = {v.peer_address for v in views if v.instance in wanted}
+        addresses |= set(self.settings.addresses)
+        addresses -= {"", self.link.address}
+        for address in addresses - current:
+            self.link.connect(address)
+        for address in current - addresses:
+            self.link.disconnect(address)
+        self.table.set_linked(self.chosen, now)
+
+    def _choose(self, views: list[PeerView]) -> set[str]:
+        version = self.table.version
+        if version != self.chosen_for:
+            zones = {view.instance: view.zone for view in views}
+            zones[self.instance] = self.zone
+            self.chosen = choose_links(self.instance, self.zone, zones)
+            self.chosen_for = version
+        return self.chosen
+
+
+def listed_members(instances: Iterable[msgspec.Struct]) -> list[ListedMember]:
+    """Returns the entry instances among the `ListedInstance`s of the Instance list."""
+    return [
+        ListedMember(
+            instance=item.id,
+            zone=item.zone,
+            peer_address=item.peer_address,
+            leaving=item.state == "leaving",
+        )
+        for item in instances
+        if item.role == "entry"
+    ]
--- a/src/lagoonrill/_internal/protocol/messages.py
+++ b/src/lagoonrill/_internal/protocol/messages.py
@@ -1,5 +1,7 @@
 """Messages between daemons; MessagePack, tagged by type."""
 
+import enum
+
 import msgspec
 
 from .codec import from_msgpack, to_msgpack
@@ -10,7 +12,7 @@
     """Base of all messages between daemons."""
 
 
-class EndpointUse(msgspec.Struct, kw_only=True):
+class EndpointUse(msgspec.Struct, kw_only=True, array_like=True):
     """Slots that the sender uses on an endpoint, and its requests that wait for it."""
 
     endpoint: str
@@ -18,8 +20,42 @@
     waiting: int
 
 
-class Heartbeat(PeerMessage):
-    """State of the sender; sent to every linked peer at the heartbeat interval."""
+class EndpointLoad(msgspec.Struct, kw_only=True, array_like=True):
+    """A load report that the sender polled or heard of, with its age."""
+
+    endpoint: str
+    running: int
+    waiting: int
+    slots: int
+    age_ms: int
+
+
+class NoticeKind(enum.StrEnum):
+    """What a notice says about its subject."""
+
+    ENDPOINT_LEAVING = "el"
+    ENDPOINT_DOWN = "ed"
+    INSTANCE_GONE = "ig"
+
+
+class Notice(msgspec.Struct, kw_only=True, array_like=True, frozen=True):
+    """An observation that is passed on from peer to peer until it is too old.
+
+    `age_ms` is the time since the first observer last confirmed it. Each hop adds the
+    time it held the notice, so notices end on their own when nobody confirms them.
+    """
+
+    kind: NoticeKind
+    subject: str
+    age_ms: int
+
+
+class Heartbeat(PeerMessage, omit_defaults=True):
+    """State of the sender; sent to every linked peer at the heartbeat interval.
+
+    With `uses_partial`, `uses` holds only some endpoints and adds to what earlier
+    heartbeats said; an endpoint that is no longer used appears with zeros.
+    """
 
     instance: str
     zone: str
@@ -29,7 +65,10 @@
     leaving: bool = False
     peer_address: str = ""
     uses: list[EndpointUse] = []
+    uses_partial: bool = False
     leaving_endpoints: list[str] = []
+    notices: list[Notice] = []
+    loads: list[EndpointLoad] = []
 
 
 class GenerationRequest(PeerMessage):
@@ -89,6 +128,7 @@
     """The sender is about to exit and takes no more requests."""
 
     instance: str
+    incarnation: int = 0
 
 
 AnyMessage = (
--- /dev/null
+++ b/src/lagoonrill/_internal/state/notice_board.py
@@ -0,0 +1,57 @@
+"""Notices heard from peers, which end on their own unless somebody confirms them."""
+
+import threading
+from collections.abc import Iterable
+
+from ..protocol.messages import Notice, NoticeKind
+
+# Observers confirm every heartbeat interval (0.5 s). At the target size a notice needs
+# at most 3 hops of 0.5 s each, so 5 s survives a few lost heartbeats.
+NOTICE_LIFETIME_S = 5.0
+
+
+class NoticeBoard:
+    """Confirmation times by kind and subject, guarded by one lock."""
+
+    def __init__(self):
+        self.lock = threading.Lock()
+        self.confirmed: dict[tuple[NoticeKind, str], float] = {}
+
+    def take(self, notices: Iterable[Notice], now: float) -> bool:
+        """Takes notices; returns whether one of them was not known."""
+        with self.lock:
+            news = False
+            for notice in notices:
+                confirmed_at = now - notice.age_ms / 1000
+                if now - confirmed_at >= NOTICE_LIFETIME_S:
+                    continue
+                key = (notice.kind, notice.subject)
+                known = self.confirmed.get(key)
+                if known is None:
+                    news = True
+                if known is None or known < confirmed_at:
+                    self.confirmed[key] = confirmed_at
+            return news
+
+    def fresh(self, now: float, limit: int) -> list[Notice]:
+        """Forgets what is too old and returns the rest with its age, newest first."""
+        with self.lock:
+            oldest = now - NOTICE_LIFETIME_S
+            self.confirmed = {
+                key: at for key, at in self.confirmed.items() if at > oldest
+            }
+            newest = sorted(self.confirmed.items(), key=lambda item: -item[1])[:limit]
+        return [
+            Notice(kind=kind, subject=subject, age_ms=int((now - at) * 1000) + 1)
+            for (kind, subject), at in newest
+        ]
+
+    def subjects(self, kind: NoticeKind, now: float) -> dict[str, float]:
+        """Returns the subjects of a kind with the time until which they hold."""
+        oldest = now - NOTICE_LIFETIME_S
+        with self.lock:
+            return {
+                subject: at + NOTICE_LIFETIME_S
+                for (noticed, subject), at in self.confirmed.items()
+                if noticed is kind and at > oldest
+            }
