--- /dev/null
+++ b/src/lagoonrill/_internal/protocol/sse.py
@@ -0,0 +1,63 @@
+"""Parsing of server-sent events."""
+
+import msgspec
+
+EVENT_END = b"\n\n"
+DONE_DATA = b"[DONE]"
+MAX_EVENT_BYTES = 1_000_000
+
+
+class EventTooLarge(Exception):
+    """An endpoint sent an event above `MAX_EVENT_BYTES`."""
+
+
+class ServerSentEvent(msgspec.Struct):
+    """One event; `raw` is the event as it was received, with its final empty line."""
+
+    raw: bytes
+    id: int | None
+    data: bytes
+
+
+def parse_event(block: bytes) -> ServerSentEvent:
+    """Parses the lines of one event.
+
+    >>> event = parse_event(b'id: 3\\ndata: {"a": 1}')
+    >>> event.id, event.data
+    (3, b'{"a": 1}')
+    """
+    event_id = None
+    data = []
+    for line in block.split(b"\n"):
+        if line.startswith(b"data:"):
+            data.append(line[5:].strip())
+        elif line.startswith(b"id:"):
+            value = line[3:].strip()
+            event_id = int(value) if value.isdigit() else None
+    return ServerSentEvent(raw=block + EVENT_END, id=event_id, data=b"\n".join(data))
+
+
+class EventParser:
+    """Splits received bytes into events; an unfinished event waits for its rest."""
+
+    __slots__ = ("rest",)
+
+    def __init__(self):
+        self.rest = b""
+
+    def feed(self, received: bytes) -> list[ServerSentEvent]:
+        """Returns the events that `received` completes.
+
+        >>> parser = EventParser()
+        >>> parser.feed(b"id: 0\\ndata: x\\n")
+        []
+        >>> [event.data for event in parser.feed(b"\\ndata: y\\n\\n")]
+        [b'x', b'y']
+        """
+        if b"\r" in received:
+            received = received.replace(b"\r\n", b"\n")
+        blocks = (self.rest + received).split(EVENT_END)
+        self.rest = blocks.pop()
+        if len(self.rest) > MAX_EVENT_BYTES:
+            raise EventTooLarge(f"an event is larger than {MAX_EVENT_BYTES} bytes")
+        return [parse_event(block) for block in blocks if block]
--- /dev/null
+++ b/standins/engine.py
@@ -0,0 +1,530 @@
+"""Stand-in for a model engine with continuous batching.
+
+Every answer is a deterministic function of its request, so any checker can compute the
+whole expected text:
+
+>>> messages = [{"role": "user", "content": "hello"}]
+>>> len(expected_tokens(messages, max_tokens=5))
+5
+"""
+
+import collections
+import hashlib
+import heapq
+import random
+import threading
+import time
+
+import msgspec
+
+from lagoonrill._internal.protocol.chat import prompt_blocks
+
+from .server import (
+    DropConnection,
+    Request,
+    Response,
+    StandIn,
+    argument_parser,
+    json_response,
+    run,
+)
+
+LOAD_SAMPLE_INTERVAL_S = 0.05
+KEPT_STREAMS = 2_000
+KEPT_CACHE_EVENTS = 10_000
+
+
+class EngineFaults(msgspec.Struct, kw_only=True):
+    """Faults of an engine; probabilities apply to each content event."""
+
+    straggler: float = 1.0  # factor on the time of every step
+    crash_after_tokens: int = 0  # crash when a stream reaches this many tokens
+    down_s: float = 0.0  # refuse everything for this time after a crash
+    freeze: bool = False
+    leaving: bool = False
+    duplicate: float = 0.0
+    late: float = 0.0  # an event is held back until `late_events` later ones were sent
+    late_events: int = 3
+    reorder: float = 0.0  # an event is swapped with the next one
+    truncate_at: int = 0  # close the answer after this many tokens, once
+    refuse_instances: list[str] = []
+    load_lag_s: float = 0.0
+    cache_lag_s: float = 0.0
+    cache_gap: float = 0.0  # probability that a cache event is never published
+
+
+class Execution(msgspec.Struct, kw_only=True):
+    """Tokens `first` to `end` that were generated for a stream, and delivered ones."""
+
+    stream: str
+    first: int
+    end: int = 0
+    delivered: int = 0
+
+
+class Stats(msgspec.Struct, kw_only=True):
+    """What the engine did since it started; a crash does not reset it."""
+
+    generated: int
+    undelivered: int
+    generated_twice: int
+    continuation_mismatches: int
+    executions: int
+
+
+class CacheEvent(msgspec.Struct, kw_only=True):
+    """A prefix block was stored or removed."""
+
+    number: int
+    kind: str
+    block: int
+
+
+class Load(msgspec.Struct, kw_only=True):
+    """The load report."""
+
+    running: int
+    waiting: int
+    slots: int
+    models: list[str]
+    state: str
+    age_s: float = 0.0
+
+
+def request_seed(messages: list[dict]) -> bytes:
+    """Digests the messages of a request."""
+    return hashlib.sha256(msgspec.json.encode(messages)).digest()
+
+
+def token(seed: bytes, index: int) -> str:
+    """Returns one token of an answer."""
+    digest = hashlib.blake2b(seed + index.to_bytes(4, "big"), digest_size=3)
+    return digest.hexdigest() + " "
+
+
+def answer_length(seed: bytes, max_tokens: int | None) -> int:
+    """Returns `max_tokens` or a length that is drawn from the seed."""
+    return max_tokens or 16 + seed[0] % 112
+
+
+def expected_tokens(
+    messages: list[dict], *, max_tokens: int | None = None
+) -> list[str]:
+    """Returns the tokens of the complete answer to a request."""
+    seed = request_seed(messages)
+    return [token(seed, i) for i in range(answer_length(seed, max_tokens))]
+
+
+def expected_text(messages: list[dict], *, max_tokens: int | None = None) -> str:
+    """Returns the text of the complete answer to a request."""
+    return "".join(expected_tokens(messages, max_tokens=max_tokens))
+
+
+class Stream:
+    """One answer: `count` tokens exist, `total` will."""
+
+    def __init__(self, *, stream_id: str, priority: int, fields: dict):
+        messages = fields["messages"]
+        self.first = fields.get("continue_from", 0)
+        self.prefix = messages[-1]["content"] if self.first else ""
+        self.messages = messages[:-1] if self.first else messages
+        self.id = stream_id
+        self.priority = priority
+        self.model = fields["model"]
+        self.seed = request_seed(self.messages)
+        self.total = answer_length(self.seed, fields.get("max_tokens"))
+        self.count = self.first
+        self.ready_at = 0.0
+        self.readers = 0
+        self.unread_since = time.monotonic()
+        self.cancelled = False
+        self.changed = threading.Condition()
+        self.execution = Execution(stream=stream_id, first=self.first, end=self.first)
+
+    @property
+    def ended(self) -> bool:
+        return self.cancelled or self.count >= self.total
+
+    def advance(self) -> None:
+        """Adds one token."""
+        with self.changed:
+            self.count += 1
+            self.execution.end = self.count
+            self.changed.notify_all()
+
+    def cancel(self) -> None:
+        """Stops the stream; its readers' connections are dropped."""
+        with self.changed:
+            self.cancelled = True
+            self.changed.notify_all()
+
+    def wait_beyond(self, count: int) -> int:
+        """Waits until more than `count` tokens exist; returns their number."""
+        with self.changed:
+            while self.count <= count and not self.ended:
+                self.changed.wait(1.0)
+            if self.cancelled:
+                raise DropConnection
+            return self.count
+
+    def event(self, index: int) -> bytes:
+        """Returns the event that carries token `index`."""
+        text = token(self.seed, index)
+        return (
+            f'id: {index}\ndata: {{"id":"{self.id}","object":"chat.completion.chunk",'
+            f'"model":"{self.model}","choices":[{{"index":0,"delta":{{"content":'
+            f'"{text}"}},"finish_reason":null}}]}}\n\n'
+        ).encode()
+
+    def last_events(self) -> bytes:
+        """Returns the event with `finish_reason` and the end mark."""
+        return (
+            f'id: {self.total}\ndata: {{"id":"{self.id}","object":'
+            f'"chat.completion.chunk","model":"{self.model}","choices":[{{"index":0,'
+            '"delta":{},"finish_reason":"stop"}]}\n\ndata: [DONE]\n\n'
+        ).encode()
+
+
+class PrefixCache:
+    """Least recently used prefix blocks and the events about them."""
+
+    def __init__(self, *, capacity: int):
+        self.capacity = capacity
+        self.blocks: collections.OrderedDict[int, None] = collections.OrderedDict()
+        self.events: collections.deque[tuple[float, CacheEvent]] = collections.deque(
+            maxlen=KEPT_CACHE_EVENTS
+        )
+        self.next_number = 1
+
+    def cached_share(self, blocks: tuple[int, ...], *, gap: float) -> float:
+        """Returns the cached share of a prompt and stores all of its blocks."""
+        known = 0
+        for block in blocks:
+            if block not in self.blocks:
+                break
+            known += 1
+        for block in blocks:
+            if block not in self.blocks:
+                self._publish("stored", block, gap)
+            self.blocks[block] = None
+            self.blocks.move_to_end(block)
+        while len(self.blocks) > self.capacity:
+            self._publish("removed", self.blocks.popitem(last=False)[0], gap)
+        return known / len(blocks) if blocks else 0.0
+
+    def _publish(self, kind: str, block: int, gap: float) -> None:
+        event = CacheEvent(number=self.next_number, kind=kind, block=block)
+        self.next_number += 1
+        if random.random() >= gap:
+            self.events.append((time.monotonic(), event))
+
+
+class Engine(StandIn):
+    """Generates up to `slots` answers at once, highest priority first."""
+
+    def __init__(self, *, arguments):
+        super().__init__(faults=EngineFaults(), threads=arguments.threads)
+        self.arguments = arguments
+        self.lock = threading.RLock()
+        self.streams: collections.OrderedDict[str, Stream] = collections.OrderedDict()
+        self.waiting: list[tuple[int, int, Stream]] = []
+        self.running: list[Stream] = []
+        self.models = list(arguments.model)
+        self.role = ""
+        self.fence = 0
+        self.sequence = 0
+        self.down_until = 0.0
+        self.continuation_mismatches = 0
+        self.executions: list[Execution] = []
+        self.cache = PrefixCache(capacity=arguments.cache_blocks)
+        self.load_samples: collections.deque[tuple[float, Load]] = collections.deque(
+            maxlen=2_000
+        )
+        self.add_route("POST", "/v1/chat/completions", self.complete)
+        self.add_route("GET", "/streams/([^/]+)", self.resume)
+        self.add_route("DELETE", "/streams/([^/]+)", self.cancel)
+        self.add_route("GET", "/load", self.report_load)
+        self.add_route("GET", "/cache-events", self.list_cache_events)
+        self.add_route("POST", "/orders", self.order)
+        self.add_route("GET", "/stats", self.report_stats)
+        self.add_route("GET", "/executions", self.list_executions)
+        threading.Thread(target=self.generate, daemon=True).start()
+
+    def handle(self, request: Request) -> Response:
+        """Applies the faults that concern whole connections."""
+        if request.path in ("/faults", "/stats", "/executions"):
+            return super().handle(request)
+        while self.faults.freeze:
+            time.sleep(0.02)
+        refused = request.header("X-Instance") in self.faults.refuse_instances
+        if refused or time.monotonic() < self.down_until:
+            raise DropConnection
+        response = super().handle(request)
+        state = "leaving" if self.faults.leaving else "live"
+        response.headers["X-Endpoint-State"] = state
+        return response
+
+    def complete(self, request: Request) -> Response:
+        """Starts an answer, or joins the stream that already has the given id."""
+        fields = msgspec.json.decode(request.body)
+        if fields["model"] not in self.models:
+            return json_response({"error": "model not loaded"}, status=404)
+        self.sequence += 1
+        stream_id = request.header("X-Stream-Id") or f"local-{self.sequence}"
+        priority = int(request.header("X-Priority") or 9)
+        stream = Stream(stream_id=stream_id, priority=priority, fields=fields)
+        if stream.prefix != "".join(token(stream.seed, i) for i in range(stream.first)):
+            self.continuation_mismatches += 1
+        self.submit(stream)
+        if fields.get("stream"):
+            return self.streamed(stream, stream.first)
+        return self.whole(stream)
+
+    def submit(self, stream: Stream) -> None:
+        """Queues a stream."""
+        with self.lock:
+            previous = self.streams.pop(stream.id, None)
+            if previous:
+                previous.cancel()
+            self.streams[stream.id] = stream
+            while len(self.streams) > KEPT_STREAMS:
+                self.streams.popitem(last=False)
+            self.executions.append(stream.execution)
+            heapq.heappush(self.waiting, (stream.priority, self.sequence, stream))
+            self.start_waiting()
+
+    def start_waiting(self) -> None:
+        """Fills free slots; the prefill time shrinks with the cached prefix."""
+        while self.waiting and len(self.running) < self.arguments.slots:
+            stream = heapq.heappop(self.waiting)[2]
+            if stream.ended:
+                continue
+            text = "\n".join(f"{m['role']}: {m['content']}" for m in stream.messages)
+            share = self.cache.cached_share(
+                prompt_blocks(text), gap=self.faults.cache_gap
+            )
+            prompt_tokens = len(text) / 4 + stream.first
+            prefill_s = prompt_tokens * self.arguments.prefill_us / 1e6 * (1 - share)
+            stream.ready_at = time.monotonic() + prefill_s * self.faults.straggler
+            self.running.append(stream)
+
+    def generate(self) -> None:
+        """Runs the steps: each gives every running stream that is prefilled a token."""
+        next_step = time.monotonic()
+        while True:
+            step_s = self.arguments.token_ms / 1e3 * self.faults.straggler
+            next_step = max(next_step + step_s, time.monotonic())
+            time.sleep(max(0.0, next_step - time.monotonic()))
+            if self.faults.freeze:
+                continue
+            with self.lock:
+                self.step(time.monotonic())
+                self.sample_load(time.monotonic())
+
+    def step(self, now: float) -> None:
+        """Generates one token for each stream that is ready."""
+        grace_s = self.arguments.grace_s
+        for stream in self.running:
+            if not stream.readers and now - stream.unread_since > grace_s:
+                stream.cancel()
+            elif stream.ready_at <= now and not stream.ended:
+                stream.advance()
+        crash_at = self.faults.crash_after_tokens
+        if crash_at and any(s.count >= crash_at for s in self.running):
+            self.crash(now)
+        self.running = [stream for stream in self.running if not stream.ended]
+        self.start_waiting()
+
+    def crash(self, now: float) -> None:
+        """Drops all connections and all state, once."""
+        self.faults.crash_after_tokens = 0
+        self.down_until = now + self.faults.down_s
+        for stream in self.streams.values():
+            stream.cancel()
+        self.streams.clear()
+        self.waiting.clear()
+        self.running.clear()
+        self.cache = PrefixCache(capacity=self.arguments.cache_blocks)
+
+    def streamed(self, stream: Stream, first: int) -> Response:
+        """Answers with events from token `first` on."""
+        return Response(
+            body=self.relay(stream, first),
+            headers={"Content-Type": "text/event-stream"},
+        )
+
+    def relay(self, stream: Stream, first: int):
+        """Yields events; tokens that exist together go out together."""
+        with stream.changed:
+            stream.readers += 1
+        sent = first
+        disorder = Disorder(faults=self.faults)
+        try:
+            while sent < stream.total:
+                available = stream.wait_beyond(sent)
+                events = [stream.event(index) for index in range(sent, available)]
+                yield b"".join(disorder.apply(events))
+                sent = available
+                stream.execution.delivered = max(stream.execution.delivered, sent)
+                if 0 < self.faults.truncate_at <= sent:
+                    self.faults.truncate_at = 0
+                    raise DropConnection
+            yield b"".join(disorder.held) + stream.last_events()
+        finally:
+            with stream.changed:
+                stream.readers -= 1
+                stream.unread_since = time.monotonic()
+
+    def whole(self, stream: Stream) -> Response:
+        """Answers when the stream is complete."""
+        collections.deque(self.relay(stream, stream.first), maxlen=0)
+        text = "".join(token(stream.seed, i) for i in range(stream.total))
+        choice = {"message": {"role": "assistant", "content": text}}
+        return json_response({"choices": [choice | {"finish_reason": "stop"}]})
+
+    def resume(self, request: Request, stream_id: str) -> Response:
+        """Adds a reader to a stream."""
+        stream = self.streams.get(stream_id)
+        if stream is None or stream.cancelled:
+            return json_response({"error": "no such stream"}, status=404)
+        return self.streamed(stream, int(request.query.get("from", 0)))
+
+    def cancel(self, request: Request, stream_id: str) -> Response:
+        """Cancels a stream."""
+        with self.lock:
+            stream = self.streams.pop(stream_id, None)
+            if stream:
+                stream.cancel()
+                self.running = [s for s in self.running if s is not stream]
+                self.start_waiting()
+        return json_response({"cancelled": stream is not None})
+
+    def sample_load(self, now: float) -> None:
+        """Keeps a load report for readers that see it later."""
+        if self.load_samples and (
+            now - self.load_samples[-1][0] < LOAD_SAMPLE_INTERVAL_S
+        ):
+            return
+        self.load_samples.append((now, self.current_load()))
+
+    def current_load(self) -> Load:
+        """Returns the load at this moment."""
+        return Load(
+            running=len(self.running),
+            waiting=len(self.waiting),
+            slots=self.arguments.slots,
+            models=self.models,
+            state="leaving" if self.faults.leaving else "live",
+        )
+
+    def report_load(self, request: Request) -> Response:
+        """Answers with the newest report that is as old as the lag."""
+        now = time.monotonic()
+        if not self.faults.load_lag_s:
+            return json_response(self.current_load())
+        with self.lock:
+            samples = [
+                s for s in self.load_samples if s[0] <= now - self.faults.load_lag_s
+            ]
+        taken_at, load = samples[-1] if samples else (now, self.current_load())
+        return json_response(msgspec.structs.replace(load, age_s=now - taken_at))
+
+    def list_cache_events(self, request: Request) -> Response:
+        """Lists cache events that are old enough."""
+        after = int(request.query.get("after", 0))
+        limit = time.monotonic() - self.faults.cache_lag_s
+        with self.lock:
+            events = [e for at, e in self.cache.events if at <= limit]
+        return json_response([event for event in events if event.number > after])
+
+    def order(self, request: Request) -> Response:
+        """Carries out a control order; an old fence is refused if checked."""
+        order = msgspec.json.decode(request.body)
+        with self.lock:
+            if self.arguments.check_fencing and order["fence"] < self.fence:
+                error = {"error": "old fence", "fence": self.fence}
+                return json_response(error, status=409)
+            self.fence = max(self.fence, order["fence"])
+            if order["kind"] == "load_model" and order["model"] not in self.models:
+                self.models.append(order["model"])
+            if order["kind"] == "unload_model" and order["model"] in self.models:
+                self.models.remove(order["model"])
+            if order["kind"] == "set_role":
+                self.role = order["role"]
+        return json_response({"models": self.models, "role": self.role})
+
+    def report_stats(self, request: Request) -> Response:
+        """Sums up the executions."""
+        with self.lock:
+            ended: dict[str, int] = {}
+            twice = 0
+            for execution in self.executions:
+                end = ended.get(execution.stream, execution.first)
+                twice += max(0, min(end, execution.end) - execution.first)
+                ended[execution.stream] = max(end, execution.end)
+            return json_response(
+                Stats(
+                    generated=sum(e.end - e.first for e in self.executions),
+                    undelivered=sum(
+                        max(0, e.end - max(e.first, e.delivered))
+                        for e in self.executions
+                    ),
+                    generated_twice=twice,
+                    continuation_mismatches=self.continuation_mismatches,
+                    executions=len(self.executions),
+                )
+            )
+
+    def list_executions(self, request: Request) -> Response:
+        """Lists all executions, so that a checker can join those of many engines."""
+        return json_response(self.executions)
+
+
+class Disorder:
+    """Duplicates, delays and swaps events as the faults say."""
+
+    def __init__(self, *, faults: EngineFaults):
+        self.faults = faults
+        self.held: list[bytes] = []
+        self.held_for = 0
+
+    def apply(self, events: list[bytes]) -> list[bytes]:
+        """Returns the events to send now."""
+        faults = self.faults
+        if not (faults.duplicate or faults.late or faults.reorder):
+            return events
+        result = []
+        for event in events:
+            if not self.held and random.random() < faults.late:
+                self.held, self.held_for = [event], faults.late_events
+                continue
+            if not self.held and random.random() < faults.reorder:
+                self.held, self.held_for = [event], 1
+                continue
+            result.append(event)
+            if random.random() < faults.duplicate:
+                result.append(event)
+            self.held_for -= 1
+            if self.held and self.held_for <= 0:
+                result += self.held
+                self.held = []
+        return result
+
+
+def main() -> None:
+    parser = argument_parser("Stand-in for a model engine")
+    parser.add_argument("--model", action="append", required=True)
+    parser.add_argument("--slots", type=int, default=8)
+    parser.add_argument("--token-ms", type=float, default=10.0)
+    parser.add_argument("--prefill-us", type=float, default=100.0)
+    parser.add_argument("--cache-blocks", type=int, default=4096)
+    parser.add_argument("--grace-s", type=float, default=5.0)
+    parser.add_argument("--threads", type=int, default=320)
+    parser.add_argument("--check-fencing", action="store_true")
+    parser.add_argument("--id", default="engine")
+    arguments = parser.parse_args()
+    run(Engine(arguments=arguments), host=arguments.host, port=arguments.port)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/standins/plain_service.py
@@ -0,0 +1,103 @@
+"""Stand-in for a plain service: orders, payments and lookups.
+
+A call with any method but GET executes and is counted by its `Idempotency-Key`; GET is
+a read-only lookup.
+"""
+
+import collections
+import threading
+import time
+
+import msgspec
+
+from .server import (
+    DropConnection,
+    Request,
+    Response,
+    StandIn,
+    argument_parser,
+    json_response,
+    run,
+)
+
+
+class ServiceFaults(msgspec.Struct, kw_only=True):
+    """Faults of a plain service."""
+
+    delay_s: float = 0.0
+    lose_answer: bool = False  # execute, then close the connection without an answer
+    drop_before: bool = False  # close the connection before anything is executed
+    refuse: bool = False  # answer 503 without executing
+    leaving: bool = False
+    refuse_instances: list[str] = []
+
+
+class Receipt(msgspec.Struct, kw_only=True):
+    """The answer to an executed call."""
+
+    key: str
+    path: str
+    execution: int
+    body_bytes: int
+
+
+class PlainService(StandIn):
+    """Counts executions by key."""
+
+    def __init__(self, *, threads: int):
+        super().__init__(faults=ServiceFaults(), threads=threads)
+        self.lock = threading.Lock()
+        self.executions: collections.Counter[str] = collections.Counter()
+        self.add_route("GET", "/executions", self.list_executions)
+        self.add_route("GET", "/.*", self.look_up)
+        self.add_route("*", "/.*", self.execute)
+
+    def handle(self, request: Request) -> Response:
+        """Applies the faults that concern every call."""
+        if request.path not in ("/faults", "/executions"):
+            refused = request.header("X-Instance") in self.faults.refuse_instances
+            if refused or self.faults.drop_before:
+                raise DropConnection
+            time.sleep(self.faults.delay_s)
+            if self.faults.refuse:
+                return json_response({"error": "refused"}, status=503)
+        response = super().handle(request)
+        state = "leaving" if self.faults.leaving else "live"
+        response.headers["X-Endpoint-State"] = state
+        return response
+
+    def execute(self, request: Request) -> Response:
+        """Executes a call."""
+        key = request.header("Idempotency-Key") or ""
+        with self.lock:
+            self.executions[key] += 1
+            execution = self.executions[key]
+        if self.faults.lose_answer:
+            raise DropConnection
+        receipt = Receipt(
+            key=key,
+            path=request.path,
+            execution=execution,
+            body_bytes=len(request.body),
+        )
+        return json_response(receipt)
+
+    def look_up(self, request: Request) -> Response:
+        """Answers a read-only lookup."""
+        return json_response({"path": request.path, "query": request.query})
+
+    def list_executions(self, request: Request) -> Response:
+        """Lists how often each key was executed."""
+        return json_response(dict(self.executions))
+
+
+def main() -> None:
+    parser = argument_parser("Stand-in for a plain service")
+    parser.add_argument("--threads", type=int, default=64)
+    arguments = parser.parse_args()
+    service = PlainService(threads=arguments.threads)
+    run(service, host=arguments.host, port=arguments.port)
+
+
+if __name__ == "__main__":
+    main()
--- a/standins/server.py
+++ b/standins/server.py
@@ -64,6 +64,23 @@
         return self.environ.get("HTTP_" + name.upper().replace("-", "_"))
 
 
+class DropConnection(Exception):
+    """Raised by a handler or a body to close the connection without an answer."""
+
+
+class ConnectionGateway(wsgi.Gateway_10):
+    """Lets an application drop its connection."""
+
+    def respond(self):
+        try:
+            super().respond()
+        except DropConnection:
+            self.req.sent_headers = True
+            self.req.close_connection = True
+            self.req.chunked_write = False
+            self.req.ready = False
+
+
 class StandIn:
     """Base of all stand-ins: routes, faults and the server."""
 
@@ -106,7 +123,12 @@
 
 def run(stand_in: StandIn, *, host: str = "127.0.0.1", port: int = 0) -> None:
     """Serves until SIGTERM; prints `ready <port>` once the socket listens."""
-    server = wsgi.Server((host, port), stand_in, numthreads=stand_in.threads)
+    server = wsgi.Server(
+        (host, port), stand_in, numthreads=stand_in.threads, request_queue_size=512
+    )
+    server.gateway = ConnectionGateway
+    server.keep_alive_conn_limit = None
+    server.shutdown_timeout = 1
     server.prepare()
     signal.signal(
         signal.SIGTERM, lambda *_: threading.Thread(target=server.stop).start()
