Add the request path from the callers' listener to the endpoints

Cause: nothing was served yet. Ruled out: reading streams through urllib3, which returns one chunk at a time and cannot tell whether more have arrived, so waiting events could not be coalesced.

--- /dev/null
+++ b/src/lagoonrill/_internal/coordination/dispatch.py
@@ -0,0 +1,631 @@
+"""The way of one request: classify, claim, acquire a slot, call, record, release."""
+
+import hashlib
+import threading
+import time
+import uuid
+from collections.abc import Callable, Iterator
+from typing import Any
+from urllib.parse import unquote
+
+import logbook
+import msgspec
+from returns.result import Failure
+
+from ..protocol.chat import (
+    ChatRequest,
+    decode_chat_request,
+    estimate_tokens,
+    prompt_blocks,
+    prompt_text,
+)
+from ..protocol.endpoint_errors import EndpointError, EndpointNotReached
+from ..protocol.errors import (
+    BadRequest,
+    ClaimsUnavailable,
+    DeadlineExceeded,
+    EndpointFailed,
+    KeyMissing,
+    KeyReused,
+    NotFound,
+    NotReady,
+    OutcomeUnknown,
+    RequestError,
+    RunState,
+    TooLarge,
+    Truncated,
+    Unauthorized,
+)
+from ..protocol.manifest import Endpoint, Manifest, RequestClass, Service, Team
+from .flight import Flight
+from .streams import CallerGone, StreamJob, StreamRelay
+
+log = logbook.Logger("dispatch")
+
+RETRY_AFTER_S = 1.0
+# A call that may not be repeated is left to finish for this time after its caller was
+# told that the outcome is unknown, so that a later repeat learns the outcome.
+LATE_OUTCOME_S = 120.0
+MAX_KEY_CHARACTERS = 255
+# The team's key and the router's own headers are not for the service.
+NOT_FORWARDED_HEADERS = frozenset(
+    (
+        "authorization",
+        "connection",
+        "content-length",
+        "expect",
+        "host",
+        "keep-alive",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "x-deadline-ms",
+        "x-instance",
+        "x-request-class",
+    )
+)
+
+
+class CallerRequest(msgspec.Struct, kw_only=True):
+    """One request of an authenticated caller; header names are in lower case.
+
+    `path` is as the caller sent it, without the query. Times are in seconds.
+    """
+
+    team: Team
+    method: str
+    path: str
+    query: str = ""
+    headers: dict[str, str] = {}
+    body: bytes = b""
+    arrived_at: float
+    deadline: float
+
+    @property
+    def key(self) -> str | None:
+        return self.headers.get("idempotency-key")
+
+
+class Answer(msgspec.Struct, kw_only=True):
+    """An answer of any status; an iterator as the body is sent as it yields."""
+
+    status: int = 200
+    content_type: str = "application/json"
+    headers: list[tuple[str, str]] = []
+    body: bytes | Iterator[bytes] = b""
+
+
+class ManifestIndex:
+    """The manifest in force, by the names that requests use."""
+
+    def __init__(self, *, manifest: Manifest):
+        self.manifest = manifest
+        self.classes = {c.name: c for c in manifest.classes}
+        self.models = {m.name: m for m in manifest.models}
+        self.services = {s.name: s for s in manifest.services}
+        self.endpoints = {e.id: e for e in manifest.endpoints}
+        self.teams = {d.lower(): t for t in manifest.teams for d in t.key_digests}
+
+    def class_named(self, name: str) -> RequestClass:
+        """Returns a class; raises `NotFound`."""
+        if name not in self.classes:
+            raise NotFound(message=f"class {name!r} is not declared")
+        return self.classes[name]
+
+    def class_of_call(self, service: Service, method: str, path: str) -> RequestClass:
+        """Returns the class of the first route that matches; raises `NotFound`."""
+        for route in service.routes:
+            same_method = route.method in ("*", method)
+            if same_method and path.startswith(route.path_prefix):
+                return self.class_named(route.request_class)
+        message = f"service {service.name!r} has no route for {method} {path}"
+        raise NotFound(message=message)
+
+
+def stream_id_for(request: CallerRequest) -> str:
+    """Returns the id of a keyed stream, equal on all instances, or a fresh one.
+
+    The body is part of it, so that a key which is used again for another request does
+    not receive the first request's answer.
+    """
+    if request.key is None:
+        return uuid.uuid4().hex
+    digest = hashlib.sha256()
+    for part in (request.team.name.encode(), request.key.encode(), request.body):
+        digest.update(len(part).to_bytes(8, "big"))
+        digest.update(part)
+    return digest.hexdigest()[:32]
+
+
+def checked_service_path(path: str) -> str:
+    """Returns the decoded path; refuses forms that a service may read differently.
+
+    A route decides whether a call may be repeated, so the router and the service must
+    agree on the path.
+
+    >>> checked_service_path("/orders/a%20b")
+    '/orders/a b'
+    """
+    decoded = unquote(path)
+    segments = decoded.split("/")[1:]
+    if "" in segments[:-1] or "." in segments or ".." in segments:
+        raise BadRequest(message="the path has empty or relative segments")
+    if decoded.count("/") != path.count("/") or "\\" in decoded:
+        raise BadRequest(message="the path has an encoded separator")
+    if "%" in decoded or ";" in decoded:
+        raise BadRequest(message="the path is ambiguous")
+    return decoded
+
+
+class Dispatcher:
+    """Serves requests of callers; every method runs in the caller's own thread.
+
+    The types `ticket_type` and `usage_type` belong to the scheduler, `outcome_type` to
+    the claim service. `retry_budget.take()` says whether a repeat is allowed now.
+    """
+
+    def __init__(
+        self,
+        *,
+        generation,
+        scheduler,
+        endpoint_table,
+        claims,
+        registry,
+        client,
+        retry_budget,
+        relay: StreamRelay,
+        ticket_type: Callable[..., Any],
+        usage_type: Callable[..., Any],
+        outcome_type: Callable[..., Any],
+        max_prompt_characters: int = 1_000_000,
+    ):
+        self.generation = generation
+        self.scheduler = scheduler
+        self.endpoint_table = endpoint_table
+        self.claims = claims
+        self.registry = registry
+        self.client = client
+        self.retry_budget = retry_budget
+        self.relay = relay
+        self.ticket_type = ticket_type
+        self.usage_type = usage_type
+        self.outcome_type = outcome_type
+        self.max_prompt_characters = max_prompt_characters
+        self.lock = threading.Lock()
+        self.index_cache: tuple[Any, ManifestIndex] | None = None
+        self.background_calls = 0
+
+    def index(self) -> ManifestIndex:
+        """Returns the index of the manifest in force; raises `NotReady`."""
+        record = self.generation.current()
+        if record is None:
+            message = "no manifest is in force yet"
+            raise NotReady(message=message, retry_after_s=RETRY_AFTER_S)
+        cached = self.index_cache
+        if cached is None or cached[0] is not record:
+            cached = (record, ManifestIndex(manifest=record.manifest))
+            self.index_cache = cached
+        return cached[1]
+
+    def authenticate(self, authorization: str | None) -> Team:
+        """Returns the team of a bearer key; raises `Unauthorized`."""
+        scheme, _, key = (authorization or "").partition(" ")
+        if scheme.lower() != "bearer" or not key.strip():
+            raise Unauthorized(message="the request has no bearer key")
+        digest = hashlib.sha256(key.strip().encode()).hexdigest()
+        team = self.index().teams.get(digest)
+        if team is None:
+            raise Unauthorized(message="the bearer key is unknown")
+        return team
+
+    def calls_in_background(self) -> int:
+        """Returns how many calls finish after their callers were answered."""
+        with self.lock:
+            return self.background_calls
+
+    def _ticket(
+        self,
+        request: CallerRequest,
+        request_class: RequestClass,
+        target: str,
+        prompt: str = "",
+    ):
+        return self.ticket_type(
+            request_id=uuid.uuid4().hex,
+            team=request.team.name,
+            request_class=request_class,
+            target=target,
+            prompt_tokens=estimate_tokens(prompt) if prompt else 0,
+            prompt_blocks=prompt_blocks(prompt),
+            arrived_at=request.arrived_at,
+            deadline=request.deadline,
+        )
+
+    def _call_deadline(
+        self, request: CallerRequest, request_class: RequestClass
+    ) -> float:
+        return request.deadline + (0 if request_class.repeatable else LATE_OUTCOME_S)
+
+    # Chat
+
+    def chat(self, request: CallerRequest, flight: Flight) -> Answer:
+        """Answers a chat request; raises `RequestError` or `CallerGone`."""
+        chat = self._decode_chat(request.body)
+        text = prompt_text(chat)
+        if len(text) > self.max_prompt_characters:
+            limit = self.max_prompt_characters
+            message = f"the prompt has {len(text)} characters; the limit is {limit}"
+            raise TooLarge(message=message)
+        request_class = self._chat_class(chat, request)
+        ticket = self._ticket(request, request_class, chat.model, prompt=text)
+        job = StreamJob(
+            stream_id=stream_id_for(request),
+            keyed=request.key is not None and request_class.repeatable,
+            body=request.body,
+            ticket=ticket,
+            flight=flight,
+            limits=self.relay.limits,
+            whole=not chat.stream,
+            once=not request_class.repeatable,
+            call_deadline=self._call_deadline(request, request_class),
+        )
+        if job.once:
+            return self._chat_once(request, chat, job)
+        located = self._locate(job)
+        if chat.stream:
+            events = self.relay.relay(job, located)
+            return Answer(
+                content_type="text/event-stream", body=EventBody(events=events)
+            )
+        body = self.relay.whole_answer(job, chat.model, ticket.prompt_tokens, located)
+        return Answer(body=body)
+
+    def _decode_chat(self, body: bytes) -> ChatRequest:
+        try:
+            return decode_chat_request(body)
+        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            message = f"the body is not a chat request: {error}"
+            raise BadRequest(message=message) from error
+
+    def _chat_class(self, chat: ChatRequest, request: CallerRequest) -> RequestClass:
+        index = self.index()
+        if chat.model not in index.models:
+            raise NotFound(message=f"model {chat.model!r} is not declared")
+        default = index.class_named(index.models[chat.model].default_class)
+        return self._chosen_class(index, default, request)
+
+    def _chosen_class(
+        self, index: ManifestIndex, default: RequestClass, request: CallerRequest
+    ) -> RequestClass:
+        name = request.headers.get("x-request-class")
+        if name is None:
+            return default
+        chosen = index.class_named(name)
+        if chosen.repeatable and not default.repeatable:
+            # The header may not take away the protection against running twice.
+            message = f"class {name!r} may not replace {default.name!r} for this call"
+            raise BadRequest(message=message)
+        return chosen
+
+    def _chat_once(
+        self, request: CallerRequest, chat: ChatRequest, job: StreamJob
+    ) -> Answer:
+        if chat.stream:
+            message = "a class that is not repeatable is answered whole"
+            raise BadRequest(message=message, remedy="Send the request without stream")
+
+        def execute() -> Answer:
+            tokens = job.ticket.prompt_tokens
+            return Answer(body=self.relay.whole_answer(job, chat.model, tokens))
+
+        return self._run_once(request, job.flight, execute)
+
+    def _locate(self, job: StreamJob) -> Endpoint | None:
+        """Returns the engine that already runs a keyed stream, if it is known."""
+        if not job.keyed:
+            return None
+        record = self.registry.locate(job.stream_id)
+        endpoint = record and self.index().endpoints.get(record.endpoint)
+        if endpoint is None:
+            return None
+        job.attempt = record.attempt
+        return endpoint
+
+    # Plain services
+
+    def service(self, name: str, request: CallerRequest, flight: Flight) -> Answer:
+        """Forwards a call to a plain service; `request.path` is the service's path."""
+        index = self.index()
+        if name not in index.services:
+            raise NotFound(message=f"service {name!r} is not declared")
+        path = checked_service_path(request.path)
+        default = index.class_of_call(index.services[name], request.method, path)
+        request_class = self._chosen_class(index, default, request)
+        ticket = self._ticket(request, request_class, name)
+        if request_class.repeatable:
+            return self._call_service(request, ticket, flight)
+
+        def execute() -> Answer:
+            return self._call_service(request, ticket, flight, once=True)
+
+        return self._run_once(request, flight, execute)
+
+    def _call_service(
+        self, request: CallerRequest, ticket, flight: Flight, *, once: bool = False
+    ) -> Answer:
+        """Calls workers of a service until one answers."""
+        sent = False
+        while True:
+            try:
+                grant = flight.acquire(self.scheduler, ticket)
+            except RequestError as error:
+                if sent:
+                    error.run = RunState.UNKNOWN
+                raise
+            answered = self._call_worker(request, ticket, grant, flight, once)
+            if not isinstance(answered, Failure):
+                return self._service_answer(grant.endpoint, answered.unwrap())
+            error = answered.failure()
+            ticket.excluded.add(grant.endpoint.id)
+            if isinstance(error, EndpointNotReached):
+                self.endpoint_table.mark_down(grant.endpoint.id, str(error))
+                flight.call_not_sent()
+                continue
+            sent = True
+            if once:
+                raise OutcomeUnknown(message=error.message, retry_after_s=RETRY_AFTER_S)
+            flight.check()
+            self._allow_retry(ticket, error)
+
+    def _call_worker(self, request, ticket, grant, flight: Flight, once: bool):
+        started_at = time.monotonic()
+        usage = self.usage_type(tokens=0, wasted_tokens=0, failed=True)
+        try:
+            flight.begin_call()
+            answered = self.client.call(
+                grant.endpoint,
+                method=request.method,
+                path=request.path + (f"?{request.query}" if request.query else ""),
+                headers=self._forwarded_headers(request),
+                body=request.body,
+                timeout_s=max(
+                    0.001,
+                    self._call_deadline(request, ticket.request_class) - started_at,
+                ),
+                handle=flight.new_handle(self.client),
+                fresh_connection=once,
+            )
+            if not isinstance(answered, Failure):
+                elapsed_s = time.monotonic() - started_at
+                usage = self.usage_type(
+                    tokens=0, wasted_tokens=0, first_token_s=elapsed_s, failed=False
+                )
+            return answered
+        finally:
+            self.scheduler.release(grant, usage)
+
+    def _forwarded_headers(self, request: CallerRequest) -> dict[str, str]:
+        return {
+            name: value
+            for name, value in request.headers.items()
+            if name not in NOT_FORWARDED_HEADERS
+        }
+
+    def _service_answer(self, endpoint: Endpoint, answer) -> Answer:
+        if answer.leaving:
+            self.endpoint_table.mark_leaving(endpoint.id, "answer")
+        headers = [h for h in answer.headers if h[0].lower() != "content-type"]
+        return Answer(
+            status=answer.status,
+            content_type=answer.content_type,
+            headers=headers,
+            body=answer.body,
+        )
+
+    def _allow_retry(self, ticket, error: EndpointError) -> None:
+        """Raises unless the deadline and the retry budget allow another call."""
+        if time.monotonic() >= ticket.deadline:
+            message = "the deadline passed before the answer"
+            raise DeadlineExceeded(message=message, run=RunState.UNKNOWN)
+        if not self.retry_budget.take():
+            message = f"the call failed and the retry budget is spent: {error.message}"
+            raise EndpointFailed(message=message, retry_after_s=RETRY_AFTER_S)
+
+    # Calls that run at most once
+
+    def _run_once(
+        self,
+        request: CallerRequest,
+        flight: Flight,
+        execute: Callable[[], Answer],
+    ) -> Answer:
+        """Claims the request's key and executes the call if nobody did before."""
+        key = request.key
+        if not key:
+            raise KeyMissing(message="this class needs an Idempotency-Key")
+        if len(key) > MAX_KEY_CHARACTERS:
+            message = f"the Idempotency-Key is longer than {MAX_KEY_CHARACTERS}"
+            raise BadRequest(message=message)
+        claimed = self.claims.claim(
+            team=request.team.name,
+            key=key,
+            body_digest=self._call_digest(request),
+            deadline=request.deadline,
+        )
+        if isinstance(claimed, Failure):
+            return self._without_claim(claimed.failure())
+        call = OnceCall(
+            dispatcher=self,
+            grant=claimed.unwrap(),
+            flight=flight,
+            execute=execute,
+            deadline=request.deadline,
+        )
+        return call.run()
+
+    def _call_digest(self, request: CallerRequest) -> str:
+        digest = hashlib.sha256()
+        parts = (request.method, request.path, request.query)
+        for part in (*(p.encode() for p in parts), request.body):
+            digest.update(len(part).to_bytes(8, "big"))
+            digest.update(part)
+        return digest.hexdigest()
+
+    def _without_claim(self, error) -> Answer:
+        """Answers a call whose claim was not granted."""
+        kind = type(error).__name__
+        message = getattr(error, "message", str(error))
+        if kind == "OutcomeKnown":
+            outcome = error.outcome
+            return Answer(
+                status=outcome.status,
+                content_type=outcome.content_type,
+                body=outcome.body,
+            )
+        if kind == "KeyReused":
+            raise KeyReused(message=message)
+        if kind == "ClaimNotMade":
+            raise ClaimsUnavailable(message=message, retry_after_s=RETRY_AFTER_S)
+        raise OutcomeUnknown(message=message, retry_after_s=RETRY_AFTER_S)
+
+
+class OnceCall:
+    """A claimed call. It runs in a thread of its own, so that its outcome is recorded
+    even when the caller's deadline passes or the caller goes away."""
+
+    def __init__(
+        self, *, dispatcher: Dispatcher, grant, flight: Flight, execute, deadline: float
+    ):
+        self.dispatcher = dispatcher
+        self.grant = grant
+        self.flight = flight
+        self.execute = execute
+        self.deadline = deadline
+        self.flight.once = True
+        self.answer: Answer | None = None
+        self.error: Exception | None = None
+        self.ended = threading.Event()
+
+    def run(self) -> Answer:
+        """Runs the call; raises `OutcomeUnknown` when the deadline passes before."""
+        with self.dispatcher.lock:
+            self.dispatcher.background_calls += 1
+        threading.Thread(target=self._execute, name="once-call", daemon=True).start()
+        if not self.ended.wait(max(0.0, self.deadline - time.monotonic())):
+            if self.flight.cancel():
+                raise DeadlineExceeded(
+                    message="the deadline passed before the call was sent",
+                    retry_after_s=RETRY_AFTER_S,
+                )
+            raise OutcomeUnknown(
+                message="the deadline passed while the call ran",
+                retry_after_s=RETRY_AFTER_S,
+            )
+        if self.error is not None:
+            raise self.error
+        return self.answer
+
+    def _execute(self) -> None:
+        try:
+            self.answer = self.execute()
+            self._record()
+        except Exception as error:
+            self._fail(error)
+        finally:
+            with self.dispatcher.lock:
+                self.dispatcher.background_calls -= 1
+            self.ended.set()
+
+    def _record(self) -> None:
+        outcome = self.dispatcher.outcome_type(
+            status=self.answer.status,
+            content_type=self.answer.content_type,
+            body=self.answer.body,
+        )
+        recorded = self.dispatcher.claims.record_outcome(self.grant, outcome)
+        if isinstance(recorded, Failure):
+            log.warning("An outcome was not recorded: {}", recorded.failure())
+
+    def _fail(self, error: Exception) -> None:
+        """Closes the claim if nothing was sent; else the outcome stays unknown."""
+        if isinstance(error, CallerGone):
+            not_run = True
+        elif isinstance(error, RequestError):
+            not_run = error.run is RunState.NOT_RUN
+        else:
+            log.exception("A call failed unexpectedly")
+            error = OutcomeUnknown(message="the call failed inside the router")
+            not_run = False
+        if not_run:
+            closed = self.dispatcher.claims.close(self.grant)
+            if isinstance(closed, Failure):
+                log.warning("A claim was not closed: {}", closed.failure())
+        elif error.kind != "outcome_unknown":
+            error = OutcomeUnknown(message=error.message, retry_after_s=RETRY_AFTER_S)
+        self.error = error
+
+
+class EventBody:
+    """The body of a streamed answer.
+
+    It waits for the first events, so that an error before them has its own status. A
+    later error becomes the last event, and `[DONE]` then never follows.
+    """
+
+    __slots__ = ("events", "first")
+
+    def __init__(self, *, events: Iterator[bytes]):
+        self.events = events
+        self.first = next(events)
+
+    def __iter__(self):
+        return self
+
+    def __next__(self) -> bytes:
+        if self.first:
+            first, self.first = self.first, b""
+            return first
+        try:
+            return next(self.events)
+        except RequestError as error:
+            return error_event(error)
+        except CallerGone:
+            raise StopIteration from None
+
+    def close(self) -> None:
+        """Ends the work if it has not ended."""
+        self.events.close()
+
+
+def error_event(error: RequestError) -> bytes:
+    """Returns the last event of an answer that was cut off."""
+    cut_off = Truncated(message=error.message, retry_after_s=error.retry_after_s)
+    return b"event: error\ndata: " + error_body(cut_off) + b"\n\n"
+
+
+class ErrorDetail(msgspec.Struct, kw_only=True):
+    """The JSON form of an error."""
+
+    kind: str
+    message: str
+    run: RunState
+    retry_after_s: float | None
+
+
+class ErrorBody(msgspec.Struct, kw_only=True):
+    """The body of an answer with an error status."""
+
+    error: ErrorDetail
+
+
+def error_body(error: RequestError) -> bytes:
+    """Encodes an error for a caller."""
+    detail = ErrorDetail(
+        kind=error.kind,
+        message=str(error),
+        run=error.run,
+        retry_after_s=error.retry_after_s,
+    )
+    return msgspec.json.encode(ErrorBody(error=detail))
--- /dev/null
+++ b/src/lagoonrill/_internal/coordination/flight.py
@@ -0,0 +1,83 @@
+"""A request in progress, as seen by the threads that may end it early."""
+
+import threading
+from typing import Any
+
+from .streams import CallerGone
+
+
+class Flight:
+    """One request in progress; `cancel` may be called by any thread.
+
+    A request that runs `once` cannot be cancelled after it was sent.
+    """
+
+    __slots__ = ("cancelled", "handle", "lock", "once", "scheduler", "sent", "ticket")
+
+    def __init__(self):
+        self.lock = threading.Lock()
+        self.cancelled = False
+        self.once = False
+        self.sent = False
+        self.handle: Any = None
+        self.scheduler: Any = None
+        self.ticket: Any = None
+
+    def acquire(self, scheduler, ticket):
+        """Waits for a slot; raises `CallerGone` if the request is cancelled."""
+        with self.lock:
+            self.scheduler, self.ticket = scheduler, ticket
+        try:
+            self.check()
+            grant = scheduler.acquire(ticket)
+        except Exception:
+            self.check()
+            raise
+        finally:
+            with self.lock:
+                self.scheduler = self.ticket = None
+        return grant
+
+    def new_handle(self, client):
+        """Returns the handle for the next call; the call fails if cancelled."""
+        handle = client.new_handle()
+        with self.lock:
+            self.handle = handle
+            if self.cancelled:
+                handle.abort()
+        return handle
+
+    def begin_call(self) -> None:
+        """Marks the request as sent; raises `CallerGone` if it was cancelled before."""
+        with self.lock:
+            self.check()
+            self.sent = True
+
+    def call_not_sent(self) -> None:
+        """Takes `begin_call` back, because the endpoint was not reached."""
+        with self.lock:
+            self.sent = False
+
+    def check(self) -> None:
+        """Raises `CallerGone` if the request is cancelled."""
+        if self.cancelled:
+            raise CallerGone
+
+    def abort_call(self) -> None:
+        """Makes the current call to an endpoint fail at once."""
+        with self.lock:
+            handle = self.handle
+        if handle is not None:
+            handle.abort()
+
+    def cancel(self) -> bool:
+        """Ends the request wherever it waits; returns False if it must go on."""
+        with self.lock:
+            if self.once and self.sent:
+                return False
+            self.cancelled = True
+            scheduler, ticket = self.scheduler, self.ticket
+        if scheduler is not None:
+            scheduler.cancel(ticket)
+        self.abort_call()
+        return True
--- a/src/lagoonrill/_internal/protocol/errors.py
+++ b/src/lagoonrill/_internal/protocol/errors.py
@@ -197,3 +197,8 @@
 @request_error("truncated", http_status=502, run=RunState.RAN)
 class Truncated(RequestError):
     default_remedy = "Discard the partial answer and try again"
+
+
+@request_error("request_timeout", http_status=408)
+class RequestTimeout(RequestError):
+    default_remedy = "Send the whole request without pauses"
--- a/src/lagoonrill/_internal/protocol/messages.py
+++ b/src/lagoonrill/_internal/protocol/messages.py
@@ -65,10 +65,15 @@
 
 
 class StreamAnnounce(PeerMessage):
-    """Tells a stream's home instance where the stream runs, or that it ended."""
+    """Tells a stream's home instance where the stream runs, or that it ended.
+
+    An engine knows the stream by its id and `attempt`. An ended stream without an
+    endpoint cannot be resumed and is forgotten.
+    """
 
     stream_id: str
     endpoint: str
+    attempt: int = 0
     ended: bool = False
 
 
@@ -83,6 +88,7 @@
 
     stream_id: str
     endpoint: str
+    attempt: int = 0
 
 
 class Leaving(PeerMessage):
--- a/src/lagoonrill/_internal/protocol/settings.py
+++ b/src/lagoonrill/_internal/protocol/settings.py
@@ -19,8 +19,16 @@
 
 
 class CallerSettings(ListenerSettings, kw_only=True, forbid_unknown_fields=True):
-    """The callers' listener; one thread serves each open connection."""
+    """The callers' listener; one thread serves each open connection.
 
+    `request_timeout_s` limits the time to receive a whole request, and
+    `slow_client_timeout_s` the time for which a caller may accept no part of its
+    answer. `default_deadline_s` applies to requests without `X-Deadline-Ms`.
+    """
+
+    request_timeout_s: float = 15.0
+    slow_client_timeout_s: float = 20.0
+    default_deadline_s: float = 600.0
     threads: int = 640
 
 
--- /dev/null
+++ b/src/lagoonrill/_internal/transport/caller_listener.py
@@ -0,0 +1,233 @@
+"""The callers' HTTP interface: a CherryPy application on a cheroot server."""
+
+import contextlib
+import threading
+import time
+from http import HTTPStatus
+
+import cherrypy
+import logbook
+
+from ..coordination.dispatch import Answer, CallerRequest, Dispatcher, error_body
+from ..coordination.flight import Flight
+from ..coordination.streams import CallerGone
+from ..protocol.errors import (
+    BadRequest,
+    NotFound,
+    RequestError,
+    RequestTimeout,
+    TooLarge,
+)
+from ..protocol.settings import CallerSettings
+from .caller_server import CallerServer, refusal
+from .caller_watch import CallerWatch
+
+log = logbook.Logger("callers")
+
+CHAT_PATH = "/v1/chat/completions"
+SERVICE_PREFIX = "/services/"
+READ_BYTES = 65_536
+# The largest unread body that is read and thrown away to keep the connection open.
+MAX_SKIPPED_BODY_BYTES = 65_536
+
+
+class CallerListener:
+    """Serves callers until it is stopped."""
+
+    def __init__(self, *, settings: CallerSettings, dispatcher: Dispatcher):
+        self.settings = settings
+        self.dispatcher = dispatcher
+        self.watch = CallerWatch()
+        self.server = CallerServer(
+            settings=settings, application=self._application(), watch=self.watch
+        )
+        self.lock = threading.Lock()
+        self.open_requests = 0
+        self.thread = threading.Thread(
+            target=self.server.serve, name="caller-listener", daemon=True
+        )
+
+    @property
+    def port(self) -> int:
+        """The port in use; known after `start`."""
+        return self.server.bind_addr[1]
+
+    def start(self) -> None:
+        """Opens the socket and serves."""
+        self.watch.start()
+        self.server.prepare()
+        self.thread.start()
+
+    def stop(self) -> None:
+        """Refuses new connections and waits for all requests in flight."""
+        self.server.stop()
+        self.thread.join()
+        self.watch.stop()
+        while self.dispatcher.calls_in_background():
+            time.sleep(0.02)
+
+    def in_flight(self) -> int:
+        """Returns the requests whose answers are not finished yet."""
+        return self.open_requests + self.dispatcher.calls_in_background()
+
+    def _application(self) -> cherrypy.Application:
+        cherrypy.config.update({"log.screen": False})
+        application = cherrypy.Application(
+            None, "", {"/": {"request.dispatch": self._route}}
+        )
+        application.log.screen = False
+        # One line for each request is written by the metrics, not by CherryPy.
+        application.log.access = lambda: None
+        return application
+
+    def _route(self, path_info: str) -> None:
+        """Is CherryPy's dispatcher: every path has the same handler."""
+        request = cherrypy.serving.request
+        request.config = {
+            "request.process_request_body": False,
+            "request.show_tracebacks": False,
+            "error_page.default": framework_error,
+            "response.stream": True,
+        }
+        request.handler = self._handle
+
+    def _handle(self):
+        """Answers one request; every error is converted here."""
+        environ = cherrypy.serving.request.wsgi_environ
+        flight = Flight()
+        self._begin(environ["lagoonrill.request"].conn.socket, flight)
+        try:
+            return self._respond(self._serve(environ, flight))
+        except RequestError as error:
+            return self._refuse(environ, error)
+        except CallerGone:
+            environ["lagoonrill.request"].close_connection = True
+            return self._respond(Answer(status=499))
+        except Exception:
+            log.exception("A request failed unexpectedly")
+            message = "the router failed to answer"
+            return self._refuse(environ, RequestError(message=message))
+
+    def _begin(self, sock, flight: Flight) -> None:
+        with self.lock:
+            self.open_requests += 1
+        request = cherrypy.serving.request
+        request.hooks.attach("on_end_request", lambda: self._end(sock))
+
+    def _end(self, sock) -> None:
+        self.watch.remove(sock)
+        with self.lock:
+            self.open_requests -= 1
+
+    def _serve(self, environ: dict, flight: Flight) -> Answer:
+        arrived_at = time.monotonic()
+        team = self.dispatcher.authenticate(environ.get("HTTP_AUTHORIZATION"))
+        path, _, query = environ["REQUEST_URI"].partition("?")
+        method = environ["REQUEST_METHOD"]
+        is_chat = path == CHAT_PATH
+        if not is_chat and not path.startswith(SERVICE_PREFIX):
+            raise NotFound(message=f"there is nothing at {path}")
+        if is_chat and method != "POST":
+            raise BadRequest(message=f"{CHAT_PATH} takes POST only")
+        deadline = arrived_at + self._deadline_s(environ)
+        body = self._read_body(environ)
+        request = CallerRequest(
+            team=team,
+            method=method,
+            path=path,
+            query=query,
+            headers=header_names(environ),
+            body=body,
+            arrived_at=arrived_at,
+            deadline=deadline,
+        )
+        sock = environ["lagoonrill.request"].conn.socket
+        sock.settimeout(self.settings.slow_client_timeout_s)
+        self.watch.add(sock, flight)
+        if is_chat:
+            return self.dispatcher.chat(request, flight)
+        service, slash, rest = path.removeprefix(SERVICE_PREFIX).partition("/")
+        request.path = slash + rest or "/"
+        return self.dispatcher.service(service, request, flight)
+
+    def _deadline_s(self, environ: dict) -> float:
+        value = environ.get("HTTP_X_DEADLINE_MS")
+        if value is None:
+            return self.settings.default_deadline_s
+        if not (value.isascii() and value.isdigit() and 0 < int(value) < 10**9):
+            message = f"X-Deadline-Ms is {value[:20]!r}, not a number of milliseconds"
+            raise BadRequest(message=message)
+        return int(value) / 1000
+
+    def _read_body(self, environ: dict) -> bytes:
+        limit = self.settings.max_body_bytes
+        request = environ["lagoonrill.request"]
+        declared = int(environ.get("CONTENT_LENGTH") or 0)
+        if declared < 0:
+            raise BadRequest(message="Content-Length is negative")
+        if declared > limit:
+            message = f"the body has {declared} bytes; the limit is {limit}"
+            raise TooLarge(message=message)
+        sock = request.conn.socket
+        self.watch.expect_request(sock, self.settings.request_timeout_s)
+        body = bytearray()
+        try:
+            while received := environ["wsgi.input"].read(READ_BYTES):
+                body += received
+                if len(body) > limit:
+                    raise TooLarge(message=f"the body is larger than {limit} bytes")
+        except (TimeoutError, ValueError) as error:
+            message = f"the body did not arrive: {error}"
+            raise RequestTimeout(message=message) from error
+        finally:
+            in_time = self.watch.request_received(sock)
+        if not in_time:
+            raise RequestTimeout(message="the body did not arrive in time")
+        if not request.chunked_read and len(body) < declared:
+            raise CallerGone
+        return bytes(body)
+
+    def _respond(self, answer: Answer):
+        response = cherrypy.serving.response
+        response.status = answer.status
+        for name, value in answer.headers:
+            response.headers[name] = value
+        response.headers["Content-Type"] = answer.content_type
+        if isinstance(answer.body, bytes):
+            response.stream = False
+        return answer.body
+
+    def _refuse(self, environ: dict, error: RequestError):
+        """Returns the JSON form of an error."""
+        request = environ["lagoonrill.request"]
+        remaining = getattr(request.rfile, "remaining", 0)
+        if remaining > MAX_SKIPPED_BODY_BYTES or request.chunked_read:
+            request.close_connection = True
+            request.conn.has_unread_input = True
+        headers = []
+        if error.retry_after_s is not None:
+            headers.append(("Retry-After", str(max(1, round(error.retry_after_s)))))
+        answer = Answer(
+            status=error.http_status, headers=headers, body=error_body(error)
+        )
+        return self._respond(answer)
+
+
+def header_names(environ: dict) -> dict[str, str]:
+    """Returns the headers of a request by their names in lower case."""
+    headers = {
+        name[5:].replace("_", "-").lower(): value
+        for name, value in environ.items()
+        if name.startswith("HTTP_")
+    }
+    if "CONTENT_TYPE" in environ:
+        headers["content-type"] = environ["CONTENT_TYPE"]
+    return headers
+
+
+def framework_error(*, status: str, message: str, **_) -> bytes:
+    """Returns the JSON form of an error that CherryPy itself found."""
+    cherrypy.serving.response.headers["Content-Type"] = "application/json"
+    with contextlib.suppress(ValueError):
+        status = f"{int(status[:3])} {HTTPStatus(int(status[:3])).phrase}"
+    return error_body(refusal(status, message))
--- /dev/null
+++ b/src/lagoonrill/_internal/transport/caller_server.py
@@ -0,0 +1,181 @@
+"""The cheroot server under the callers' listener.
+
+It adds to cheroot: refusals in the JSON form of all errors, limits on the time to send
+a request, an immediate refusal when every thread is busy, and a stop that cuts off no
+request that has arrived.
+"""
+
+import contextlib
+import select
+import socket
+
+from cheroot import connections, server, wsgi
+
+from ..coordination.dispatch import error_body
+from ..protocol.errors import (
+    BadRequest,
+    Overloaded,
+    RequestError,
+    RequestTimeout,
+    TooLarge,
+)
+from ..protocol.settings import CallerSettings
+from .caller_watch import CallerWatch
+
+LISTEN_BACKLOG = 1024
+# Connections that may wait for a thread to become free.
+MAX_WAITING_CONNECTIONS = 32
+RETRY_AFTER_S = 1
+MAX_DISCARDED_BYTES = 262_144
+
+
+def refusal(status: str, message: str) -> RequestError:
+    """Returns the error for a request that cheroot refuses with `status`."""
+    number = int(status[:3])
+    if number in (413, 414):
+        return TooLarge(message=message or "the request is too large")
+    if number == 408:
+        return RequestTimeout(message="the request did not arrive in time")
+    if number < 500:
+        return BadRequest(message=message or f"the request was refused: {status}")
+    return RequestError(message="the router failed to answer")
+
+
+def whole_response(error: RequestError, status: str) -> bytes:
+    """Returns a complete HTTP response, after which the connection is closed."""
+    body = error_body(error)
+    retry = f"Retry-After: {RETRY_AFTER_S}\r\n" if error.http_status == 503 else ""
+    head = (
+        f"HTTP/1.1 {status}\r\nContent-Type: application/json\r\n{retry}"
+        f"Content-Length: {len(body)}\r\nConnection: close\r\n\r\n"
+    )
+    return head.encode() + body
+
+
+class CallerHTTPRequest(server.HTTPRequest):
+    """Parses a request within the time limit."""
+
+    def parse_request(self) -> None:
+        super().parse_request()
+        received = self.server.watch.request_received(self.conn.socket)
+        if not self.ready and not received and self.started_request:
+            self.simple_response("408 Request Timeout")
+
+    def simple_response(self, status, msg="") -> None:
+        """Answers a request that was refused before it reached the application."""
+        self.close_connection = True
+        error = refusal(str(status), msg)
+        with contextlib.suppress(OSError):
+            self.conn.wfile.write(whole_response(error, str(status)))
+        self.conn.has_unread_input = True
+
+
+class CallerConnection(server.HTTPConnection):
+    """One connection of a caller."""
+
+    RequestHandlerClass = CallerHTTPRequest
+    has_unread_input = False
+
+    def communicate(self) -> bool:
+        settings = self.server.settings
+        self.socket.settimeout(settings.request_timeout_s)
+        self.server.watch.expect_request(self.socket, settings.request_timeout_s)
+        try:
+            return super().communicate()
+        finally:
+            self.server.watch.request_received(self.socket)
+
+    def close(self) -> None:
+        if self.has_unread_input:
+            self.discard_input()
+        super().close()
+
+    def discard_input(self) -> None:
+        """Reads what the caller still sends.
+
+        Closing a connection with unread input resets it, and the caller could then
+        lose the answer.
+        """
+        with contextlib.suppress(OSError):
+            self.socket.shutdown(socket.SHUT_WR)
+            self.socket.settimeout(0.2)
+            discarded = 0
+            while discarded < MAX_DISCARDED_BYTES:
+                received = self.socket.recv(65_536)
+                if not received:
+                    return
+                discarded += len(received)
+
+
+class CallerGateway(wsgi.Gateway_10):
+    """Gives the application access to its connection."""
+
+    def get_environ(self) -> dict:
+        environ = super().get_environ()
+        environ["lagoonrill.request"] = self.req
+        return environ
+
+
+class GracefulConnections(connections.ConnectionManager):
+    """Serves requests that arrived before the stop instead of resetting them."""
+
+    def stop(self) -> None:
+        super().stop()
+        self.server.socket.settimeout(0)
+        while (accepted := self._from_server_socket(self.server.socket)) is not None:
+            self.server.process_conn(accepted)
+
+    def close(self) -> None:
+        poll = select.poll()
+        idle = [c for _, c in self._selector.connections if c is not self.server]
+        for connection in idle:
+            poll.register(connection.socket, select.POLLIN)
+        readable = {descriptor for descriptor, _ in poll.poll(0)}
+        for connection in idle:
+            if connection.socket.fileno() in readable:
+                self.server.process_conn(connection)
+            else:
+                connection.close()
+        self._selector.close()
+
+
+class CallerServer(wsgi.Server):
+    """Serves callers with one thread for each connection in use."""
+
+    ConnectionClass = CallerConnection
+    keep_alive_conn_limit = None
+
+    def __init__(self, *, settings: CallerSettings, application, watch: CallerWatch):
+        super().__init__(
+            (settings.host, settings.port),
+            application,
+            numthreads=settings.threads,
+            request_queue_size=LISTEN_BACKLOG,
+            timeout=settings.idle_timeout_s,
+            # Waits without limit for the requests in flight.
+            shutdown_timeout=None,
+        )
+        self.settings = settings
+        self.watch = watch
+        self.gateway = CallerGateway
+        self.max_request_header_size = settings.max_header_bytes
+
+    def prepare(self) -> None:
+        super().prepare()
+        self._connections._selector.close()
+        self._connections = GracefulConnections(self)
+
+    def process_conn(self, conn) -> None:
+        """Queues a connection for a thread or refuses it at once."""
+        waiting = self.requests._queue.qsize()
+        if waiting < MAX_WAITING_CONNECTIONS or waiting < self.requests.idle:
+            super().process_conn(conn)
+            return
+        error = Overloaded(
+            message="all threads for callers are busy", retry_after_s=RETRY_AFTER_S
+        )
+        with contextlib.suppress(OSError):
+            conn.socket.settimeout(0)
+            conn.socket.send(whole_response(error, "503 Service Unavailable"))
+            conn.socket.recv(65_536)
+        conn.close()
--- /dev/null
+++ b/src/lagoonrill/_internal/transport/endpoint_client.py
@@ -0,0 +1,463 @@
+"""Client of model engines and plain services.
+
+There is one connection pool for each endpoint and nothing is retried here: the caller
+of this module decides, from the type of the failure, whether a call may be repeated.
+"""
+
+import contextlib
+import socket
+import threading
+from typing import Any, TypeVar
+from urllib.parse import urlsplit
+
+import msgspec
+import urllib3
+from returns.result import Failure, Result, Success
+from urllib3.connection import HTTPConnection
+from urllib3.exceptions import (
+    ConnectTimeoutError,
+    HTTPError,
+    NameResolutionError,
+    NewConnectionError,
+)
+
+from ..protocol.endpoint_errors import (
+    EndpointBroken,
+    EndpointError,
+    EndpointInDoubt,
+    EndpointNotReached,
+    EndpointRefused,
+)
+from ..protocol.manifest import Endpoint
+
+T = TypeVar("T")
+
+RECEIVE_BYTES = 65_536
+IDLE_CONNECTIONS_PER_ENDPOINT = 64
+# A call to an endpoint in the same region connects within a few milliseconds; a longer
+# wait means that the endpoint or the path to it is gone.
+CONNECT_TIMEOUT_S = 1.0
+CONTROL_TIMEOUT_S = 2.0
+DRAIN_TIMEOUT_S = 0.05
+NEVER_SENT = (ConnectTimeoutError, NameResolutionError, NewConnectionError)
+HOP_BY_HOP_HEADERS = frozenset(
+    (
+        "connection",
+        "content-length",
+        "date",
+        "keep-alive",
+        "proxy-authenticate",
+        "server",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    )
+)
+
+
+class CallHandle:
+    """Lets another thread abort a call, in any of its phases."""
+
+    __slots__ = ("aborted", "lock", "sock")
+
+    def __init__(self):
+        self.lock = threading.Lock()
+        self.sock: socket.socket | None = None
+        self.aborted = False
+
+    def attach(self, sock: socket.socket) -> None:
+        """Names the socket that `abort` shuts down."""
+        with self.lock:
+            self.sock = sock
+            if self.aborted:
+                _shut_down(sock)
+
+    def detach(self) -> None:
+        """Forgets the socket, which another call may now use."""
+        with self.lock:
+            self.sock = None
+
+    def abort(self) -> None:
+        """Makes the call fail at once."""
+        with self.lock:
+            self.aborted = True
+            if self.sock is not None:
+                _shut_down(self.sock)
+
+
+def _shut_down(sock: socket.socket) -> None:
+    with contextlib.suppress(OSError):
+        sock.shutdown(socket.SHUT_RDWR)
+
+
+_current_call = threading.local()
+
+
+class AbortableConnection(HTTPConnection):
+    """Attaches its socket to the handle of the call that uses it."""
+
+    def request(self, *args: Any, **kwargs: Any) -> None:
+        if self.sock is None:
+            self.connect()
+        handle = getattr(_current_call, "handle", None)
+        if handle is not None:
+            handle.attach(self.sock)
+        super().request(*args, **kwargs)
+
+
+class ServiceAnswer(msgspec.Struct, kw_only=True):
+    """A complete answer of an endpoint."""
+
+    status: int
+    headers: list[tuple[str, str]]
+    body: bytes
+    leaving: bool = False
+
+    @property
+    def content_type(self) -> str:
+        for name, value in self.headers:
+            if name.lower() == "content-type":
+                return value
+        return "application/octet-stream"
+
+
+class ChunkedDecoder:
+    """Removes the framing of a chunked HTTP body.
+
+    >>> decoder = ChunkedDecoder()
+    >>> decoder.feed(b"3\\r\\nabc\\r\\n2\\r"), decoder.feed(b"\\nde\\r\\n0\\r\\n\\r\\n")
+    (b'abc', b'de')
+    >>> decoder.ended
+    True
+    """
+
+    __slots__ = ("ended", "rest")
+
+    def __init__(self):
+        self.rest = b""
+        self.ended = False
+
+    def feed(self, received: bytes) -> bytes:
+        """Returns the content of all chunks that `received` completes."""
+        buffer = self.rest + received if self.rest else received
+        content = []
+        position = 0
+        while True:
+            line_end = buffer.find(b"\r\n", position)
+            if line_end < 0:
+                break
+            size = int(buffer[position:line_end].partition(b";")[0], 16)
+            chunk_end = line_end + 2 + size
+            if len(buffer) < chunk_end + 2:
+                break
+            position = chunk_end + 2
+            if size == 0:
+                self.ended = True
+                break
+            content.append(buffer[line_end + 2 : chunk_end])
+        self.rest = buffer[position:]
+        return b"".join(content)
+
+
+class EventSource:
+    """The body of a streamed answer.
+
+    It reads the socket itself, because urllib3 returns one chunk at a time and cannot
+    say whether more have arrived; events that wait together are returned together.
+    """
+
+    __slots__ = (
+        "decoder",
+        "endpoint_id",
+        "first",
+        "handle",
+        "leaving",
+        "response",
+        "sock",
+    )
+
+    def __init__(
+        self, *, endpoint_id: str, response: urllib3.HTTPResponse, handle: CallHandle
+    ):
+        self.endpoint_id = endpoint_id
+        self.response = response
+        self.handle = handle
+        self.leaving = response.headers.get("X-Endpoint-State") == "leaving"
+        self.sock = handle.sock
+        chunked = response.headers.get("Transfer-Encoding", "").lower() == "chunked"
+        self.decoder = ChunkedDecoder() if chunked else None
+        self.first = self._buffered()
+
+    def _buffered(self) -> bytes:
+        """Returns what arrived together with the headers, without waiting."""
+        # urllib3 has no public access to the bytes that its reader holds.
+        self.sock.settimeout(0)
+        return self.response._fp.fp.read1(RECEIVE_BYTES) or b""
+
+    def read(self, timeout_s: float) -> bytes:
+        """Returns all content that waits, at least one byte; empty at the end.
+
+        Raises `EndpointBroken` when the body ends early, `TimeoutError` after
+        `timeout_s` seconds without content.
+        """
+        if self.decoder and self.decoder.ended:
+            return b""
+        self.sock.settimeout(timeout_s)
+        while True:
+            received = self._receive()
+            if not received:
+                if self.decoder is None and not self.handle.aborted:
+                    return b""
+                raise EndpointBroken(message="the endpoint closed the connection")
+            if self.decoder is None:
+                return received
+            try:
+                content = self.decoder.feed(received)
+            except ValueError as error:
+                raise EndpointBroken(message="the body is not chunked") from error
+            if content or self.decoder.ended:
+                return content
+
+    def _receive(self) -> bytes:
+        if self.first:
+            received, self.first = self.first, b""
+            return received
+        try:
+            return self.sock.recv(RECEIVE_BYTES)
+        except TimeoutError:
+            raise
+        except OSError as error:
+            raise EndpointBroken(message=f"the connection broke: {error}") from error
+
+    def drain(self) -> None:
+        """Reads the end of the body, so that the connection can be used again."""
+        with contextlib.suppress(TimeoutError, EndpointBroken):
+            while self.read(DRAIN_TIMEOUT_S):
+                pass
+
+    def close(self) -> None:
+        """Returns the connection to its pool if the body was read to its end."""
+        self.handle.detach()
+        if self.decoder and self.decoder.ended and not self.handle.aborted:
+            self.response._fp.close()
+            self.response.release_conn()
+        else:
+            self.response.close()
+
+
+class EndpointClient:
+    """Calls endpoints; `instance` names this daemon to them."""
+
+    def __init__(self, *, instance: str, connect_timeout_s: float = CONNECT_TIMEOUT_S):
+        self.instance = instance
+        self.connect_timeout_s = connect_timeout_s
+        self.lock = threading.Lock()
+        self.pools: dict[str, urllib3.HTTPConnectionPool] = {}
+
+    def new_handle(self) -> CallHandle:
+        """Returns a handle to abort one call."""
+        return CallHandle()
+
+    def call(
+        self,
+        endpoint: Endpoint,
+        *,
+        method: str,
+        path: str,
+        headers: dict[str, str] | None = None,
+        body: bytes = b"",
+        timeout_s: float,
+        handle: CallHandle | None = None,
+        fresh_connection: bool = False,
+    ) -> Result[ServiceAnswer, EndpointError]:
+        """Sends a request and returns the whole answer, of any status.
+
+        A call that must not be repeated needs `fresh_connection`: the endpoint may
+        close an idle connection at the moment of the call, which would leave in doubt
+        a call that was never read.
+        """
+        pool = (
+            self._new_pool(endpoint.url) if fresh_connection else self._pool(endpoint)
+        )
+        handle = handle or CallHandle()
+        sent = self._send(
+            pool, endpoint, method, path, headers, body, timeout_s, handle
+        )
+        if isinstance(sent, Failure):
+            return sent
+        response = sent.unwrap()
+        try:
+            content = response.read(decode_content=False)
+        except (HTTPError, OSError) as error:
+            response.close()
+            message = f"{endpoint.id} broke off its answer: {error}"
+            return Failure(EndpointBroken(message=message))
+        finally:
+            handle.detach()
+            response.release_conn()
+            if fresh_connection:
+                pool.close()
+        return Success(
+            ServiceAnswer(
+                status=response.status,
+                headers=[
+                    (name, value)
+                    for name, value in response.headers.items()
+                    if name.lower() not in HOP_BY_HOP_HEADERS
+                ],
+                body=content,
+                leaving=response.headers.get("X-Endpoint-State") == "leaving",
+            )
+        )
+
+    def open_stream(
+        self,
+        endpoint: Endpoint,
+        *,
+        body: bytes,
+        stream_id: str,
+        priority: int,
+        timeout_s: float,
+        handle: CallHandle,
+    ) -> Result[EventSource, EndpointError]:
+        """Starts an answer; `timeout_s` limits the wait for its first event."""
+        headers = {
+            "Content-Type": "application/json",
+            "X-Stream-Id": stream_id,
+            "X-Priority": str(priority),
+        }
+        path = "/v1/chat/completions"
+        return self._stream(endpoint, "POST", path, headers, body, timeout_s, handle)
+
+    def resume_stream(
+        self,
+        endpoint: Endpoint,
+        *,
+        stream_id: str,
+        from_token: int,
+        timeout_s: float,
+        handle: CallHandle,
+    ) -> Result[EventSource, EndpointError]:
+        """Adds a reader to a running stream, from token `from_token` on."""
+        path = f"/streams/{stream_id}?from={from_token}"
+        return self._stream(endpoint, "GET", path, {}, b"", timeout_s, handle)
+
+    def cancel_stream(
+        self, endpoint: Endpoint, *, stream_id: str
+    ) -> Result[None, EndpointError]:
+        """Cancels a stream; one that is unknown to the engine counts as cancelled."""
+        answer = self.call(
+            endpoint,
+            method="DELETE",
+            path=f"/streams/{stream_id}",
+            timeout_s=CONTROL_TIMEOUT_S,
+        )
+        return answer.map(lambda _: None)
+
+    def fetch(
+        self,
+        endpoint: Endpoint,
+        path: str,
+        kind: type[T],
+        *,
+        timeout_s: float = CONTROL_TIMEOUT_S,
+    ) -> Result[T, EndpointError]:
+        """Fetches a JSON document, for example `/load`, and decodes it into `kind`."""
+        answer = self.call(endpoint, method="GET", path=path, timeout_s=timeout_s)
+        if isinstance(answer, Failure):
+            return answer
+        try:
+            return Success(msgspec.json.decode(answer.unwrap().body, type=kind))
+        except msgspec.DecodeError as error:
+            message = f"{endpoint.id} answered {path} in an unknown form: {error}"
+            return Failure(EndpointBroken(message=message))
+
+    def close(self) -> None:
+        """Closes all idle connections."""
+        with self.lock:
+            pools, self.pools = self.pools, {}
+        for pool in pools.values():
+            pool.close()
+
+    def _pool(self, endpoint: Endpoint) -> urllib3.HTTPConnectionPool:
+        with self.lock:
+            pool = self.pools.get(endpoint.url)
+            if pool is None:
+                pool = self.pools[endpoint.url] = self._new_pool(endpoint.url)
+            return pool
+
+    def _new_pool(self, url: str) -> urllib3.HTTPConnectionPool:
+        parts = urlsplit(url)
+        pool = urllib3.HTTPConnectionPool(
+            parts.hostname,
+            parts.port,
+            maxsize=IDLE_CONNECTIONS_PER_ENDPOINT,
+            block=False,
+            retries=False,
+        )
+        pool.ConnectionCls = AbortableConnection
+        return pool
+
+    def _stream(
+        self, endpoint, method, path, headers, body, timeout_s, handle
+    ) -> Result[EventSource, EndpointError]:
+        pool = self._pool(endpoint)
+        sent = self._send(
+            pool, endpoint, method, path, headers, body, timeout_s, handle
+        )
+        if isinstance(sent, Failure):
+            return sent
+        response = sent.unwrap()
+        if response.status != 200:
+            return Failure(self._refusal(endpoint, response, handle))
+        if "Content-Length" in response.headers:
+            response.close()
+            message = f"{endpoint.id} sent a whole answer where a stream was asked for"
+            return Failure(EndpointBroken(message=message))
+        return Success(
+            EventSource(endpoint_id=endpoint.id, response=response, handle=handle)
+        )
+
+    def _refusal(self, endpoint, response, handle) -> EndpointRefused:
+        try:
+            content = response.read(decode_content=False)
+        except (HTTPError, OSError):
+            content = b""
+        handle.detach()
+        response.release_conn()
+        return EndpointRefused(
+            message=f"{endpoint.id} answered with status {response.status}",
+            status=response.status,
+            body=content,
+        )
+
+    def _send(
+        self, pool, endpoint, method, path, headers, body, timeout_s, handle
+    ) -> Result[urllib3.HTTPResponse, EndpointError]:
+        timeout = urllib3.Timeout(
+            connect=min(self.connect_timeout_s, timeout_s), read=timeout_s
+        )
+        _current_call.handle = handle
+        try:
+            response = pool.urlopen(
+                method,
+                path,
+                body=body or None,
+                headers={**(headers or {}), "X-Instance": self.instance},
+                retries=False,
+                redirect=False,
+                timeout=timeout,
+                preload_content=False,
+                decode_content=False,
+            )
+            return Success(response)
+        except NEVER_SENT as error:
+            message = f"{endpoint.id} cannot be reached: {error}"
+            return Failure(EndpointNotReached(message=message))
+        except (HTTPError, OSError) as error:
+            handle.detach()
+            message = f"{endpoint.id} did not answer: {error}"
+            return Failure(EndpointInDoubt(message=message))
+        finally:
+            _current_call.handle = None
