Assemble the daemon and show the whole path with make demo

Cause: the parts were tested one by one; nothing served a request from end to end. A refusal says not_run for a keyed call only if it holds for all attempts. A claim whose close is not recorded yet answers unknown. Conclusion: the thin path stands; metrics are not fed yet, preemption and peer claims are not exercised end to end.

--- /dev/null
+++ b/bench/demo.py
@@ -0,0 +1,145 @@
+"""Shows the whole path in separate processes; `make demo` runs it.
+
+It starts a fleet of three availability zones, applies a manifest with the command-line
+tool, streams a model answer, books an order, repeats it through another instance,
+replaces an instance and checks that each step did what it should.
+"""
+
+import subprocess
+import sys
+import time
+
+import msgspec
+
+from .fleet import MODEL, OPERATOR_KEY, SERVICE, TEAM_KEYS, Fleet
+
+TOOL = "from lagoonrill._internal.cli import main; main()"
+
+
+class StepFailed(Exception):
+    """A step of the demonstration did not do what it should."""
+
+
+def report(step: str, passed: bool, detail: str) -> None:
+    """Prints a verdict; raises `StepFailed` unless the step passed."""
+    print(f"{'ok  ' if passed else 'FAIL'} {step}: {detail}", flush=True)
+    if not passed:
+        raise StepFailed(step)
+
+
+def run_tool(fleet: Fleet, *arguments: str) -> subprocess.CompletedProcess:
+    """Runs the command-line tool against the fleet."""
+    platform = (
+        *("--object-api-url", fleet.store.url),
+        *("--instance-list-url", fleet.list.url),
+    )
+    return subprocess.run(
+        [sys.executable, "-c", TOOL, *arguments, *platform],
+        capture_output=True,
+        text=True,
+        timeout=30,
+    )
+
+
+def apply_manifest(fleet: Fleet) -> None:
+    """Applies the manifest and expects that it is accepted."""
+    began = time.monotonic()
+    result = run_tool(fleet, "apply", str(fleet.write_manifest()))
+    elapsed_s = time.monotonic() - began
+    lines = (result.stdout + result.stderr).strip().splitlines()
+    summary = lines[0] if lines else "no output"
+    report("apply", result.returncode == 0, f"{summary} ({elapsed_s:.2f} s)")
+
+
+def stream_answer(fleet: Fleet, instance: str) -> None:
+    """Streams a model answer and expects that it is complete."""
+    body = {
+        "model": MODEL,
+        "stream": True,
+        "max_tokens": 20,
+        "messages": [{"role": "user", "content": "Which cedar boards are in stock?"}],
+    }
+    answer = fleet.http.request(
+        "POST",
+        f"{fleet.daemons[instance].callers_url}/v1/chat/completions",
+        body=msgspec.json.encode(body),
+        headers={"Authorization": f"Bearer {TEAM_KEYS['sales']}"},
+    )
+    text = answer.data.decode()
+    tokens = text.count('"content"')
+    complete = answer.status == 200 and text.rstrip().endswith("data: [DONE]")
+    detail = f"{tokens} tokens, complete" if complete else text[:300]
+    report("streamed answer", complete and tokens >= 20, detail)
+
+
+def book(fleet: Fleet, instance: str, key: str, *, first: bool):
+    """Books an order through an instance."""
+    headers = {
+        "Authorization": f"Bearer {TEAM_KEYS['workshop']}",
+        "Idempotency-Key": key,
+        "Content-Type": "application/json",
+    }
+    if first:
+        headers["X-First-Attempt"] = "true"
+    return fleet.http.request(
+        "POST",
+        f"{fleet.daemons[instance].callers_url}/services/{SERVICE}/orders",
+        body=b'{"timber": "cedar", "boards": 12}',
+        headers=headers,
+    )
+
+
+def book_once(fleet: Fleet) -> None:
+    """Books an order, repeats it elsewhere and expects one execution."""
+    first_instance, second_instance = list(fleet.daemons)[:2]
+    key = "demo-order-1"
+    first = book(fleet, first_instance, key, first=True)
+    report("order", first.status == 200, f"status {first.status}, {first.data!r:.120}")
+    second = book(fleet, second_instance, key, first=False)
+    same = second.status == 200 and second.data == first.data
+    report("repeated order", same, f"status {second.status}, same answer: {same}")
+    count = fleet.executions().get(key)
+    report("executed once", count == 1, f"{count} execution of {key}")
+
+
+def replace_instance(fleet: Fleet, instance: str) -> None:
+    """Ends an instance gracefully, starts it again and expects the manifest."""
+    status = fleet.daemons[instance].process.stop()
+    report("planned stop", status == 0, f"exit status {status}")
+    fleet.restart(instance)
+    fleet.wait_ready()
+    stream_answer(fleet, instance)
+
+
+def show_state(fleet: Fleet, instance: str) -> None:
+    """Reads the state dump and expects that it holds no key."""
+    dump = msgspec.json.encode(fleet.dump(instance)).decode()
+    clean = OPERATOR_KEY not in dump and not any(
+        key in dump for key in TEAM_KEYS.values()
+    )
+    report("state dump", clean, f"{len(dump)} bytes, without keys")
+
+
+def main() -> int:
+    """Runs all steps; returns the exit status."""
+    began = time.monotonic()
+    try:
+        with Fleet() as fleet:
+            report("start", True, f"{len(fleet.daemons)} instances in 3 zones")
+            apply_manifest(fleet)
+            fleet.wait_ready()
+            for instance in fleet.daemons:
+                stream_answer(fleet, instance)
+            book_once(fleet)
+            replace_instance(fleet, next(iter(fleet.daemons)))
+            show_state(fleet, next(iter(fleet.daemons)))
+    except StepFailed as error:
+        print(f"demo: failed at {error}")
+        return 1
+    print(f"{time.monotonic() - began:.0f} s in all")
+    print("demo: ok")
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/bench/local_router.py
+++ b/bench/local_router.py
@@ -16,11 +16,14 @@
 
 from lagoonrill._internal.coordination.dispatch import Dispatcher
 from lagoonrill._internal.coordination.streams import StreamLimits, StreamRelay
-from lagoonrill._internal.protocol.errors import (
-    DeadlineExceeded,
-    LagoonrillError,
-    NoEndpoint,
+from lagoonrill._internal.protocol.claim_errors import (
+    ClaimError,
+    KeyReused,
+    OutcomeKnown,
+    OutcomeUnknown,
 )
+from lagoonrill._internal.protocol.claim_records import Outcome
+from lagoonrill._internal.protocol.errors import DeadlineExceeded, NoEndpoint
 from lagoonrill._internal.protocol.manifest import (
     Endpoint,
     LatencyTarget,
@@ -69,12 +72,6 @@
     failed: bool = False
 
 
-class LocalOutcome(msgspec.Struct, kw_only=True):
-    status: int
-    content_type: str
-    body: bytes
-
-
 class LocalScheduler:
     """Takes endpoints in turn; `paused` makes every request wait."""
 
@@ -145,28 +142,14 @@
         self.leaving[endpoint_id] = source
 
 
-class OutcomeKnown(LagoonrillError):
-    def __init__(self, *, outcome):
-        super().__init__(message="the call has run")
-        self.outcome = outcome
-
-
-class OutcomeUnknown(LagoonrillError):
-    pass
-
-
-class KeyReused(LagoonrillError):
-    pass
-
-
 class LocalClaims:
     """Claims in memory; `refusal` is returned in place of a grant."""
 
     def __init__(self):
         self.lock = threading.Lock()
         self.claims: dict[tuple[str, str], str] = {}
-        self.outcomes: dict[tuple[str, str], LocalOutcome] = {}
-        self.refusal: LagoonrillError | None = None
+        self.outcomes: dict[tuple[str, str], Outcome] = {}
+        self.refusal: ClaimError | None = None
 
     def claim(self, *, team, key, body_digest, deadline):
         claim = (team, key)
@@ -176,7 +159,8 @@
             if self.claims.setdefault(claim, body_digest) != body_digest:
                 return Failure(KeyReused(message="another body"))
             if claim in self.outcomes:
-                return Failure(OutcomeKnown(outcome=self.outcomes[claim]))
+                known = self.outcomes[claim]
+                return Failure(OutcomeKnown(message="known", outcome=known))
             if claim in self.granted:
                 return Failure(OutcomeUnknown(message="claimed before"))
             self.granted.add(claim)
@@ -237,7 +221,7 @@
     def __init__(self):
         self.rest = 1_000
 
-    def take(self) -> bool:
+    def allow_retry(self, request_class: RequestClass) -> bool:
         self.rest -= 1
         return self.rest >= 0
 
@@ -333,7 +317,6 @@
             relay=self.relay,
             ticket_type=LocalTicket,
             usage_type=LocalUsage,
-            outcome_type=LocalOutcome,
             max_prompt_characters=self.settings.max_prompt_characters,
         )
         self.listener = CallerListener(
--- a/bench/processes.py
+++ b/bench/processes.py
@@ -11,7 +11,7 @@
 
 
 class Process:
-    """One child process that announces itself with a line `ready <port>`."""
+    """One child process that announces itself with a line `ready <port> ...`."""
 
     def __init__(
         self, *, name: str, arguments: list[str], log_path: Path | None = None
@@ -25,14 +25,15 @@
                 stderr=log,
                 text=True,
             )
-        self.port = self._read_port()
+        self.ports = self._read_ports()
+        self.port = self.ports[0]
 
-    def _read_port(self) -> int:
+    def _read_ports(self) -> list[int]:
         line = self.popen.stdout.readline()
         if not line.startswith("ready "):
             self.kill()
             raise RuntimeError(f"{self.name} did not start; it printed {line!r}")
-        return int(line.split()[1])
+        return [int(port) for port in line.split()[1:]]
 
     @property
     def url(self) -> str:
--- a/src/lagoonrill/_internal/coordination/dispatch.py
+++ b/src/lagoonrill/_internal/coordination/dispatch.py
@@ -19,14 +19,14 @@
     prompt_blocks,
     prompt_text,
 )
+from ..protocol.claim_errors import ClaimError, KeyReused, OutcomeKnown
+from ..protocol.claim_records import Outcome
 from ..protocol.endpoint_errors import EndpointError, EndpointNotReached
 from ..protocol.errors import (
     BadRequest,
-    ClaimsUnavailable,
     DeadlineExceeded,
     EndpointFailed,
     KeyMissing,
-    KeyReused,
     NotFound,
     NotReady,
     OutcomeUnknown,
@@ -161,8 +161,8 @@
 class Dispatcher:
     """Serves requests of callers; every method runs in the caller's own thread.
 
-    The types `ticket_type` and `usage_type` belong to the scheduler, `outcome_type` to
-    the claim service. `retry_budget.take()` says whether a repeat is allowed now.
+    The types `ticket_type` and `usage_type` belong to the scheduler.
+    `retry_budget.allow_retry(request_class)` says whether a repeat is allowed now.
     """
 
     def __init__(
@@ -178,7 +178,6 @@
         relay: StreamRelay,
         ticket_type: Callable[..., Any],
         usage_type: Callable[..., Any],
-        outcome_type: Callable[..., Any],
         max_prompt_characters: int = 1_000_000,
     ):
         self.generation = generation
@@ -191,7 +190,6 @@
         self.relay = relay
         self.ticket_type = ticket_type
         self.usage_type = usage_type
-        self.outcome_type = outcome_type
         self.max_prompt_characters = max_prompt_characters
         self.lock = threading.Lock()
         self.index_cache: tuple[Any, ManifestIndex] | None = None
@@ -429,7 +427,7 @@
         if time.monotonic() >= ticket.deadline:
             message = "the deadline passed before the answer"
             raise DeadlineExceeded(message=message, run=RunState.UNKNOWN)
-        if not self.retry_budget.take():
+        if not self.retry_budget.allow_retry(ticket.request_class):
             message = f"the call failed and the retry budget is spent: {error.message}"
             raise EndpointFailed(message=message, retry_after_s=RETRY_AFTER_S)
 
@@ -473,22 +471,26 @@
             digest.update(part)
         return digest.hexdigest()
 
-    def _without_claim(self, error) -> Answer:
+    def _without_claim(self, error: ClaimError) -> Answer:
         """Answers a call whose claim was not granted."""
-        kind = type(error).__name__
-        message = getattr(error, "message", str(error))
-        if kind == "OutcomeKnown":
-            outcome = error.outcome
-            return Answer(
-                status=outcome.status,
-                content_type=outcome.content_type,
-                body=outcome.body,
-            )
-        if kind == "KeyReused":
-            raise KeyReused(message=message)
-        if kind == "ClaimNotMade":
-            raise ClaimsUnavailable(message=message, retry_after_s=RETRY_AFTER_S)
-        raise OutcomeUnknown(message=message, retry_after_s=RETRY_AFTER_S)
+        if isinstance(error, OutcomeKnown):
+            return recorded_answer(error.outcome)
+        refusal = error.to_request_error()
+        # A claim with another body shows that this body never ran under the key.
+        refusal.covers_all_attempts = isinstance(error, KeyReused)
+        raise refusal
+
+
+def recorded_answer(outcome: Outcome) -> Answer:
+    """Returns the answer that was recorded for an earlier attempt."""
+    headers = dict(outcome.headers)
+    content_type = headers.pop("Content-Type", "application/json")
+    return Answer(
+        status=outcome.status,
+        content_type=content_type,
+        headers=list(headers.items()),
+        body=outcome.body,
+    )
 
 
 class OnceCall:
@@ -539,10 +541,10 @@
             self.ended.set()
 
     def _record(self) -> None:
-        outcome = self.dispatcher.outcome_type(
-            status=self.answer.status,
-            content_type=self.answer.content_type,
-            body=self.answer.body,
+        headers = dict(self.answer.headers)
+        headers["Content-Type"] = self.answer.content_type
+        outcome = Outcome(
+            status=self.answer.status, headers=headers, body=self.answer.body
         )
         recorded = self.dispatcher.claims.record_outcome(self.grant, outcome)
         if isinstance(recorded, Failure):
@@ -559,13 +561,21 @@
             error = OutcomeUnknown(message="the call failed inside the router")
             not_run = False
         if not_run:
-            closed = self.dispatcher.claims.close(self.grant)
-            if isinstance(closed, Failure):
-                log.warning("A claim was not closed: {}", closed.failure())
+            error = self._close(error)
         elif error.kind != "outcome_unknown":
             error = OutcomeUnknown(message=error.message, retry_after_s=RETRY_AFTER_S)
         self.error = error
 
+    def _close(self, error: Exception) -> Exception:
+        """Closes the claim; without the record nobody else can know of `not_run`."""
+        closed = self.dispatcher.claims.close(self.grant)
+        if isinstance(closed, Failure):
+            log.warning("a claim is not closed yet: {}", closed.failure())
+            if isinstance(error, RequestError):
+                return closed.failure().to_request_error()
+        error.covers_all_attempts = True
+        return error
+
 
 class EventBody:
     """The body of a streamed answer.
--- a/src/lagoonrill/_internal/coordination/streams.py
+++ b/src/lagoonrill/_internal/coordination/streams.py
@@ -532,7 +532,7 @@
         if job.assembler.next_token:
             return
         self._remaining(job)
-        if not self.retry_budget.take():
+        if not self.retry_budget.allow_retry(job.ticket.request_class):
             message = (
                 f"the engine failed and the retry budget is spent: {error.message}"
             )
--- a/src/lagoonrill/_internal/protocol/errors.py
+++ b/src/lagoonrill/_internal/protocol/errors.py
@@ -98,11 +98,16 @@
 
 
 class RequestError(LagoonrillError):
-    """An answer other than success for one request of a caller."""
+    """An answer other than success for one request of a caller.
+
+    `run` is about this attempt. `covers_all_attempts` is set where the claim log showed
+    that it holds for earlier attempts with the same idempotency key, too.
+    """
 
     kind = "internal"
     http_status = 500
     run = RunState.UNKNOWN
+    covers_all_attempts = False
 
     def __init__(
         self,
--- a/src/lagoonrill/_internal/state/endpoint_table.py
+++ b/src/lagoonrill/_internal/state/endpoint_table.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from ..protocol.load import LoadReport
 from ..protocol.manifest import Endpoint, Manifest
 
 # The first retry comes quickly, because most refusals are restarts of a worker; the
@@ -33,16 +34,6 @@
 MIN_SAMPLES = 2
 
 
-class LoadReport(msgspec.Struct, kw_only=True):
-    """An engine's own report; it describes the engine `age_s` seconds ago."""
-
-    running: int
-    waiting: int
-    slots: int
-    state: str = "live"
-    age_s: float = 0.0
-
-
 class EndpointView(msgspec.Struct, kw_only=True):
     """A snapshot of one endpoint for a routing decision.
 
--- a/src/lagoonrill/_internal/transport/caller_listener.py
+++ b/src/lagoonrill/_internal/transport/caller_listener.py
@@ -16,6 +16,7 @@
     NotFound,
     RequestError,
     RequestTimeout,
+    RunState,
     TooLarge,
 )
 from ..protocol.settings import CallerSettings
@@ -99,6 +100,7 @@
         try:
             return self._respond(self._serve(environ, flight))
         except RequestError as error:
+            limit_to_attempt(error, environ)
             return self._refuse(environ, error)
         except CallerGone:
             environ["lagoonrill.request"].close_connection = True
@@ -213,6 +215,19 @@
         return self._respond(answer)
 
 
+def limit_to_attempt(error: RequestError, environ: dict) -> None:
+    """Turns `not_run` into `unknown` if an earlier attempt may have run.
+
+    This instance knows only about its own attempt, unless the claim log was read. The
+    caller says with `X-First-Attempt: true` that there was no earlier one.
+    """
+    if "HTTP_IDEMPOTENCY_KEY" not in environ or error.covers_all_attempts:
+        return
+    first = environ.get("HTTP_X_FIRST_ATTEMPT", "").strip().lower() == "true"
+    if error.run is RunState.NOT_RUN and not first:
+        error.run = RunState.UNKNOWN
+
+
 def header_names(environ: dict) -> dict[str, str]:
     """Returns the headers of a request by their names in lower case."""
     headers = {
