Add the fault matrix with its relay, scene, faults and steps

Cause: the promises need a proof under each fault at each step, in separate processes. Ruled out: isolation tools for cuts; a loopback relay between the peer sockets finds the source of a connection by its process and can separate zones.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -1,5 +1,6 @@
 """A small fleet as processes: stand-ins, endpoints and daemons in three zones."""
 
+import collections
 import contextlib
 import hashlib
 import tempfile
@@ -32,6 +33,7 @@
 )
 
 from .processes import Process, start_stand_in
+from .relay import PeerRelays
 
 HOST = "127.0.0.1"
 ZONES = ("tunis-a", "tunis-b", "bizerte-a")
@@ -115,7 +117,8 @@
 
     @property
     def peer_address(self) -> str:
-        return f"{HOST}:{self.process.ports[2]}"
+        advertised = self.settings.peers.advertised_address
+        return advertised or f"{HOST}:{self.process.ports[2]}"
 
 
 class Fleet:
@@ -134,6 +137,8 @@
         policy: str = "default",
         shutdown_notice_s: float = 0.3,
         log_level: str = "info",
+        worker_slots: int = 16,
+        use_relays: bool = False,
     ):
         self.zones = zones
         self.http = urllib3.PoolManager(retries=False, timeout=10.0, maxsize=64)
@@ -141,6 +146,8 @@
         self.policy = policy
         self.shutdown_notice_s = shutdown_notice_s
         self.log_level = log_level
+        self.worker_slots = worker_slots
+        self.relays: PeerRelays | None = PeerRelays() if use_relays else None
         self.engine_slots = engine_slots
         self.token_ms = token_ms
         names = [(zone, n) for n in range(instances_per_zone) for zone in zones]
@@ -179,16 +186,39 @@
         for number in range(self.engines_per_zone):
             name = f"engine-{zone}-{number}"
             self.endpoint_zones[name] = zone
-            self.engines[name] = start_stand_in(
-                "engine",
-                *("--model", MODEL, "--slots", str(self.engine_slots)),
-                *("--token-ms", str(self.token_ms), "--id", name),
-                name=name,
-            )
+            self.engines[name] = self._start_engine(name)
         for number in range(self.workers_per_zone):
             name = f"worker-{zone}-{number}"
             self.endpoint_zones[name] = zone
-            self.workers[name] = start_stand_in("plain_service", name=name)
+            self.workers[name] = self._start_worker(name)
+
+    def _start_worker(self, name: str, port: int = 0) -> Process:
+        return start_stand_in(
+            "plain_service",
+            *("--port", str(port), "--journal", str(self._journal(name))),
+            name=name,
+        )
+
+    def _journal(self, worker: str) -> Path:
+        return self.folder / f"{worker}.executions"
+
+    def _start_engine(self, name: str, port: int = 0) -> Process:
+        return start_stand_in(
+            "engine",
+            *("--model", MODEL, "--slots", str(self.engine_slots)),
+            *("--token-ms", str(self.token_ms), "--id", name),
+            *("--port", str(port)),
+            name=name,
+        )
+
+    def replace_ended_endpoints(self) -> None:
+        """Starts endpoints that ended again, on the same ports."""
+        for name, engine in self.engines.items():
+            if engine.popen.poll() is not None:
+                self.engines[name] = self._start_engine(name, engine.port)
+        for name, worker in self.workers.items():
+            if worker.popen.poll() is not None:
+                self.workers[name] = self._start_worker(name, worker.port)
 
     def add_daemon(self, zone: str, number: int) -> DaemonProcess:
         """Starts a daemon and registers it in the Instance list."""
@@ -201,7 +231,11 @@
             operators=OperatorSettings(
                 host=HOST, port=0, key_digest=digest(OPERATOR_KEY)
             ),
-            peers=PeerSettings(host=HOST, port=0),
+            peers=PeerSettings(
+                host=HOST,
+                port=0,
+                advertised_address=self.relays.open(name) if self.relays else None,
+            ),
             platform=PlatformSettings(
                 object_api_url=self.store.url,
                 instance_list_url=self.list.url,
@@ -213,11 +247,17 @@
             policy=self.policy,
         )
         daemon = DaemonProcess(settings=settings, folder=self.folder)
-        daemon.start()
         self.daemons[name] = daemon
-        self.register(daemon)
+        self._start_daemon(daemon)
         return daemon
 
+    def _start_daemon(self, daemon: DaemonProcess) -> None:
+        daemon.start()
+        if self.relays:
+            pid = daemon.process.popen.pid
+            self.relays.attach(daemon.instance, pid, daemon.process.ports[2])
+        self.register(daemon)
+
     def register(self, daemon: DaemonProcess, state: str = "live") -> None:
         """Puts a daemon into the Instance list."""
         entry = ListedInstance(
@@ -237,9 +277,7 @@
 
     def restart(self, instance: str) -> None:
         """Starts a daemon that was killed again, on new ports."""
-        daemon = self.daemons[instance]
-        daemon.start()
-        self.register(daemon)
+        self._start_daemon(self.daemons[instance])
 
     def manifest(self) -> Manifest:
         """Returns a manifest for this fleet."""
@@ -258,7 +296,7 @@
                 id=name,
                 url=worker.url,
                 zone=self.endpoint_zones[name],
-                slots=16,
+                slots=self.worker_slots,
                 service=SERVICE,
             )
             for name, worker in self.workers.items()
@@ -285,8 +323,11 @@
         return path
 
     def set_faults(self, process: Process, **faults) -> None:
-        """Sets faults of a stand-in."""
-        self.http.request("POST", f"{process.url}/faults", body=to_json(faults))
+        """Sets faults of a stand-in, through its control port if it has one."""
+        url = f"http://{HOST}:{process.ports[-1]}/faults"
+        answer = self.http.request("POST", url, body=to_json(faults))
+        if answer.status != 200:
+            raise ValueError(f"{process.name} refused faults {faults}: {answer.data}")
 
     def dump(self, instance: str) -> dict:
         """Returns a daemon's state dump."""
@@ -313,11 +354,11 @@
 
     def executions(self) -> dict[str, int]:
         """Returns how often each key was executed, over all workers."""
-        counts: dict[str, int] = {}
-        for worker in self.workers.values():
-            answer = self.http.request("GET", f"{worker.url}/executions")
-            for key, count in msgspec.json.decode(answer.data).items():
-                counts[key] = counts.get(key, 0) + count
+        counts: collections.Counter[str] = collections.Counter()
+        for worker in self.workers:
+            journal = self._journal(worker)
+            if journal.exists():
+                counts.update(journal.read_text().split())
         return counts
 
     def stop(self) -> None:
@@ -329,3 +370,5 @@
         stand_ins += [process for process in (self.store, self.list) if process]
         for process in stand_ins:
             process.kill()
+        if self.relays:
+            self.relays.close()
--- /dev/null
+++ b/bench/proof/manifest_cells.py
@@ -0,0 +1,245 @@
+"""Cells of the matrix for manifests: a fault at a step of a rollout."""
+
+import contextlib
+import threading
+import time
+
+import msgspec
+import urllib3
+
+from bench.fleet import Fleet
+from lagoonrill._internal.coordination.apply import (
+    ApplyReport,
+    ApplyResult,
+    ManifestRollout,
+    Stage,
+)
+from lagoonrill._internal.protocol.settings import PlatformSettings
+from lagoonrill._internal.transport.instance_list import InstanceList
+from lagoonrill._internal.transport.object_api import ObjectApi
+
+from .faults import MANIFEST, Fault
+from .history import GenerationSeen, ManifestResult
+from .request_cells import Step
+from .scene import Scene, wait_until
+
+APPLY_TIMEOUT_S = 20.0
+CONVERGE_TIMEOUT_S = 15.0
+SAMPLE_INTERVAL_S = 0.05
+MANIFEST_STEPS = [
+    Step(name=name, kinds=(MANIFEST,))
+    for name in (
+        "proposed",
+        "staged",
+        "committed",
+        "in force in one zone",
+        "in force in all",
+        "reported",
+    )
+]
+
+
+def platform_clients(fleet: Fleet) -> tuple[ObjectApi, InstanceList]:
+    """Returns the clients that a pipeline uses."""
+    settings = PlatformSettings(
+        object_api_url=fleet.store.url, instance_list_url=fleet.list.url
+    )
+    store = ObjectApi(settings=settings, instance="pipeline")
+    return store, InstanceList(settings=settings, instance="pipeline")
+
+
+class Pipeline:
+    """One run of the tool's rollout, step by step."""
+
+    def __init__(self, *, fleet: Fleet, name: str, weight: float):
+        manifest = fleet.manifest()
+        manifest.teams[0].weight = weight
+        store, instance_list = platform_clients(fleet)
+        self.name = name
+        self.rollout = ManifestRollout(
+            manifest=manifest,
+            store=store,
+            instance_list=instance_list,
+            timeout_s=APPLY_TIMEOUT_S,
+        )
+
+    def run(self, before_step=lambda stage: None) -> ApplyReport:
+        """Runs to the report; calls `before_step` before each round."""
+        rollout = self.rollout
+        while True:
+            before_step(rollout.stage)
+            report = rollout.step()
+            if report is not None:
+                return report
+            if rollout.clock() >= rollout.deadline:
+                return rollout.give_up()
+            time.sleep(0.03)
+
+
+class GenerationSampler:
+    """Records the generation of every instance until it is stopped."""
+
+    def __init__(self, *, scene: Scene):
+        self.scene = scene
+        self.stopping = threading.Event()
+        self.http = urllib3.PoolManager(retries=False, timeout=2.0, maxsize=8)
+        self.threads = [
+            threading.Thread(target=self._sample, args=(name,), daemon=True)
+            for name in scene.fleet.daemons
+        ]
+
+    def start(self) -> None:
+        for thread in self.threads:
+            thread.start()
+
+    def stop(self) -> None:
+        self.stopping.set()
+        for thread in self.threads:
+            thread.join()
+
+    def _sample(self, instance: str) -> None:
+        while not self.stopping.wait(SAMPLE_INTERVAL_S):
+            with contextlib.suppress(urllib3.exceptions.HTTPError, KeyError):
+                self.scene.history.record(read_generation(self.scene.fleet, instance))
+
+
+def read_generation(fleet: Fleet, instance: str) -> GenerationSeen:
+    """Reads a generation; its time is that before the question was sent."""
+    asked_at = time.monotonic()
+    rollout = fleet.dump(instance)["rollout"]
+    return GenerationSeen(
+        at=asked_at,
+        instance=instance,
+        generation=rollout["generation"]["generation"],
+        ready=rollout["readiness"]["ready"],
+    )
+
+
+class ManifestCell:
+    """Rolls a manifest out with faults at one step, beside a second pipeline.
+
+    The second pipeline starts when the faults are injected, so every cell is also a
+    race of two pipelines.
+    """
+
+    def __init__(self, *, scene: Scene, faults: list[Fault], step: Step, kind: str):
+        self.scene = scene
+        self.faults = faults
+        self.step = step
+        self.injected = False
+        self.rival: threading.Thread | None = None
+
+    @staticmethod
+    def apply_first(fleet: Fleet) -> None:
+        """Applies the first manifest of a fleet; raises unless it is accepted."""
+        report = Pipeline(fleet=fleet, name="first", weight=1.0).run()
+        if report.result is not ApplyResult.ACCEPTED:
+            raise RuntimeError(f"the first manifest is {report.result}: {report.zones}")
+
+    def run(self) -> list[str]:
+        """Returns the problems other than those that the checkers find."""
+        sampler = GenerationSampler(scene=self.scene)
+        sampler.start()
+        try:
+            report = self._roll_out()
+            if self.step.name == "reported":
+                self._inject()
+            self.rival.join()
+            problems = self._converge()
+            time.sleep(0.5)
+        finally:
+            sampler.stop()
+        if report.result not in (ApplyResult.ACCEPTED, ApplyResult.LOST_RACE):
+            healed = [z for z in report.zones if z.state != "accepted"]
+            problems.append(f"result {report.result}: {report.reason} {healed}")
+        return problems
+
+    def _roll_out(self) -> ApplyReport:
+        pipeline = Pipeline(
+            fleet=self.scene.fleet, name="main", weight=1 + time.time() % 7
+        )
+        report = pipeline.run(before_step=lambda stage: self._before(pipeline, stage))
+        self._record(pipeline, report)
+        if not self.injected and self.step.name != "reported":
+            self._inject()
+        return report
+
+    def _record(self, pipeline: Pipeline, report: ApplyReport) -> None:
+        result = ManifestResult(
+            pipeline=pipeline.name,
+            result=str(report.result),
+            generation=report.generation,
+            digest=report.digest,
+        )
+        self.scene.history.record(result)
+
+    def _before(self, pipeline: Pipeline, stage: Stage) -> None:
+        if self.injected:
+            return
+        expected = {
+            "proposed": Stage.STAGE,
+            "staged": Stage.COMMIT,
+            "committed": Stage.IN_FORCE,
+            "in force in one zone": Stage.IN_FORCE,
+            "in force in all": Stage.IN_FORCE,
+        }
+        if expected.get(self.step.name) is not stage:
+            return
+        wanted = {"in force in one zone": 1, "in force in all": 4}
+        needed = wanted.get(self.step.name, 0)
+        if needed:
+            wait_until(lambda: self._count_in_force(pipeline) >= needed, timeout_s=3)
+        self._inject()
+
+    def _count_in_force(self, pipeline: Pipeline) -> int:
+        generation = pipeline.rollout.generation
+        fleet = self.scene.fleet
+        seen = [read_generation(fleet, name).generation for name in fleet.daemons]
+        return sum(number >= generation for number in seen)
+
+    def _inject(self) -> None:
+        self.injected = True
+        for fault in self.faults:
+            fault.inject(self.scene)
+        hold_s = max(fault.hold_s for fault in self.faults)
+        threading.Timer(hold_s, self._heal).start()
+        self.rival = threading.Thread(target=self._run_rival, daemon=True)
+        self.rival.start()
+
+    def _heal(self) -> None:
+        self.scene.heal()
+        # An instance that ended leaves the Instance list, as the platform would do.
+        for instance in self.scene.killed_daemons:
+            self.scene.fleet.unregister(instance)
+
+    def _run_rival(self) -> None:
+        rival = Pipeline(
+            fleet=self.scene.fleet, name="rival", weight=10 + time.time() % 7
+        )
+        self._record(rival, rival.run())
+
+    def _converge(self) -> list[str]:
+        """Waits until all live instances have the committed generation."""
+        store, _ = platform_clients(self.scene.fleet)
+
+        def converged() -> bool:
+            found = store.get("config/committed").value_or(None)
+            if found is None:
+                return False
+            committed = msgspec.json.decode(found.value)["generation"]
+            return all(number == committed for number in self._live_generations())
+
+        if wait_until(converged, CONVERGE_TIMEOUT_S):
+            return []
+        return [f"instances did not converge: {self._live_generations()}"]
+
+    def _live_generations(self) -> list[int]:
+        fleet = self.scene.fleet
+        generations = []
+        for name, daemon in fleet.daemons.items():
+            if daemon.process.popen.poll() is None:
+                try:
+                    generations.append(read_generation(fleet, name).generation)
+                except (urllib3.exceptions.HTTPError, KeyError):
+                    generations.append(-1)
+        return generations
--- /dev/null
+++ b/bench/proof/matrix.py
@@ -0,0 +1,238 @@
+"""Runs the fault matrix: `make faults`, or a seeded part of it.
+
+Each cell is a run with a fault at a step. A cell held if the checkers find nothing in
+its history and the call ended as the fault allows.
+"""
+
+import argparse
+import queue
+import random
+import sys
+import threading
+import time
+from pathlib import Path
+
+import msgspec
+
+from bench.fleet import Fleet
+from bench.processes import ROOT
+
+from .checkers import check_all
+from .faults import FAULTS, MANIFEST, Fault
+from .history import History
+from .manifest_cells import MANIFEST_STEPS, ManifestCell
+from .request_cells import STEPS, RequestCell, Step
+from .scene import Scene
+
+HELD = "held"
+FAILED = "failed"
+NOT_APPLICABLE = "n/a"
+FLEETS = 3
+PAIRS = 12
+
+
+class Cell(msgspec.Struct, kw_only=True):
+    """One run: faults at a step of a kind of request or of a manifest."""
+
+    faults: list[Fault]
+    step: Step
+    kind: str
+    problems: list[str] = []
+    verdict: str = ""
+    seconds: float = 0.0
+
+    @property
+    def row(self) -> str:
+        return " + ".join(fault.name for fault in self.faults)
+
+    @property
+    def column(self) -> str:
+        return f"{self.kind}: {self.step.name}"
+
+
+def all_cells(pairs: int, seed: int) -> list[Cell]:
+    """Returns each applicable cell, and pairs of faults that the seed chooses."""
+    steps = STEPS + MANIFEST_STEPS
+    places = [(step, kind) for step in steps for kind in step.kinds]
+    cells = [
+        Cell(faults=[fault], step=step, kind=kind)
+        for fault in FAULTS.values()
+        for step, kind in places
+        if kind in fault.applies_to
+    ]
+    chooser = random.Random(seed)
+    for _ in range(pairs):
+        step, kind = chooser.choice(places)
+        usable = [fault for fault in FAULTS.values() if kind in fault.applies_to]
+        faults = chooser.sample(usable, 2)
+        cells.append(Cell(faults=faults, step=step, kind=kind))
+    return cells
+
+
+def quick_cells(cells: list[Cell], count: int, seed: int) -> list[Cell]:
+    """Returns a part of the matrix that has each step and each fault at least once."""
+    order = list(cells)
+    random.Random(seed).shuffle(order)
+    chosen: list[Cell] = []
+    for cell in order:
+        new_row = all(cell.row != other.row for other in chosen)
+        new_column = all(cell.column != other.column for other in chosen)
+        if (new_row or new_column) and len(chosen) < count:
+            chosen.append(cell)
+    return chosen
+
+
+class Runner:
+    """Runs cells on several fleets at once."""
+
+    def __init__(self, *, cells: list[Cell], fleets: int):
+        self.fleets = fleets
+        self.waiting: queue.SimpleQueue[Cell] = queue.SimpleQueue()
+        for cell in cells:
+            self.waiting.put(cell)
+
+    def run(self) -> None:
+        """Runs all cells."""
+        threads = [threading.Thread(target=self._run_fleet) for _ in range(self.fleets)]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+
+    def _run_fleet(self) -> None:
+        while not self.waiting.empty():
+            with Fleet(
+                extra_instances=1, worker_slots=2, use_relays=True, token_ms=8.0
+            ) as fleet:
+                ManifestCell.apply_first(fleet)
+                fleet.wait_ready()
+                self._run_cells(fleet)
+
+    def _run_cells(self, fleet: Fleet) -> None:
+        """Runs cells until the queue is empty or the fleet could not be restored."""
+        turn = 0
+        while True:
+            try:
+                cell = self.waiting.get_nowait()
+            except queue.Empty:
+                return
+            victim = list(fleet.daemons)[turn % len(fleet.daemons)]
+            turn += 1
+            scene = Scene(fleet=fleet, history=History(), victim=victim)
+            run_cell(cell, scene)
+            if not restore(cell, scene):
+                return
+
+
+def run_cell(cell: Cell, scene: Scene) -> None:
+    """Runs one cell and sets its verdict."""
+    began = time.monotonic()
+    kind = ManifestCell if cell.kind == MANIFEST else RequestCell
+    run = kind(scene=scene, faults=cell.faults, step=cell.step, kind=cell.kind)
+    try:
+        cell.problems = run.run()
+    except Exception as error:
+        cell.problems = [f"the run failed: {type(error).__name__}: {error}"]
+    cell.seconds = time.monotonic() - began
+
+
+def restore(cell: Cell, scene: Scene) -> bool:
+    """Brings the fleet back and completes the verdict; False if it did not come back.
+
+    A fleet that does not become ready again after a fault is a failure of the cell.
+    """
+    try:
+        scene.restore()
+        restored = True
+    except Exception as error:
+        cell.problems.append(f"not restored: {type(error).__name__}: {error}")
+        restored = False
+    found = check_all(scene.history)
+    cell.problems += [f"{item.checker}: {item.detail}" for item in found]
+    cell.verdict = FAILED if cell.problems else HELD
+    print(f"{cell.verdict:7} {cell.row} at {cell.column} ({cell.seconds:.1f} s)")
+    for problem in cell.problems:
+        print(f"        {problem}")
+    sys.stdout.flush()
+    return restored
+
+
+def table(cells: list[Cell]) -> str:
+    """Returns the matrix in Markdown; cells outside the run are left empty."""
+    columns = list(
+        dict.fromkeys(
+            f"{kind}: {step.name}"
+            for step in STEPS + MANIFEST_STEPS
+            for kind in step.kinds
+        )
+    )
+    results = {(cell.row, cell.column): cell.verdict for cell in cells}
+    rows = dict.fromkeys([*FAULTS, *(cell.row for cell in cells)])
+    lines = ["| fault | " + " | ".join(columns) + " |"]
+    lines.append("|---" * (len(columns) + 1) + "|")
+    for row in rows:
+        verdicts = [
+            results.get((row, column), empty_cell(row, column)) for column in columns
+        ]
+        lines.append(f"| {row} | " + " | ".join(verdicts) + " |")
+    return "\n".join(lines)
+
+
+def empty_cell(row: str, column: str) -> str:
+    """Returns what stands in a cell that did not run."""
+    kind = column.partition(":")[0]
+    single = FAULTS.get(row)
+    if single is not None and kind not in single.applies_to:
+        return NOT_APPLICABLE
+    return ""
+
+
+def count_not_applicable() -> int:
+    """Returns the cells whose fault does not concern the step."""
+    places = [kind for step in STEPS + MANIFEST_STEPS for kind in step.kinds]
+    return sum(
+        kind not in fault.applies_to for fault in FAULTS.values() for kind in places
+    )
+
+
+def main() -> int:
+    """Runs the cells and returns the exit status."""
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--quick", type=int, help="run only this many cells")
+    parser.add_argument("--only", default="", help="run cells whose name contains this")
+    parser.add_argument("--fleets", type=int, default=FLEETS)
+    parser.add_argument("--pairs", type=int, default=PAIRS)
+    parser.add_argument("--write", action="store_true", help="write the page in docs/")
+    arguments = parser.parse_args()
+    cells = all_cells(arguments.pairs, arguments.seed)
+    if arguments.quick:
+        cells = quick_cells(cells, arguments.quick, arguments.seed)
+    if arguments.only:
+        cells = [c for c in cells if arguments.only in f"{c.row} at {c.column}"]
+    print(f"seed {arguments.seed}, {len(cells)} cells")
+    Runner(cells=cells, fleets=arguments.fleets).run()
+    held = sum(cell.verdict == HELD for cell in cells)
+    failed = len(cells) - held
+    last = f"faults: {held} held, {failed} failed, "
+    last += f"{count_not_applicable()} not applicable"
+    page = table(cells)
+    print(page)
+    if arguments.write:
+        write_page(page, last, arguments.seed)
+    print(last)
+    return 1 if failed else 0
+
+
+def write_page(page: str, last: str, seed: int) -> None:
+    """Writes docs/fault-matrix.md."""
+    text = (
+        "# Fault matrix\n\nEach cell is a run with the fault of its row at the step of"
+    )
+    text += " its column.\n`n/a`: the fault does not concern the step. "
+    text += f"Written by `make faults` with seed {seed}.\n\n{page}\n\n{last}\n"
+    Path(ROOT, "docs", "fault-matrix.md").write_text(text)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/bench/proof/scene.py
@@ -0,0 +1,132 @@
+"""What one cell of the fault matrix works on."""
+
+import contextlib
+import itertools
+import signal
+import time
+
+import urllib3
+
+from bench.fleet import Fleet, Process
+
+from .history import EndpointLeaving, History, PlannedStop
+
+
+class Scene:
+    """A fleet with one serving instance and the endpoint that serves it.
+
+    `victim` is the instance that faults hit; callers send their first attempt to it and
+    go on with the others.
+    """
+
+    def __init__(self, *, fleet: Fleet, history: History, victim: str):
+        self.fleet = fleet
+        self.history = history
+        self.victim = victim
+        others = [name for name in fleet.daemons if name != victim]
+        self.rotation = itertools.cycle([*others, victim])
+        self.frozen: list[Process] = []
+        self.killed_daemons: list[str] = []
+        self.faulty: list[tuple[Process, dict]] = []
+
+    @property
+    def victim_zone(self) -> str:
+        return self.fleet.daemons[self.victim].zone
+
+    def zone_instances(self) -> list[str]:
+        """Returns the instances of the victim's zone."""
+        daemons = self.fleet.daemons.items()
+        return [name for name, daemon in daemons if daemon.zone == self.victim_zone]
+
+    def busy_endpoints(self) -> list[Process]:
+        """Returns the endpoints that the victim uses now, or those of its zone."""
+        endpoints = self.fleet.engines | self.fleet.workers
+        in_use = {}
+        with contextlib.suppress(urllib3.exceptions.HTTPError, KeyError):
+            in_use = self.fleet.dump(self.victim)["scheduler"]["in_use"]
+        busy = [name for name, count in in_use.items() if count > 0]
+        zone = self.victim_zone
+        names = busy or [
+            name for name in endpoints if self.fleet.endpoint_zones[name] == zone
+        ]
+        return [endpoints[name] for name in names]
+
+    def next_instance(self) -> str:
+        """Returns the instance for the next attempt, skipping those that ended."""
+        for name in self.rotation:
+            if self.fleet.daemons[name].process.popen.poll() is None:
+                return name
+        raise RuntimeError("no instance is left")
+
+    # Faults
+
+    def set_faults(self, process: Process, undo: dict, **faults) -> None:
+        """Sets faults of a stand-in and remembers how to undo them."""
+        self.faulty.append((process, undo))
+        self.fleet.set_faults(process, **faults)
+
+    def kill(self, instance: str) -> None:
+        """Ends an instance at once."""
+        self.fleet.daemons[instance].process.kill()
+        self.killed_daemons.append(instance)
+
+    def freeze(self, process: Process) -> None:
+        """Stops a process until `heal`."""
+        process.signal(signal.SIGSTOP)
+        self.frozen.append(process)
+
+    def stop_gracefully(self, instance: str) -> None:
+        """Asks an instance for a planned stop without waiting for its end."""
+        self.fleet.daemons[instance].process.signal(signal.SIGTERM)
+        self.killed_daemons.append(instance)
+        self.history.record(PlannedStop(instance=instance))
+
+    def mark_leaving(self, process: Process) -> None:
+        """Makes an endpoint report that it leaves."""
+        self.set_faults(process, {"leaving": False}, leaving=True)
+        self.history.record(EndpointLeaving(endpoint=process.name))
+
+    def cut_from_platform(self, instances: list[str]) -> None:
+        """Makes the platform refuse the calls of instances."""
+        undo = {"refused_instances": []}
+        for platform in (self.fleet.store, self.fleet.list):
+            self.set_faults(platform, undo, refused_instances=instances)
+
+    def heal(self) -> None:
+        """Undoes the faults; instances that ended stay away until `restore`."""
+        for process in self.frozen:
+            process.signal(signal.SIGCONT)
+        self.frozen.clear()
+        while self.faulty:
+            process, undo = self.faulty.pop()
+            if process.popen.poll() is None:
+                self.fleet.set_faults(process, **undo)
+        if self.fleet.relays:
+            self.fleet.relays.cut(set())
+
+    def restore(self) -> None:
+        """Starts everything that ended again and waits until the fleet is ready."""
+        self.heal()
+        for instance in self.killed_daemons:
+            self._record_exit(instance)
+            self.fleet.restart(instance)
+        self.killed_daemons.clear()
+        self.fleet.replace_ended_endpoints()
+        self.fleet.wait_ready()
+
+    def _record_exit(self, instance: str) -> None:
+        process = self.fleet.daemons[instance].process
+        stopped = [e for e in self.history.of(PlannedStop) if e.instance == instance]
+        if stopped:
+            status = process.popen.wait(timeout=30)
+            self.history.record(PlannedStop(instance=instance, exit_status=status))
+
+
+def wait_until(condition, timeout_s: float = 5.0) -> bool:
+    """Polls a condition; returns whether it held in time."""
+    until = time.monotonic() + timeout_s
+    while time.monotonic() < until:
+        if condition():
+            return True
+        time.sleep(0.01)
+    return False
--- /dev/null
+++ b/bench/relay.py
@@ -0,0 +1,139 @@
+"""TCP relays on loopback that can cut the links between daemons.
+
+Each daemon's peer socket is advertised by the address of a relay. The relay finds out
+which daemon opened a connection by the process that owns its other end.
+"""
+
+import contextlib
+import socket
+import threading
+import time
+
+import psutil
+
+HOST = "127.0.0.1"
+CHUNK_BYTES = 65_536
+ATTACH_TIMEOUT_S = 5.0
+
+
+class Link:
+    """One relayed connection from a source instance to a target instance."""
+
+    __slots__ = ("inner", "outer", "source", "target")
+
+    def __init__(self, *, source: str, target: str, outer, inner):
+        self.source = source
+        self.target = target
+        self.outer = outer
+        self.inner = inner
+
+    def close(self) -> None:
+        """Drops the connection on both sides."""
+        for end in (self.outer, self.inner):
+            with contextlib.suppress(OSError):
+                end.shutdown(socket.SHUT_RDWR)
+            end.close()
+
+
+class PeerRelays:
+    """One relay for each instance; `cut` separates instances from all others."""
+
+    def __init__(self):
+        self.lock = threading.Lock()
+        self.listeners: dict[str, socket.socket] = {}
+        self.targets: dict[str, int] = {}
+        self.instances: dict[int, str] = {}
+        self.isolated: set[str] = set()
+        self.links: list[Link] = []
+        self.closed = False
+
+    def open(self, instance: str) -> str:
+        """Opens the relay of an instance and returns its address."""
+        listener = socket.create_server((HOST, 0))
+        self.listeners[instance] = listener
+        threading.Thread(
+            target=self._accept, args=(instance, listener), daemon=True
+        ).start()
+        return f"{HOST}:{listener.getsockname()[1]}"
+
+    def attach(self, instance: str, pid: int, port: int) -> None:
+        """Sets the process and the port that the relay of an instance leads to."""
+        with self.lock:
+            self.targets[instance] = port
+            self.instances[pid] = instance
+
+    def cut(self, instances: set[str]) -> None:
+        """Separates the given instances from all others, not from each other."""
+        with self.lock:
+            self.isolated = set(instances)
+            dropped = [link for link in self.links if self._is_cut(link)]
+            self.links = [link for link in self.links if link not in dropped]
+        for link in dropped:
+            link.close()
+
+    def _is_cut(self, link: Link) -> bool:
+        return (link.source in self.isolated) != (link.target in self.isolated)
+
+    def _accept(self, instance: str, listener: socket.socket) -> None:
+        while True:
+            try:
+                outer, address = listener.accept()
+            except OSError:
+                return
+            threading.Thread(
+                target=self._connect, args=(instance, outer, address[1]), daemon=True
+            ).start()
+
+    def _connect(self, target: str, outer: socket.socket, source_port: int) -> None:
+        source = self._wait_for_source(source_port)
+        try:
+            inner = socket.create_connection((HOST, self.targets[target]), timeout=2)
+        except (OSError, KeyError):
+            outer.close()
+            return
+        inner.settimeout(None)
+        link = Link(source=source, target=target, outer=outer, inner=inner)
+        with self.lock:
+            refused = self.closed or self._is_cut(link)
+            if not refused:
+                self.links.append(link)
+        if refused:
+            link.close()
+            return
+        threading.Thread(target=copy, args=(inner, outer, link), daemon=True).start()
+        copy(outer, inner, link)
+
+    def _wait_for_source(self, port: int) -> str:
+        # A daemon connects to its peers before its process id is attached.
+        until = time.monotonic() + ATTACH_TIMEOUT_S
+        while not (source := self._instance_with_port(port)):
+            if time.monotonic() > until:
+                break
+            time.sleep(0.05)
+        return source
+
+    def _instance_with_port(self, port: int) -> str:
+        for pid, instance in list(self.instances.items()):
+            with contextlib.suppress(psutil.Error):
+                for connection in psutil.Process(pid).net_connections("tcp4"):
+                    if connection.laddr.port == port:
+                        return instance
+        return ""
+
+    def close(self) -> None:
+        """Closes all relays and their connections."""
+        with self.lock:
+            self.closed = True
+            links, self.links = self.links, []
+        for listener in self.listeners.values():
+            listener.close()
+        for link in links:
+            link.close()
+
+
+def copy(source: socket.socket, target: socket.socket, link: Link) -> None:
+    """Copies bytes in one direction until either side closes."""
+    with contextlib.suppress(OSError):
+        while received := source.recv(CHUNK_BYTES):
+            target.sendall(received)
+    link.close()
--- a/src/lagoonrill/_internal/daemon.py
+++ b/src/lagoonrill/_internal/daemon.py
@@ -65,7 +65,9 @@
     def _build_platform(self) -> None:
         settings = self.settings
         self.store = ObjectApi(settings=settings.platform, instance=settings.instance)
-        self.instance_list = InstanceList(settings=settings.platform)
+        self.instance_list = InstanceList(
+            settings=settings.platform, instance=settings.instance
+        )
 
     def _build_endpoints(self) -> None:
         settings = self.settings
@@ -90,6 +92,7 @@
             host=settings.peers.host,
             port=settings.peers.port,
             curve=settings.peers.curve,
+            advertised_address=settings.peers.advertised_address,
         )
         self.membership = Membership(
             instance=settings.instance,
--- a/src/lagoonrill/_internal/protocol/settings.py
+++ b/src/lagoonrill/_internal/protocol/settings.py
@@ -78,11 +78,15 @@
 
 
 class PeerSettings(msgspec.Struct, kw_only=True, forbid_unknown_fields=True):
-    """The socket for peers; `addresses` are known before the Instance list answers."""
+    """The socket for peers; `addresses` are known before the Instance list answers.
+
+    `advertised_address` is what peers connect to, if it differs from host and port.
+    """
 
     host: IpAddress
     port: Port
     addresses: list[PeerAddress] = []
+    advertised_address: PeerAddress | None = None
     heartbeat_interval_s: Seconds = 0.5
     suspect_after_s: Seconds = 2.0
     drop_after_s: Seconds = 6.0
--- a/src/lagoonrill/_internal/transport/instance_list.py
+++ b/src/lagoonrill/_internal/transport/instance_list.py
@@ -20,15 +20,18 @@
     each read, and is not repeated.
     """
 
-    def __init__(self, *, settings: PlatformSettings):
+    def __init__(self, *, settings: PlatformSettings, instance: str = ""):
         self.url = settings.instance_list_url.rstrip("/") + "/instances"
         timeout = urllib3.Timeout(settings.call_timeout_s)
         self.pool = urllib3.PoolManager(timeout=timeout, retries=False)
+        self.headers = {"X-Instance": instance} if instance else {}
 
     def fetch(self) -> Result[list[ListedInstance], PlatformError]:
         """Returns all entries, or a `PlatformError` if there was no valid answer."""
         try:
-            answer = self.pool.request("GET", self.url, preload_content=False)
+            answer = self.pool.request(
+                "GET", self.url, headers=self.headers, preload_content=False
+            )
             data = answer.read(MAX_ANSWER_BYTES + 1)
             answer.release_conn()
         except (urllib3.exceptions.HTTPError, OSError) as error:
--- a/src/lagoonrill/_internal/transport/peer_link.py
+++ b/src/lagoonrill/_internal/transport/peer_link.py
@@ -315,10 +315,12 @@
         host: str,
         port: int,
         curve: CurveSettings | None = None,
+        advertised_address: str | None = None,
         handler_threads: int = HANDLER_THREADS,
     ):
         self.host = host
         self.port = port
+        self.advertised_address = advertised_address
         self.curve = curve
         self.lock = threading.Lock()
         self.counters = LinkCounters()
@@ -336,8 +338,8 @@
 
     @property
     def address(self) -> str:
-        """The bound address, for example `10.0.0.1:7000`."""
-        return f"{self.host}:{self.port}"
+        """Where peers reach this socket, for example `10.0.0.1:7000`."""
+        return self.advertised_address or f"{self.host}:{self.port}"
 
     def register_handler(
         self, message_type: type, handler: Handler, *, inline: bool = False
--- a/standins/instance_list.py
+++ b/standins/instance_list.py
@@ -22,6 +22,7 @@
 
     lag_s: float = 0.0
     down: bool = False
+    refused_instances: list[str] = []
     slow_ms: float = 0.0
 
 
@@ -46,7 +47,8 @@
     def get_entries(self, request: Request) -> Response:
         """Returns the entries as of `lag_s` ago."""
         time.sleep(self.faults.slow_ms / 1000)
-        if self.faults.down:
+        refused = request.header("X-Instance") in self.faults.refused_instances
+        if self.faults.down or refused:
             return json_response({"error": "outage"}, status=503)
         as_of = time.monotonic() - self.faults.lag_s
         with self.lock:
--- a/standins/plain_service.py
+++ b/standins/plain_service.py
@@ -7,6 +7,7 @@
 import collections
 import threading
 import time
+from pathlib import Path
 
 import msgspec
 
@@ -25,6 +26,7 @@
     """Faults of a plain service."""
 
     delay_s: float = 0.0
+    answer_delay_s: float = 0.0
     lose_answer: bool = False  # execute, then close the connection without an answer
     drop_before: bool = False  # close the connection before anything is executed
     refuse: bool = False  # answer 503 without executing
@@ -44,8 +46,10 @@
 class PlainService(StandIn):
     """Counts executions by key."""
 
-    def __init__(self, *, threads: int):
+    def __init__(self, *, threads: int, journal: str | None = None):
         super().__init__(faults=ServiceFaults(), threads=threads)
+        # The record of executions must survive a kill of this process.
+        self.journal = Path(journal) if journal else None
         self.lock = threading.Lock()
         self.executions: collections.Counter[str] = collections.Counter()
         self.add_route("GET", "/executions", self.list_executions)
@@ -72,6 +76,10 @@
         with self.lock:
             self.executions[key] += 1
             execution = self.executions[key]
+            if self.journal:
+                with self.journal.open("a") as journal:
+                    journal.write(key + "\n")
+        time.sleep(self.faults.answer_delay_s)
         if self.faults.lose_answer:
             raise DropConnection
         receipt = Receipt(
@@ -94,8 +102,9 @@
 def main() -> None:
     parser = argument_parser("Stand-in for a plain service")
     parser.add_argument("--threads", type=int, default=64)
+    parser.add_argument("--journal", help="file that records each execution")
     arguments = parser.parse_args()
-    service = PlainService(threads=arguments.threads)
+    service = PlainService(threads=arguments.threads, journal=arguments.journal)
     run(service, host=arguments.host, port=arguments.port)
 
 
