--- a/standins/server.py
+++ b/standins/server.py
@@ -8,6 +8,7 @@
 import argparse
 import re
 import signal
+import socket
 import sys
 import threading
 from collections.abc import Callable, Iterable
@@ -124,7 +125,10 @@
 def run(stand_in: StandIn, *, host: str = "127.0.0.1", port: int = 0) -> None:
     """Serves until SIGTERM; prints `ready <port>` once the socket listens."""
     server = wsgi.Server(
-        (host, port), stand_in, numthreads=stand_in.threads, request_queue_size=512
+        (host, port or free_port(host)),
+        stand_in,
+        numthreads=stand_in.threads,
+        request_queue_size=512,
     )
     server.gateway = ConnectionGateway
     server.keep_alive_conn_limit = None
@@ -138,6 +142,16 @@
     sys.exit(0)
 
 
+def free_port(host: str) -> int:
+    """Returns a port that is free now.
+
+    cheroot makes only fixed ports reusable, and a stand-in that was killed is started
+    again on its port.
+    """
+    with socket.create_server((host, 0)) as probe:
+        return probe.getsockname()[1]
+
+
 def argument_parser(description: str) -> argparse.ArgumentParser:
     """Returns a parser with the arguments that all stand-ins take."""
     parser = argparse.ArgumentParser(description=description)
