--- a/src/lagoonrill/_internal/coordination/policy/preemption.py
+++ b/src/lagoonrill/_internal/coordination/policy/preemption.py
@@ -15,6 +15,8 @@
 class PreemptForTarget:
     """Preempts when waiting for a free slot would probably miss the target."""
 
+    shields_protected = True
+
     def due_at(self, ticket: Ticket, outlook: Outlook) -> float | None:
         slack_s = self._target_s(ticket) - outlook.service_s
         waited_s = outlook.now - ticket.arrived_at
@@ -34,5 +36,7 @@
 class NeverPreempt:
     """Running work always keeps its slot."""
 
+    shields_protected = False
+
     def due_at(self, ticket: Ticket, outlook: Outlook) -> float | None:
         return None
--- a/src/lagoonrill/_internal/state/request_queue.py
+++ b/src/lagoonrill/_internal/state/request_queue.py
@@ -737,6 +737,8 @@
     def _is_lower_work_usable(self, entry: Waiting, now: float) -> bool:
         """Tells whether lower-tier work holds a slot that the request could use."""
         ticket = entry.ticket
+        if not self.policy.preemption.shields_protected:
+            return False
         if self._is_team_full(self.policy.team_fairness.team_key(ticket)):
             return False
         usable = self._usable_endpoints(ticket)
--- a/src/lagoonrill/_internal/state/scheduling.py
+++ b/src/lagoonrill/_internal/state/scheduling.py
@@ -68,6 +68,9 @@
 
 
 class Preemption(Protocol):
+    # Whether protected requests outlast their deadline for lower work's slots.
+    shields_protected: bool
+
     def due_at(self, ticket: Ticket, outlook: Outlook) -> float | None: ...
 
 
