--- a/src/lagoonrill/_internal/coordination/membership.py
+++ b/src/lagoonrill/_internal/coordination/membership.py
@@ -198,6 +198,10 @@
         zones[self.instance] = self.zone
         return zones
 
+    def full_mesh(self) -> bool:
+        """Tells whether the fleet is small enough to link every pair."""
+        return is_full_mesh(len(self.table.live()) + 1)
+
     def home(self, key: str) -> str:
         """Returns the instance that is responsible for a key (rendezvous hash).
 
@@ -291,9 +295,6 @@
         except Exception:
             log.exception("a report of the membership failed")
 
-    def _full_mesh(self) -> bool:
-        return is_full_mesh(len(self.table.live()) + 1)
-
     # Sending
 
     def _send_heartbeats(self, now: float) -> None:
@@ -309,7 +310,7 @@
             self.link.send_latest(address, payload, lifetime_s)
 
     def _encode_heartbeats(self, now: float) -> tuple[bytes, bytes]:
-        full_mesh = self._full_mesh()
+        full_mesh = self.full_mesh()
         heartbeat = Heartbeat(
             instance=self.instance,
             zone=self.zone,
--- a/src/lagoonrill/_internal/state/membership_table.py
+++ b/src/lagoonrill/_internal/state/membership_table.py
@@ -197,6 +197,7 @@
                 self.stale_messages += 1
                 return None
             member.left = True
+            member.incarnation = message.incarnation
             return self._change(member, MemberState.DROPPED, now)
 
     def notice_gone(self, instance: str, until: float) -> None:
