--- a/bench/local_router.py
+++ b/bench/local_router.py
@@ -5,6 +5,7 @@
 """
 
 import argparse
+import collections
 import hashlib
 import itertools
 import signal
@@ -17,9 +18,11 @@
 from lagoonrill._internal.coordination.dispatch import Dispatcher
 from lagoonrill._internal.coordination.streams import StreamLimits, StreamRelay
 from lagoonrill._internal.protocol.errors import (
+    REQUEST_ERRORS,
     DeadlineExceeded,
     LagoonrillError,
     NoEndpoint,
+    RequestError,
 )
 from lagoonrill._internal.protocol.manifest import (
     Endpoint,
@@ -71,7 +74,7 @@
 
 class LocalOutcome(msgspec.Struct, kw_only=True):
     status: int
-    content_type: str
+    headers: dict[str, str]
     body: bytes
 
 
@@ -145,18 +148,18 @@
         self.leaving[endpoint_id] = source
 
 
-class OutcomeKnown(LagoonrillError):
-    def __init__(self, *, outcome):
-        super().__init__(message="the call has run")
-        self.outcome = outcome
-
-
-class OutcomeUnknown(LagoonrillError):
-    pass
+class ClaimRefusal(LagoonrillError):
+    """Stands for every kind of claim error."""
 
+    def __init__(self, *, kind: str, outcome: LocalOutcome | None = None):
+        super().__init__(message=kind)
+        self.kind = kind
+        self.outcome = outcome
 
-class KeyReused(LagoonrillError):
-    pass
+    def to_request_error(self) -> RequestError:
+        kind = {"claim_not_made": "claims_unavailable"}.get(self.kind, self.kind)
+        kind = {"claim_in_doubt": "outcome_unknown"}.get(kind, kind)
+        return REQUEST_ERRORS[kind](message=self.message)
 
 
 class LocalClaims:
@@ -166,7 +169,8 @@
         self.lock = threading.Lock()
         self.claims: dict[tuple[str, str], str] = {}
         self.outcomes: dict[tuple[str, str], LocalOutcome] = {}
-        self.refusal: LagoonrillError | None = None
+        self.granted: set[tuple[str, str]] = set()
+        self.refusal: ClaimRefusal | None = None
 
     def claim(self, *, team, key, body_digest, deadline):
         claim = (team, key)
@@ -174,18 +178,15 @@
             if self.refusal is not None:
                 return Failure(self.refusal)
             if self.claims.setdefault(claim, body_digest) != body_digest:
-                return Failure(KeyReused(message="another body"))
+                return Failure(ClaimRefusal(kind="key_reused"))
             if claim in self.outcomes:
-                return Failure(OutcomeKnown(outcome=self.outcomes[claim]))
+                outcome = self.outcomes[claim]
+                return Failure(ClaimRefusal(kind="outcome_known", outcome=outcome))
             if claim in self.granted:
-                return Failure(OutcomeUnknown(message="claimed before"))
+                return Failure(ClaimRefusal(kind="outcome_unknown"))
             self.granted.add(claim)
         return Success(claim)
 
-    @property
-    def granted(self) -> set:
-        return self.__dict__.setdefault("_granted", set())
-
     def record_outcome(self, grant, outcome):
         self.outcomes[grant] = outcome
         return Success(None)
@@ -237,7 +238,10 @@
     def __init__(self):
         self.rest = 1_000
 
-    def take(self) -> bool:
+    def note_request(self) -> None:
+        pass
+
+    def allow_retry(self, request_class: RequestClass) -> bool:
         self.rest -= 1
         return self.rest >= 0
 
@@ -313,6 +317,7 @@
         )
         self.registry = StreamRegistry(instance=instance, membership=membership)
         self.client = EndpointClient(instance=instance)
+        self.wasted: collections.Counter[str] = collections.Counter()
         self.relay = StreamRelay(
             client=self.client,
             scheduler=self.scheduler,
@@ -320,6 +325,7 @@
             registry=self.registry,
             retry_budget=self.budget,
             usage_type=LocalUsage,
+            record_wasted=lambda cause, tokens: self.wasted.update({cause: tokens}),
             limits=limits,
         )
         self.dispatcher = Dispatcher(
--- a/src/lagoonrill/_internal/coordination/dispatch.py
+++ b/src/lagoonrill/_internal/coordination/dispatch.py
@@ -22,11 +22,9 @@
 from ..protocol.endpoint_errors import EndpointError, EndpointNotReached
 from ..protocol.errors import (
     BadRequest,
-    ClaimsUnavailable,
     DeadlineExceeded,
     EndpointFailed,
     KeyMissing,
-    KeyReused,
     NotFound,
     NotReady,
     OutcomeUnknown,
@@ -46,6 +44,8 @@
 # A call that may not be repeated is left to finish for this time after its caller was
 # told that the outcome is unknown, so that a later repeat learns the outcome.
 LATE_OUTCOME_S = 120.0
+# How long a caller waits, beyond its deadline, to learn that its call was not run.
+CLOSE_WAIT_S = 1.0
 MAX_KEY_CHARACTERS = 255
 # The team's key and the router's own headers are not for the service.
 NOT_FORWARDED_HEADERS = frozenset(
@@ -162,7 +162,8 @@
     """Serves requests of callers; every method runs in the caller's own thread.
 
     The types `ticket_type` and `usage_type` belong to the scheduler, `outcome_type` to
-    the claim service. `retry_budget.take()` says whether a repeat is allowed now.
+    the claim service. `retry_budget` is the policy for retries: `note_request()` and
+    `allow_retry(request_class)`.
     """
 
     def __init__(
@@ -232,6 +233,7 @@
         target: str,
         prompt: str = "",
     ):
+        self.retry_budget.note_request()
         return self.ticket_type(
             request_id=uuid.uuid4().hex,
             team=request.team.name,
@@ -429,7 +431,7 @@
         if time.monotonic() >= ticket.deadline:
             message = "the deadline passed before the answer"
             raise DeadlineExceeded(message=message, run=RunState.UNKNOWN)
-        if not self.retry_budget.take():
+        if not self.retry_budget.allow_retry(ticket.request_class):
             message = f"the call failed and the retry budget is spent: {error.message}"
             raise EndpointFailed(message=message, retry_after_s=RETRY_AFTER_S)
 
@@ -475,20 +477,15 @@
 
     def _without_claim(self, error) -> Answer:
         """Answers a call whose claim was not granted."""
-        kind = type(error).__name__
-        message = getattr(error, "message", str(error))
-        if kind == "OutcomeKnown":
-            outcome = error.outcome
-            return Answer(
-                status=outcome.status,
-                content_type=outcome.content_type,
-                body=outcome.body,
-            )
-        if kind == "KeyReused":
-            raise KeyReused(message=message)
-        if kind == "ClaimNotMade":
-            raise ClaimsUnavailable(message=message, retry_after_s=RETRY_AFTER_S)
-        raise OutcomeUnknown(message=message, retry_after_s=RETRY_AFTER_S)
+        if error.kind != "outcome_known":
+            raise error.to_request_error()
+        headers = dict(error.outcome.headers)
+        return Answer(
+            status=error.outcome.status,
+            content_type=headers.pop("Content-Type", "application/octet-stream"),
+            headers=list(headers.items()),
+            body=error.outcome.body,
+        )
 
 
 class OnceCall:
@@ -504,6 +501,7 @@
         self.execute = execute
         self.deadline = deadline
         self.flight.once = True
+        self.closed = False
         self.answer: Answer | None = None
         self.error: Exception | None = None
         self.ended = threading.Event()
@@ -515,6 +513,8 @@
         threading.Thread(target=self._execute, name="once-call", daemon=True).start()
         if not self.ended.wait(max(0.0, self.deadline - time.monotonic())):
             if self.flight.cancel():
+                self.ended.wait(CLOSE_WAIT_S)
+            if self.closed:
                 raise DeadlineExceeded(
                     message="the deadline passed before the call was sent",
                     retry_after_s=RETRY_AFTER_S,
@@ -541,7 +541,8 @@
     def _record(self) -> None:
         outcome = self.dispatcher.outcome_type(
             status=self.answer.status,
-            content_type=self.answer.content_type,
+            headers={"Content-Type": self.answer.content_type}
+            | dict(self.answer.headers),
             body=self.answer.body,
         )
         recorded = self.dispatcher.claims.record_outcome(self.grant, outcome)
@@ -560,11 +561,16 @@
             not_run = False
         if not_run:
             closed = self.dispatcher.claims.close(self.grant)
-            if isinstance(closed, Failure):
+            self.closed = not isinstance(closed, Failure)
+            if not self.closed:
                 log.warning("A claim was not closed: {}", closed.failure())
-        elif error.kind != "outcome_unknown":
-            error = OutcomeUnknown(message=error.message, retry_after_s=RETRY_AFTER_S)
-        self.error = error
+                not_run = False
+        self.error = error if not_run else self._unknown(error)
+
+    def _unknown(self, error: Exception) -> OutcomeUnknown:
+        if isinstance(error, OutcomeUnknown):
+            return error
+        return OutcomeUnknown(message=str(error), retry_after_s=RETRY_AFTER_S)
 
 
 class EventBody:
--- a/src/lagoonrill/_internal/coordination/streams.py
+++ b/src/lagoonrill/_internal/coordination/streams.py
@@ -250,7 +250,10 @@
 
 
 class StreamRelay:
-    """Relays answers from engines, through the scheduler's slots."""
+    """Relays answers from engines, through the scheduler's slots.
+
+    `record_wasted(cause, tokens)` is called once for each answer that was discarded.
+    """
 
     def __init__(
         self,
@@ -261,6 +264,7 @@
         registry,
         retry_budget,
         usage_type: Callable[..., Any],
+        record_wasted: Callable[[str, int], None] = lambda cause, tokens: None,
         limits: StreamLimits | None = None,
     ):
         self.client = client
@@ -269,6 +273,7 @@
         self.registry = registry
         self.retry_budget = retry_budget
         self.usage_type = usage_type
+        self.record_wasted = record_wasted
         self.limits = limits or StreamLimits()
         self.lock = threading.Lock()
         self.awaiting_first_event: set[StreamJob] = set()
@@ -303,9 +308,13 @@
                 job.grant = self._acquire(job)
                 yield from self._use(job)
         except RequestError:
+            self._discard(job, "truncated")
             if job.keyed:
                 self.registry.discard(job.stream_id)
             raise
+        except (CallerGone, GeneratorExit):
+            self._discard(job, "caller_gone")
+            raise
 
     def whole_answer(
         self,
@@ -532,7 +541,7 @@
         if job.assembler.next_token:
             return
         self._remaining(job)
-        if not self.retry_budget.take():
+        if not self.retry_budget.allow_retry(job.ticket.request_class):
             message = (
                 f"the engine failed and the retry budget is spent: {error.message}"
             )
@@ -542,6 +551,11 @@
         kind = Truncated if job.assembler.next_token else EndpointFailed
         return kind(message=message, retry_after_s=1.0)
 
+    def _discard(self, job: StreamJob, cause: str) -> None:
+        """Counts the tokens of an answer that nobody received as a whole."""
+        if job.assembler.next_token:
+            self.record_wasted(cause, job.assembler.next_token)
+
     def _release(
         self, job: StreamJob, meter: SpeedMeter, *, failed: bool, discarded: bool
     ) -> None:
--- a/src/lagoonrill/_internal/state/stream_registry.py
+++ b/src/lagoonrill/_internal/state/stream_registry.py
@@ -102,6 +102,20 @@
             return None
         return StreamRecord(endpoint=location.endpoint, attempt=location.attempt)
 
+    def hand_over(self) -> None:
+        """Announces all known streams to the homes they have without this instance."""
+        with self.lock:
+            records = dict(self.records)
+        peers = [peer.instance for peer in self.membership.live_peers()]
+        for stream_id, record in records.items() if peers else ():
+            message = StreamAnnounce(
+                stream_id=stream_id,
+                endpoint=record.endpoint,
+                attempt=record.attempt,
+                ended=record.ended_at is not None,
+            )
+            self.membership.send(home_instance(stream_id, peers), message)
+
     def dump(self) -> StreamRegistryDump:
         """Returns the records for the state dump."""
         with self.lock:
--- a/src/lagoonrill/_internal/transport/caller_listener.py
+++ b/src/lagoonrill/_internal/transport/caller_listener.py
@@ -7,6 +7,7 @@
 
 import cherrypy
 import logbook
+from cherrypy import _cprequest
 
 from ..coordination.dispatch import Answer, CallerRequest, Dispatcher, error_body
 from ..coordination.flight import Flight
@@ -31,6 +32,12 @@
 MAX_SKIPPED_BODY_BYTES = 65_536
 
 
+class CallerRequestFrame(_cprequest.Request):
+    """CherryPy's request; the query string passes through in any encoding."""
+
+    query_string_encoding = "latin-1"
+
+
 class CallerListener:
     """Serves callers until it is stopped."""
 
@@ -41,8 +48,7 @@
         self.server = CallerServer(
             settings=settings, application=self._application(), watch=self.watch
         )
-        self.lock = threading.Lock()
-        self.open_requests = 0
+        self.stopper = threading.Thread(target=self.server.stop, name="caller-stop")
         self.thread = threading.Thread(
             target=self.server.serve, name="caller-listener", daemon=True
         )
@@ -58,23 +64,30 @@
         self.server.prepare()
         self.thread.start()
 
+    def refuse_new(self) -> None:
+        """Refuses new connections and returns at once; what arrived is answered."""
+        if not self.stopper.ident:
+            self.stopper.start()
+            self.thread.join()
+
     def stop(self) -> None:
         """Refuses new connections and waits for all requests in flight."""
-        self.server.stop()
-        self.thread.join()
+        self.refuse_new()
+        self.stopper.join()
         self.watch.stop()
         while self.dispatcher.calls_in_background():
             time.sleep(0.02)
 
     def in_flight(self) -> int:
         """Returns the requests whose answers are not finished yet."""
-        return self.open_requests + self.dispatcher.calls_in_background()
+        return self.server.in_flight() + self.dispatcher.calls_in_background()
 
     def _application(self) -> cherrypy.Application:
         cherrypy.config.update({"log.screen": False})
         application = cherrypy.Application(
             None, "", {"/": {"request.dispatch": self._route}}
         )
+        application.request_class = CallerRequestFrame
         application.log.screen = False
         # One line for each request is written by the metrics, not by CherryPy.
         application.log.access = lambda: None
@@ -95,7 +108,6 @@
         """Answers one request; every error is converted here."""
         environ = cherrypy.serving.request.wsgi_environ
         flight = Flight()
-        self._begin(environ["lagoonrill.request"].conn.socket, flight)
         try:
             return self._respond(self._serve(environ, flight))
         except RequestError as error:
@@ -108,17 +120,6 @@
             message = "the router failed to answer"
             return self._refuse(environ, RequestError(message=message))
 
-    def _begin(self, sock, flight: Flight) -> None:
-        with self.lock:
-            self.open_requests += 1
-        request = cherrypy.serving.request
-        request.hooks.attach("on_end_request", lambda: self._end(sock))
-
-    def _end(self, sock) -> None:
-        self.watch.remove(sock)
-        with self.lock:
-            self.open_requests -= 1
-
     def _serve(self, environ: dict, flight: Flight) -> Answer:
         arrived_at = time.monotonic()
         team = self.dispatcher.authenticate(environ.get("HTTP_AUTHORIZATION"))
@@ -144,6 +145,9 @@
         sock = environ["lagoonrill.request"].conn.socket
         sock.settimeout(self.settings.slow_client_timeout_s)
         self.watch.add(sock, flight)
+        cherrypy.serving.request.hooks.attach(
+            "on_end_request", lambda: self.watch.remove(sock)
+        )
         if is_chat:
             return self.dispatcher.chat(request, flight)
         service, slash, rest = path.removeprefix(SERVICE_PREFIX).partition("/")
--- a/src/lagoonrill/_internal/transport/caller_server.py
+++ b/src/lagoonrill/_internal/transport/caller_server.py
@@ -8,6 +8,7 @@
 import contextlib
 import select
 import socket
+import threading
 
 from cheroot import connections, server, wsgi
 
@@ -55,14 +56,28 @@
 class CallerHTTPRequest(server.HTTPRequest):
     """Parses a request within the time limit."""
 
+    refused = False
+
     def parse_request(self) -> None:
         super().parse_request()
         received = self.server.watch.request_received(self.conn.socket)
-        if not self.ready and not received and self.started_request:
+        if not (self.ready or received or self.refused) and self.started_request:
             self.simple_response("408 Request Timeout")
 
+    def respond(self) -> None:
+        """Answers a request; it counts as in flight until its last byte is sent."""
+        self.server.count_request(1)
+        try:
+            super().respond()
+        finally:
+            self.server.count_request(-1)
+
     def simple_response(self, status, msg="") -> None:
         """Answers a request that was refused before it reached the application."""
+        if not self.server.watch.request_received(self.conn.socket):
+            # The end of the time looks like the end of the input to cheroot.
+            status, msg = "408 Request Timeout", ""
+        self.refused = True
         self.close_connection = True
         error = refusal(str(status), msg)
         with contextlib.suppress(OSError):
@@ -157,6 +172,8 @@
         )
         self.settings = settings
         self.watch = watch
+        self.count_lock = threading.Lock()
+        self.open_requests = 0
         self.gateway = CallerGateway
         self.max_request_header_size = settings.max_header_bytes
 
@@ -165,6 +182,15 @@
         self._connections._selector.close()
         self._connections = GracefulConnections(self)
 
+    def count_request(self, change: int) -> None:
+        """Keeps the number of requests that are being answered."""
+        with self.count_lock:
+            self.open_requests += change
+
+    def in_flight(self) -> int:
+        """Returns the requests in progress and the connections that wait."""
+        return self.open_requests + self.requests._queue.qsize()
+
     def process_conn(self, conn) -> None:
         """Queues a connection for a thread or refuses it at once."""
         waiting = self.requests._queue.qsize()
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -250,6 +250,11 @@
         self.add_route("GET", "/executions", self.list_executions)
         threading.Thread(target=self.generate, daemon=True).start()
 
+    def set_faults(self, request: Request) -> Response:
+        """Sets faults; an engine that is down after a crash comes back."""
+        self.down_until = 0.0
+        return super().set_faults(request)
+
     def handle(self, request: Request) -> Response:
         """Applies the faults that concern whole connections."""
         if request.path in ("/faults", "/stats", "/executions"):
