--- a/bench/local_router.py
+++ b/bench/local_router.py
@@ -5,6 +5,7 @@
 """
 
 import argparse
+import collections
 import hashlib
 import itertools
 import signal
@@ -149,6 +150,7 @@
         self.lock = threading.Lock()
         self.claims: dict[tuple[str, str], str] = {}
         self.outcomes: dict[tuple[str, str], Outcome] = {}
+        self.granted: set[tuple[str, str]] = set()
         self.refusal: ClaimError | None = None
 
     def claim(self, *, team, key, body_digest, deadline):
@@ -166,10 +168,6 @@
             self.granted.add(claim)
         return Success(claim)
 
-    @property
-    def granted(self) -> set:
-        return self.__dict__.setdefault("_granted", set())
-
     def record_outcome(self, grant, outcome):
         self.outcomes[grant] = outcome
         return Success(None)
@@ -221,6 +219,9 @@
     def __init__(self):
         self.rest = 1_000
 
+    def note_request(self) -> None:
+        pass
+
     def allow_retry(self, request_class: RequestClass) -> bool:
         self.rest -= 1
         return self.rest >= 0
@@ -297,6 +298,7 @@
         )
         self.registry = StreamRegistry(instance=instance, membership=membership)
         self.client = EndpointClient(instance=instance)
+        self.wasted: collections.Counter[str] = collections.Counter()
         self.relay = StreamRelay(
             client=self.client,
             scheduler=self.scheduler,
@@ -304,6 +306,7 @@
             registry=self.registry,
             retry_budget=self.budget,
             usage_type=LocalUsage,
+            record_wasted=lambda cause, tokens: self.wasted.update({cause: tokens}),
             limits=limits,
         )
         self.dispatcher = Dispatcher(
--- a/src/lagoonrill/_internal/coordination/dispatch.py
+++ b/src/lagoonrill/_internal/coordination/dispatch.py
@@ -46,6 +46,8 @@
 # A call that may not be repeated is left to finish for this time after its caller was
 # told that the outcome is unknown, so that a later repeat learns the outcome.
 LATE_OUTCOME_S = 120.0
+# How long a caller waits, beyond its deadline, to learn that its call was not run.
+CLOSE_WAIT_S = 1.0
 MAX_KEY_CHARACTERS = 255
 # The team's key and the router's own headers are not for the service.
 NOT_FORWARDED_HEADERS = frozenset(
@@ -161,8 +163,8 @@
 class Dispatcher:
     """Serves requests of callers; every method runs in the caller's own thread.
 
-    The types `ticket_type` and `usage_type` belong to the scheduler.
-    `retry_budget.allow_retry(request_class)` says whether a repeat is allowed now.
+    The types `ticket_type` and `usage_type` belong to the scheduler. `retry_budget` is
+    the policy for retries: `note_request()` and `allow_retry(request_class)`.
     """
 
     def __init__(
@@ -230,6 +232,7 @@
         target: str,
         prompt: str = "",
     ):
+        self.retry_budget.note_request()
         return self.ticket_type(
             request_id=uuid.uuid4().hex,
             team=request.team.name,
@@ -506,6 +509,7 @@
         self.execute = execute
         self.deadline = deadline
         self.flight.once = True
+        self.closed = False
         self.answer: Answer | None = None
         self.error: Exception | None = None
         self.ended = threading.Event()
@@ -517,10 +521,14 @@
         threading.Thread(target=self._execute, name="once-call", daemon=True).start()
         if not self.ended.wait(max(0.0, self.deadline - time.monotonic())):
             if self.flight.cancel():
-                raise DeadlineExceeded(
+                self.ended.wait(CLOSE_WAIT_S)
+            if self.closed:
+                refusal = DeadlineExceeded(
                     message="the deadline passed before the call was sent",
                     retry_after_s=RETRY_AFTER_S,
                 )
+                refusal.covers_all_attempts = True
+                raise refusal
             raise OutcomeUnknown(
                 message="the deadline passed while the call ran",
                 retry_after_s=RETRY_AFTER_S,
@@ -562,8 +570,8 @@
             not_run = False
         if not_run:
             error = self._close(error)
-        elif error.kind != "outcome_unknown":
-            error = OutcomeUnknown(message=error.message, retry_after_s=RETRY_AFTER_S)
+        elif not isinstance(error, OutcomeUnknown):
+            error = OutcomeUnknown(message=str(error), retry_after_s=RETRY_AFTER_S)
         self.error = error
 
     def _close(self, error: Exception) -> Exception:
@@ -571,8 +579,8 @@
         closed = self.dispatcher.claims.close(self.grant)
         if isinstance(closed, Failure):
             log.warning("a claim is not closed yet: {}", closed.failure())
-            if isinstance(error, RequestError):
-                return closed.failure().to_request_error()
+            return closed.failure().to_request_error()
+        self.closed = True
         error.covers_all_attempts = True
         return error
 
--- a/tests/test_scheduler_rules.py
+++ b/tests/test_scheduler_rules.py
@@ -1,7 +1,6 @@
 """Guards the scheduler's rules one by one, with a clock that the tests move."""
 
 import pytest
-from scheduler_kit import COUNTER, LOOKUP, PLAN, Kit, engine, request_class
 
 from lagoonrill._internal.protocol.errors import (
     DeadlineExceeded,
@@ -9,6 +8,7 @@
     Overloaded,
 )
 from lagoonrill._internal.state.request_queue import Cancelled, Usage
+from tests.scheduler_kit import COUNTER, LOOKUP, PLAN, Kit, engine, request_class
 
 
 def test_higher_tier_goes_first():
