Wait for the state that test_busy_threads_refuse_at_once needs

Cause: the test slept 0.3 s before it expected 32 waiting connections and failed once under load. Change: it waits until the router counts them; the check itself is unchanged.

--- a/tests/test_caller_limits.py
+++ b/tests/test_caller_limits.py
@@ -178,7 +178,7 @@
 def test_busy_threads_refuse_at_once(engine):
     with running_router(engines=[engine], threads=2) as router:
         idle = [raw_connection(router) for _ in range(2 + 32)]
-        time.sleep(0.3)
+        wait_until(lambda: router.listener.in_flight() == 32)
         started_at = time.monotonic()
         refused = raw_chat(router, chat_fields("q"))
         line, kind = raw_error(receive_all(refused))
