End the wait for a slot at the class's max_wait_ms; mend the fault matrix's healing

Cause: an order whose endpoints were all killed waited 600 s, the default deadline, because nothing used max_wait_ms; its caller timed out after 30 s without an answer ('endpoint killed at order: queued', 61 s). Two cells failed since a timer of the harness healed a later cell's fleet. Ruled out: a lost wake-up in the scheduler; the queue waited for the next probe of a dead endpoint, which lay before the deadline. Change: a ticket's deadline is the earlier of the request's and max_wait_ms; the scene owns its timer, replaces endpoints when the fault ends and waits until every instance uses them again. Conclusion: a request that cannot start is answered at its class's limit.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON := $(VENV)/bin/python
 STAMP := $(VENV)/.installed
 
-.PHONY: setup format lint test demo clean
+.PHONY: setup format lint test demo faults faults-quick clean
 
 setup: $(STAMP)
 
@@ -26,5 +26,12 @@
 demo: setup
 	$(PYTHON) -m bench.demo
 
+# The whole matrix takes about ten minutes.
+faults: setup
+	$(PYTHON) -m bench.proof.matrix --write
+
+faults-quick: setup
+	$(PYTHON) -m bench.proof.matrix --quick 24 --pairs 0
+
 clean:
 	rm -rf $(VENV) build *.egg-info src/*.egg-info
--- a/bench/proof/manifest_cells.py
+++ b/bench/proof/manifest_cells.py
@@ -216,7 +216,7 @@
         for fault in self.faults:
             fault.inject(self.scene)
         hold_s = max(fault.hold_s for fault in self.faults)
-        threading.Timer(hold_s, self._heal).start()
+        self.scene.heal_after(hold_s, self._heal)
         self.rival = threading.Thread(target=self._run_rival, daemon=True)
         self.rival.start()
 
--- a/bench/proof/request_cells.py
+++ b/bench/proof/request_cells.py
@@ -166,7 +166,8 @@
         if self.step.name == "answered":
             self._inject()
         if not self.injected.wait(5):
-            return [f"step {self.step.name} was not reached; answer {answer.run}"]
+            reason = f"{answer.run} {answer.kind} {answer.text[:200]}"
+            return [f"step {self.step.name} was not reached; answer {reason}"]
         answer = self._retry(answer)
         for _ in range(self.scene.fleet.executions().get(self.call, 0)):
             self.scene.history.record(Executed(call=self.call, endpoint=""))
@@ -186,7 +187,7 @@
             fault.inject(self.scene)
         self.injected.set()
         hold_s = max(fault.hold_s for fault in self.faults)
-        threading.Timer(hold_s, self._heal).start()
+        self.scene.heal_after(hold_s, self._heal)
 
     def _heal(self) -> None:
         self.scene.heal()
--- a/bench/proof/scene.py
+++ b/bench/proof/scene.py
@@ -3,7 +3,9 @@
 import contextlib
 import itertools
 import signal
+import threading
 import time
+from collections.abc import Callable
 
 import urllib3
 
@@ -28,6 +30,8 @@
         self.frozen: list[Process] = []
         self.killed_daemons: list[str] = []
         self.faulty: list[tuple[Process, dict]] = []
+        self.heal_lock = threading.Lock()
+        self.timer: threading.Timer | None = None
 
     @property
     def victim_zone(self) -> str:
@@ -92,8 +96,20 @@
         for platform in (self.fleet.store, self.fleet.list):
             self.set_faults(platform, undo, refused_instances=instances)
 
+    def heal_after(self, delay_s: float, heal: Callable[[], None]) -> None:
+        """Calls `heal` later unless `restore` comes first."""
+        self.timer = threading.Timer(delay_s, heal)
+        self.timer.start()
+
     def heal(self) -> None:
-        """Undoes the faults; instances that ended stay away until `restore`."""
+        """Undoes the faults and replaces endpoints that ended.
+
+        Instances that ended stay away until `restore`.
+        """
+        with self.heal_lock:
+            self._undo_faults()
+
+    def _undo_faults(self) -> None:
         for process in self.frozen:
             process.signal(signal.SIGCONT)
         self.frozen.clear()
@@ -103,16 +119,27 @@
                 self.fleet.set_faults(process, **undo)
         if self.fleet.relays:
             self.fleet.relays.cut(set())
+        self.fleet.replace_ended_endpoints()
 
     def restore(self) -> None:
         """Starts everything that ended again and waits until the fleet is ready."""
+        if self.timer:
+            self.timer.cancel()
         self.heal()
         for instance in self.killed_daemons:
             self._record_exit(instance)
             self.fleet.restart(instance)
         self.killed_daemons.clear()
-        self.fleet.replace_ended_endpoints()
         self.fleet.wait_ready()
+        if not wait_until(self._endpoints_usable, timeout_s=20.0):
+            raise TimeoutError("an instance still regards an endpoint as unusable")
+
+    def _endpoints_usable(self) -> bool:
+        for instance in self.fleet.daemons:
+            endpoints = self.fleet.dump(instance)["endpoints"]["endpoints"]
+            if any(item["down"] or item["leaving_sources"] for item in endpoints):
+                return False
+        return True
 
     def _record_exit(self, instance: str) -> None:
         process = self.fleet.daemons[instance].process
--- a/src/lagoonrill/_internal/coordination/dispatch.py
+++ b/src/lagoonrill/_internal/coordination/dispatch.py
@@ -233,6 +233,7 @@
         prompt: str = "",
     ):
         self.retry_budget.note_request()
+        longest_wait_s = request_class.max_wait_ms / 1000
         return self.ticket_type(
             request_id=uuid.uuid4().hex,
             team=request.team.name,
@@ -241,7 +242,7 @@
             prompt_tokens=estimate_tokens(prompt) if prompt else 0,
             prompt_blocks=prompt_blocks(prompt),
             arrived_at=request.arrived_at,
-            deadline=request.deadline,
+            deadline=min(request.deadline, request.arrived_at + longest_wait_s),
         )
 
     def _call_deadline(
