--- a/standins/object_store.py
+++ b/standins/object_store.py
@@ -4,7 +4,8 @@
 `ready <port> <control port>`: the control port serves the same paths and stays open
 while `down` closes the other one, so that the fault can be cleared.
 
-`GET /stats` returns the counters, `POST /faults` sets attributes of `Faults`.
+`GET /stats` returns the counters and the control port, `POST /faults` sets attributes
+of `Faults`.
 """
 
 import asyncio
@@ -22,6 +23,7 @@
 MAX_VALUE_BYTES = 1_000_000
 # Older deletions are forgotten; a watch from before them is refused.
 KEPT_DELETIONS = 100_000
+CLOSE_WAIT_S = 0.01
 
 
 class Faults(msgspec.Struct, kw_only=True, forbid_unknown_fields=True):
@@ -59,6 +61,7 @@
     refused: int = 0
     revision: int = 0
     objects: int = 0
+    control_port: int = 0
 
 
 class Conflict(Exception):
@@ -159,7 +162,8 @@
         await self.open_port()
         control = web.TCPSite(self.runner, host, 0)
         await control.start()
-        return self.address[1], self.runner.addresses[-1][1]
+        self.stats.control_port = self.runner.addresses[-1][1]
+        return self.address[1], self.stats.control_port
 
     async def open_port(self) -> None:
         """Listens for calls again, on the same port as before."""
@@ -178,6 +182,9 @@
                 continue
             if transport.get_extra_info("sockname")[1] == self.address[1]:
                 transport.abort()
+        # The loop closes aborted connections in its next round; the fault must be in
+        # force when the answer to `POST /faults` leaves.
+        await asyncio.sleep(CLOSE_WAIT_S)
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answers one request."""
