--- a/src/lagoonrill/_internal/state/class_queue.py
+++ b/src/lagoonrill/_internal/state/class_queue.py
@@ -39,7 +39,6 @@
         "wakeup",
         "latest_start",
         "wake_at",
-        "victim",
     )
 
     def __init__(self, *, ticket: Ticket, sequence: int, wakeup: threading.Event):
@@ -54,7 +53,6 @@
         self.wakeup = wakeup
         self.latest_start = ticket.deadline
         self.wake_at = ticket.deadline
-        self.victim: SlotGrant | None = None
 
     def end(
         self, *, grant: SlotGrant | None = None, error: RequestError | None = None
--- a/src/lagoonrill/_internal/state/request_queue.py
+++ b/src/lagoonrill/_internal/state/request_queue.py
@@ -27,7 +27,8 @@
 # released its slot after this time does not count as a slot that can be had.
 PREEMPTION_ANSWER_S = 1.0
 PREEMPTION_RECHECK_S = 0.05
-TEAM_LIMIT_RECHECK_S = 0.25
+# Used while a request cannot preempt anything, which may change with other requests.
+IDLE_RECHECK_S = 0.25
 MIN_RETRY_AFTER_S = 0.5
 MAX_RETRY_AFTER_S = 30.0
 MIN_TEAM_WEIGHT = 0.001
@@ -674,10 +675,19 @@
             return False
         if not self._is_lower_work_usable(entry, now):
             return False
-        if not self._is_victim_pending(entry, now):
+        if not self._is_usable_grant_signalled(entry, now):
             self._preempt_for(entry, now)
         return True
 
+    def _is_usable_grant_signalled(self, entry: Waiting, now: float) -> bool:
+        usable = self._usable_endpoints(entry.ticket)
+        return any(
+            grant.endpoint.id in usable
+            and now - grant.preempted_at < PREEMPTION_ANSWER_S
+            for queue in self._lower_queues(entry)
+            for grant in queue.signalled
+        )
+
     def _next_step_at(self, entry: Waiting, pool: Pool, now: float) -> float:
         times = [self._preemption_step_at(entry, pool, now)]
         if entry.latest_start > now:
@@ -700,20 +710,14 @@
         if due_at > now:
             return due_at
         if self._is_team_full(entry.team_key):
-            return now + TEAM_LIMIT_RECHECK_S
-        if self._is_victim_pending(entry, now):
-            return entry.victim.preempted_at + PREEMPTION_ANSWER_S
+            return now + IDLE_RECHECK_S
+        # A slot that is released for one request may go to another, so requests and
+        # signalled grants are counted and not paired.
         pending = pool.signalled_since(now - PREEMPTION_ANSWER_S)
-        if pending >= pool.waiting_up_to(entry.queue.tier):
-            return now + PREEMPTION_RECHECK_S
-        self._preempt_for(entry, now)
-        return now + PREEMPTION_ANSWER_S
-
-    def _is_victim_pending(self, entry: Waiting, now: float) -> bool:
-        victim = entry.victim
-        if victim is None or victim.released:
-            return False
-        return now - victim.preempted_at < PREEMPTION_ANSWER_S
+        is_wanted = pending < pool.waiting_up_to(entry.queue.tier)
+        if is_wanted and not self._preempt_for(entry, now):
+            return now + IDLE_RECHECK_S
+        return now + PREEMPTION_RECHECK_S
 
     def _preempt_for(self, entry: Waiting, now: float) -> bool:
         """Signals the newest grant of the lowest tier that the request can use."""
@@ -724,7 +728,6 @@
             for grant in reversed(queue.running):
                 if grant.preempted_at is None and is_preemptible(grant, usable):
                     self._signal(grant, queue, now)
-                    entry.victim = grant
                     return True
         return False
 
