--- a/src/lagoonrill/_internal/coordination/policy/endpoint_choice.py
+++ b/src/lagoonrill/_internal/coordination/policy/endpoint_choice.py
@@ -16,6 +16,9 @@
 # Larger than any other term: an endpoint that makes the target goes before one that
 # does not, in whichever zone it is.
 MISSED_TARGET_PENALTY_S = 60.0
+# For each multiple of the median's time per token. Ten times the zone penalty at twice
+# the time, so that a straggler is the last choice although its first token is in time.
+STRAGGLER_PENALTY_S = 0.1
 # A queue at the engine beyond its slots delays the first token by about this much for
 # each waiting request and slot.
 ENGINE_QUEUE_STEP_S = 1.0
@@ -50,7 +53,7 @@
     def cost(self, ticket: Ticket, view: EndpointView, now: float) -> float:
         """Returns the placement cost in seconds."""
         first_token_s = self._first_token_s(ticket, view)
-        cost_s = first_token_s
+        cost_s = first_token_s + (view.slowdown - 1.0) * STRAGGLER_PENALTY_S
         if view.endpoint.zone != self.zone:
             cost_s += OTHER_ZONE_PENALTY_S
         if self._misses_target(ticket, view, first_token_s, now):
--- a/src/lagoonrill/_internal/coordination/policy/retries.py
+++ b/src/lagoonrill/_internal/coordination/policy/retries.py
@@ -10,8 +10,10 @@
 RETRIES = Registry(decision="retries")
 
 BUDGET_SHARE = 0.1
-# A quiet instance may still retry a few requests; a burst cannot save up more.
+# A quiet instance may still retry a few requests; a burst cannot save up more. One that
+# has just started may retry as many as an engine has slots.
 MAX_BUDGET_TOKENS = 20.0
+FIRST_BUDGET_TOKENS = 8.0
 # A request without a first token after three times the usual time is hedged.
 HEDGE_AFTER_RATIO = 3.0
 MIN_HEDGE_DELAY_S = 0.2
@@ -32,7 +34,7 @@
 
     def __init__(self):
         self.lock = threading.Lock()
-        self.budget = 0.0
+        self.budget = FIRST_BUDGET_TOKENS
         self.retries: dict[str, int] = {}
         self.hedges: dict[str, int] = {}
         self.denied: dict[str, int] = {}
@@ -64,6 +66,8 @@
     """Token bucket: every request adds 0.1, every retry or hedge takes 1.
 
     >>> budget = RetryBudget()
+    >>> while budget.take_token():
+    ...     pass
     >>> for _ in range(11):
     ...     budget.note_request()
     >>> [budget.take_token(), budget.take_token()]
--- a/src/lagoonrill/_internal/state/endpoint_table.py
+++ b/src/lagoonrill/_internal/state/endpoint_table.py
@@ -161,8 +161,7 @@
 
     def record_change(self, delta: int, now: float) -> None:
         self.in_flight = max(0, self.in_flight + delta)
-        if self.report is not None:
-            self.changes.append((now, delta))
+        self.changes.append((now, delta))
         while self.changes and self.changes[0][0] < now - MAX_REPORT_AGE_S:
             self.changes.popleft()
 
