--- a/src/lagoonrill/_internal/state/endpoint_table.py
+++ b/src/lagoonrill/_internal/state/endpoint_table.py
@@ -3,7 +3,7 @@
 import threading
 import time
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Container
 
 import msgspec
 
@@ -233,18 +233,25 @@
             entry.leaving_sources.pop(MANIFEST_SOURCE, None)
         return entry
 
-    def candidates(self, target: str) -> list[EndpointView]:
-        """Returns the endpoints that may receive a request for the target now."""
+    def candidates(
+        self, target: str, *, among: Container[str] | None = None
+    ) -> list[EndpointView]:
+        """Returns the endpoints that may receive a request for the target now.
+
+        `among` limits the result to some endpoint ids; slowdowns are still relative to
+        all candidates.
+        """
         now = self.clock()
         with self.lock:
             entries = self.by_target.get(target, ())
             usable = [entry for entry in entries if entry.is_candidate(now)]
-            return self._views(usable, now)
-
-    def _views(self, entries: list[EndpointEntry], now: float) -> list[EndpointView]:
-        gap = median([e.token_gap.value() for e in entries])
-        first = median([e.first_token.value() for e in entries])
-        return [self._view(entry, gap, first, now) for entry in entries]
+            gap = median([e.token_gap.value() for e in usable])
+            first = median([e.first_token.value() for e in usable])
+            return [
+                self._view(entry, gap, first, now)
+                for entry in usable
+                if among is None or entry.endpoint.id in among
+            ]
 
     def _view(
         self, entry: EndpointEntry, gap: float, first: float, now: float
--- a/src/lagoonrill/_internal/state/request_queue.py
+++ b/src/lagoonrill/_internal/state/request_queue.py
@@ -300,14 +300,14 @@
         if not self._may_find_endpoint(entry, views):
             self._end_without_endpoint(entry, "every endpoint is down or leaving")
             return
-        error = self._refusal(entry, queue, pool, now)
+        error = self._refusal(entry, queue, pool, views, now)
         if error is not None:
             self._shed(entry, error[0], error[1], error[2], now)
             return
         self._enqueue(entry, queue)
         self._dispatch(pool, now)
         if not entry.is_ended:
-            self._wake(entry, now)
+            self._set_timer(entry, self._next_step_at(entry, pool, views, now))
 
     def _queue_key(self, ticket: Ticket) -> tuple[str, str]:
         return ticket.target, ticket.request_class.name
@@ -344,14 +344,19 @@
         return self.table.has_trial_running(entry.ticket.target)
 
     def _refusal(
-        self, entry: Waiting, queue: ClassQueue, pool: Pool, now: float
+        self,
+        entry: Waiting,
+        queue: ClassQueue,
+        pool: Pool,
+        views: list[EndpointView],
+        now: float,
     ) -> tuple[type[RequestError], str, str] | None:
         ticket = entry.ticket
         if ticket.resumes:
             return None
         if entry.latest_start <= now:
             return DeadlineExceeded, "deadline", "the deadline cannot be met any more"
-        outlook = self._outlook(ticket, queue, pool, now)
+        outlook = self._outlook(ticket, queue, pool, views, now)
         refusal = self.policy.admission.refuse(ticket, outlook)
         if refusal is None:
             return None
@@ -400,9 +405,13 @@
         return [other for other in queues if other.tier == queue.tier]
 
     def _outlook(
-        self, ticket: Ticket, queue: ClassQueue, pool: Pool, now: float
+        self,
+        ticket: Ticket,
+        queue: ClassQueue,
+        pool: Pool,
+        views: list[EndpointView],
+        now: float,
     ) -> Outlook:
-        views = self.table.candidates(ticket.target)
         return Outlook(
             now=now,
             class_waiting=len(queue.waiting),
@@ -511,9 +520,8 @@
         return bool(views[target])
 
     def _free_views(self, target: str, pool: Pool) -> list[EndpointView]:
-        if not any(self._room(item.id) for item in pool.endpoints[target]):
-            return []
-        return self._views_with_room(self.table.candidates(target))
+        free = {item.id for item in pool.endpoints[target] if self._room(item.id)}
+        return self.table.candidates(target, among=free) if free else []
 
     def _views_with_room(self, views: list[EndpointView]) -> list[EndpointView]:
         return [view for view in views if self._room(view.endpoint.id) > 0]
@@ -667,7 +675,7 @@
             detail = "the deadline passed before a slot was free"
             self._shed(entry, DeadlineExceeded, "deadline", detail, now)
             return
-        self._set_timer(entry, self._next_step_at(entry, pool, now))
+        self._set_timer(entry, self._next_step_at(entry, pool, views, now))
 
     def _keep_protected(self, entry: Waiting, now: float) -> bool:
         """Keeps a protected request while lower work holds a slot that it can use."""
@@ -688,8 +696,10 @@
             for grant in queue.signalled
         )
 
-    def _next_step_at(self, entry: Waiting, pool: Pool, now: float) -> float:
-        times = [self._preemption_step_at(entry, pool, now)]
+    def _next_step_at(
+        self, entry: Waiting, pool: Pool, views: list[EndpointView], now: float
+    ) -> float:
+        times = [self._preemption_step_at(entry, pool, views, now)]
         if entry.latest_start > now:
             times.append(entry.latest_start)
         else:
@@ -699,11 +709,13 @@
             times.append(probe_at)
         return min(times)
 
-    def _preemption_step_at(self, entry: Waiting, pool: Pool, now: float) -> float:
+    def _preemption_step_at(
+        self, entry: Waiting, pool: Pool, views: list[EndpointView], now: float
+    ) -> float:
         """Preempts if it is due and returns when to look again."""
         if not any(q.running and q.tier > entry.queue.tier for q in pool.queues):
             return float("inf")
-        outlook = self._outlook(entry.ticket, entry.queue, pool, now)
+        outlook = self._outlook(entry.ticket, entry.queue, pool, views, now)
         due_at = self.policy.preemption.due_at(entry.ticket, outlook)
         if due_at is None:
             return float("inf")
