Keep the slot shares cheap with many instances and endpoints

Cause: a heartbeat round computed a rendezvous rank for every member and endpoint, and the local uses listed all endpoints, which alone would exceed 13 KB/s at 600 endpoints. Change: divisions are kept until the members change, peers without an entry cost nothing, idle endpoints are left out of the local uses, and no request waits for the computation.

--- a/src/lagoonrill/_internal/state/request_queue.py
+++ b/src/lagoonrill/_internal/state/request_queue.py
@@ -134,8 +134,10 @@
 
     def update_peers(self, uses: dict[str, list[EndpointUse]]) -> None:
         """Takes the slots that all live peers use, from their last heartbeats."""
+        # A change of members costs a hash per member and endpoint; no request waits for
+        # it, since the shares have their own lock.
+        self.shares.update_peers(uses)
         with self.lock:
-            self.shares.update_peers(uses)
             self._shares_changed(self.clock())
 
     def refresh(self) -> None:
@@ -159,7 +161,10 @@
         queue.floor_slots = queue.request_class.floor * slots
 
     def local_uses(self) -> list[EndpointUse]:
-        """Returns slots in use and requests waiting per endpoint, for the heartbeat."""
+        """Returns slots in use and requests waiting per endpoint, for the heartbeat.
+
+        Endpoints without either are left out, which keeps the heartbeat small.
+        """
         with self.lock:
             waiting: dict[str, int] = {}
             for queue in self.queues.values():
@@ -172,7 +177,7 @@
                 for group in pool.endpoints.values()
                 for endpoint in group
             }
-            return [
+            uses = [
                 EndpointUse(
                     endpoint=endpoint.id,
                     in_use=self.in_use.get(endpoint.id, 0),
@@ -180,6 +185,7 @@
                 )
                 for endpoint in endpoints.values()
             ]
+            return [use for use in uses if use.in_use or use.waiting]
 
     # Requests.
 
--- a/src/lagoonrill/_internal/state/slots.py
+++ b/src/lagoonrill/_internal/state/slots.py
@@ -1,8 +1,9 @@
 """Shares of each endpoint's slots between the instances (design, section 5.4)."""
 
 import hashlib
+import heapq
 import threading
-from collections.abc import Iterable
+from collections.abc import Collection
 
 import msgspec
 
@@ -30,25 +31,35 @@
     shares: list[SlotShare]
 
 
-def base_shares(endpoint_id: str, slots: int, members: Iterable[str]) -> dict[str, int]:
-    """Divides slots evenly; the remainder goes by rendezvous hash.
+class Division:
+    """An even division of slots; the remainder goes by rendezvous hash.
 
     All instances that see the same members compute the same division:
 
-    >>> shares = base_shares("e1", 7, ["a", "b", "c"])
-    >>> sorted(shares.values()), shares == base_shares("e1", 7, ["c", "b", "a"])
-    ([2, 2, 3], True)
+    >>> division = Division("e1", 7, ["a", "b", "c"])
+    >>> shares = [division.base(member) for member in "abc"]
+    >>> sorted(shares)
+    [2, 2, 3]
+    >>> other = Division("e1", 7, ["c", "b", "a"])
+    >>> shares == [other.base(member) for member in "abc"]
+    True
     """
-    ranked = sorted(members, key=lambda member: _rank(endpoint_id, member))
-    each, remainder = divmod(slots, len(ranked))
-    return {
-        member: each + (position < remainder) for position, member in enumerate(ranked)
-    }
 
+    __slots__ = ("endpoint_id", "slots", "each", "favoured")
 
-def _rank(endpoint_id: str, member: str) -> bytes:
-    text = f"{endpoint_id}|{member}".encode()
-    return hashlib.blake2b(text, digest_size=8).digest()
+    def __init__(self, endpoint_id: str, slots: int, members: Collection[str]):
+        self.endpoint_id = endpoint_id
+        self.slots = slots
+        self.each, remainder = divmod(slots, len(members))
+        ranked = heapq.nsmallest(remainder, members, key=self._rank)
+        self.favoured = frozenset(ranked)
+
+    def _rank(self, member: str) -> bytes:
+        text = f"{self.endpoint_id}|{member}".encode()
+        return hashlib.blake2b(text, digest_size=8).digest()
+
+    def base(self, member: str) -> int:
+        return self.each + (member in self.favoured)
 
 
 class SlotShares:
@@ -64,7 +75,9 @@
         self.instance = instance
         self.lock = threading.Lock()
         self.slots: dict[str, int] = {}
-        self.uses: dict[str, dict[str, EndpointUse]] = {}
+        self.uses: dict[str, list[EndpointUse]] = {}
+        self.members: set[str] = set()
+        self.divisions: dict[str, Division] = {}
         self.shares: dict[str, SlotShare] = {}
 
     def apply_endpoints(self, endpoints: list[Endpoint]) -> None:
@@ -76,7 +89,7 @@
         """Takes the uses of all live peers; a peer left out has lost its share."""
         with self.lock:
             self.uses = {
-                peer: {use.endpoint: use for use in peer_uses}
+                peer: peer_uses
                 for peer, peer_uses in uses.items()
                 if peer != self.instance
             }
@@ -103,32 +116,50 @@
             return SlotSharesDump(members=members, shares=list(self.shares.values()))
 
     def _recompute(self) -> None:
+        members = [self.instance, *self.uses]
+        if self.members != set(members):
+            self.members = set(members)
+            self.divisions.clear()
+        uses = self._uses_by_endpoint()
         self.shares = {
-            endpoint_id: self._share(endpoint_id, slots)
+            endpoint_id: self._share(endpoint_id, slots, uses.get(endpoint_id, {}))
             for endpoint_id, slots in self.slots.items()
         }
 
-    def _share(self, endpoint_id: str, slots: int) -> SlotShare:
-        bases = base_shares(endpoint_id, slots, [self.instance, *self.uses])
+    def _uses_by_endpoint(self) -> dict[str, dict[str, EndpointUse]]:
+        uses: dict[str, dict[str, EndpointUse]] = {}
+        for peer, peer_uses in self.uses.items():
+            for use in peer_uses:
+                uses.setdefault(use.endpoint, {})[peer] = use
+        return uses
+
+    def _share(
+        self, endpoint_id: str, slots: int, uses: dict[str, EndpointUse]
+    ) -> SlotShare:
+        division = self.divisions.get(endpoint_id)
+        if division is None or division.slots != slots:
+            division = Division(endpoint_id, slots, self.members)
+            self.divisions[endpoint_id] = division
         return SlotShare(
             endpoint=endpoint_id,
             slots=slots,
-            base=bases[self.instance],
-            borrowable=self._borrowable(endpoint_id, bases),
+            base=division.base(self.instance),
+            borrowable=self._borrowable(division, uses),
         )
 
-    def _borrowable(self, endpoint_id: str, bases: dict[str, int]) -> int:
-        unused = 0
+    def _borrowable(self, division: Division, uses: dict[str, EndpointUse]) -> int:
+        # Peers without an entry use nothing, so only the entries need a look.
+        unused = division.slots - division.base(self.instance)
         borrowed = 0
         borrowers = [self.instance]
-        for peer, peer_uses in self.uses.items():
-            use = peer_uses.get(endpoint_id)
-            in_use = use.in_use if use else 0
-            waiting = use.waiting if use else 0
-            borrowed += max(0, in_use - bases[peer])
-            if waiting and in_use >= bases[peer]:
+        for peer, use in uses.items():
+            base = division.base(peer)
+            borrowed += max(0, use.in_use - base)
+            unused -= base if use.waiting else min(base, use.in_use)
+            if use.waiting and use.in_use >= base:
                 borrowers.append(peer)
-            elif not waiting:
-                unused += max(0, bases[peer] - in_use)
-        allotted = base_shares(f"borrow:{endpoint_id}", unused, borrowers)
-        return min(allotted[self.instance], max(0, unused - borrowed))
+        offered = unused - borrowed
+        if offered <= 0:
+            return 0
+        allotted = Division(f"borrow:{division.endpoint_id}", unused, borrowers)
+        return min(allotted.base(self.instance), offered)
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -4,7 +4,7 @@
 from scheduler_kit import PLAN, Kit, engine
 
 from lagoonrill._internal.protocol.messages import EndpointUse
-from lagoonrill._internal.state.slots import SlotShares, base_shares
+from lagoonrill._internal.state.slots import Division, SlotShares
 
 
 def shares_of(instance, slots, peers):
@@ -22,9 +22,10 @@
 @given(st.integers(0, 64), st.sets(st.text(min_size=1), min_size=1, max_size=9))
 def test_base_shares_add_up(slots, members):
     """Rounding must neither lose a slot nor give one to two instances."""
-    shares = base_shares("e1", slots, members)
-    assert sum(shares.values()) == slots
-    assert max(shares.values()) - min(shares.values()) <= 1
+    division = Division("e1", slots, members)
+    shares = [division.base(member) for member in members]
+    assert sum(shares) == slots
+    assert max(shares) - min(shares) <= 1
 
 
 def test_share_of_a_vanished_peer_returns():
