Let requests with a token-gap target wait for a better slot than a straggler's

Cause: with most slots in use, the only free one is often the straggler's; the requests that took it missed 72 ms between tokens although faster slots became free soon. Change: such a request declines a straggler for 80% of the time to its target, later than preemption is due; other classes may use the slot. At most 8 requests of a class decline in one dispatch.

--- a/bench/simulated_fleet.py
+++ b/bench/simulated_fleet.py
@@ -24,6 +24,8 @@
 REPORT_LAG_S = 0.3
 CACHE_EVENT_LAG_S = 0.3
 CACHE_EVENT_LOSS = 0.02
+# The relay tells the endpoint table the token gap after this many tokens.
+PROGRESS_TOKENS = 8
 REFUSED_RETRY_S = 0.01
 
 
@@ -268,6 +270,15 @@
             return
         if stream.request.first_token_at is None:
             stream.request.first_token_at = self.now
+        self.table.note_speed(
+            stream.engine.endpoint.id, first_token_s=self.now - stream.started_at
+        )
+        self.at(self.now + PROGRESS_TOKENS * stream.gap_s, self._progress, stream)
+
+    def _progress(self, stream: Stream) -> None:
+        if not stream.is_ended:
+            endpoint_id = stream.engine.endpoint.id
+            self.table.note_speed(endpoint_id, token_gap_s=stream.gap_s)
 
     def _finish(self, stream: Stream) -> None:
         if stream.is_ended:
@@ -301,10 +312,8 @@
         spent_s = self.now - stream.started_at
         request.spent_s += spent_s
         self.busy_s += spent_s
-        has_first = tokens > 0
         usage = Usage(
             tokens=tokens,
-            first_token_s=stream.first_at - stream.started_at if has_first else None,
             token_gap_s=stream.gap_s if tokens > 1 else None,
             failed=failed,
         )
--- a/src/lagoonrill/_internal/coordination/policy/endpoint_choice.py
+++ b/src/lagoonrill/_internal/coordination/policy/endpoint_choice.py
@@ -19,6 +19,11 @@
 # For each multiple of the median's time per token. Ten times the zone penalty at twice
 # the time, so that a straggler is the last choice although its first token is in time.
 STRAGGLER_PENALTY_S = 0.1
+# Load alone makes an engine up to about a quarter slower than the median.
+STRAGGLER_SLOWDOWN = 1.5
+# Preemption is due after half of the time to the target; a request takes a straggler
+# only if that did not get it a better slot.
+PATIENCE_SHARE = 0.8
 # A queue at the engine beyond its slots delays the first token by about this much for
 # each waiting request and slot.
 ENGINE_QUEUE_STEP_S = 1.0
@@ -39,7 +44,18 @@
         if trial is not None:
             return trial
         proven = [view for view in views if not view.trial] or views
-        return min(proven, key=lambda view: self.cost(ticket, view, now))
+        chosen = min(proven, key=lambda view: self.cost(ticket, view, now))
+        accepts_at = self.accepts_any_at(ticket)
+        is_patient = accepts_at is not None and now < accepts_at
+        if is_patient and self._is_too_slow(ticket, chosen):
+            return None
+        return chosen
+
+    def accepts_any_at(self, ticket: Ticket) -> float | None:
+        first_token_ms = ticket.request_class.latency.first_token_ms
+        if first_token_ms is None or ticket.resumes:
+            return None
+        return ticket.arrived_at + PATIENCE_SHARE * first_token_ms / 1000.0
 
     def _trial_for(
         self, ticket: Ticket, views: list[EndpointView]
@@ -75,15 +91,21 @@
         self, ticket: Ticket, view: EndpointView, first_token_s: float, now: float
     ) -> bool:
         latency = ticket.request_class.latency
-        if latency.token_gap_ms is not None and view.token_gap_s is not None:
-            gap_ms = view.token_gap_s * 1000.0
-            if gap_ms > latency.token_gap_ms and view.slowdown > 1.5:
-                return True
+        if self._is_too_slow(ticket, view):
+            return True
         due_at = ticket.deadline
         if latency.first_token_ms is not None:
             due_at = min(due_at, ticket.arrived_at + latency.first_token_ms / 1000.0)
         return now + first_token_s > due_at
 
+    def _is_too_slow(self, ticket: Ticket, view: EndpointView) -> bool:
+        """Tells whether a straggler would miss the target for the token gap."""
+        gap_ms = ticket.request_class.latency.token_gap_ms
+        if gap_ms is None or view.token_gap_s is None:
+            return False
+        is_straggler = view.slowdown > STRAGGLER_SLOWDOWN
+        return is_straggler and view.token_gap_s * 1000.0 > gap_ms
+
     def note_sent(self, ticket: Ticket, endpoint_id: str) -> None:
         self.prefixes.note_sent(endpoint_id, ticket.prompt_blocks)
 
@@ -105,6 +127,9 @@
         self.last[ticket.target] = chosen.endpoint.id
         return chosen
 
+    def accepts_any_at(self, ticket: Ticket) -> float | None:
+        return None
+
     def note_sent(self, ticket: Ticket, endpoint_id: str) -> None:
         pass
 
@@ -121,5 +146,8 @@
     ) -> EndpointView | None:
         return min(views, key=lambda view: view.in_flight)
 
+    def accepts_any_at(self, ticket: Ticket) -> float | None:
+        return None
+
     def note_sent(self, ticket: Ticket, endpoint_id: str) -> None:
         pass
--- a/src/lagoonrill/_internal/state/request_queue.py
+++ b/src/lagoonrill/_internal/state/request_queue.py
@@ -4,6 +4,7 @@
 import itertools
 import threading
 import time
+from collections import Counter
 from collections.abc import Callable
 
 import msgspec
@@ -29,6 +30,9 @@
 PREEMPTION_RECHECK_S = 0.05
 # Used while a request cannot preempt anything, which may change with other requests.
 IDLE_RECHECK_S = 0.25
+# Requests of a class that may decline the free endpoints in one dispatch, before the
+# class leaves them to other classes.
+MAX_DECLINED = 8
 MIN_RETRY_AFTER_S = 0.5
 MAX_RETRY_AFTER_S = 30.0
 MIN_TEAM_WEIGHT = 0.001
@@ -472,13 +476,20 @@
     def _dispatch(self, pool: Pool, now: float) -> None:
         """Grants free slots until none is free or nobody can use one.
 
-        Only requests that exclude endpoints are ever put aside, so the cost of a pick
-        does not grow with the number of waiting requests.
+        Requests that exclude the free endpoints are put aside, and a few that would
+        rather wait for a better one, so the cost of a pick does not grow with the
+        number of waiting requests.
         """
         views: dict[str, list[EndpointView]] = {}
         aside: list[Waiting] = []
+        closed: set[ClassQueue] = set()
+        declined: Counter[ClassQueue] = Counter()
         while True:
-            queues = [q for q in pool.queues if self._can_serve(q, pool, views)]
+            queues = [
+                queue
+                for queue in pool.queues
+                if queue not in closed and self._can_serve(queue, pool, views)
+            ]
             if not queues:
                 break
             pick = self.policy.queue_order.pick(queues)
@@ -486,6 +497,9 @@
             view = self._choose(entry.ticket, views[pick.queue.target], now)
             if view is None:
                 aside.append(pick.queue.set_head_aside())
+                declined[pick.queue] += not entry.ticket.excluded
+                if declined[pick.queue] >= MAX_DECLINED:
+                    closed.add(pick.queue)
                 continue
             self._grant(entry, view, by_floor=pick.by_floor, now=now)
             self._count_in_views(view.endpoint.id, views)
@@ -711,8 +725,8 @@
         else:
             times.append(now + PREEMPTION_RECHECK_S)
         probe_at = self.table.next_probe_at(entry.ticket.target)
-        if probe_at is not None and probe_at > now:
-            times.append(probe_at)
+        choose_at = self.policy.endpoint_choice.accepts_any_at(entry.ticket)
+        times += [at for at in (probe_at, choose_at) if at is not None and at > now]
         return min(times)
 
     def _preemption_step_at(
--- a/src/lagoonrill/_internal/state/scheduling.py
+++ b/src/lagoonrill/_internal/state/scheduling.py
@@ -62,7 +62,11 @@
 class EndpointChoice(Protocol):
     def choose(
         self, ticket: Ticket, views: list[EndpointView], now: float
-    ) -> EndpointView | None: ...
+    ) -> EndpointView | None:
+        """Returns None if the request should wait for a better endpoint."""
+
+    def accepts_any_at(self, ticket: Ticket) -> float | None:
+        """Returns when the request stops waiting for a better endpoint."""
 
     def note_sent(self, ticket: Ticket, endpoint_id: str) -> None: ...
 
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -11,8 +11,15 @@
 from lagoonrill._internal.coordination.policy.prefix_affinity import PrefixIndex
 from lagoonrill._internal.coordination.policy.retries import RetryBudget
 from lagoonrill._internal.protocol.errors import SettingsError
+from lagoonrill._internal.protocol.manifest import LatencyTarget, RequestClass
 
 ORDER = request_class("order", 0, repeatable=False)
+GAP = RequestClass(
+    name="gap",
+    tier=0,
+    latency=LatencyTarget(first_token_ms=1_000, token_gap_ms=72),
+    protected=True,
+)
 
 
 def test_settings_select_every_policy_and_refuse_others():
@@ -38,12 +45,21 @@
     assert kit.submit(COUNTER).grant.endpoint.id == "e1"
 
 
-def test_straggler_is_avoided():
-    """An engine at a fifth of the speed must be the last choice."""
-    kit = Kit(endpoints=[engine(f"e{n}", slots=1) for n in range(3)])
+def kit_with_straggler():
+    """Builds engines with one slot each, of which e0 has a fifth of the speed."""
+    kit = Kit(
+        endpoints=[engine(f"e{n}", slots=1) for n in range(3)],
+        classes=[GAP, LOOKUP, PLAN],
+    )
     for _ in range(3):
         for n, gap_s in enumerate((0.1, 0.02, 0.02)):
             kit.table.note_speed(f"e{n}", first_token_s=0.2, token_gap_s=gap_s)
+    return kit
+
+
+def test_straggler_is_avoided():
+    """An engine at a fifth of the speed must be the last choice."""
+    kit = kit_with_straggler()
     chosen = [kit.submit(LOOKUP).grant.endpoint.id for _ in range(2)]
     assert sorted(chosen) == ["e1", "e2"]
 
@@ -150,3 +166,24 @@
     )
     chosen = [kit.submit().grant.endpoint.id for _ in range(4)]
     assert sorted(chosen) == ["e1", "e1", "e2", "e2"]
+
+
+def test_question_waits_for_a_better_slot_than_a_stragglers():
+    """A free straggler must not cost a question its target while it has time."""
+    kit = kit_with_straggler()
+    running = [kit.submit(GAP) for _ in range(2)]
+    patient = kit.submit(GAP)
+    assert patient.grant is None
+    assert kit.submit(PLAN).grant.endpoint.id == "e0", "others may use the straggler"
+    kit.release(running[0])
+    assert patient.grant.endpoint.id != "e0"
+
+
+def test_question_takes_the_straggler_in_the_end():
+    """A question must not be shed while only a straggler is free."""
+    kit = kit_with_straggler()
+    entries = [kit.submit(GAP) for _ in range(3)]
+    kit.advance(0.79)
+    assert entries[2].grant is None
+    kit.advance(0.02)
+    assert entries[2].grant.endpoint.id == "e0"
