Preempt the stream that repeats the least

Cause: the newest plan was preempted whatever its prompt; a plan of 6,000 prompt tokens repeats three times the prefill of one with 2,000. Change: among the grants of the lowest tier the one with the fewest tokens to prefill again goes; the newest if equal. Floors keep a short plan from being chosen for ever.

--- a/src/lagoonrill/_internal/coordination/policy/preemption.py
+++ b/src/lagoonrill/_internal/coordination/policy/preemption.py
@@ -1,7 +1,7 @@
 """Preemption: when a waiting request may take the slot of lower-tier work."""
 
 from ...state.scheduling import Outlook
-from ...state.tickets import Ticket
+from ...state.tickets import SlotGrant, Ticket
 from .registry import Registry
 
 PREEMPTION = Registry(decision="preemption")
@@ -9,6 +9,8 @@
 # Share of the time to the target that a request waits for a slot to become free by
 # itself; preempting later would miss the target, earlier would repeat more prefill.
 PATIENCE_SHARE = 0.5
+# Usual speed of one stream, for comparing running streams only.
+TOKENS_PER_S = 40.0
 
 
 @PREEMPTION.register("default")
@@ -24,6 +26,11 @@
             return outlook.now
         return max(outlook.now, ticket.arrived_at + PATIENCE_SHARE * slack_s)
 
+    def victim_cost(self, grant: SlotGrant, now: float) -> float:
+        """Returns the tokens that are prefilled again when the stream goes on."""
+        generated = (now - grant.granted_at) * TOKENS_PER_S
+        return grant.ticket.prompt_tokens + generated
+
     def _target_s(self, ticket: Ticket) -> float:
         latency = ticket.request_class.latency
         target_ms = latency.first_token_ms or latency.whole_answer_ms
@@ -40,3 +47,6 @@
 
     def due_at(self, ticket: Ticket, outlook: Outlook) -> float | None:
         return None
+
+    def victim_cost(self, grant: SlotGrant, now: float) -> float:
+        return 0.0
--- a/src/lagoonrill/_internal/state/request_queue.py
+++ b/src/lagoonrill/_internal/state/request_queue.py
@@ -752,15 +752,22 @@
         return now + PREEMPTION_RECHECK_S
 
     def _preempt_for(self, entry: Waiting, now: float) -> bool:
-        """Signals the newest grant of the lowest tier that the request can use."""
+        """Signals the cheapest grant of the lowest tier that the request can use."""
         usable = self._usable_endpoints(entry.ticket)
         for queue in self._lower_queues(entry):
             if not queue.has_slots_beyond_floor():
                 continue
-            for grant in reversed(queue.running):
-                if grant.preempted_at is None and is_preemptible(grant, usable):
-                    self._signal(grant, queue, now)
-                    return True
+            victims = [
+                grant
+                for grant in reversed(queue.running)
+                if grant.preempted_at is None and is_preemptible(grant, usable)
+            ]
+            if victims:
+                # The newest goes if the costs are equal.
+                cost = self.policy.preemption.victim_cost
+                victim = min(victims, key=lambda grant: cost(grant, now))
+                self._signal(victim, queue, now)
+                return True
         return False
 
     def _signal(self, grant: SlotGrant, queue: ClassQueue, now: float) -> None:
--- a/src/lagoonrill/_internal/state/scheduling.py
+++ b/src/lagoonrill/_internal/state/scheduling.py
@@ -7,7 +7,7 @@
 
 from .class_queue import ClassQueue
 from .endpoint_table import EndpointView
-from .tickets import Ticket
+from .tickets import SlotGrant, Ticket
 
 
 class Outlook(msgspec.Struct, kw_only=True):
@@ -75,7 +75,11 @@
     # Whether protected requests outlast their deadline for lower work's slots.
     shields_protected: bool
 
-    def due_at(self, ticket: Ticket, outlook: Outlook) -> float | None: ...
+    def due_at(self, ticket: Ticket, outlook: Outlook) -> float | None:
+        """Returns when the request should preempt lower work, None for never."""
+
+    def victim_cost(self, grant: SlotGrant, now: float) -> float:
+        """Returns what preempting the grant would repeat; the lowest cost goes."""
 
 
 class OutputLength(Protocol):
