Preempt on a straggler only if nothing else can be preempted

Cause: a question preempted a plan on the straggler and then declined its slot. Change: grants on endpoints that the request would decline come last.

--- a/src/lagoonrill/_internal/coordination/policy/endpoint_choice.py
+++ b/src/lagoonrill/_internal/coordination/policy/endpoint_choice.py
@@ -47,7 +47,7 @@
         chosen = min(proven, key=lambda view: self.cost(ticket, view, now))
         accepts_at = self.accepts_any_at(ticket)
         is_patient = accepts_at is not None and now < accepts_at
-        if is_patient and self._is_too_slow(ticket, chosen):
+        if is_patient and not self.suits(ticket, chosen):
             return None
         return chosen
 
@@ -91,20 +91,20 @@
         self, ticket: Ticket, view: EndpointView, first_token_s: float, now: float
     ) -> bool:
         latency = ticket.request_class.latency
-        if self._is_too_slow(ticket, view):
+        if not self.suits(ticket, view):
             return True
         due_at = ticket.deadline
         if latency.first_token_ms is not None:
             due_at = min(due_at, ticket.arrived_at + latency.first_token_ms / 1000.0)
         return now + first_token_s > due_at
 
-    def _is_too_slow(self, ticket: Ticket, view: EndpointView) -> bool:
-        """Tells whether a straggler would miss the target for the token gap."""
+    def suits(self, ticket: Ticket, view: EndpointView) -> bool:
+        """Tells whether the token gap of the endpoint is no straggler's or in time."""
         gap_ms = ticket.request_class.latency.token_gap_ms
         if gap_ms is None or view.token_gap_s is None:
-            return False
+            return True
         is_straggler = view.slowdown > STRAGGLER_SLOWDOWN
-        return is_straggler and view.token_gap_s * 1000.0 > gap_ms
+        return not is_straggler or view.token_gap_s * 1000.0 <= gap_ms
 
     def note_sent(self, ticket: Ticket, endpoint_id: str) -> None:
         self.prefixes.note_sent(endpoint_id, ticket.prompt_blocks)
@@ -127,6 +127,9 @@
         self.last[ticket.target] = chosen.endpoint.id
         return chosen
 
+    def suits(self, ticket: Ticket, view: EndpointView) -> bool:
+        return True
+
     def accepts_any_at(self, ticket: Ticket) -> float | None:
         return None
 
@@ -146,6 +149,9 @@
     ) -> EndpointView | None:
         return min(views, key=lambda view: view.in_flight)
 
+    def suits(self, ticket: Ticket, view: EndpointView) -> bool:
+        return True
+
     def accepts_any_at(self, ticket: Ticket) -> float | None:
         return None
 
--- a/src/lagoonrill/_internal/state/request_queue.py
+++ b/src/lagoonrill/_internal/state/request_queue.py
@@ -752,9 +752,22 @@
         return now + PREEMPTION_RECHECK_S
 
     def _preempt_for(self, entry: Waiting, now: float) -> bool:
-        """Signals the cheapest grant of the lowest tier that the request can use."""
-        usable = self._usable_endpoints(entry.ticket)
-        for queue in self._lower_queues(entry):
+        """Signals the cheapest grant of the lowest tier that the request can use.
+
+        Endpoints that the request would decline are used only if there are no others.
+        """
+        ticket = entry.ticket
+        views = self.table.candidates(ticket.target)
+        views = [view for view in views if view.endpoint.id not in ticket.excluded]
+        suits = self.policy.endpoint_choice.suits
+        suitable = {view.endpoint.id for view in views if suits(ticket, view)}
+        if self._signal_cheapest(entry, suitable, now):
+            return True
+        usable = {view.endpoint.id for view in views} - suitable
+        return self._signal_cheapest(entry, usable, now)
+
+    def _signal_cheapest(self, entry: Waiting, usable: set[str], now: float) -> bool:
+        for queue in self._lower_queues(entry) if usable else ():
             if not queue.has_slots_beyond_floor():
                 continue
             victims = [
--- a/src/lagoonrill/_internal/state/scheduling.py
+++ b/src/lagoonrill/_internal/state/scheduling.py
@@ -65,6 +65,9 @@
     ) -> EndpointView | None:
         """Returns None if the request should wait for a better endpoint."""
 
+    def suits(self, ticket: Ticket, view: EndpointView) -> bool:
+        """Tells whether the request can meet its target on the endpoint."""
+
     def accepts_any_at(self, ticket: Ticket) -> float | None:
         """Returns when the request stops waiting for a better endpoint."""
 
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -187,3 +187,15 @@
     assert entries[2].grant is None
     kit.advance(0.02)
     assert entries[2].grant.endpoint.id == "e0"
+
+
+def test_preemption_spares_work_on_a_straggler():
+    """Taking a straggler's slot would waste a plan and still miss the target."""
+    kit = kit_with_straggler()
+    plans = [kit.submit(PLAN, prompt_tokens=9_000) for _ in range(2)]
+    plans.append(kit.submit(PLAN, prompt_tokens=10))
+    assert plans[2].grant.endpoint.id == "e0"
+    kit.submit(GAP)
+    kit.advance(0.6)
+    assert [plan.grant.preempted.is_set() for plan in plans].count(True) == 1
+    assert not plans[2].grant.preempted.is_set()
