Resume preempted streams where their prompt is cached

Cause: a preempted plan went on at the first free slot and prefilled its whole prompt again there, although its old engine still held it. Change: for 15 s a paused stream leaves a slot without half of its prompt to others in the queue; if nobody wants the slot, it takes it at once.

--- a/src/lagoonrill/_internal/coordination/policy/endpoint_choice.py
+++ b/src/lagoonrill/_internal/coordination/policy/endpoint_choice.py
@@ -24,6 +24,9 @@
 # Preemption is due after half of the time to the target; a request takes a straggler
 # only if that did not get it a better slot.
 PATIENCE_SHARE = 0.8
+# A preempted stream leaves a slot to other requests for this time if its prompt is not
+# cached there. A small cache has replaced most of the prompt by then.
+RESUME_PATIENCE_S = 15.0
 # A queue at the engine beyond its slots delays the first token by about this much for
 # each waiting request and slot.
 ENGINE_QUEUE_STEP_S = 1.0
@@ -38,7 +41,7 @@
         self.prefixes = prefixes
 
     def choose(
-        self, ticket: Ticket, views: list[EndpointView], now: float
+        self, ticket: Ticket, views: list[EndpointView], now: float, last_call: bool
     ) -> EndpointView | None:
         trial = self._trial_for(ticket, views)
         if trial is not None:
@@ -49,8 +52,17 @@
         is_patient = accepts_at is not None and now < accepts_at
         if is_patient and not self.suits(ticket, chosen):
             return None
+        if not last_call and self._would_repeat(ticket, chosen, now):
+            return None
         return chosen
 
+    def _would_repeat(self, ticket: Ticket, view: EndpointView, now: float) -> bool:
+        """Tells whether a stream should rather go on where its prompt is cached."""
+        if ticket.paused_at is None or now > ticket.paused_at + RESUME_PATIENCE_S:
+            return False
+        cached = self.prefixes.cached_blocks(view.endpoint.id, ticket.prompt_blocks)
+        return 2 * cached < len(ticket.prompt_blocks)
+
     def accepts_any_at(self, ticket: Ticket) -> float | None:
         first_token_ms = ticket.request_class.latency.first_token_ms
         if first_token_ms is None or ticket.resumes:
@@ -118,7 +130,7 @@
         self.last: dict[str, str] = {}
 
     def choose(
-        self, ticket: Ticket, views: list[EndpointView], now: float
+        self, ticket: Ticket, views: list[EndpointView], now: float, last_call: bool
     ) -> EndpointView | None:
         ordered = sorted(views, key=lambda view: view.endpoint.id)
         last = self.last.get(ticket.target, "")
@@ -145,7 +157,7 @@
         pass
 
     def choose(
-        self, ticket: Ticket, views: list[EndpointView], now: float
+        self, ticket: Ticket, views: list[EndpointView], now: float, last_call: bool
     ) -> EndpointView | None:
         return min(views, key=lambda view: view.in_flight)
 
--- a/src/lagoonrill/_internal/state/request_queue.py
+++ b/src/lagoonrill/_internal/state/request_queue.py
@@ -480,6 +480,11 @@
         rather wait for a better one, so the cost of a pick does not grow with the
         number of waiting requests.
         """
+        if self._dispatch_round(pool, now, last_call=False):
+            self._dispatch_round(pool, now, last_call=True)
+        self._watch_targets(pool, now)
+
+    def _dispatch_round(self, pool: Pool, now: float, *, last_call: bool) -> bool:
         views: dict[str, list[EndpointView]] = {}
         aside: list[Waiting] = []
         closed: set[ClassQueue] = set()
@@ -494,7 +499,7 @@
                 break
             pick = self.policy.queue_order.pick(queues)
             entry = pick.queue.head(self._is_team_full)
-            view = self._choose(entry.ticket, views[pick.queue.target], now)
+            view = self._choose(entry.ticket, views[pick.queue.target], now, last_call)
             if view is None:
                 aside.append(pick.queue.set_head_aside())
                 declined[pick.queue] += not entry.ticket.excluded
@@ -505,7 +510,7 @@
             self._count_in_views(view.endpoint.id, views)
         for entry in aside:
             entry.queue.restore(entry)
-        self._watch_targets(pool, now)
+        return bool(aside)
 
     def _watch_targets(self, pool: Pool, now: float) -> None:
         """Sets timers for trials and ends the wait for targets that have no endpoint.
@@ -551,12 +556,12 @@
         return max(0, self.limits.get(endpoint_id, 0) - used)
 
     def _choose(
-        self, ticket: Ticket, views: list[EndpointView], now: float
+        self, ticket: Ticket, views: list[EndpointView], now: float, last_call: bool
     ) -> EndpointView | None:
         usable = [v for v in views if v.endpoint.id not in ticket.excluded]
         if not usable:
             return None
-        return self.policy.endpoint_choice.choose(ticket, usable, now)
+        return self.policy.endpoint_choice.choose(ticket, usable, now, last_call)
 
     def _grant(
         self, entry: Waiting, view: EndpointView, *, by_floor: bool, now: float
@@ -649,7 +654,7 @@
         counters.wasted_tokens += usage.wasted_tokens
         counters.failed += usage.failed
         if preempted and not usage.failed:
-            ticket.resumes = True
+            ticket.paused_at = now
         actual = self.policy.team_fairness.cost(ticket.prompt_tokens, usage.tokens)
         team_key = self.policy.team_fairness.team_key(ticket)
         queue.correct(team_key, actual - grant.estimated_cost)
--- a/src/lagoonrill/_internal/state/scheduling.py
+++ b/src/lagoonrill/_internal/state/scheduling.py
@@ -61,9 +61,12 @@
 
 class EndpointChoice(Protocol):
     def choose(
-        self, ticket: Ticket, views: list[EndpointView], now: float
+        self, ticket: Ticket, views: list[EndpointView], now: float, last_call: bool
     ) -> EndpointView | None:
-        """Returns None if the request should wait for a better endpoint."""
+        """Returns None if the request should wait for a better endpoint.
+
+        On the last call no other request wants the endpoints.
+        """
 
     def suits(self, ticket: Ticket, view: EndpointView) -> bool:
         """Tells whether the request can meet its target on the endpoint."""
--- a/src/lagoonrill/_internal/state/tickets.py
+++ b/src/lagoonrill/_internal/state/tickets.py
@@ -20,8 +20,8 @@
 
     `deadline` is the latest time at which the request is still worth starting.
     `excluded` holds the ids of endpoints that already failed for this request.
-    `resumes` is set once a stream was preempted: it was accepted and keeps its tokens,
-    so neither its deadline nor a queue limit applies while it waits to go on.
+    `paused_at` is set when a stream was preempted. It was accepted and keeps its
+    tokens, so neither its deadline nor a queue limit applies while it waits to go on.
     """
 
     request_id: str
@@ -33,7 +33,11 @@
     prompt_tokens: int = 0
     prompt_blocks: tuple[int, ...] = ()
     excluded: set[str] = msgspec.field(default_factory=set)
-    resumes: bool = False
+    paused_at: float | None = None
+
+    @property
+    def resumes(self) -> bool:
+        return self.paused_at is not None
 
 
 class SlotGrant(msgspec.Struct, kw_only=True, eq=False):
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -199,3 +199,35 @@
     kit.advance(0.6)
     assert [plan.grant.preempted.is_set() for plan in plans].count(True) == 1
     assert not plans[2].grant.preempted.is_set()
+
+
+def kit_with_paused_plan():
+    """Builds one engine with a plan that runs, and one whose prompt is not cached."""
+    kit = Kit(endpoints=[engine("e1", slots=1)])
+    running = kit.submit(PLAN)
+    paused = kit.ticket(PLAN, prompt_blocks=(1, 2, 3), paused_at=kit.clock())
+    return kit, running, kit.scheduler.submit(paused)
+
+
+def test_paused_stream_leaves_a_slot_without_its_prompt_to_others():
+    """A preempted plan must not prefill again while another plan needs the slot."""
+    kit, running, paused = kit_with_paused_plan()
+    other = kit.submit(PLAN)
+    kit.release(running)
+    assert other.grant is not None and paused.grant is None
+
+
+def test_paused_stream_takes_any_slot_that_nobody_wants():
+    """A slot must not idle because a prompt is cached elsewhere."""
+    kit, running, paused = kit_with_paused_plan()
+    kit.release(running)
+    assert paused.grant is not None
+
+
+def test_paused_stream_is_patient_for_a_limited_time():
+    """A plan whose engine is gone must not wait behind new plans for ever."""
+    kit, running, paused = kit_with_paused_plan()
+    kit.advance(16)
+    other = kit.submit(PLAN)
+    kit.release(running)
+    assert paused.grant is not None and other.grant is None
