Let small teams catch up, and spare protected work from unprotected requests

Cause: (1) a team that was idle started at the present virtual time, so its short random bursts waited behind a team that always has requests: others lost up to 1.8 points of attainment with one team at ten times its share, close to the limit of 2. (2) A protected class of a lower tier could be preempted by an unprotected one of tier 0. Change: an idle team may start up to 4 mean requests behind virtual time; protected work makes room for protected work of a higher tier only. Both new tests fail without.

--- a/src/lagoonrill/_internal/state/class_queue.py
+++ b/src/lagoonrill/_internal/state/class_queue.py
@@ -18,6 +18,10 @@
 FLOOR_PRICE_SLOT_S = 1.0
 # A correction may make a pick almost free, but virtual time must always advance.
 MIN_CHARGE_SHARE = 0.1
+# A team that stayed below its share may catch up with this many requests in a row, so
+# that its short bursts do not wait for a team that always has requests.
+BURST_PICKS = 4
+COST_SAMPLE_WEIGHT = 0.05
 MIN_STALE_ENTRIES = 16
 
 
@@ -115,6 +119,7 @@
         self.running: dict[SlotGrant, None] = {}
         self.signalled: dict[SlotGrant, None] = {}
         self.virtual_time = 0.0
+        self.mean_cost = 0.0
         self.class_tag = 0.0
         self.floor_slots = 0.0
         self.credit = 0.0
@@ -139,7 +144,8 @@
     def _list(self, team: TeamQueue) -> None:
         if team.listed or team.name in self.blocked:
             return
-        team.start_tag = max(team.start_tag, self.virtual_time)
+        earliest = self.virtual_time - BURST_PICKS * self.mean_cost / team.weight
+        team.start_tag = max(team.start_tag, earliest)
         team.listed = True
         heapq.heappush(self.ready, (team.start_tag, next(self.sequence), team))
 
@@ -169,6 +175,7 @@
         entry = team.pop()
         del self.waiting[entry]
         self.virtual_time = max(self.virtual_time, team.start_tag)
+        self.mean_cost += COST_SAMPLE_WEIGHT * (cost - self.mean_cost)
         charge = max(cost + team.correction, MIN_CHARGE_SHARE * cost)
         team.correction += cost - charge
         team.start_tag += charge / team.weight
--- a/src/lagoonrill/_internal/state/request_queue.py
+++ b/src/lagoonrill/_internal/state/request_queue.py
@@ -778,7 +778,8 @@
             victims = [
                 grant
                 for grant in reversed(queue.running)
-                if grant.preempted_at is None and is_preemptible(grant, usable)
+                if grant.preempted_at is None
+                and is_preemptible(grant, usable, entry.ticket)
             ]
             if victims:
                 # The newest goes if the costs are equal.
@@ -803,7 +804,8 @@
             return False
         usable = self._usable_endpoints(ticket)
         return any(
-            is_preemptible(grant, usable) and self._can_be_had(grant, queue, now)
+            is_preemptible(grant, usable, entry.ticket)
+            and self._can_be_had(grant, queue, now)
             for queue in self._lower_queues(entry)
             for grant in queue.running
         )
@@ -888,9 +890,16 @@
     return entry.is_ended or entry.wake_at != wake_at
 
 
-def is_preemptible(grant: SlotGrant, usable: set[str]) -> bool:
-    """Tells whether a grant runs a resumable stream on one of the endpoints."""
-    resumable = grant.ticket.request_class.repeatable and not grant.by_floor
+def is_preemptible(grant: SlotGrant, usable: set[str], ticket: Ticket) -> bool:
+    """Tells whether a waiting ticket may take the slot on one of the endpoints.
+
+    The stream must be resumable and not paid for by its class's floor. Protected work
+    makes room for protected work of a higher tier only.
+    """
+    running = grant.ticket.request_class
+    if running.protected and not ticket.request_class.protected:
+        return False
+    resumable = running.repeatable and not grant.by_floor
     return resumable and grant.endpoint.id in usable
 
 
--- a/tests/test_scheduler_overload.py
+++ b/tests/test_scheduler_overload.py
@@ -95,9 +95,9 @@
         check_protection(1, preemption=PREEMPTION.get("fifo_round_robin")())
 
 
-def attainment_of_others(teams, **replaced) -> float:
+def attainment_of_others(teams, seed, **replaced) -> float:
     rate = 0.55 * len(teams)
-    fleet = run(arrivals(LOOKUP, rate, 45, teams=teams), **replaced)
+    fleet = run(arrivals(LOOKUP, rate, 45, teams=teams, seed=seed), **replaced)
     # The last arrivals cannot all be answered before the run ends.
     others = [
         r
@@ -110,21 +110,22 @@
     return len(in_time) / len(others)
 
 
-def check_fairness(**replaced):
+def check_fairness(seed, **replaced):
     """A team at ten times its share costs the others under 2 points."""
     names = [f"t{n}" for n in range(10)]
-    calm = attainment_of_others(names, **replaced)
-    heavy = attainment_of_others(names + ["t0"] * 9, **replaced)
+    calm = attainment_of_others(names, seed, **replaced)
+    heavy = attainment_of_others(names + ["t0"] * 9, seed, **replaced)
     assert heavy > calm - 0.02, f"attainment fell from {calm:.3f} to {heavy:.3f}"
 
 
-def test_heavy_team_does_not_cost_the_others():
-    check_fairness()
+@pytest.mark.parametrize("seed", range(1, 4))
+def test_heavy_team_does_not_cost_the_others(seed):
+    check_fairness(seed)
 
 
 def test_fairness_check_fails_in_order_of_arrival():
     with pytest.raises(AssertionError, match="attainment fell"):
-        check_fairness(team_fairness=TEAM_FAIRNESS.get("fifo_round_robin")())
+        check_fairness(1, team_fairness=TEAM_FAIRNESS.get("fifo_round_robin")())
 
 
 def test_every_plan_of_an_overload_ends():
--- a/tests/test_scheduler_rules.py
+++ b/tests/test_scheduler_rules.py
@@ -291,3 +291,27 @@
     assert not running.grant.preempted.is_set()
     kit.scheduler.release(running.grant, Usage(tokens=5))
     assert plan.grant is not None and question.grant is None
+
+
+def test_team_below_its_share_catches_up():
+    """A short burst of a small team must not wait for a team that always has work."""
+    kit = Kit(endpoints=[engine("e1", slots=1)])
+    entries = [kit.submit(LOOKUP, "oak") for _ in range(20)]
+    served = serve_in_turn(kit, entries, 10)
+    entries += [kit.submit(LOOKUP, "elm") for _ in range(4)]
+    served += serve_in_turn(kit, entries, 6)
+    assert served[10:].count("elm") >= 4
+
+
+def test_protected_work_is_preempted_for_protected_work_only():
+    """A question of a lower tier must keep its slot against unprotected requests."""
+    urgent = request_class("urgent", 0)
+    question = request_class("question", 1, protected=True)
+    for waiting, preempted in ((urgent, False), (COUNTER, True)):
+        kit = Kit(
+            endpoints=[engine("e1", slots=1)], classes=[COUNTER, urgent, question]
+        )
+        running = kit.submit(question)
+        kit.submit(waiting, wait_s=5)
+        kit.advance(2)
+        assert running.grant.preempted.is_set() == preempted
