Split the scheduler into ledger, forecast, preemption and counters

Change: one module per job; no behaviour changes. Conclusion: the parts can be read and changed alone.

--- a/bench/pick_cost.py
+++ b/bench/pick_cost.py
@@ -66,7 +66,7 @@
     return scheduler.submit(
         Ticket(
             request_id="",
-            team=f"t{draw.randrange(len(scheduler.teams))}",
+            team=f"t{draw.randrange(len(scheduler.ledger.teams))}",
             request_class=draw.choice(classes),
             target="m",
             arrived_at=now,
--- a/src/lagoonrill/_internal/coordination/policy/admission.py
+++ b/src/lagoonrill/_internal/coordination/policy/admission.py
@@ -11,17 +11,17 @@
 HOPELESS_WAIT_RATIO = 3.0
 
 
-def queue_refusal(ticket: Ticket, outlook: Outlook) -> Refusal | None:
+def queue_refusal(
+    ticket: Ticket, outlook: Outlook, total_waiting: int, total_limit: int
+) -> Refusal | None:
     """Refuses when the class's queue or the whole queue is full."""
     limit = ticket.request_class.max_queue
     if outlook.class_waiting >= limit:
         return Refusal(
             reason="class_queue_full", detail=f"{limit} requests of the class wait"
         )
-    if outlook.total_waiting >= outlook.total_limit:
-        return Refusal(
-            reason="queue_full", detail=f"{outlook.total_limit} requests wait"
-        )
+    if total_waiting >= total_limit:
+        return Refusal(reason="queue_full", detail=f"{total_limit} requests wait")
     return None
 
 
@@ -31,8 +31,10 @@
 
     displaces_lower_tiers = True
 
-    def refuse(self, ticket: Ticket, outlook: Outlook) -> Refusal | None:
-        refusal = queue_refusal(ticket, outlook)
+    def refuse(
+        self, ticket: Ticket, outlook: Outlook, *, total_waiting: int, total_limit: int
+    ) -> Refusal | None:
+        refusal = queue_refusal(ticket, outlook, total_waiting, total_limit)
         if refusal is not None or ticket.request_class.protected:
             return refusal
         remaining_s = ticket.deadline - outlook.now
@@ -50,5 +52,7 @@
 
     displaces_lower_tiers = False
 
-    def refuse(self, ticket: Ticket, outlook: Outlook) -> Refusal | None:
-        return queue_refusal(ticket, outlook)
+    def refuse(
+        self, ticket: Ticket, outlook: Outlook, *, total_waiting: int, total_limit: int
+    ) -> Refusal | None:
+        return queue_refusal(ticket, outlook, total_waiting, total_limit)
--- /dev/null
+++ b/src/lagoonrill/_internal/state/preemption.py
@@ -0,0 +1,163 @@
+"""Takes slots from running work of lower tiers for waiting requests."""
+
+from .class_queue import ClassQueue, Waiting
+from .endpoint_table import EndpointTable, EndpointView
+from .forecast import Forecast
+from .pools import Pool
+from .scheduler_counters import SchedulerCounters
+from .scheduling import SchedulingPolicy
+from .slot_ledger import SlotLedger
+from .tickets import SlotGrant, Ticket
+
+# A stream checks for preemption between tokens (72 ms at the target). One that has not
+# released its slot after this time does not count as a slot that can be had.
+PREEMPTION_ANSWER_S = 1.0
+PREEMPTION_RECHECK_S = 0.05
+# Used while a request cannot preempt anything, which may change with other requests.
+IDLE_RECHECK_S = 0.25
+
+
+class Preemptor:
+    """Signals running grants; all methods need the scheduler's lock."""
+
+    def __init__(
+        self,
+        *,
+        policy: SchedulingPolicy,
+        table: EndpointTable,
+        ledger: SlotLedger,
+        forecast: Forecast,
+        counters: SchedulerCounters,
+    ):
+        self.policy = policy
+        self.table = table
+        self.ledger = ledger
+        self.forecast = forecast
+        self.counters = counters
+
+    def keep_protected(self, entry: Waiting, pool: Pool, now: float) -> bool:
+        """Keeps a protected request while lower work holds a slot that it can use."""
+        if not entry.ticket.request_class.protected:
+            return False
+        if not self.is_lower_work_usable(entry, pool, now):
+            return False
+        if not self._is_usable_grant_signalled(entry, pool, now):
+            self._preempt_for(entry, pool, now)
+        return True
+
+    def _is_usable_grant_signalled(
+        self, entry: Waiting, pool: Pool, now: float
+    ) -> bool:
+        usable = self._usable_endpoints(entry.ticket)
+        return any(
+            grant.endpoint.id in usable
+            and now - grant.preempted_at < PREEMPTION_ANSWER_S
+            for queue in lower_queues(entry, pool)
+            for grant in queue.signalled
+        )
+
+    def step_at(
+        self, entry: Waiting, pool: Pool, views: list[EndpointView], now: float
+    ) -> float:
+        """Preempts if it is due and returns when to look again."""
+        if not any(q.running and q.tier > entry.queue.tier for q in pool.queues):
+            return float("inf")
+        outlook = self.forecast.outlook(entry.ticket, entry.queue, pool, views, now)
+        due_at = self.policy.preemption.due_at(entry.ticket, outlook)
+        if due_at is None:
+            return float("inf")
+        if due_at > now:
+            return due_at
+        if self.ledger.is_team_full(entry.team_key):
+            return now + IDLE_RECHECK_S
+        # A slot that is released for one request may go to another, so requests and
+        # signalled grants are counted and not paired.
+        pending = pool.signalled_since(now - PREEMPTION_ANSWER_S)
+        is_wanted = pending < pool.waiting_up_to(entry.queue.tier)
+        if is_wanted and not self._preempt_for(entry, pool, now):
+            return now + IDLE_RECHECK_S
+        return now + PREEMPTION_RECHECK_S
+
+    def _preempt_for(self, entry: Waiting, pool: Pool, now: float) -> bool:
+        """Signals the cheapest grant of the lowest tier that the request can use.
+
+        Endpoints that the request would decline are used only if there are no others.
+        """
+        ticket = entry.ticket
+        views = self.table.candidates(ticket.target)
+        views = [view for view in views if view.endpoint.id not in ticket.excluded]
+        suits = self.policy.endpoint_choice.suits
+        suitable = {view.endpoint.id for view in views if suits(ticket, view)}
+        if self._signal_cheapest(entry, pool, suitable, now):
+            return True
+        usable = {view.endpoint.id for view in views} - suitable
+        return self._signal_cheapest(entry, pool, usable, now)
+
+    def _signal_cheapest(
+        self, entry: Waiting, pool: Pool, usable: set[str], now: float
+    ) -> bool:
+        for queue in lower_queues(entry, pool) if usable else ():
+            if not queue.has_slots_beyond_floor():
+                continue
+            victims = [
+                grant
+                for grant in reversed(queue.running)
+                if grant.preempted_at is None
+                and is_preemptible(grant, usable, entry.ticket)
+            ]
+            if victims:
+                # The newest goes if the costs are equal.
+                cost = self.policy.preemption.victim_cost
+                victim = min(victims, key=lambda grant: cost(grant, now))
+                self._signal(victim, queue, now)
+                return True
+        return False
+
+    def _signal(self, grant: SlotGrant, queue: ClassQueue, now: float) -> None:
+        grant.preempted_at = now
+        grant.preempted.set()
+        queue.signalled[grant] = None
+        self.counters.of(grant.ticket.request_class).preempted += 1
+
+    def is_lower_work_usable(self, entry: Waiting, pool: Pool, now: float) -> bool:
+        """Tells whether lower-tier work holds a slot that the request could use."""
+        ticket = entry.ticket
+        if not self.policy.preemption.shields_protected:
+            return False
+        if self.ledger.is_team_full(self.policy.team_fairness.team_key(ticket)):
+            return False
+        usable = self._usable_endpoints(ticket)
+        return any(
+            is_preemptible(grant, usable, entry.ticket)
+            and self._can_be_had(grant, queue, now)
+            for queue in lower_queues(entry, pool)
+            for grant in queue.running
+        )
+
+    def _can_be_had(self, grant: SlotGrant, queue: ClassQueue, now: float) -> bool:
+        if grant.preempted_at is not None:
+            return now - grant.preempted_at < PREEMPTION_ANSWER_S
+        return queue.has_slots_beyond_floor()
+
+    def _usable_endpoints(self, ticket: Ticket) -> set[str]:
+        views = self.table.candidates(ticket.target)
+        return {view.endpoint.id for view in views} - ticket.excluded
+
+
+def lower_queues(entry: Waiting, pool: Pool) -> list[ClassQueue]:
+    """Returns the queues of lower tiers, the lowest first."""
+    tier = entry.ticket.request_class.tier
+    return [queue for queue in reversed(pool.queues) if queue.tier > tier]
+
+
+def is_preemptible(grant: SlotGrant, usable: set[str], ticket: Ticket) -> bool:
+    """Tells whether a waiting ticket may take the slot on one of the endpoints.
+
+    The stream must be resumable and not paid for by its class's floor. Protected work
+    makes room for protected work of a higher tier only.
+    """
+    running = grant.ticket.request_class
+    if running.protected and not ticket.request_class.protected:
+        return False
+    resumable = running.repeatable and not grant.by_floor
+    return resumable and grant.endpoint.id in usable
--- a/src/lagoonrill/_internal/state/request_queue.py
+++ b/src/lagoonrill/_internal/state/request_queue.py
@@ -10,12 +10,16 @@
 import msgspec
 
 from ..protocol.errors import DeadlineExceeded, NoEndpoint, Overloaded, RequestError
-from ..protocol.manifest import Manifest, RequestClass, Team
+from ..protocol.manifest import Manifest, RequestClass
 from ..protocol.messages import EndpointUse
 from .class_queue import ClassQueue, Waiting
 from .endpoint_table import EndpointTable, EndpointView, targets_of
+from .forecast import Forecast
 from .pools import Pool, build_pools
-from .scheduling import Outlook, SchedulingPolicy
+from .preemption import PREEMPTION_RECHECK_S, Preemptor
+from .scheduler_counters import ClassCounters, SchedulerCounters
+from .scheduling import SchedulingPolicy
+from .slot_ledger import SlotLedger
 from .slots import SlotShares
 from .tickets import Cancelled, SlotGrant, Ticket, Usage
 
@@ -24,12 +28,6 @@
 # One thread waits for each request, so this exceeds the callers' threads (640) by
 # default and bounds the memory of a driver that submits without threads.
 MAX_WAITING = 4_000
-# A stream checks for preemption between tokens (72 ms at the target). One that has not
-# released its slot after this time does not count as a slot that can be had.
-PREEMPTION_ANSWER_S = 1.0
-PREEMPTION_RECHECK_S = 0.05
-# Used while a request cannot preempt anything, which may change with other requests.
-IDLE_RECHECK_S = 0.25
 # Requests of a class that may decline the free endpoints in one dispatch, before the
 # class leaves them to other classes.
 MAX_DECLINED = 8
@@ -38,20 +36,6 @@
 MIN_TEAM_WEIGHT = 0.001
 
 
-class ClassCounters(msgspec.Struct, kw_only=True):
-    """Counters of one class since the start; `sheds` is by reason."""
-
-    granted: int = 0
-    granted_by_floor: int = 0
-    preempted: int = 0
-    failed: int = 0
-    cancelled: int = 0
-    tokens: int = 0
-    wasted_tokens: int = 0
-    longest_wait_s: float = 0.0
-    sheds: dict[str, int] = {}
-
-
 class QueueDump(msgspec.Struct, kw_only=True):
     """One class queue in the state dump."""
 
@@ -98,15 +82,20 @@
         self.pools: dict[str, Pool] = {}
         self.queues: dict[tuple[str, str], ClassQueue] = {}
         self.classes: dict[str, RequestClass] = {}
-        self.teams: dict[str, Team] = {}
         self.top_tier = 0
-        self.limits: dict[str, int] = {}
-        self.in_use: dict[str, int] = {}
-        self.team_in_use: dict[str, int] = {}
         self.entries: dict[Ticket, Waiting] = {}
         self.timers: list[tuple[float, int, Waiting]] = []
         self.sequence = itertools.count()
-        self.counters: dict[str, ClassCounters] = {}
+        self.counters = SchedulerCounters()
+        self.ledger = SlotLedger(limits_teams=policy.team_fairness.limits_in_flight)
+        self.forecast = Forecast(policy=policy, ledger=self.ledger)
+        self.preemptor = Preemptor(
+            policy=policy,
+            table=table,
+            ledger=self.ledger,
+            forecast=self.forecast,
+            counters=self.counters,
+        )
         table.subscribe(self.refresh)
 
     # Configuration.
@@ -116,7 +105,7 @@
         with self.lock:
             now = self.clock()
             self.classes = {item.name: item for item in manifest.classes}
-            self.teams = {team.name: team for team in manifest.teams}
+            self.ledger.teams = {team.name: team for team in manifest.teams}
             tiers = [item.tier for item in manifest.classes]
             self.top_tier = min(tiers, default=0)
             self.shares.apply_endpoints(manifest.endpoints)
@@ -150,7 +139,7 @@
             self._dispatch_all(self.clock())
 
     def _shares_changed(self, now: float) -> None:
-        self.limits = self.shares.limits()
+        self.ledger.limits = self.shares.limits()
         for queue in self.queues.values():
             self._set_floor(queue)
         self._dispatch_all(now)
@@ -172,7 +161,7 @@
         with self.lock:
             waiting: dict[str, int] = {}
             for queue in self.queues.values():
-                if queue.head(self._is_team_full) is not None:
+                if queue.head(self.ledger.is_team_full) is not None:
                     total = waiting.get(queue.target, 0) + len(queue.waiting)
                     waiting[queue.target] = total
             endpoints = {
@@ -184,7 +173,7 @@
             uses = [
                 EndpointUse(
                     endpoint=endpoint.id,
-                    in_use=self.in_use.get(endpoint.id, 0),
+                    in_use=self.ledger.in_use.get(endpoint.id, 0),
                     waiting=sum(waiting.get(t, 0) for t in targets_of(endpoint)),
                 )
                 for endpoint in endpoints.values()
@@ -242,8 +231,7 @@
             entry = self.entries.get(ticket)
             if entry is None:
                 return False
-            counters = self._counters(ticket.request_class)
-            counters.cancelled += 1
+            self.counters.of(ticket.request_class).cancelled += 1
             self._end(entry, Cancelled(message="The caller cancelled the request"))
             return True
 
@@ -282,12 +270,9 @@
         with self.lock:
             return SchedulerDump(
                 queues=[dump_queue(queue) for queue in self.queues.values()],
-                in_use=dict(self.in_use),
-                limits=dict(self.limits),
-                counters={
-                    name: msgspec.structs.replace(item, sheds=dict(item.sheds))
-                    for name, item in self.counters.items()
-                },
+                in_use=dict(self.ledger.in_use),
+                limits=dict(self.ledger.limits),
+                counters=self.counters.copy(),
             )
 
     def _abandon(self, entry: Waiting) -> None:
@@ -366,13 +351,20 @@
             return None
         if entry.latest_start <= now:
             return DeadlineExceeded, "deadline", "the deadline cannot be met any more"
-        outlook = self._outlook(ticket, queue, pool, views, now)
-        refusal = self.policy.admission.refuse(ticket, outlook)
+        outlook = self.forecast.outlook(ticket, queue, pool, views, now)
+        refusal = self.policy.admission.refuse(
+            ticket,
+            outlook,
+            total_waiting=len(self.entries),
+            total_limit=self.max_waiting,
+        )
         if refusal is None:
             return None
         if refusal.reason == "queue_full" and self._displace_lower(ticket):
             return None
-        if ticket.request_class.protected and self._is_lower_work_usable(entry, now):
+        if ticket.request_class.protected and self.preemptor.is_lower_work_usable(
+            entry, pool, now
+        ):
             return None
         return Overloaded, refusal.reason, refusal.detail
 
@@ -402,7 +394,7 @@
         fairness = self.policy.team_fairness
         entry.team_key = fairness.team_key(ticket)
         entry.order_key = fairness.order_key(ticket)
-        team = self.teams.get(ticket.team)
+        team = self.ledger.teams.get(ticket.team)
         weight = team.weight if team is not None and entry.team_key else 1.0
         if not queue.waiting:
             tags = [q.class_tag for q in self._same_tier(queue) if q.waiting]
@@ -414,58 +406,6 @@
         queues = self.pools[queue.target].queues
         return [other for other in queues if other.tier == queue.tier]
 
-    def _outlook(
-        self,
-        ticket: Ticket,
-        queue: ClassQueue,
-        pool: Pool,
-        views: list[EndpointView],
-        now: float,
-    ) -> Outlook:
-        return Outlook(
-            now=now,
-            class_waiting=len(queue.waiting),
-            total_waiting=len(self.entries),
-            total_limit=self.max_waiting,
-            predicted_wait_s=self._predicted_wait_s(ticket, queue, pool, views),
-            service_s=self.policy.load_estimate.service_s(ticket, views),
-        )
-
-    def _predicted_wait_s(
-        self,
-        ticket: Ticket,
-        queue: ClassQueue,
-        pool: Pool,
-        views: list[EndpointView],
-    ) -> float:
-        if self._views_with_room(views):
-            return 0.0
-        load = self.policy.load_estimate
-        ahead_s = sum(
-            len(other.waiting) * load.hold_s(other.request_class.name)
-            for other in pool.queues
-            if other is not queue and other.tier <= queue.tier
-        )
-        own_ahead = self._ahead_in_class(ticket, queue)
-        ahead_s += own_ahead * load.hold_s(queue.request_class.name)
-        running = [q for q in pool.queues if q.running]
-        count = sum(len(q.running) for q in running)
-        if not count:
-            return 0.0
-        held_s = sum(
-            len(q.running) * load.hold_s(q.request_class.name) for q in running
-        )
-        return ahead_s / count + held_s / count**2
-
-    def _ahead_in_class(self, ticket: Ticket, queue: ClassQueue) -> int:
-        """Counts the requests that fair queueing serves before a new one of the team.
-
-        A team with few requests does not wait for all requests of a team with many.
-        """
-        team = queue.teams.get(self.policy.team_fairness.team_key(ticket))
-        own = team.live if team is not None else 0
-        return min(len(queue.waiting), (own + 1) * len(queue.ready))
-
     # Dispatch.
 
     def _dispatch_all(self, now: float) -> None:
@@ -498,7 +438,7 @@
             if not queues:
                 break
             pick = self.policy.queue_order.pick(queues)
-            entry = pick.queue.head(self._is_team_full)
+            entry = pick.queue.head(self.ledger.is_team_full)
             view = self._choose(entry.ticket, views[pick.queue.target], now, last_call)
             if view is None:
                 aside.append(pick.queue.set_head_aside())
@@ -522,7 +462,7 @@
                 continue
             probe_at = self.table.next_probe_at(queue.target)
             if probe_at is not None:
-                head = queue.head(self._is_team_full)
+                head = queue.head(self.ledger.is_team_full)
                 if head is not None and now < probe_at < head.wake_at:
                     self._set_timer(head, probe_at)
                     head.wakeup.set()
@@ -537,7 +477,7 @@
     def _can_serve(
         self, queue: ClassQueue, pool: Pool, views: dict[str, list[EndpointView]]
     ) -> bool:
-        if not queue.waiting or queue.head(self._is_team_full) is None:
+        if not queue.waiting or queue.head(self.ledger.is_team_full) is None:
             return False
         target = queue.target
         if target not in views:
@@ -545,16 +485,9 @@
         return bool(views[target])
 
     def _free_views(self, target: str, pool: Pool) -> list[EndpointView]:
-        free = {item.id for item in pool.endpoints[target] if self._room(item.id)}
+        free = {item.id for item in pool.endpoints[target] if self.ledger.room(item.id)}
         return self.table.candidates(target, among=free) if free else []
 
-    def _views_with_room(self, views: list[EndpointView]) -> list[EndpointView]:
-        return [view for view in views if self._room(view.endpoint.id) > 0]
-
-    def _room(self, endpoint_id: str) -> int:
-        used = self.in_use.get(endpoint_id, 0)
-        return max(0, self.limits.get(endpoint_id, 0) - used)
-
     def _choose(
         self, ticket: Ticket, views: list[EndpointView], now: float, last_call: bool
     ) -> EndpointView | None:
@@ -582,10 +515,10 @@
             estimated_cost=cost,
         )
         queue.running[grant] = None
-        self._add_use(grant, 1)
+        self.ledger.add_use(grant, 1)
         self.table.note_sent(view.endpoint.id)
         self.policy.endpoint_choice.note_sent(ticket, view.endpoint.id)
-        self._count_grant(ticket, by_floor, now)
+        self.counters.note_grant(ticket, by_floor, now)
         del self.entries[ticket]
         entry.end(grant=grant)
 
@@ -607,39 +540,17 @@
             views[target] = [
                 view
                 for view in target_views
-                if self._room(view.endpoint.id) > 0
+                if self.ledger.room(view.endpoint.id) > 0
                 and not (view.trial and view.endpoint.id == endpoint_id)
             ]
 
-    def _add_use(self, grant: SlotGrant, change: int) -> None:
-        endpoint_id = grant.endpoint.id
-        self.in_use[endpoint_id] = self.in_use.get(endpoint_id, 0) + change
-        team = grant.ticket.team
-        self.team_in_use[team] = self.team_in_use.get(team, 0) + change
-        if not self.team_in_use[team]:
-            del self.team_in_use[team]
-
-    def _is_team_full(self, team_name: str) -> bool:
-        team = self.teams.get(team_name)
-        if team is None or not self.policy.team_fairness.limits_in_flight:
-            return False
-        return self.team_in_use.get(team_name, 0) >= team.max_in_flight
-
-    def _count_grant(self, ticket: Ticket, by_floor: bool, now: float) -> None:
-        counters = self._counters(ticket.request_class)
-        counters.granted += 1
-        counters.granted_by_floor += by_floor
-        if not ticket.resumes:
-            waited_s = now - ticket.arrived_at
-            counters.longest_wait_s = max(counters.longest_wait_s, waited_s)
-
     # Release.
 
     def _forget_running(self, grant: SlotGrant, queue: ClassQueue) -> None:
         queue.running.pop(grant, None)
         queue.signalled.pop(grant, None)
-        self._add_use(grant, -1)
-        if not self._is_team_full(grant.ticket.team):
+        self.ledger.add_use(grant, -1)
+        if not self.ledger.is_team_full(grant.ticket.team):
             for other in self.queues.values():
                 other.unblock(grant.ticket.team)
 
@@ -649,10 +560,7 @@
         ticket = grant.ticket
         preempted = grant.preempted.is_set()
         finished = not usage.failed and not preempted and usage.tokens > 0
-        counters = self._counters(ticket.request_class)
-        counters.tokens += usage.tokens
-        counters.wasted_tokens += usage.wasted_tokens
-        counters.failed += usage.failed
+        self.counters.note_usage(ticket, usage)
         if preempted and not usage.failed:
             ticket.paused_at = now
         actual = self.policy.team_fairness.cost(ticket.prompt_tokens, usage.tokens)
@@ -696,35 +604,18 @@
         if not self._may_find_endpoint(entry, views):
             self._end_without_endpoint(entry, "every endpoint is down or leaving")
             return
-        if now >= entry.latest_start and not self._keep_protected(entry, now):
+        if now >= entry.latest_start and not self.preemptor.keep_protected(
+            entry, pool, now
+        ):
             detail = "the deadline passed before a slot was free"
             self._shed(entry, DeadlineExceeded, "deadline", detail, now)
             return
         self._set_timer(entry, self._next_step_at(entry, pool, views, now))
 
-    def _keep_protected(self, entry: Waiting, now: float) -> bool:
-        """Keeps a protected request while lower work holds a slot that it can use."""
-        if not entry.ticket.request_class.protected:
-            return False
-        if not self._is_lower_work_usable(entry, now):
-            return False
-        if not self._is_usable_grant_signalled(entry, now):
-            self._preempt_for(entry, now)
-        return True
-
-    def _is_usable_grant_signalled(self, entry: Waiting, now: float) -> bool:
-        usable = self._usable_endpoints(entry.ticket)
-        return any(
-            grant.endpoint.id in usable
-            and now - grant.preempted_at < PREEMPTION_ANSWER_S
-            for queue in self._lower_queues(entry)
-            for grant in queue.signalled
-        )
-
     def _next_step_at(
         self, entry: Waiting, pool: Pool, views: list[EndpointView], now: float
     ) -> float:
-        times = [self._preemption_step_at(entry, pool, views, now)]
+        times = [self.preemptor.step_at(entry, pool, views, now)]
         if entry.latest_start > now:
             times.append(entry.latest_start)
         else:
@@ -734,97 +625,6 @@
         times += [at for at in (probe_at, choose_at) if at is not None and at > now]
         return min(times)
 
-    def _preemption_step_at(
-        self, entry: Waiting, pool: Pool, views: list[EndpointView], now: float
-    ) -> float:
-        """Preempts if it is due and returns when to look again."""
-        if not any(q.running and q.tier > entry.queue.tier for q in pool.queues):
-            return float("inf")
-        outlook = self._outlook(entry.ticket, entry.queue, pool, views, now)
-        due_at = self.policy.preemption.due_at(entry.ticket, outlook)
-        if due_at is None:
-            return float("inf")
-        if due_at > now:
-            return due_at
-        if self._is_team_full(entry.team_key):
-            return now + IDLE_RECHECK_S
-        # A slot that is released for one request may go to another, so requests and
-        # signalled grants are counted and not paired.
-        pending = pool.signalled_since(now - PREEMPTION_ANSWER_S)
-        is_wanted = pending < pool.waiting_up_to(entry.queue.tier)
-        if is_wanted and not self._preempt_for(entry, now):
-            return now + IDLE_RECHECK_S
-        return now + PREEMPTION_RECHECK_S
-
-    def _preempt_for(self, entry: Waiting, now: float) -> bool:
-        """Signals the cheapest grant of the lowest tier that the request can use.
-
-        Endpoints that the request would decline are used only if there are no others.
-        """
-        ticket = entry.ticket
-        views = self.table.candidates(ticket.target)
-        views = [view for view in views if view.endpoint.id not in ticket.excluded]
-        suits = self.policy.endpoint_choice.suits
-        suitable = {view.endpoint.id for view in views if suits(ticket, view)}
-        if self._signal_cheapest(entry, suitable, now):
-            return True
-        usable = {view.endpoint.id for view in views} - suitable
-        return self._signal_cheapest(entry, usable, now)
-
-    def _signal_cheapest(self, entry: Waiting, usable: set[str], now: float) -> bool:
-        for queue in self._lower_queues(entry) if usable else ():
-            if not queue.has_slots_beyond_floor():
-                continue
-            victims = [
-                grant
-                for grant in reversed(queue.running)
-                if grant.preempted_at is None
-                and is_preemptible(grant, usable, entry.ticket)
-            ]
-            if victims:
-                # The newest goes if the costs are equal.
-                cost = self.policy.preemption.victim_cost
-                victim = min(victims, key=lambda grant: cost(grant, now))
-                self._signal(victim, queue, now)
-                return True
-        return False
-
-    def _signal(self, grant: SlotGrant, queue: ClassQueue, now: float) -> None:
-        grant.preempted_at = now
-        grant.preempted.set()
-        queue.signalled[grant] = None
-        self._counters(grant.ticket.request_class).preempted += 1
-
-    def _is_lower_work_usable(self, entry: Waiting, now: float) -> bool:
-        """Tells whether lower-tier work holds a slot that the request could use."""
-        ticket = entry.ticket
-        if not self.policy.preemption.shields_protected:
-            return False
-        if self._is_team_full(self.policy.team_fairness.team_key(ticket)):
-            return False
-        usable = self._usable_endpoints(ticket)
-        return any(
-            is_preemptible(grant, usable, entry.ticket)
-            and self._can_be_had(grant, queue, now)
-            for queue in self._lower_queues(entry)
-            for grant in queue.running
-        )
-
-    def _can_be_had(self, grant: SlotGrant, queue: ClassQueue, now: float) -> bool:
-        if grant.preempted_at is not None:
-            return now - grant.preempted_at < PREEMPTION_ANSWER_S
-        return queue.has_slots_beyond_floor()
-
-    def _lower_queues(self, entry: Waiting) -> list[ClassQueue]:
-        """Returns the queues of lower tiers, the lowest first."""
-        pool = self.pools[entry.ticket.target]
-        tier = entry.ticket.request_class.tier
-        return [queue for queue in reversed(pool.queues) if queue.tier > tier]
-
-    def _usable_endpoints(self, ticket: Ticket) -> set[str]:
-        views = self.table.candidates(ticket.target)
-        return {view.endpoint.id for view in views} - ticket.excluded
-
     # Ends and timers.
 
     def _shed(
@@ -841,9 +641,9 @@
         if pool is not None:
             queue = self._queue_for(ticket, pool, now)
             views = self.table.candidates(ticket.target)
-            retry_after_s = self._predicted_wait_s(ticket, queue, pool, views)
+            retry_after_s = self.forecast.predicted_wait_s(ticket, queue, pool, views)
         retry_after_s = min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, retry_after_s))
-        self._count_shed(ticket, reason)
+        self.counters.note_shed(ticket, reason)
         name = ticket.request_class.name
         message = f"Class {name} was shed ({reason}): {detail}"
         self._end(entry, error(message=message, retry_after_s=retry_after_s))
@@ -853,7 +653,7 @@
         probe_at = self.table.next_probe_at(ticket.target)
         wait_s = probe_at - self.clock() if probe_at is not None else 0.0
         retry_after_s = min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, wait_s))
-        self._count_shed(ticket, "no_endpoint")
+        self.counters.note_shed(ticket, "no_endpoint")
         name = ticket.request_class.name
         message = f"Class {name} on {ticket.target} was shed (no_endpoint): {detail}"
         self._end(entry, NoEndpoint(message=message, retry_after_s=retry_after_s))
@@ -864,13 +664,6 @@
             entry.queue.discard(entry)
         entry.end(error=error)
 
-    def _counters(self, request_class: RequestClass) -> ClassCounters:
-        return self.counters.setdefault(request_class.name, ClassCounters())
-
-    def _count_shed(self, ticket: Ticket, reason: str) -> None:
-        sheds = self._counters(ticket.request_class).sheds
-        sheds[reason] = sheds.get(reason, 0) + 1
-
     def _set_timer(self, entry: Waiting, wake_at: float) -> None:
         entry.wake_at = wake_at
         if wake_at < float("inf"):
@@ -890,19 +683,6 @@
     return entry.is_ended or entry.wake_at != wake_at
 
 
-def is_preemptible(grant: SlotGrant, usable: set[str], ticket: Ticket) -> bool:
-    """Tells whether a waiting ticket may take the slot on one of the endpoints.
-
-    The stream must be resumable and not paid for by its class's floor. Protected work
-    makes room for protected work of a higher tier only.
-    """
-    running = grant.ticket.request_class
-    if running.protected and not ticket.request_class.protected:
-        return False
-    resumable = running.repeatable and not grant.by_floor
-    return resumable and grant.endpoint.id in usable
-
-
 def dump_queue(queue: ClassQueue) -> QueueDump:
     """Builds the dump of one class queue."""
     return QueueDump(
--- a/src/lagoonrill/_internal/state/scheduling.py
+++ b/src/lagoonrill/_internal/state/scheduling.py
@@ -19,8 +19,6 @@
 
     now: float
     class_waiting: int
-    total_waiting: int
-    total_limit: int
     predicted_wait_s: float
     service_s: float
 
@@ -42,7 +40,9 @@
 class Admission(Protocol):
     displaces_lower_tiers: bool
 
-    def refuse(self, ticket: Ticket, outlook: Outlook) -> Refusal | None: ...
+    def refuse(
+        self, ticket: Ticket, outlook: Outlook, *, total_waiting: int, total_limit: int
+    ) -> Refusal | None: ...
 
 
 class QueueOrder(Protocol):
--- a/tests/test_scheduler_invariants.py
+++ b/tests/test_scheduler_invariants.py
@@ -14,7 +14,8 @@
 from lagoonrill._internal.protocol.errors import NoEndpoint
 from lagoonrill._internal.protocol.messages import EndpointUse
 from lagoonrill._internal.state.class_queue import Waiting
-from lagoonrill._internal.state.request_queue import PREEMPTION_ANSWER_S, Cancelled
+from lagoonrill._internal.state.preemption import PREEMPTION_ANSWER_S
+from lagoonrill._internal.state.request_queue import Cancelled
 
 ORDER = request_class("order", 2, repeatable=False, max_wait_ms=4_000, max_queue=3)
 ENDPOINTS = ["e1", "e2", "e3"]
@@ -192,7 +193,7 @@
         held = [entry.grant.endpoint.id for entry in self.held()]
         for name in ENDPOINTS:
             count = held.count(name)
-            assert count == self.kit.scheduler.in_use.get(name, 0)
+            assert count == self.kit.scheduler.ledger.in_use.get(name, 0)
             # A share may shrink below what is in use; only new grants must fit.
             if count > self.in_use[name]:
                 assert count <= self.kit.scheduler.shares.limit(name)
@@ -207,10 +208,10 @@
         scheduler = self.kit.scheduler
         scheduler.poll()
         for entry in self.entries:
-            if entry.is_ended or scheduler._is_team_full(entry.ticket.team):
+            if entry.is_ended or scheduler.ledger.is_team_full(entry.ticket.team):
                 continue
             views = self.kit.table.candidates(entry.ticket.target)
-            free = scheduler._views_with_room(views)
+            free = scheduler.ledger.views_with_room(views)
             assert not [v for v in free if v.endpoint.id not in entry.ticket.excluded]
 
     def teardown(self):
--- a/tests/test_scheduler_overload.py
+++ b/tests/test_scheduler_overload.py
@@ -82,7 +82,7 @@
     assert not shed, f"{len(shed)} of {len(questions)} questions were shed"
     late = [r for r in questions if r.first_token_at - r.arrival.at_s > 1.0]
     assert len(late) <= len(questions) // 100
-    assert fleet.scheduler.counters["counter"].preempted == 0
+    assert fleet.scheduler.counters.by_class["counter"].preempted == 0
 
 
 @pytest.mark.parametrize("seed", range(3))
@@ -132,5 +132,5 @@
     """Preempted plans must come back and finish after the questions end."""
     drawn = arrivals(PLAN, 0.6, 500) + arrivals(COUNTER, 8.0, 45)
     fleet = run(drawn, until_s=2_000)
-    assert fleet.scheduler.counters["plan"].preempted > 0
+    assert fleet.scheduler.counters.by_class["plan"].preempted > 0
     assert all(r.finished_at is not None for r in of(fleet, PLAN))
