--- a/src/lagoonrill/_internal/coordination/policy/endpoint_choice.py
+++ b/src/lagoonrill/_internal/coordination/policy/endpoint_choice.py
@@ -16,6 +16,17 @@
 # Larger than any other term: an endpoint that makes the target goes before one that
 # does not, in whichever zone it is.
 MISSED_TARGET_PENALTY_S = 60.0
+# For each multiple of the median's time per token. Ten times the zone penalty at twice
+# the time, so that a straggler is the last choice although its first token is in time.
+STRAGGLER_PENALTY_S = 0.1
+# Load alone makes an engine up to about a quarter slower than the median.
+STRAGGLER_SLOWDOWN = 1.5
+# Preemption is due after half of the time to the target; a request takes a straggler
+# only if that did not get it a better slot.
+PATIENCE_SHARE = 0.8
+# A preempted stream leaves a slot to other requests for this time if its prompt is not
+# cached there. A small cache has replaced most of the prompt by then.
+RESUME_PATIENCE_S = 15.0
 # A queue at the engine beyond its slots delays the first token by about this much for
 # each waiting request and slot.
 ENGINE_QUEUE_STEP_S = 1.0
@@ -30,13 +41,36 @@
         self.prefixes = prefixes
 
     def choose(
-        self, ticket: Ticket, views: list[EndpointView], now: float
+        self, ticket: Ticket, views: list[EndpointView], now: float, last_call: bool
     ) -> EndpointView | None:
         trial = self._trial_for(ticket, views)
         if trial is not None:
             return trial
         proven = [view for view in views if not view.trial] or views
-        return min(proven, key=lambda view: self.cost(ticket, view, now))
+        chosen = min(proven, key=lambda view: self.cost(ticket, view, now))
+        accepts_at = self.accepts_any_at(ticket)
+        is_patient = accepts_at is not None and now < accepts_at
+        if is_patient and not self.suits(ticket, chosen):
+            return None
+        if not last_call and self._would_repeat(ticket, chosen, now):
+            return None
+        return chosen
+
+    def _would_repeat(self, ticket: Ticket, view: EndpointView, now: float) -> bool:
+        """Tells whether a stream should rather go on where its prompt is cached."""
+        if ticket.paused_at is None or now > ticket.paused_at + RESUME_PATIENCE_S:
+            return False
+        if ticket.excluded or ticket.request_class.latency.token_gap_ms is not None:
+            # The engine with the prompt has failed, or the answer is in a hurry.
+            return False
+        cached = self.prefixes.cached_blocks(view.endpoint.id, ticket.prompt_blocks)
+        return 2 * cached < len(ticket.prompt_blocks)
+
+    def accepts_any_at(self, ticket: Ticket) -> float | None:
+        first_token_ms = ticket.request_class.latency.first_token_ms
+        if first_token_ms is None or ticket.resumes:
+            return None
+        return ticket.arrived_at + PATIENCE_SHARE * first_token_ms / 1000.0
 
     def _trial_for(
         self, ticket: Ticket, views: list[EndpointView]
@@ -50,7 +84,7 @@
     def cost(self, ticket: Ticket, view: EndpointView, now: float) -> float:
         """Returns the placement cost in seconds."""
         first_token_s = self._first_token_s(ticket, view)
-        cost_s = first_token_s
+        cost_s = first_token_s + (view.slowdown - 1.0) * STRAGGLER_PENALTY_S
         if view.endpoint.zone != self.zone:
             cost_s += OTHER_ZONE_PENALTY_S
         if self._misses_target(ticket, view, first_token_s, now):
@@ -72,15 +106,21 @@
         self, ticket: Ticket, view: EndpointView, first_token_s: float, now: float
     ) -> bool:
         latency = ticket.request_class.latency
-        if latency.token_gap_ms is not None and view.token_gap_s is not None:
-            gap_ms = view.token_gap_s * 1000.0
-            if gap_ms > latency.token_gap_ms and view.slowdown > 1.5:
-                return True
+        if not self.suits(ticket, view):
+            return True
         due_at = ticket.deadline
         if latency.first_token_ms is not None:
             due_at = min(due_at, ticket.arrived_at + latency.first_token_ms / 1000.0)
         return now + first_token_s > due_at
 
+    def suits(self, ticket: Ticket, view: EndpointView) -> bool:
+        """Tells whether the token gap of the endpoint is no straggler's or in time."""
+        gap_ms = ticket.request_class.latency.token_gap_ms
+        if gap_ms is None or view.token_gap_s is None:
+            return True
+        is_straggler = view.slowdown > STRAGGLER_SLOWDOWN
+        return not is_straggler or view.token_gap_s * 1000.0 <= gap_ms
+
     def note_sent(self, ticket: Ticket, endpoint_id: str) -> None:
         self.prefixes.note_sent(endpoint_id, ticket.prompt_blocks)
 
@@ -93,7 +133,7 @@
         self.last: dict[str, str] = {}
 
     def choose(
-        self, ticket: Ticket, views: list[EndpointView], now: float
+        self, ticket: Ticket, views: list[EndpointView], now: float, last_call: bool
     ) -> EndpointView | None:
         ordered = sorted(views, key=lambda view: view.endpoint.id)
         last = self.last.get(ticket.target, "")
@@ -102,6 +142,12 @@
         self.last[ticket.target] = chosen.endpoint.id
         return chosen
 
+    def suits(self, ticket: Ticket, view: EndpointView) -> bool:
+        return True
+
+    def accepts_any_at(self, ticket: Ticket) -> float | None:
+        return None
+
     def note_sent(self, ticket: Ticket, endpoint_id: str) -> None:
         pass
 
@@ -114,9 +160,15 @@
         pass
 
     def choose(
-        self, ticket: Ticket, views: list[EndpointView], now: float
+        self, ticket: Ticket, views: list[EndpointView], now: float, last_call: bool
     ) -> EndpointView | None:
         return min(views, key=lambda view: view.in_flight)
 
+    def suits(self, ticket: Ticket, view: EndpointView) -> bool:
+        return True
+
+    def accepts_any_at(self, ticket: Ticket) -> float | None:
+        return None
+
     def note_sent(self, ticket: Ticket, endpoint_id: str) -> None:
         pass
--- a/src/lagoonrill/_internal/state/request_queue.py
+++ b/src/lagoonrill/_internal/state/request_queue.py
@@ -4,17 +4,22 @@
 import itertools
 import threading
 import time
+from collections import Counter
 from collections.abc import Callable
 
 import msgspec
 
 from ..protocol.errors import DeadlineExceeded, NoEndpoint, Overloaded, RequestError
-from ..protocol.manifest import Manifest, RequestClass, Team
+from ..protocol.manifest import Manifest, RequestClass
 from ..protocol.messages import EndpointUse
 from .class_queue import ClassQueue, Waiting
 from .endpoint_table import EndpointTable, EndpointView, targets_of
+from .forecast import Forecast
 from .pools import Pool, build_pools
-from .scheduling import Outlook, SchedulingPolicy
+from .preemption import PREEMPTION_RECHECK_S, Preemptor
+from .scheduler_counters import ClassCounters, SchedulerCounters
+from .scheduling import SchedulingPolicy
+from .slot_ledger import SlotLedger
 from .slots import SlotShares
 from .tickets import Cancelled, SlotGrant, Ticket, Usage
 
@@ -23,30 +28,14 @@
 # One thread waits for each request, so this exceeds the callers' threads (640) by
 # default and bounds the memory of a driver that submits without threads.
 MAX_WAITING = 4_000
-# A stream checks for preemption between tokens (72 ms at the target). One that has not
-# released its slot after this time does not count as a slot that can be had.
-PREEMPTION_ANSWER_S = 1.0
-PREEMPTION_RECHECK_S = 0.05
-TEAM_LIMIT_RECHECK_S = 0.25
+# Requests of a class that may decline the free endpoints in one dispatch, before the
+# class leaves them to other classes.
+MAX_DECLINED = 8
 MIN_RETRY_AFTER_S = 0.5
 MAX_RETRY_AFTER_S = 30.0
 MIN_TEAM_WEIGHT = 0.001
 
 
-class ClassCounters(msgspec.Struct, kw_only=True):
-    """Counters of one class since the start; `sheds` is by reason."""
-
-    granted: int = 0
-    granted_by_floor: int = 0
-    preempted: int = 0
-    failed: int = 0
-    cancelled: int = 0
-    tokens: int = 0
-    wasted_tokens: int = 0
-    longest_wait_s: float = 0.0
-    sheds: dict[str, int] = {}
-
-
 class QueueDump(msgspec.Struct, kw_only=True):
     """One class queue in the state dump."""
 
@@ -93,15 +82,20 @@
         self.pools: dict[str, Pool] = {}
         self.queues: dict[tuple[str, str], ClassQueue] = {}
         self.classes: dict[str, RequestClass] = {}
-        self.teams: dict[str, Team] = {}
         self.top_tier = 0
-        self.limits: dict[str, int] = {}
-        self.in_use: dict[str, int] = {}
-        self.team_in_use: dict[str, int] = {}
         self.entries: dict[Ticket, Waiting] = {}
         self.timers: list[tuple[float, int, Waiting]] = []
         self.sequence = itertools.count()
-        self.counters: dict[str, ClassCounters] = {}
+        self.counters = SchedulerCounters()
+        self.ledger = SlotLedger(limits_teams=policy.team_fairness.limits_in_flight)
+        self.forecast = Forecast(policy=policy, ledger=self.ledger)
+        self.preemptor = Preemptor(
+            policy=policy,
+            table=table,
+            ledger=self.ledger,
+            forecast=self.forecast,
+            counters=self.counters,
+        )
         table.subscribe(self.refresh)
 
     # Configuration.
@@ -111,7 +105,7 @@
         with self.lock:
             now = self.clock()
             self.classes = {item.name: item for item in manifest.classes}
-            self.teams = {team.name: team for team in manifest.teams}
+            self.ledger.teams = {team.name: team for team in manifest.teams}
             tiers = [item.tier for item in manifest.classes]
             self.top_tier = min(tiers, default=0)
             self.shares.apply_endpoints(manifest.endpoints)
@@ -133,8 +127,10 @@
 
     def update_peers(self, uses: dict[str, list[EndpointUse]]) -> None:
         """Takes the slots that all live peers use, from their last heartbeats."""
+        # A change of members costs a hash per member and endpoint; no request waits for
+        # it, since the shares have their own lock.
+        self.shares.update_peers(uses)
         with self.lock:
-            self.shares.update_peers(uses)
             self._shares_changed(self.clock())
 
     def refresh(self) -> None:
@@ -143,7 +139,7 @@
             self._dispatch_all(self.clock())
 
     def _shares_changed(self, now: float) -> None:
-        self.limits = self.shares.limits()
+        self.ledger.limits = self.shares.limits()
         for queue in self.queues.values():
             self._set_floor(queue)
         self._dispatch_all(now)
@@ -158,11 +154,14 @@
         queue.floor_slots = queue.request_class.floor * slots
 
     def local_uses(self) -> list[EndpointUse]:
-        """Returns slots in use and requests waiting per endpoint, for the heartbeat."""
+        """Returns slots in use and requests waiting per endpoint, for the heartbeat.
+
+        Endpoints without either are left out, which keeps the heartbeat small.
+        """
         with self.lock:
             waiting: dict[str, int] = {}
             for queue in self.queues.values():
-                if queue.head(self._is_team_full) is not None:
+                if queue.head(self.ledger.is_team_full) is not None:
                     total = waiting.get(queue.target, 0) + len(queue.waiting)
                     waiting[queue.target] = total
             endpoints = {
@@ -171,14 +170,15 @@
                 for group in pool.endpoints.values()
                 for endpoint in group
             }
-            return [
+            uses = [
                 EndpointUse(
                     endpoint=endpoint.id,
-                    in_use=self.in_use.get(endpoint.id, 0),
+                    in_use=self.ledger.in_use.get(endpoint.id, 0),
                     waiting=sum(waiting.get(t, 0) for t in targets_of(endpoint)),
                 )
                 for endpoint in endpoints.values()
             ]
+            return [use for use in uses if use.in_use or use.waiting]
 
     # Requests.
 
@@ -231,8 +231,7 @@
             entry = self.entries.get(ticket)
             if entry is None:
                 return False
-            counters = self._counters(ticket.request_class)
-            counters.cancelled += 1
+            self.counters.of(ticket.request_class).cancelled += 1
             self._end(entry, Cancelled(message="The caller cancelled the request"))
             return True
 
@@ -271,12 +270,9 @@
         with self.lock:
             return SchedulerDump(
                 queues=[dump_queue(queue) for queue in self.queues.values()],
-                in_use=dict(self.in_use),
-                limits=dict(self.limits),
-                counters={
-                    name: msgspec.structs.replace(item, sheds=dict(item.sheds))
-                    for name, item in self.counters.items()
-                },
+                in_use=dict(self.ledger.in_use),
+                limits=dict(self.ledger.limits),
+                counters=self.counters.copy(),
             )
 
     def _abandon(self, entry: Waiting) -> None:
@@ -299,14 +295,14 @@
         if not self._may_find_endpoint(entry, views):
             self._end_without_endpoint(entry, "every endpoint is down or leaving")
             return
-        error = self._refusal(entry, queue, pool, now)
+        error = self._refusal(entry, queue, pool, views, now)
         if error is not None:
             self._shed(entry, error[0], error[1], error[2], now)
             return
         self._enqueue(entry, queue)
         self._dispatch(pool, now)
         if not entry.is_ended:
-            self._wake(entry, now)
+            self._set_timer(entry, self._next_step_at(entry, pool, views, now))
 
     def _queue_key(self, ticket: Ticket) -> tuple[str, str]:
         return ticket.target, ticket.request_class.name
@@ -343,20 +339,32 @@
         return self.table.has_trial_running(entry.ticket.target)
 
     def _refusal(
-        self, entry: Waiting, queue: ClassQueue, pool: Pool, now: float
+        self,
+        entry: Waiting,
+        queue: ClassQueue,
+        pool: Pool,
+        views: list[EndpointView],
+        now: float,
     ) -> tuple[type[RequestError], str, str] | None:
         ticket = entry.ticket
         if ticket.resumes:
             return None
         if entry.latest_start <= now:
             return DeadlineExceeded, "deadline", "the deadline cannot be met any more"
-        outlook = self._outlook(ticket, queue, pool, now)
-        refusal = self.policy.admission.refuse(ticket, outlook)
+        outlook = self.forecast.outlook(ticket, queue, pool, views, now)
+        refusal = self.policy.admission.refuse(
+            ticket,
+            outlook,
+            total_waiting=len(self.entries),
+            total_limit=self.max_waiting,
+        )
         if refusal is None:
             return None
         if refusal.reason == "queue_full" and self._displace_lower(ticket):
             return None
-        if ticket.request_class.protected and self._is_lower_work_usable(entry, now):
+        if ticket.request_class.protected and self.preemptor.is_lower_work_usable(
+            entry, pool, now
+        ):
             return None
         return Overloaded, refusal.reason, refusal.detail
 
@@ -386,7 +394,7 @@
         fairness = self.policy.team_fairness
         entry.team_key = fairness.team_key(ticket)
         entry.order_key = fairness.order_key(ticket)
-        team = self.teams.get(ticket.team)
+        team = self.ledger.teams.get(ticket.team)
         weight = team.weight if team is not None and entry.team_key else 1.0
         if not queue.waiting:
             tags = [q.class_tag for q in self._same_tier(queue) if q.waiting]
@@ -398,54 +406,6 @@
         queues = self.pools[queue.target].queues
         return [other for other in queues if other.tier == queue.tier]
 
-    def _outlook(
-        self, ticket: Ticket, queue: ClassQueue, pool: Pool, now: float
-    ) -> Outlook:
-        views = self.table.candidates(ticket.target)
-        return Outlook(
-            now=now,
-            class_waiting=len(queue.waiting),
-            total_waiting=len(self.entries),
-            total_limit=self.max_waiting,
-            predicted_wait_s=self._predicted_wait_s(ticket, queue, pool, views),
-            service_s=self.policy.load_estimate.service_s(ticket, views),
-        )
-
-    def _predicted_wait_s(
-        self,
-        ticket: Ticket,
-        queue: ClassQueue,
-        pool: Pool,
-        views: list[EndpointView],
-    ) -> float:
-        if self._views_with_room(views):
-            return 0.0
-        load = self.policy.load_estimate
-        ahead_s = sum(
-            len(other.waiting) * load.hold_s(other.request_class.name)
-            for other in pool.queues
-            if other is not queue and other.tier <= queue.tier
-        )
-        own_ahead = self._ahead_in_class(ticket, queue)
-        ahead_s += own_ahead * load.hold_s(queue.request_class.name)
-        running = [q for q in pool.queues if q.running]
-        count = sum(len(q.running) for q in running)
-        if not count:
-            return 0.0
-        held_s = sum(
-            len(q.running) * load.hold_s(q.request_class.name) for q in running
-        )
-        return ahead_s / count + held_s / count**2
-
-    def _ahead_in_class(self, ticket: Ticket, queue: ClassQueue) -> int:
-        """Counts the requests that fair queueing serves before a new one of the team.
-
-        A team with few requests does not wait for all requests of a team with many.
-        """
-        team = queue.teams.get(self.policy.team_fairness.team_key(ticket))
-        own = team.live if team is not None else 0
-        return min(len(queue.waiting), (own + 1) * len(queue.ready))
-
     # Dispatch.
 
     def _dispatch_all(self, now: float) -> None:
@@ -456,26 +416,41 @@
     def _dispatch(self, pool: Pool, now: float) -> None:
         """Grants free slots until none is free or nobody can use one.
 
-        Only requests that exclude endpoints are ever put aside, so the cost of a pick
-        does not grow with the number of waiting requests.
+        Requests that exclude the free endpoints are put aside, and a few that would
+        rather wait for a better one, so the cost of a pick does not grow with the
+        number of waiting requests.
         """
+        if self._dispatch_round(pool, now, last_call=False):
+            self._dispatch_round(pool, now, last_call=True)
+        self._watch_targets(pool, now)
+
+    def _dispatch_round(self, pool: Pool, now: float, *, last_call: bool) -> bool:
         views: dict[str, list[EndpointView]] = {}
         aside: list[Waiting] = []
+        closed: set[ClassQueue] = set()
+        declined: Counter[ClassQueue] = Counter()
         while True:
-            queues = [q for q in pool.queues if self._can_serve(q, pool, views)]
+            queues = [
+                queue
+                for queue in pool.queues
+                if queue not in closed and self._can_serve(queue, pool, views)
+            ]
             if not queues:
                 break
             pick = self.policy.queue_order.pick(queues)
-            entry = pick.queue.head(self._is_team_full)
-            view = self._choose(entry.ticket, views[pick.queue.target], now)
+            entry = pick.queue.head(self.ledger.is_team_full)
+            view = self._choose(entry.ticket, views[pick.queue.target], now, last_call)
             if view is None:
                 aside.append(pick.queue.set_head_aside())
+                declined[pick.queue] += not entry.ticket.excluded
+                if declined[pick.queue] >= MAX_DECLINED:
+                    closed.add(pick.queue)
                 continue
             self._grant(entry, view, by_floor=pick.by_floor, now=now)
             self._count_in_views(view.endpoint.id, views)
         for entry in aside:
             entry.queue.restore(entry)
-        self._watch_targets(pool, now)
+        return bool(aside)
 
     def _watch_targets(self, pool: Pool, now: float) -> None:
         """Sets timers for trials and ends the wait for targets that have no endpoint.
@@ -487,7 +462,7 @@
                 continue
             probe_at = self.table.next_probe_at(queue.target)
             if probe_at is not None:
-                head = queue.head(self._is_team_full)
+                head = queue.head(self.ledger.is_team_full)
                 if head is not None and now < probe_at < head.wake_at:
                     self._set_timer(head, probe_at)
                     head.wakeup.set()
@@ -502,7 +477,7 @@
     def _can_serve(
         self, queue: ClassQueue, pool: Pool, views: dict[str, list[EndpointView]]
     ) -> bool:
-        if not queue.waiting or queue.head(self._is_team_full) is None:
+        if not queue.waiting or queue.head(self.ledger.is_team_full) is None:
             return False
         target = queue.target
         if target not in views:
@@ -510,24 +485,16 @@
         return bool(views[target])
 
     def _free_views(self, target: str, pool: Pool) -> list[EndpointView]:
-        if not any(self._room(item.id) for item in pool.endpoints[target]):
-            return []
-        return self._views_with_room(self.table.candidates(target))
-
-    def _views_with_room(self, views: list[EndpointView]) -> list[EndpointView]:
-        return [view for view in views if self._room(view.endpoint.id) > 0]
-
-    def _room(self, endpoint_id: str) -> int:
-        used = self.in_use.get(endpoint_id, 0)
-        return max(0, self.limits.get(endpoint_id, 0) - used)
+        free = {item.id for item in pool.endpoints[target] if self.ledger.room(item.id)}
+        return self.table.candidates(target, among=free) if free else []
 
     def _choose(
-        self, ticket: Ticket, views: list[EndpointView], now: float
+        self, ticket: Ticket, views: list[EndpointView], now: float, last_call: bool
     ) -> EndpointView | None:
         usable = [v for v in views if v.endpoint.id not in ticket.excluded]
         if not usable:
             return None
-        return self.policy.endpoint_choice.choose(ticket, usable, now)
+        return self.policy.endpoint_choice.choose(ticket, usable, now, last_call)
 
     def _grant(
         self, entry: Waiting, view: EndpointView, *, by_floor: bool, now: float
@@ -548,10 +515,10 @@
             estimated_cost=cost,
         )
         queue.running[grant] = None
-        self._add_use(grant, 1)
+        self.ledger.add_use(grant, 1)
         self.table.note_sent(view.endpoint.id)
         self.policy.endpoint_choice.note_sent(ticket, view.endpoint.id)
-        self._count_grant(ticket, by_floor, now)
+        self.counters.note_grant(ticket, by_floor, now)
         del self.entries[ticket]
         entry.end(grant=grant)
 
@@ -559,7 +526,8 @@
         tokens = self.policy.output_length.estimate(
             ticket.request_class.name, ticket.team
         )
-        return self.policy.team_fairness.cost(ticket.prompt_tokens, tokens)
+        left = max(0.0, tokens - ticket.generated_tokens)
+        return self.policy.team_fairness.cost(ticket.prompt_tokens, left)
 
     def _count_in_views(
         self, endpoint_id: str, views: dict[str, list[EndpointView]]
@@ -573,39 +541,17 @@
             views[target] = [
                 view
                 for view in target_views
-                if self._room(view.endpoint.id) > 0
+                if self.ledger.room(view.endpoint.id) > 0
                 and not (view.trial and view.endpoint.id == endpoint_id)
             ]
 
-    def _add_use(self, grant: SlotGrant, change: int) -> None:
-        endpoint_id = grant.endpoint.id
-        self.in_use[endpoint_id] = self.in_use.get(endpoint_id, 0) + change
-        team = grant.ticket.team
-        self.team_in_use[team] = self.team_in_use.get(team, 0) + change
-        if not self.team_in_use[team]:
-            del self.team_in_use[team]
-
-    def _is_team_full(self, team_name: str) -> bool:
-        team = self.teams.get(team_name)
-        if team is None or not self.policy.team_fairness.limits_in_flight:
-            return False
-        return self.team_in_use.get(team_name, 0) >= team.max_in_flight
-
-    def _count_grant(self, ticket: Ticket, by_floor: bool, now: float) -> None:
-        counters = self._counters(ticket.request_class)
-        counters.granted += 1
-        counters.granted_by_floor += by_floor
-        if not ticket.resumes:
-            waited_s = now - ticket.arrived_at
-            counters.longest_wait_s = max(counters.longest_wait_s, waited_s)
-
     # Release.
 
     def _forget_running(self, grant: SlotGrant, queue: ClassQueue) -> None:
         queue.running.pop(grant, None)
         queue.signalled.pop(grant, None)
-        self._add_use(grant, -1)
-        if not self._is_team_full(grant.ticket.team):
+        self.ledger.add_use(grant, -1)
+        if not self.ledger.is_team_full(grant.ticket.team):
             for other in self.queues.values():
                 other.unblock(grant.ticket.team)
 
@@ -615,19 +561,18 @@
         ticket = grant.ticket
         preempted = grant.preempted.is_set()
         finished = not usage.failed and not preempted and usage.tokens > 0
-        counters = self._counters(ticket.request_class)
-        counters.tokens += usage.tokens
-        counters.wasted_tokens += usage.wasted_tokens
-        counters.failed += usage.failed
-        if preempted and not usage.failed:
-            ticket.resumes = True
+        self.counters.note_usage(ticket, usage)
+        ticket.generated_tokens += usage.tokens
+        if preempted or (usage.failed and ticket.generated_tokens > 0):
+            ticket.paused_at = now
         actual = self.policy.team_fairness.cost(ticket.prompt_tokens, usage.tokens)
         team_key = self.policy.team_fairness.team_key(ticket)
         queue.correct(team_key, actual - grant.estimated_cost)
         queue.class_tag += actual - grant.estimated_cost
         if finished:
             name = ticket.request_class.name
-            self.policy.output_length.note(name, ticket.team, usage.tokens)
+            total = ticket.generated_tokens
+            self.policy.output_length.note(name, ticket.team, total)
         if not usage.failed:
             hold_s = now - grant.granted_at
             self.policy.load_estimate.note_hold(queue.request_class.name, hold_s)
@@ -662,107 +607,27 @@
         if not self._may_find_endpoint(entry, views):
             self._end_without_endpoint(entry, "every endpoint is down or leaving")
             return
-        if now >= entry.latest_start and not self._keep_protected(entry, now):
+        if now >= entry.latest_start and not self.preemptor.keep_protected(
+            entry, pool, now
+        ):
             detail = "the deadline passed before a slot was free"
             self._shed(entry, DeadlineExceeded, "deadline", detail, now)
             return
-        self._set_timer(entry, self._next_step_at(entry, pool, now))
-
-    def _keep_protected(self, entry: Waiting, now: float) -> bool:
-        """Keeps a protected request while lower work holds a slot that it can use."""
-        if not entry.ticket.request_class.protected:
-            return False
-        if not self._is_lower_work_usable(entry, now):
-            return False
-        if not self._is_victim_pending(entry, now):
-            self._preempt_for(entry, now)
-        return True
+        self._set_timer(entry, self._next_step_at(entry, pool, views, now))
 
-    def _next_step_at(self, entry: Waiting, pool: Pool, now: float) -> float:
-        times = [self._preemption_step_at(entry, pool, now)]
+    def _next_step_at(
+        self, entry: Waiting, pool: Pool, views: list[EndpointView], now: float
+    ) -> float:
+        times = [self.preemptor.step_at(entry, pool, views, now)]
         if entry.latest_start > now:
             times.append(entry.latest_start)
         else:
             times.append(now + PREEMPTION_RECHECK_S)
         probe_at = self.table.next_probe_at(entry.ticket.target)
-        if probe_at is not None and probe_at > now:
-            times.append(probe_at)
+        choose_at = self.policy.endpoint_choice.accepts_any_at(entry.ticket)
+        times += [at for at in (probe_at, choose_at) if at is not None and at > now]
         return min(times)
 
-    def _preemption_step_at(self, entry: Waiting, pool: Pool, now: float) -> float:
-        """Preempts if it is due and returns when to look again."""
-        if not any(q.running and q.tier > entry.queue.tier for q in pool.queues):
-            return float("inf")
-        outlook = self._outlook(entry.ticket, entry.queue, pool, now)
-        due_at = self.policy.preemption.due_at(entry.ticket, outlook)
-        if due_at is None:
-            return float("inf")
-        if due_at > now:
-            return due_at
-        if self._is_team_full(entry.team_key):
-            return now + TEAM_LIMIT_RECHECK_S
-        if self._is_victim_pending(entry, now):
-            return entry.victim.preempted_at + PREEMPTION_ANSWER_S
-        pending = pool.signalled_since(now - PREEMPTION_ANSWER_S)
-        if pending >= pool.waiting_up_to(entry.queue.tier):
-            return now + PREEMPTION_RECHECK_S
-        self._preempt_for(entry, now)
-        return now + PREEMPTION_ANSWER_S
-
-    def _is_victim_pending(self, entry: Waiting, now: float) -> bool:
-        victim = entry.victim
-        if victim is None or victim.released:
-            return False
-        return now - victim.preempted_at < PREEMPTION_ANSWER_S
-
-    def _preempt_for(self, entry: Waiting, now: float) -> bool:
-        """Signals the newest grant of the lowest tier that the request can use."""
-        usable = self._usable_endpoints(entry.ticket)
-        for queue in self._lower_queues(entry):
-            if not queue.has_slots_beyond_floor():
-                continue
-            for grant in reversed(queue.running):
-                if grant.preempted_at is None and is_preemptible(grant, usable):
-                    self._signal(grant, queue, now)
-                    entry.victim = grant
-                    return True
-        return False
-
-    def _signal(self, grant: SlotGrant, queue: ClassQueue, now: float) -> None:
-        grant.preempted_at = now
-        grant.preempted.set()
-        queue.signalled[grant] = None
-        self._counters(grant.ticket.request_class).preempted += 1
-
-    def _is_lower_work_usable(self, entry: Waiting, now: float) -> bool:
-        """Tells whether lower-tier work holds a slot that the request could use."""
-        ticket = entry.ticket
-        if not self.policy.preemption.shields_protected:
-            return False
-        if self._is_team_full(self.policy.team_fairness.team_key(ticket)):
-            return False
-        usable = self._usable_endpoints(ticket)
-        return any(
-            is_preemptible(grant, usable) and self._can_be_had(grant, queue, now)
-            for queue in self._lower_queues(entry)
-            for grant in queue.running
-        )
-
-    def _can_be_had(self, grant: SlotGrant, queue: ClassQueue, now: float) -> bool:
-        if grant.preempted_at is not None:
-            return now - grant.preempted_at < PREEMPTION_ANSWER_S
-        return queue.has_slots_beyond_floor()
-
-    def _lower_queues(self, entry: Waiting) -> list[ClassQueue]:
-        """Returns the queues of lower tiers, the lowest first."""
-        pool = self.pools[entry.ticket.target]
-        tier = entry.ticket.request_class.tier
-        return [queue for queue in reversed(pool.queues) if queue.tier > tier]
-
-    def _usable_endpoints(self, ticket: Ticket) -> set[str]:
-        views = self.table.candidates(ticket.target)
-        return {view.endpoint.id for view in views} - ticket.excluded
-
     # Ends and timers.
 
     def _shed(
@@ -779,9 +644,9 @@
         if pool is not None:
             queue = self._queue_for(ticket, pool, now)
             views = self.table.candidates(ticket.target)
-            retry_after_s = self._predicted_wait_s(ticket, queue, pool, views)
+            retry_after_s = self.forecast.predicted_wait_s(ticket, queue, pool, views)
         retry_after_s = min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, retry_after_s))
-        self._count_shed(ticket, reason)
+        self.counters.note_shed(ticket, reason)
         name = ticket.request_class.name
         message = f"Class {name} was shed ({reason}): {detail}"
         self._end(entry, error(message=message, retry_after_s=retry_after_s))
@@ -791,7 +656,7 @@
         probe_at = self.table.next_probe_at(ticket.target)
         wait_s = probe_at - self.clock() if probe_at is not None else 0.0
         retry_after_s = min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, wait_s))
-        self._count_shed(ticket, "no_endpoint")
+        self.counters.note_shed(ticket, "no_endpoint")
         name = ticket.request_class.name
         message = f"Class {name} on {ticket.target} was shed (no_endpoint): {detail}"
         self._end(entry, NoEndpoint(message=message, retry_after_s=retry_after_s))
@@ -802,13 +667,6 @@
             entry.queue.discard(entry)
         entry.end(error=error)
 
-    def _counters(self, request_class: RequestClass) -> ClassCounters:
-        return self.counters.setdefault(request_class.name, ClassCounters())
-
-    def _count_shed(self, ticket: Ticket, reason: str) -> None:
-        sheds = self._counters(ticket.request_class).sheds
-        sheds[reason] = sheds.get(reason, 0) + 1
-
     def _set_timer(self, entry: Waiting, wake_at: float) -> None:
         entry.wake_at = wake_at
         if wake_at < float("inf"):
@@ -828,12 +686,6 @@
     return entry.is_ended or entry.wake_at != wake_at
 
 
-def is_preemptible(grant: SlotGrant, usable: set[str]) -> bool:
-    """Tells whether a grant runs a resumable stream on one of the endpoints."""
-    resumable = grant.ticket.request_class.repeatable and not grant.by_floor
-    return resumable and grant.endpoint.id in usable
-
-
 def dump_queue(queue: ClassQueue) -> QueueDump:
     """Builds the dump of one class queue."""
     return QueueDump(
--- a/src/lagoonrill/_internal/state/scheduling.py
+++ b/src/lagoonrill/_internal/state/scheduling.py
@@ -7,7 +7,7 @@
 
 from .class_queue import ClassQueue
 from .endpoint_table import EndpointView
-from .tickets import Ticket
+from .tickets import SlotGrant, Ticket
 
 
 class Outlook(msgspec.Struct, kw_only=True):
@@ -19,8 +19,6 @@
 
     now: float
     class_waiting: int
-    total_waiting: int
-    total_limit: int
     predicted_wait_s: float
     service_s: float
 
@@ -42,7 +40,9 @@
 class Admission(Protocol):
     displaces_lower_tiers: bool
 
-    def refuse(self, ticket: Ticket, outlook: Outlook) -> Refusal | None: ...
+    def refuse(
+        self, ticket: Ticket, outlook: Outlook, *, total_waiting: int, total_limit: int
+    ) -> Refusal | None: ...
 
 
 class QueueOrder(Protocol):
@@ -61,8 +61,18 @@
 
 class EndpointChoice(Protocol):
     def choose(
-        self, ticket: Ticket, views: list[EndpointView], now: float
-    ) -> EndpointView | None: ...
+        self, ticket: Ticket, views: list[EndpointView], now: float, last_call: bool
+    ) -> EndpointView | None:
+        """Returns None if the request should wait for a better endpoint.
+
+        On the last call no other request wants the endpoints.
+        """
+
+    def suits(self, ticket: Ticket, view: EndpointView) -> bool:
+        """Tells whether the request can meet its target on the endpoint."""
+
+    def accepts_any_at(self, ticket: Ticket) -> float | None:
+        """Returns when the request stops waiting for a better endpoint."""
 
     def note_sent(self, ticket: Ticket, endpoint_id: str) -> None: ...
 
@@ -71,7 +81,11 @@
     # Whether protected requests outlast their deadline for lower work's slots.
     shields_protected: bool
 
-    def due_at(self, ticket: Ticket, outlook: Outlook) -> float | None: ...
+    def due_at(self, ticket: Ticket, outlook: Outlook) -> float | None:
+        """Returns when the request should preempt lower work, None for never."""
+
+    def victim_cost(self, grant: SlotGrant, now: float) -> float:
+        """Returns what preempting the grant would repeat; the lowest cost goes."""
 
 
 class OutputLength(Protocol):
--- a/tests/test_scheduler_rules.py
+++ b/tests/test_scheduler_rules.py
@@ -291,3 +291,53 @@
     assert not running.grant.preempted.is_set()
     kit.scheduler.release(running.grant, Usage(tokens=5))
     assert plan.grant is not None and question.grant is None
+
+
+def test_team_below_its_share_catches_up():
+    """A short burst of a small team must not wait for a team that always has work."""
+    kit = Kit(endpoints=[engine("e1", slots=1)])
+    entries = [kit.submit(LOOKUP, "oak") for _ in range(20)]
+    served = serve_in_turn(kit, entries, 10)
+    entries += [kit.submit(LOOKUP, "elm") for _ in range(4)]
+    served += serve_in_turn(kit, entries, 6)
+    assert served[10:].count("elm") >= 4
+
+
+def test_protected_work_is_preempted_for_protected_work_only():
+    """A question of a lower tier must keep its slot against unprotected requests."""
+    urgent = request_class("urgent", 0)
+    question = request_class("question", 1, protected=True)
+    for waiting, preempted in ((urgent, False), (COUNTER, True)):
+        kit = Kit(
+            endpoints=[engine("e1", slots=1)], classes=[COUNTER, urgent, question]
+        )
+        running = kit.submit(question)
+        kit.submit(waiting, wait_s=5)
+        kit.advance(2)
+        assert running.grant.preempted.is_set() == preempted
+
+
+@pytest.mark.parametrize("tokens", [0, 7])
+def test_stream_that_has_begun_is_not_shed_after_a_failure(tokens):
+    """An engine's crash must not lose an accepted plan, only refuse a fresh retry."""
+    kit = Kit(endpoints=[engine("e1", slots=1), engine("e2", slots=1)])
+    plan = kit.submit(PLAN, wait_s=1)
+    kit.submit(COUNTER)
+    kit.advance(60)
+    kit.release(plan, tokens=tokens, failed=True)
+    plan.ticket.excluded.add(plan.grant.endpoint.id)
+    retry = kit.scheduler.submit(plan.ticket)
+    assert isinstance(retry.error, DeadlineExceeded) == (tokens == 0)
+
+
+def test_length_of_a_resumed_answer_is_its_total():
+    """Preempted plans must not make the class's answers look short."""
+    kit = Kit(endpoints=[engine("e1", slots=1)])
+    plan = kit.submit(PLAN)
+    question = kit.submit(COUNTER)
+    kit.advance(2)
+    kit.release(plan, tokens=300)
+    resumed = kit.scheduler.submit(plan.ticket)
+    kit.release(question)
+    kit.release(resumed, tokens=700)
+    assert kit.policy.output_length.estimate("plan", "oak") == 1000
