--- a/src/lagoonrill/_internal/cli.py
+++ b/src/lagoonrill/_internal/cli.py
@@ -71,10 +71,11 @@
     from .commands.connection import read_file
     from .protocol.manifest import parse_manifest
 
+    document = parse_manifest(read_file(manifest))
     store, instance_list = open_platform(config, object_api_url, instance_list_url)
     finish(
         ApplyCommand(
-            manifest=parse_manifest(read_file(manifest)),
+            manifest=document,
             store=store,
             instance_list=instance_list,
             base_generation=base_generation,
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -3,12 +3,15 @@
 The first part has one test for each case of section 5.3 of the design.
 """
 
+import time
+
 import pytest
 from rollout_fleet import Fleet, StoreClient, manifest, start_fleet
 
 from lagoonrill._internal.coordination.apply import (
     PROPOSAL_LIFETIME_S,
     ApplyResult,
+    ManifestRollout,
     Stage,
     read_fleet,
 )
@@ -389,3 +392,38 @@
     assert fleet.tool(1).run().result == "accepted"
     assert node.generations.current().manifest == manifest(1)
     assert node.serves()
+
+
+def test_threads_bring_a_manifest_in_force_and_stop():
+    """Guards against a loop that misses a step which the tests above call directly."""
+    fleet = Fleet()
+    fleet.clock = time.monotonic
+    nodes = [fleet.start(name, name[0]) for name in ("a1", "b1")]
+    for node in nodes:
+        node.store.watch = slow_watch(node.store.watch)
+        node.rollout.start()
+    options = {"wall_clock": time.monotonic, "clock": time.monotonic}
+    for number in (1, 2):
+        tool = ManifestRollout(
+            manifest=manifest(number),
+            store=StoreClient(fleet.store),
+            instance_list=fleet.list,
+            timeout_s=30,
+            **options,
+        )
+        assert tool.run().result == "accepted"
+    assert all(node.serves() for node in nodes)
+    for node in nodes:
+        node.rollout.stop()
+    assert all(not t.is_alive() for node in nodes for t in node.rollout._threads)
+    assert not [name for name in fleet.store.objects if name.startswith("status/")]
+
+
+def slow_watch(watch):
+    """The store in memory answers at once; a loop over it would not pause."""
+
+    def wait_and_watch(prefix, *, since, wait_s):
+        time.sleep(0.02)
+        return watch(prefix, since=since, wait_s=wait_s)
+
+    return wait_and_watch
