Halve the control cost of a daemon at the target size

Cause: in the place of one of 390 daemons, membership and monitor took 3.54 % of a core. Ruled out: a shared thread for all peers (each DEALER socket has its own thread); heartbeats that are rarer only between zones (the polls alone would keep it above 2 %). Change: above the full mesh, heartbeats and polls come every 1 s, and new notices are sent at once instead of with the next heartbeat; load polls use one urllib3 pool for each endpoint (0.56 instead of 0.84 ms of CPU time); unchanged reports are not applied again; members are not copied for each count. Picks of links use a directed weight: a symmetric one left 15.7 links on average, not 22.

--- a/bench/load_server.py
+++ b/bench/load_server.py
@@ -1,20 +1,34 @@
-"""Serves `GET /<endpoint>/load` for any number of endpoints on one port."""
+"""Serves `GET /<endpoint>/load` for any number of endpoints on one port.
 
-from lagoonrill._internal.protocol.load import LoadReport
-from standins.server import StandIn, argument_parser, json_response, run
+Prints `ready <port>` and serves until it is terminated.
+"""
+
+import signal
+import threading
 
+from cheroot import wsgi
+
+from lagoonrill._internal.protocol.load import LoadReport
+from standins.server import StandIn, json_response
 
-class NoFaults(LoadReport):
-    """This server has no faults to set."""
+# cheroot closes connections above 10 by default. Each real endpoint is a server of its
+# own and keeps the few connections of its pollers.
+KEPT_CONNECTIONS = 1_000
 
 
 def main() -> None:
-    """Serves until it is terminated."""
-    arguments = argument_parser(__doc__).parse_args()
-    stand_in = StandIn(faults=NoFaults(), threads=32)
+    """Serves a fixed report."""
+    stand_in = StandIn(faults=LoadReport())
     report = LoadReport(running=3, waiting=1, slots=8, models=["atelier"], age_s=0.2)
     stand_in.add_route("GET", r"/[^/]+/load", lambda _: json_response(report))
-    run(stand_in, host=arguments.host, port=arguments.port)
+    server = wsgi.Server(("127.0.0.1", 0), stand_in, numthreads=32)
+    server.keep_alive_conn_limit = KEPT_CONNECTIONS
+    server.prepare()
+    signal.signal(
+        signal.SIGTERM, lambda *_: threading.Thread(target=server.stop).start()
+    )
+    print(f"ready {server.bind_addr[1]}", flush=True)
+    server.serve()
 
 
 if __name__ == "__main__":
--- a/src/lagoonrill/_internal/coordination/endpoint_monitor.py
+++ b/src/lagoonrill/_internal/coordination/endpoint_monitor.py
@@ -24,7 +24,7 @@
 from ..protocol.manifest import Endpoint, Manifest
 from ..protocol.messages import EndpointLoad
 from ..state.rendezvous import highest
-from .peer_choice import is_full_mesh
+from .peer_choice import LARGE_FLEET_SLOWDOWN, is_full_mesh
 
 log = logbook.Logger("endpoints")
 
@@ -123,6 +123,7 @@
 
     `fetch_load` is `transport.load_client.LoadClient.fetch`. `members` returns the
     zones of the live instances, including this one, for example `Membership.members`.
+    `send_news` is called when what heartbeats carry has changed, and must not block.
     """
 
     def __init__(
@@ -133,6 +134,7 @@
         table,
         fetch_load: Callable[[str], Result[LoadReport, LoadError]],
         members: Callable[[], dict[str, str]],
+        send_news: Callable[[], None] = lambda: None,
         interval_s: float = POLL_INTERVAL_S,
         threads: int = POLL_THREADS,
     ):
@@ -141,6 +143,7 @@
         self.table = table
         self.fetch_load = fetch_load
         self.members = members
+        self.send_news = send_news
         self.interval_s = interval_s
         self.threads = threads
         # Guards the records. `condition` shares it and wakes the scheduler.
@@ -152,6 +155,9 @@
         self.due: list[tuple[float, int, WatchedEndpoint]] = []
         self.pushes = 0
         self.known_members: dict[str, str] = {}
+        # What the list and the peers said last; most of their reports change nothing.
+        self.last_sets: dict[LeavingSource, set[str]] = {}
+        self.last_down: set[str] = set()
         self.polls = 0
         self.failed_polls = 0
         self.stopping = threading.Event()
@@ -186,7 +192,7 @@
             for endpoint in manifest.endpoints:
                 record = before.get(endpoint.id)
                 if record is None or record.endpoint.url != endpoint.url:
-                    record = WatchedEndpoint(endpoint=endpoint)
+                    record = self._new_record(endpoint)
                 record.endpoint = endpoint
                 record.applied = None
                 self._set_source(record, LeavingSource.MANIFEST, endpoint.drain)
@@ -211,6 +217,9 @@
         """Takes the endpoints that their pollers currently report as down."""
         changed = []
         with self.lock:
+            if self.last_down == endpoints:
+                return
+            self.last_down = set(endpoints)
             for name, record in self.watched.items():
                 down = name in endpoints
                 if record.down_by_peers != down:
@@ -339,8 +348,18 @@
             record.leaving_until.pop(source, None)
         return known != leaving
 
+    def _new_record(self, endpoint: Endpoint) -> WatchedEndpoint:
+        record = WatchedEndpoint(endpoint=endpoint)
+        for source, leaving in self.last_sets.items():
+            self._set_source(record, source, endpoint.id in leaving)
+        record.down_by_peers = endpoint.id in self.last_down
+        return record
+
     def _update_source(self, source: LeavingSource, leaving: set[str]) -> None:
         with self.lock:
+            if self.last_sets.get(source) == leaving:
+                return
+            self.last_sets[source] = set(leaving)
             changed = [
                 record
                 for name, record in self.watched.items()
@@ -384,6 +403,7 @@
         if changed:
             leaving = f"leaving by {', '.join(sources)}" if sources else "not leaving"
             log.info("{}: {}, {}", endpoint_id, leaving, down or "up")
+            self.send_news()
 
     def _take_load(
         self, endpoint_id: str, report: LoadReport, now: float, *, own: bool
@@ -442,13 +462,25 @@
             if members != self.known_members:
                 self.known_members = members
                 self._choose_polled()
-        # Also ends sources that hold only for a time.
-        self._apply_all()
+                changed = list(self.watched.values())
+            else:
+                # Their word holds only for a time.
+                changed = [
+                    record
+                    for record in self.watched.values()
+                    if LeavingSource.ANSWER in record.leaving_until
+                ]
+        self._apply(changed)
+
+    def _interval_s(self) -> float:
+        # Two instances poll each endpoint of a large fleet, each half as often.
+        full_mesh = is_full_mesh(len(self.known_members))
+        return self.interval_s * (1 if full_mesh else LARGE_FLEET_SLOWDOWN)
 
     def _ensure_scheduled(self, record: WatchedEndpoint) -> None:
         if not record.scheduled:
             record.scheduled = True
-            delay = random.uniform(0, self.interval_s)
+            delay = random.uniform(0, self._interval_s())
             self._push(record, time.monotonic() + delay)
 
     def _push(self, record: WatchedEndpoint, at: float) -> None:
@@ -489,7 +521,7 @@
             self._reschedule(record)
 
     def _reschedule(self, record: WatchedEndpoint) -> None:
-        delay = min(self.interval_s * 2 ** min(record.failures, 5), BACK_OFF_MAX_S)
+        delay = min(self._interval_s() * 2 ** min(record.failures, 5), BACK_OFF_MAX_S)
         delay *= random.uniform(1 - JITTER, 1 + JITTER)
         with self.condition:
             if self._is_current(record):
--- a/src/lagoonrill/_internal/coordination/membership.py
+++ b/src/lagoonrill/_internal/coordination/membership.py
@@ -2,8 +2,9 @@
 
 The ticker sends one heartbeat per interval to every linked peer, moves silent peers on
 and keeps the links in line with the members. Up to 8 instances form a full mesh. Above
-that, an instance links some peers of each zone, heartbeats carry a bounded number of
-entries, and notices (endpoints leaving or down, instances gone) are passed on.
+that, an instance links some peers of each zone, heartbeats are rarer and carry a
+bounded number of entries, and notices (endpoints leaving or down, instances gone) are
+passed on. A new notice is sent at once instead of with the next heartbeat.
 """
 
 import contextlib
@@ -40,13 +41,15 @@
 from ..state.notice_board import NoticeBoard
 from ..state.peer_uses import PeerUses, UseRotation
 from ..state.rendezvous import weight
-from .peer_choice import choose_links, is_full_mesh
+from .peer_choice import LARGE_FLEET_SLOWDOWN, choose_links, is_full_mesh
 
 log = logbook.Logger("membership")
 
 # A tick that is later than this counts as a pause of the whole process. It is below
 # the 2 s after which a silent peer is suspected.
 PAUSE_TOLERANCE_S = 1.0
+# Many notices at once, for example when a rack fails, share one early heartbeat.
+NEWS_GAP_S = 0.1
 # Links outside the chosen ones (requests, peers with another view of the members).
 EXTRA_LINK_LIFETIME_S = 30.0
 USES_PER_HEARTBEAT = 16
@@ -164,6 +167,8 @@
         self.chosen_for = -1
         self.generation_pending = False
         self.stopping = threading.Event()
+        # Ends the ticker's wait early, for news and for the stop.
+        self.wakeup = threading.Event()
         self.worker = ThreadPoolExecutor(1, "membership-reports")
         self.thread = threading.Thread(
             target=self._run, name="membership-ticker", daemon=True
@@ -179,6 +184,7 @@
     def stop(self) -> None:
         """Stops the ticker and closes all links; sends no message of its own."""
         self.stopping.set()
+        self.wakeup.set()
         if self.thread.ident is not None:
             self.thread.join()
         self.worker.shutdown(wait=False, cancel_futures=True)
@@ -200,7 +206,7 @@
 
     def full_mesh(self) -> bool:
         """Tells whether the fleet is small enough to link every pair."""
-        return is_full_mesh(len(self.table.live()) + 1)
+        return is_full_mesh(self.table.live_count() + 1)
 
     def home(self, key: str) -> str:
         """Returns the instance that is responsible for a key (rendezvous hash).
@@ -241,10 +247,14 @@
         """Takes the entry instances of the Instance list."""
         self.table.update_listed(listed, time.monotonic())
 
+    def send_news(self) -> None:
+        """Sends the next heartbeat early, because its contents have changed."""
+        self.wakeup.set()
+
     def begin_leaving(self) -> None:
-        """Tells peers that this instance takes no new work, with the next heartbeat."""
+        """Tells peers at once that this instance takes no new work."""
         self.leaving = True
-        self._send_heartbeats(time.monotonic())
+        self.send_news()
 
     def announce_exit(self) -> None:
         """Sends `Leaving` to every linked peer; `stop` flushes it."""
@@ -256,20 +266,26 @@
         """Returns members and counters."""
         return self.table.dump()
 
+    def interval_s(self) -> float:
+        """Returns the heartbeat interval for the size of the fleet."""
+        slowdown = 1 if self.full_mesh() else LARGE_FLEET_SLOWDOWN
+        return self.settings.heartbeat_interval_s * slowdown
+
     def _run(self) -> None:
-        interval = self.settings.heartbeat_interval_s
-        self.stopping.wait(random.uniform(0, interval / 4))
-        last = time.monotonic()
+        self.stopping.wait(random.uniform(0, self.settings.heartbeat_interval_s / 4))
+        due = time.monotonic()
         while not self.stopping.is_set():
             now = time.monotonic()
-            paused_s = now - last - interval
-            last = now
             try:
-                self._tick(now, paused_s)
+                self._tick(now, now - due)
             except Exception:
                 # The ticker must survive a fault of an injected callable.
                 log.exception("a membership tick failed")
-            self.stopping.wait(interval)
+            interval_s = self.interval_s()
+            self.stopping.wait(NEWS_GAP_S)
+            self.wakeup.wait(interval_s - NEWS_GAP_S)
+            self.wakeup.clear()
+            due = now + interval_s
 
     def _tick(self, now: float, paused_s: float) -> None:
         if paused_s > PAUSE_TOLERANCE_S:
@@ -298,15 +314,14 @@
     # Sending
 
     def _send_heartbeats(self, now: float) -> None:
-        views = {view.peer_address: view for view in self.table.peers()}
+        addresses = self.link.addresses()
+        near = self.table.in_own_zone(addresses)
         with self.lock:
             self.sequence += 1
             own_zone, other_zones = self._encode_heartbeats(now)
-        lifetime_s = self.settings.heartbeat_interval_s * 2
-        for address in self.link.addresses():
-            view = views.get(address)
-            near = view is None or view.zone == self.zone
-            payload = own_zone if near else other_zones
+        lifetime_s = self.interval_s() * 2
+        for address in addresses:
+            payload = own_zone if address in near else other_zones
             self.link.send_latest(address, payload, lifetime_s)
 
     def _encode_heartbeats(self, now: float) -> tuple[bytes, bytes]:
@@ -402,6 +417,8 @@
         ]
         if self.notices.take(notices, now):
             self._report_notices(now)
+            if not self.full_mesh():
+                self.send_news()
 
     def _take_leaving(self, message: Leaving) -> None:
         change = self.table.leave(message, time.monotonic())
@@ -459,13 +476,14 @@
     def _sync_links(self, now: float) -> None:
         # Read first: a connection opened meanwhile must not be closed below.
         current = self.link.addresses()
-        views = self.table.peers()
+        self._choose()
         with self.lock:
             self.extra_links = {
                 name: until for name, until in self.extra_links.items() if until > now
             }
-            wanted = self._choose(views) | set(self.extra_links)
-        addresses = {v.peer_address for v in views if v.instance in wanted}
+            extra = set(self.extra_links)
+        views = [self.table.get(name) for name in self.chosen | extra]
+        addresses = {view.peer_address for view in views if view is not None}
         addresses |= set(self.settings.addresses)
         addresses -= {"", self.link.address}
         for address in addresses - current:
@@ -474,14 +492,15 @@
             self.link.disconnect(address)
         self.table.set_linked(self.chosen, now)
 
-    def _choose(self, views: list[PeerView]) -> set[str]:
+    def _choose(self) -> None:
+        # Read before the members: a change in between is seen at the next tick.
         version = self.table.version
-        if version != self.chosen_for:
-            zones = {view.instance: view.zone for view in views}
-            zones[self.instance] = self.zone
-            self.chosen = choose_links(self.instance, self.zone, zones)
-            self.chosen_for = version
-        return self.chosen
+        if version == self.chosen_for:
+            return
+        zones = {view.instance: view.zone for view in self.table.peers()}
+        zones[self.instance] = self.zone
+        self.chosen = choose_links(self.instance, self.zone, zones)
+        self.chosen_for = version
 
 
 def listed_members(instances: Iterable[msgspec.Struct]) -> list[ListedMember]:
--- a/src/lagoonrill/_internal/coordination/peer_choice.py
+++ b/src/lagoonrill/_internal/coordination/peer_choice.py
@@ -1,12 +1,15 @@
 """Choice of the peers that an instance keeps links to."""
 
-from ..state.rendezvous import pair_weight
+from ..state.rendezvous import highest
 
 FULL_MESH_LIMIT = 8
 # A link exists when either side picks the other, so half of the wanted 8 and 2 links
 # are picked by each side.
 OWN_ZONE_PICKS = 4
 OTHER_ZONE_PICKS = 1
+# Above the full mesh, heartbeats and polls are this much rarer. At 0.5 s they cost
+# one of 390 daemons 3.5% of a core, of the 2% that it has for all control work.
+LARGE_FLEET_SLOWDOWN = 2
 
 
 def is_full_mesh(member_count: int) -> bool:
@@ -39,6 +42,7 @@
 
 
 def _picks(instance: str, candidates: list[str], count: int) -> list[str]:
+    # A weight that is the same in both directions makes most picks mutual, which left
+    # 15.7 links on average instead of 22.
     others = [name for name in candidates if name != instance]
-    others.sort(key=lambda name: pair_weight(instance, name), reverse=True)
-    return others[:count]
+    return highest(instance, others, count)
--- a/src/lagoonrill/_internal/state/membership_table.py
+++ b/src/lagoonrill/_internal/state/membership_table.py
@@ -249,6 +249,24 @@
         wanted = (MemberState.LIVE, MemberState.SUSPECTED)
         return [view for view in self.peers() if view.state in wanted]
 
+    def live_count(self) -> int:
+        """Returns how many other instances are live or suspected."""
+        with self.lock:
+            return sum(
+                member.state in (MemberState.LIVE, MemberState.SUSPECTED)
+                for member in self.members.values()
+            )
+
+    def in_own_zone(self, addresses: Iterable[str]) -> set[str]:
+        """Returns those peer addresses that no member of another zone has."""
+        with self.lock:
+            other = {
+                member.peer_address
+                for member in self.members.values()
+                if member.zone != self.zone
+            }
+        return set(addresses) - other
+
     def get(self, instance: str) -> PeerView | None:
         """Returns one member."""
         with self.lock:
--- a/src/lagoonrill/_internal/state/notice_board.py
+++ b/src/lagoonrill/_internal/state/notice_board.py
@@ -19,15 +19,16 @@
 
     def take(self, notices: Iterable[Notice], now: float) -> bool:
         """Takes notices; returns whether one of them was not known."""
+        oldest = now - NOTICE_LIFETIME_S
         with self.lock:
             news = False
             for notice in notices:
                 confirmed_at = now - notice.age_ms / 1000
-                if now - confirmed_at >= NOTICE_LIFETIME_S:
+                if confirmed_at <= oldest:
                     continue
                 key = (notice.kind, notice.subject)
                 known = self.confirmed.get(key)
-                if known is None:
+                if known is None or known <= oldest:
                     news = True
                 if known is None or known < confirmed_at:
                     self.confirmed[key] = confirmed_at
--- a/src/lagoonrill/_internal/state/rendezvous.py
+++ b/src/lagoonrill/_internal/state/rendezvous.py
@@ -10,11 +10,6 @@
     return int.from_bytes(blake2b(data, digest_size=8).digest(), "big")
 
 
-def pair_weight(one: str, other: str) -> int:
-    """Returns a weight that both members of a pair compute alike."""
-    return weight(one, other) if one < other else weight(other, one)
-
-
 def highest(key: str, candidates: Iterable[str], count: int) -> list[str]:
     """Returns the `count` candidates with the highest weights, highest first.
 
--- a/src/lagoonrill/_internal/transport/load_client.py
+++ b/src/lagoonrill/_internal/transport/load_client.py
@@ -1,5 +1,7 @@
 """Client of an endpoint's `GET /load`."""
 
+import threading
+
 import msgspec
 import urllib3
 from returns.result import Failure, Result, Success
@@ -21,18 +23,24 @@
     """Fetches load reports over kept connections; safe from many threads."""
 
     def __init__(self, *, threads: int, timeout_s: float = LOAD_TIMEOUT_S):
-        self.pool = urllib3.PoolManager(
-            num_pools=2_000,
-            maxsize=threads,
-            retries=False,
-            timeout=urllib3.Timeout(connect=timeout_s, read=timeout_s),
-        )
+        self.threads = threads
+        self.timeout = urllib3.Timeout(connect=timeout_s, read=timeout_s)
+        self.lock = threading.Lock()
+        # One pool for each base URL: a `PoolManager` adds a third to the CPU time of a
+        # poll (0.84 against 0.56 ms) by normalizing the URL every time.
+        self.pools: dict[str, tuple[urllib3.HTTPConnectionPool, str]] = {}
 
     def fetch(self, url: str) -> Result[LoadReport, LoadError]:
         """Asks the endpoint at a base URL for its load report."""
+        pool, path = self._pool(url)
         try:
-            response = self.pool.request(
-                "GET", url.rstrip("/") + "/load", preload_content=False, redirect=False
+            response = pool.urlopen(
+                "GET",
+                path,
+                retries=False,
+                redirect=False,
+                timeout=self.timeout,
+                preload_content=False,
             )
             body = response.read(MAX_REPORT_BYTES)
             response.release_conn()
@@ -49,4 +57,17 @@
 
     def close(self) -> None:
         """Closes all connections."""
-        self.pool.clear()
+        with self.lock:
+            pools = list(self.pools.values())
+            self.pools.clear()
+        for pool, _ in pools:
+            pool.close()
+
+    def _pool(self, url: str) -> tuple[urllib3.HTTPConnectionPool, str]:
+        with self.lock:
+            entry = self.pools.get(url)
+            if entry is None:
+                path = (urllib3.util.parse_url(url).path or "").rstrip("/") + "/load"
+                pool = urllib3.connection_from_url(url, maxsize=self.threads)
+                entry = self.pools[url] = (pool, path)
+            return entry
--- a/src/lagoonrill/_internal/transport/peer_link.py
+++ b/src/lagoonrill/_internal/transport/peer_link.py
@@ -233,16 +233,17 @@
         socket = self._open_socket()
         poller = zmq.Poller()
         poller.register(self.wakeup.fd, zmq.POLLIN)
+        poller.register(socket, zmq.POLLIN)
         blocked = False
         while not self.stopping:
-            interest = zmq.POLLIN | zmq.POLLOUT if blocked else zmq.POLLIN
-            poller.register(socket, interest)
             events = dict(poller.poll())
             if self.wakeup.fd in events:
                 self.wakeup.clear()
             if events.get(socket, 0) & zmq.POLLIN:
                 self._receive(socket)
-            blocked = not self._flush(socket)
+            was_blocked, blocked = blocked, not self._flush(socket)
+            if blocked != was_blocked:
+                poller.modify(socket, zmq.POLLIN | (zmq.POLLOUT if blocked else 0))
         self._flush(socket)
         socket.close()
         self.wakeup.close()
