--- a/src/lagoonrill/_internal/transport/endpoint_client.py
+++ b/src/lagoonrill/_internal/transport/endpoint_client.py
@@ -6,6 +6,7 @@
 
 import contextlib
 import socket
+import struct
 import threading
 from typing import Any, TypeVar
 from urllib.parse import urlsplit
@@ -39,6 +40,8 @@
 CONNECT_TIMEOUT_S = 1.0
 CONTROL_TIMEOUT_S = 2.0
 DRAIN_TIMEOUT_S = 0.05
+# The kernel takes 0 as no time-out.
+MIN_TIMEOUT_S = 0.001
 NEVER_SENT = (ConnectTimeoutError, NameResolutionError, NewConnectionError)
 HOP_BY_HOP_HEADERS = frozenset(
     (
@@ -164,7 +167,9 @@
     """The body of a streamed answer.
 
     It reads the socket itself, because urllib3 returns one chunk at a time and cannot
-    say whether more have arrived; events that wait together are returned together.
+    say whether more have arrived; events that wait together are returned together. The
+    socket is in blocking mode with a time-out of the kernel: Python's own time-outs
+    cost a second system call for each read.
     """
 
     __slots__ = (
@@ -175,6 +180,7 @@
         "leaving",
         "response",
         "sock",
+        "timeout_s",
     )
 
     def __init__(
@@ -193,7 +199,10 @@
         """Returns what arrived together with the headers, without waiting."""
         # urllib3 has no public access to the bytes that its reader holds.
         self.sock.settimeout(0)
-        return self.response._fp.fp.read1(RECEIVE_BYTES) or b""
+        buffered = self.response._fp.fp.read1(RECEIVE_BYTES) or b""
+        self.sock.settimeout(None)
+        self.timeout_s = 0.0
+        return buffered
 
     def read(self, timeout_s: float) -> bytes:
         """Returns all content that waits, at least one byte; empty at the end.
@@ -203,7 +212,8 @@
         """
         if self.decoder and self.decoder.ended:
             return b""
-        self.sock.settimeout(timeout_s)
+        if timeout_s != self.timeout_s:
+            self._set_timeout(timeout_s)
         while True:
             received = self._receive()
             if not received:
@@ -219,14 +229,20 @@
             if content or self.decoder.ended:
                 return content
 
+    def _set_timeout(self, timeout_s: float) -> None:
+        seconds, fraction = divmod(max(timeout_s, MIN_TIMEOUT_S), 1)
+        value = struct.pack("@ll", int(seconds), int(fraction * 1e6))
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVTIMEO, value)
+        self.timeout_s = timeout_s
+
     def _receive(self) -> bytes:
         if self.first:
             received, self.first = self.first, b""
             return received
         try:
             return self.sock.recv(RECEIVE_BYTES)
-        except TimeoutError:
-            raise
+        except BlockingIOError:
+            raise TimeoutError from None
         except OSError as error:
             raise EndpointBroken(message=f"the connection broke: {error}") from error
 
@@ -240,6 +256,7 @@
         """Returns the connection to its pool if the body was read to its end."""
         self.handle.detach()
         if self.decoder and self.decoder.ended and not self.handle.aborted:
+            self.sock.settimeout(CONTROL_TIMEOUT_S)
             self.response._fp.close()
             self.response.release_conn()
         else:
