--- a/src/lagoonrill/_internal/transport/caller_listener.py
+++ b/src/lagoonrill/_internal/transport/caller_listener.py
@@ -199,6 +199,9 @@
         response.headers["Content-Type"] = answer.content_type
         if isinstance(answer.body, bytes):
             response.stream = False
+        else:
+            environ = cherrypy.serving.request.wsgi_environ
+            environ["lagoonrill.events"] = answer.body
         return answer.body
 
     def _refuse(self, environ: dict, error: RequestError):
--- a/src/lagoonrill/_internal/transport/caller_server.py
+++ b/src/lagoonrill/_internal/transport/caller_server.py
@@ -8,7 +8,9 @@
 import contextlib
 import select
 import socket
+import struct
 import threading
+from collections.abc import Iterator
 
 from cheroot import connections, server, wsgi
 
@@ -105,6 +107,16 @@
             self.discard_input()
         super().close()
 
+    def set_send_timeout(self, timeout_s: float) -> None:
+        """Puts the socket into blocking mode with a time-out of the kernel for sends.
+
+        Python's own time-outs cost a second system call for each send.
+        """
+        seconds, fraction = divmod(timeout_s, 1)
+        value = struct.pack("@ll", int(seconds), int(fraction * 1e6))
+        self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDTIMEO, value)
+        self.socket.settimeout(None)
+
     def discard_input(self) -> None:
         """Reads what the caller still sends.
 
@@ -123,13 +135,45 @@
 
 
 class CallerGateway(wsgi.Gateway_10):
-    """Gives the application access to its connection."""
+    """Gives the application access to its connection and sends streamed answers.
+
+    An application that puts an iterator under `lagoonrill.events` has its items sent
+    as chunks without the layers that cheroot and CherryPy add to each.
+    """
 
     def get_environ(self) -> dict:
         environ = super().get_environ()
         environ["lagoonrill.request"] = self.req
         return environ
 
+    def respond(self) -> None:
+        response = self.req.server.wsgi_app(self.env, self.start_response)
+        try:
+            events = self.env.get("lagoonrill.events")
+            if events is not None:
+                self._send_events(events)
+                return
+            for chunk in filter(None, response):
+                self.write(chunk)
+        finally:
+            self.req.ensure_headers_sent()
+            response.close()
+
+    def _send_events(self, events: Iterator[bytes]) -> None:
+        """Sends each item as it comes; the kernel's time-out drops a slow caller."""
+        connection = self.req.conn
+        self.req.ensure_headers_sent()
+        connection.set_send_timeout(self.req.server.settings.slow_client_timeout_s)
+        chunked = self.req.chunked_write
+        sendall = connection.socket.sendall
+        try:
+            for item in events:
+                sendall(b"%x\r\n%b\r\n" % (len(item), item) if chunked else item)
+        except OSError:
+            # The caller is gone or reads too slowly.
+            self.req.close_connection = True
+            self.req.chunked_write = False
+
 
 class GracefulConnections(connections.ConnectionManager):
     """Serves requests that arrived before the stop instead of resetting them."""
