--- a/src/lagoonrill/_internal/coordination/streams.py
+++ b/src/lagoonrill/_internal/coordination/streams.py
@@ -38,7 +38,14 @@
     Truncated,
 )
 from ..protocol.manifest import Endpoint
-from ..protocol.sse import DONE_DATA, EventParser, EventTooLarge, ServerSentEvent
+from ..protocol.sse import (
+    DONE_DATA,
+    EVENT_END,
+    EventParser,
+    EventTooLarge,
+    ServerSentEvent,
+    parse_event,
+)
 
 DONE_EVENT = b"data: [DONE]\n\n"
 PREEMPTION_CHECK_INTERVAL_S = 0.1
@@ -118,21 +125,40 @@
         """
         accepted: list[bytes] = []
         try:
-            for event in self.parser.feed(received):
-                if event.data == DONE_DATA:
-                    self.done = True
-                elif event.id == self.next_token:
-                    self._accept(event, accepted)
-                    if self.pending:
-                        self._accept_pending(accepted)
-                else:
-                    self._set_aside(event)
+            for block in self.parser.blocks(received):
+                if not self._accept_plain(block, accepted):
+                    self._accept_any(parse_event(block), accepted)
         except (msgspec.DecodeError, EventTooLarge) as error:
             raise EndpointBroken(message=f"the event is unknown: {error}") from error
-        if self.complete:
+        if self.done and self.finish_reason is not None:
             accepted.append(DONE_EVENT)
         return b"".join(accepted)
 
+    def _accept_plain(self, block: bytes, accepted: list[bytes]) -> bool:
+        """Accepts the usual event, the next token, with as little work as possible."""
+        head, _, data = block.partition(b"\ndata: ")
+        if head != b"id: %d" % self.next_token or self.pending:
+            return False
+        choices = decode_chunk(data).choices
+        if not choices or choices[0].finish_reason is not None:
+            return False
+        if self.finish_reason is not None:
+            return False
+        self.next_token += 1
+        self.text.append(choices[0].delta.content or "")
+        accepted.append(block + EVENT_END)
+        return True
+
+    def _accept_any(self, event: ServerSentEvent, accepted: list[bytes]) -> None:
+        if event.data == DONE_DATA:
+            self.done = True
+        elif event.id == self.next_token:
+            self._accept(event, accepted)
+            if self.pending:
+                self._accept_pending(accepted)
+        else:
+            self._set_aside(event)
+
     def _accept(self, event: ServerSentEvent, accepted: list[bytes]) -> None:
         if self.finish_reason is not None:
             self.duplicates += 1
@@ -489,43 +515,37 @@
         assembler.start_reading()
         if source.leaving:
             self.endpoint_table.mark_leaving(source.endpoint_id, "answer")
+        timeout_s = self._event_timeout(job, meter)
+        gap_wait_s = self.limits.gap_wait_s
         try:
             while True:
                 before = assembler.next_token
-                accepted = assembler.feed(self._receive(job, source, meter))
+                wait_s = gap_wait_s if assembler.pending else timeout_s
+                accepted = assembler.feed(source.read(wait_s))
                 if accepted:
-                    if meter.first_at is None:
-                        self._stop_awaiting(job)
+                    is_first = meter.first_at is None
                     meter.note(assembler.next_token - before)
                     yield accepted
-                if assembler.complete:
+                    if is_first:
+                        self._stop_awaiting(job)
+                    if is_first or job.whole:
+                        timeout_s = self._event_timeout(job, meter)
+                if assembler.done and assembler.complete:
                     source.drain()
                     return None
                 if assembler.overflowed:
                     return EndpointBroken(message="too many events are missing")
                 if job.preempted:
                     return EndpointBroken(message="the stream was preempted")
+        except TimeoutError:
+            if assembler.pending:
+                return EndpointBroken(message="an event is missing")
+            return EngineStalled(message="the engine sent nothing for too long")
         except EndpointBroken as error:
             return error
         finally:
             source.close()
 
-    def _receive(self, job: StreamJob, source, meter: SpeedMeter) -> bytes:
-        """Returns what has arrived; raises `EndpointBroken` when nothing follows."""
-        has_gap = bool(job.assembler.pending)
-        timeout_s = self._event_timeout(job, meter)
-        try:
-            received = source.read(self.limits.gap_wait_s if has_gap else timeout_s)
-        except TimeoutError:
-            if has_gap:
-                raise EndpointBroken(message="an event is missing") from None
-            raise EngineStalled(
-                message="the engine sent nothing for too long"
-            ) from None
-        if not received:
-            raise EndpointBroken(message="the answer ended early")
-        return received
-
     def _decide(self, job: StreamJob, endpoint: Endpoint, error: EndpointError) -> None:
         """Prepares for the next engine or raises why there is none."""
         job.ticket.excluded.add(endpoint.id)
--- a/src/lagoonrill/_internal/protocol/sse.py
+++ b/src/lagoonrill/_internal/protocol/sse.py
@@ -45,14 +45,14 @@
     def __init__(self):
         self.rest = b""
 
-    def feed(self, received: bytes) -> list[ServerSentEvent]:
-        """Returns the events that `received` completes.
+    def blocks(self, received: bytes) -> list[bytes]:
+        """Returns the events that `received` completes, each without its empty line.
 
         >>> parser = EventParser()
-        >>> parser.feed(b"id: 0\\ndata: x\\n")
+        >>> parser.blocks(b"id: 0\\ndata: x\\n")
         []
-        >>> [event.data for event in parser.feed(b"\\ndata: y\\n\\n")]
-        [b'x', b'y']
+        >>> parser.blocks(b"\\ndata: y\\n\\n")
+        [b'id: 0\\ndata: x', b'data: y']
         """
         if b"\r" in received:
             received = received.replace(b"\r\n", b"\n")
@@ -60,4 +60,4 @@
         self.rest = blocks.pop()
         if len(self.rest) > MAX_EVENT_BYTES:
             raise EventTooLarge(f"an event is larger than {MAX_EVENT_BYTES} bytes")
-        return [parse_event(block) for block in blocks if block]
+        return [block for block in blocks if block]
--- a/src/lagoonrill/_internal/transport/endpoint_client.py
+++ b/src/lagoonrill/_internal/transport/endpoint_client.py
@@ -143,7 +143,13 @@
 
     def feed(self, received: bytes) -> bytes:
         """Returns the content of all chunks that `received` completes."""
-        buffer = self.rest + received if self.rest else received
+        if self.rest:
+            buffer = self.rest + received
+        else:
+            buffer = received
+            size, _, rest = buffer.partition(b"\r\n")
+            if len(rest) > 2 and size.isalnum() and len(rest) == int(size, 16) + 2:
+                return rest[:-2]
         content = []
         position = 0
         while True:
@@ -205,20 +211,19 @@
         return buffered
 
     def read(self, timeout_s: float) -> bytes:
-        """Returns all content that waits, at least one byte; empty at the end.
+        """Returns all content that waits, at least one byte.
 
-        Raises `EndpointBroken` when the body ends early, `TimeoutError` after
+        Raises `EndpointBroken` when the answer ends or breaks off, `TimeoutError` after
         `timeout_s` seconds without content.
         """
-        if self.decoder and self.decoder.ended:
-            return b""
         if timeout_s != self.timeout_s:
             self._set_timeout(timeout_s)
-        while True:
-            received = self._receive()
+        while not self.ended:
+            if self.first:
+                received, self.first = self.first, b""
+            else:
+                received = self._receive()
             if not received:
-                if self.decoder is None and not self.handle.aborted:
-                    return b""
                 raise EndpointBroken(message="the endpoint closed the connection")
             if self.decoder is None:
                 return received
@@ -226,8 +231,13 @@
                 content = self.decoder.feed(received)
             except ValueError as error:
                 raise EndpointBroken(message="the body is not chunked") from error
-            if content or self.decoder.ended:
+            if content:
                 return content
+        raise EndpointBroken(message="the answer ended early")
+
+    @property
+    def ended(self) -> bool:
+        return self.decoder is not None and self.decoder.ended
 
     def _set_timeout(self, timeout_s: float) -> None:
         seconds, fraction = divmod(max(timeout_s, MIN_TIMEOUT_S), 1)
@@ -236,9 +246,6 @@
         self.timeout_s = timeout_s
 
     def _receive(self) -> bytes:
-        if self.first:
-            received, self.first = self.first, b""
-            return received
         try:
             return self.sock.recv(RECEIVE_BYTES)
         except BlockingIOError:
@@ -249,13 +256,13 @@
     def drain(self) -> None:
         """Reads the end of the body, so that the connection can be used again."""
         with contextlib.suppress(TimeoutError, EndpointBroken):
-            while self.read(DRAIN_TIMEOUT_S):
-                pass
+            while not self.ended:
+                self.read(DRAIN_TIMEOUT_S)
 
     def close(self) -> None:
         """Returns the connection to its pool if the body was read to its end."""
         self.handle.detach()
-        if self.decoder and self.decoder.ended and not self.handle.aborted:
+        if self.ended and not self.handle.aborted:
             self.sock.settimeout(CONTROL_TIMEOUT_S)
             self.response._fp.close()
             self.response.release_conn()
