--- a/src/lagoonrill/_internal/state/tickets.py
+++ b/src/lagoonrill/_internal/state/tickets.py
@@ -22,8 +22,8 @@
     `excluded` holds the ids of endpoints that already failed for this request.
     The scheduler sets the other fields. `paused_at` is the time at which a stream lost
     its slot, by preemption or by a failure after its first token. It was accepted and
-    keeps its tokens, so neither its deadline nor a queue limit applies while it waits to
-    go on. `generated_tokens` counts the tokens of all uses so far.
+    keeps its tokens, so neither its deadline nor a queue limit applies while it waits
+    to go on. `generated_tokens` counts the tokens of all uses so far.
     """
 
     request_id: str
--- a/tests/test_claim_cases.py
+++ b/tests/test_claim_cases.py
@@ -1,7 +1,6 @@
 """Guards against double or lost executions in the cases of the design page, 5.1."""
 
 import pytest
-from claim_harness import Replica, land, true_state
 from returns.result import Success
 
 from lagoonrill._internal.coordination.shard_writer import Pending
@@ -19,6 +18,7 @@
     entry_name,
 )
 from standins.object_store import ObjectStore
+from tests.claim_harness import Replica, land, true_state
 
 KEY = b"key"
 
--- a/tests/test_claims_stateful.py
+++ b/tests/test_claims_stateful.py
@@ -3,7 +3,6 @@
 import os
 
 import hypothesis.strategies as st
-from claim_harness import FAULTS, Replica, land, true_state
 from hypothesis import settings
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 from returns.result import Success
@@ -16,6 +15,7 @@
     OutcomeRecord,
 )
 from standins.object_store import ObjectStore
+from tests.claim_harness import FAULTS, Replica, land, true_state
 
 REPLICAS = 3
 KEYS = [b"k1", b"k2", b"k3", b"k4"]
--- a/tests/test_endpoint_table.py
+++ b/tests/test_endpoint_table.py
@@ -1,9 +1,8 @@
 """Guards what the endpoint table concludes from reports, failures and measurements."""
 
-from scheduler_kit import FakeClock, engine
-
 from lagoonrill._internal.protocol.manifest import Manifest
 from lagoonrill._internal.state.endpoint_table import EndpointTable, LoadReport
+from tests.scheduler_kit import FakeClock, engine
 
 
 def build_table(*endpoints):
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -99,7 +99,8 @@
     for key in map(str, range(20)):
         assert len({member.home(key) for member in running}) == 1
     others[0].begin_leaving()
-    wait_until(lambda: states(first)["b"] == "leaving")
+    rest = [member for member in running if member is not others[0]]
+    wait_until(lambda: all(states(member)["b"] == "leaving" for member in rest))
     assert all(member.home(str(key)) != "b" for member in running for key in range(20))
     others[0].announce_exit()
     others[0].stop()
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -1,7 +1,6 @@
 """Guards the decisions of the routing policies."""
 
 import pytest
-from scheduler_kit import COUNTER, LOOKUP, PLAN, Kit, engine, request_class
 
 from lagoonrill._internal.coordination.policy import (
     POLICY_NAMES,
@@ -12,6 +11,7 @@
 from lagoonrill._internal.coordination.policy.retries import RetryBudget
 from lagoonrill._internal.protocol.errors import SettingsError
 from lagoonrill._internal.protocol.manifest import LatencyTarget, RequestClass
+from tests.scheduler_kit import COUNTER, LOOKUP, PLAN, Kit, engine, request_class
 
 ORDER = request_class("order", 0, repeatable=False)
 GAP = RequestClass(
--- a/tests/test_rollout_stateful.py
+++ b/tests/test_rollout_stateful.py
@@ -13,7 +13,6 @@
     rule,
     run_state_machine_as_test,
 )
-from rollout_fleet import Fleet
 
 from lagoonrill._internal.coordination.apply import (
     ApplyResult,
@@ -23,6 +22,7 @@
 from lagoonrill._internal.protocol.codec import from_json
 from lagoonrill._internal.protocol.objects import COMMITTED_NAME, ConfigRecord
 from lagoonrill._internal.state.generation import GenerationState
+from tests.rollout_fleet import Fleet
 
 NAMES = ("a1", "a2", "b1", "b2")
 # A whole zone may freeze, for example with its rack.
--- a/tests/test_scheduler_invariants.py
+++ b/tests/test_scheduler_invariants.py
@@ -8,7 +8,6 @@
     rule,
     run_state_machine_as_test,
 )
-from scheduler_kit import COUNTER, LOOKUP, PLAN, Kit, engine, request_class
 
 from lagoonrill._internal.coordination.policy.preemption import PREEMPTION
 from lagoonrill._internal.protocol.errors import NoEndpoint
@@ -16,6 +15,7 @@
 from lagoonrill._internal.state.class_queue import Waiting
 from lagoonrill._internal.state.preemption import PREEMPTION_ANSWER_S
 from lagoonrill._internal.state.request_queue import Cancelled
+from tests.scheduler_kit import COUNTER, LOOKUP, PLAN, Kit, engine, request_class
 
 ORDER = request_class("order", 2, repeatable=False, max_wait_ms=4_000, max_queue=3)
 ENDPOINTS = ["e1", "e2", "e3"]
--- a/tests/test_scheduler_overload.py
+++ b/tests/test_scheduler_overload.py
@@ -7,13 +7,13 @@
 import random
 
 import pytest
-from scheduler_kit import COUNTER, LOOKUP, PLAN, engine
 
 from bench.simulated_fleet import Arrival, Fleet
 from lagoonrill._internal.coordination.policy.preemption import PREEMPTION
 from lagoonrill._internal.coordination.policy.queue_order import QUEUE_ORDER
 from lagoonrill._internal.coordination.policy.team_fairness import TEAM_FAIRNESS
 from lagoonrill._internal.protocol.manifest import Manifest
+from tests.scheduler_kit import COUNTER, LOOKUP, PLAN, engine
 
 WINDOW_S = 200.0
 # Two engines with four slots serve about 8 slot-seconds a second.
--- a/tests/test_scheduler_threads.py
+++ b/tests/test_scheduler_threads.py
@@ -5,10 +5,9 @@
 import time
 from collections import Counter
 
-from scheduler_kit import COUNTER, LOOKUP, PLAN, Kit, engine
-
 from lagoonrill._internal.protocol.errors import RequestError
 from lagoonrill._internal.state.request_queue import Cancelled, Usage
+from tests.scheduler_kit import COUNTER, LOOKUP, PLAN, Kit, engine
 
 THREADS = 48
 ROUNDS = 30
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -1,10 +1,10 @@
 """Guards the division of slots between instances."""
 
 from hypothesis import given, strategies as st
-from scheduler_kit import PLAN, Kit, engine
 
 from lagoonrill._internal.protocol.messages import EndpointUse
 from lagoonrill._internal.state.slots import Division, SlotShares
+from tests.scheduler_kit import PLAN, Kit, engine
 
 
 def shares_of(instance, slots, peers):
