Feed the metrics from the request path and keep threads for protected classes

Cause: nothing recorded requests, so /metrics stayed empty. Waiting plans could hold all 640 callers' threads; a counter question was then refused before its class was known. Ruled out: a second pool of threads; the class is only known after the request is read. Change: RequestRecord records each request once; CallerShare lets unprotected classes hold at most three quarters of the callers' threads.

--- a/bench/local_router.py
+++ b/bench/local_router.py
@@ -15,6 +15,7 @@
 import msgspec
 from returns.result import Failure, Success
 
+from lagoonrill._internal.coordination.caller_share import CallerShare
 from lagoonrill._internal.coordination.dispatch import Dispatcher
 from lagoonrill._internal.coordination.streams import StreamLimits, StreamRelay
 from lagoonrill._internal.protocol.claim_errors import (
@@ -320,6 +321,7 @@
             relay=self.relay,
             ticket_type=LocalTicket,
             usage_type=LocalUsage,
+            caller_share=CallerShare(threads=self.settings.threads),
             max_prompt_characters=self.settings.max_prompt_characters,
         )
         self.listener = CallerListener(
--- a/src/lagoonrill/_internal/coordination/dispatch.py
+++ b/src/lagoonrill/_internal/coordination/dispatch.py
@@ -37,6 +37,7 @@
     Unauthorized,
 )
 from ..protocol.manifest import Endpoint, Manifest, RequestClass, Service, Team
+from .caller_share import CallerShare
 from .flight import Flight
 from .streams import CallerGone, StreamJob, StreamRelay
 
@@ -180,6 +181,7 @@
         relay: StreamRelay,
         ticket_type: Callable[..., Any],
         usage_type: Callable[..., Any],
+        caller_share: CallerShare,
         max_prompt_characters: int = 1_000_000,
     ):
         self.generation = generation
@@ -192,6 +194,7 @@
         self.relay = relay
         self.ticket_type = ticket_type
         self.usage_type = usage_type
+        self.caller_share = caller_share
         self.max_prompt_characters = max_prompt_characters
         self.lock = threading.Lock()
         self.index_cache: tuple[Any, ManifestIndex] | None = None
@@ -261,6 +264,7 @@
             message = f"the prompt has {len(text)} characters; the limit is {limit}"
             raise TooLarge(message=message)
         request_class = self._chat_class(chat, request)
+        flight.begin(request_class, self.caller_share)
         ticket = self._ticket(request, request_class, chat.model, prompt=text)
         job = StreamJob(
             stream_id=stream_id_for(request),
@@ -345,6 +349,7 @@
         path = checked_service_path(request.path)
         default = index.class_of_call(index.services[name], request.method, path)
         request_class = self._chosen_class(index, default, request)
+        flight.begin(request_class, self.caller_share)
         ticket = self._ticket(request, request_class, name)
         if request_class.repeatable:
             return self._call_service(request, ticket, flight)
--- a/src/lagoonrill/_internal/coordination/flight.py
+++ b/src/lagoonrill/_internal/coordination/flight.py
@@ -3,6 +3,9 @@
 import threading
 from typing import Any
 
+from ..protocol.manifest import RequestClass
+from .caller_share import CallerShare
+from .request_record import RequestRecord
 from .streams import CallerGone
 
 
@@ -12,9 +15,21 @@
     A request that runs `once` cannot be cancelled after it was sent.
     """
 
-    __slots__ = ("cancelled", "handle", "lock", "once", "scheduler", "sent", "ticket")
+    __slots__ = (
+        "cancelled",
+        "handle",
+        "lock",
+        "once",
+        "record",
+        "scheduler",
+        "sent",
+        "share",
+        "ticket",
+    )
 
-    def __init__(self):
+    def __init__(self, *, record: RequestRecord | None = None):
+        self.record = record or RequestRecord(metrics=None)
+        self.share: CallerShare | None = None
         self.lock = threading.Lock()
         self.cancelled = False
         self.once = False
@@ -23,6 +38,19 @@
         self.scheduler: Any = None
         self.ticket: Any = None
 
+    def begin(self, request_class: RequestClass, share: CallerShare) -> None:
+        """Takes a caller's thread for the class; raises `Overloaded`."""
+        self.record.request_class = request_class
+        share.enter(request_class)
+        self.share = share
+
+    def end(self, result: str) -> None:
+        """Ends the request, after the last byte of its answer; may be called twice."""
+        share, self.share = self.share, None
+        if share is not None:
+            share.leave(self.record.request_class)
+        self.record.finish(result)
+
     def acquire(self, scheduler, ticket):
         """Waits for a slot; raises `CallerGone` if the request is cancelled."""
         with self.lock:
--- /dev/null
+++ b/src/lagoonrill/_internal/coordination/request_record.py
@@ -0,0 +1,70 @@
+"""What is recorded about one request when it ends."""
+
+import time
+
+from ..protocol.manifest import RequestClass
+from ..state.metrics import RESULT_OK, Metrics
+
+SHED_RESULTS = frozenset(("overloaded", "deadline", "no_endpoint"))
+CALLER_GONE = "cancelled"
+
+
+class RequestRecord:
+    """Times and tokens of one request, recorded once into the metrics.
+
+    Times are `time.monotonic()` seconds. Requests that end before their class is known
+    are not recorded.
+    """
+
+    __slots__ = (
+        "arrived_at",
+        "finished",
+        "first_token_at",
+        "last_token_at",
+        "metrics",
+        "request_class",
+        "tokens",
+    )
+
+    def __init__(self, *, metrics: Metrics | None):
+        self.metrics = metrics
+        self.arrived_at = time.monotonic()
+        self.request_class: RequestClass | None = None
+        self.first_token_at: float | None = None
+        self.last_token_at = 0.0
+        self.tokens = 0
+        self.finished = False
+
+    def note_tokens(self, *, first_at: float, last_at: float, total: int) -> None:
+        """Records the tokens that arrived up to now."""
+        if self.first_token_at is None:
+            self.first_token_at = first_at
+        self.last_token_at = last_at
+        self.tokens = total
+
+    def finish(self, result: str) -> None:
+        """Records the end with `ok` or the kind of an error; later calls do nothing."""
+        if self.finished or self.metrics is None or self.request_class is None:
+            return
+        self.finished = True
+        self.metrics.record_request(
+            self.request_class,
+            result=result,
+            first_token_s=self._first_token_s(),
+            token_gap_s=self._token_gap_s(),
+            whole_answer_s=time.monotonic() - self.arrived_at,
+            useful_tokens=self.tokens if result == RESULT_OK else 0,
+        )
+        if result in SHED_RESULTS:
+            self.metrics.record_shed(self.request_class.name, result)
+
+    def _first_token_s(self) -> float | None:
+        if self.first_token_at is None:
+            return None
+        return self.first_token_at - self.arrived_at
+
+    def _token_gap_s(self) -> float | None:
+        # The mean over the answer, which includes pauses between engines.
+        if self.tokens < 2:
+            return None
+        return (self.last_token_at - self.first_token_at) / (self.tokens - 1)
--- a/src/lagoonrill/_internal/coordination/streams.py
+++ b/src/lagoonrill/_internal/coordination/streams.py
@@ -333,12 +333,15 @@
             while not job.assembler.complete:
                 job.grant = self._acquire(job)
                 yield from self._use(job)
-        except RequestError:
+            job.flight.record.finish("ok")
+        except RequestError as error:
+            job.flight.record.finish(error.kind)
             self._discard(job, "truncated")
             if job.keyed:
                 self.registry.discard(job.stream_id)
             raise
         except (CallerGone, GeneratorExit):
+            job.flight.record.finish("cancelled")
             self._discard(job, "caller_gone")
             raise
 
--- a/src/lagoonrill/_internal/daemon.py
+++ b/src/lagoonrill/_internal/daemon.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from . import logs
+from .coordination.caller_share import CallerShare
 from .coordination.claims import ClaimService
 from .coordination.dispatch import Dispatcher
 from .coordination.endpoint_monitor import EndpointMonitor
@@ -165,6 +166,7 @@
             registry=self.registry,
             retry_budget=self.policy.retries,
             usage_type=Usage,
+            record_wasted=self.metrics.record_wasted,
         )
         self.dispatcher = Dispatcher(
             generation=ConfirmedManifest(
@@ -179,10 +181,13 @@
             relay=self.relay,
             ticket_type=Ticket,
             usage_type=Usage,
+            caller_share=CallerShare(threads=settings.callers.threads),
             max_prompt_characters=settings.callers.max_prompt_characters,
         )
         self.callers = CallerListener(
-            settings=settings.callers, dispatcher=self.dispatcher
+            settings=settings.callers,
+            dispatcher=self.dispatcher,
+            metrics=self.metrics,
         )
 
     def _build_operation(self) -> None:
@@ -190,7 +195,7 @@
         self.shutdown = PlannedShutdown(
             notice_s=settings.shutdown_notice_s,
             in_flight=self.callers.in_flight,
-            refuse_new=self.callers.stop,
+            refuse_new=self.callers.refuse_new,
             begin_leaving=self.membership.begin_leaving,
             hand_over=lambda: None,
             announce_exit=self.membership.announce_exit,
@@ -256,6 +261,7 @@
 
     def _stop(self) -> None:
         steps = (
+            self.callers.stop,
             self.relay.stop,
             self.claims.stop,
             self.rollout.stop,
--- a/src/lagoonrill/_internal/transport/caller_listener.py
+++ b/src/lagoonrill/_internal/transport/caller_listener.py
@@ -11,6 +11,7 @@
 
 from ..coordination.dispatch import Answer, CallerRequest, Dispatcher, error_body
 from ..coordination.flight import Flight
+from ..coordination.request_record import RequestRecord
 from ..coordination.streams import CallerGone
 from ..protocol.errors import (
     BadRequest,
@@ -21,6 +22,7 @@
     TooLarge,
 )
 from ..protocol.settings import CallerSettings
+from ..state.metrics import Metrics
 from .caller_server import CallerServer, refusal
 from .caller_watch import CallerWatch
 
@@ -42,8 +44,15 @@
 class CallerListener:
     """Serves callers until it is stopped."""
 
-    def __init__(self, *, settings: CallerSettings, dispatcher: Dispatcher):
+    def __init__(
+        self,
+        *,
+        settings: CallerSettings,
+        dispatcher: Dispatcher,
+        metrics: Metrics | None = None,
+    ):
         self.settings = settings
+        self.metrics = metrics
         self.dispatcher = dispatcher
         self.watch = CallerWatch()
         self.server = CallerServer(
@@ -107,18 +116,23 @@
 
     def _handle(self):
         """Answers one request; every error is converted here."""
-        environ = cherrypy.serving.request.wsgi_environ
-        flight = Flight()
+        request = cherrypy.serving.request
+        environ = request.wsgi_environ
+        flight = Flight(record=RequestRecord(metrics=self.metrics))
+        request.hooks.attach("on_end_request", lambda: flight.end("ok"))
         try:
             return self._respond(self._serve(environ, flight))
         except RequestError as error:
+            flight.record.finish(error.kind)
             limit_to_attempt(error, environ)
             return self._refuse(environ, error)
         except CallerGone:
+            flight.record.finish("cancelled")
             environ["lagoonrill.request"].close_connection = True
             return self._respond(Answer(status=499))
         except Exception:
-            log.exception("A request failed unexpectedly")
+            flight.record.finish("internal")
+            log.exception("a request failed unexpectedly")
             message = "the router failed to answer"
             return self._refuse(environ, RequestError(message=message))
 
