--- a/bench/relay.py
+++ b/bench/relay.py
@@ -114,7 +114,7 @@
 
     def _instance_with_port(self, port: int) -> str:
         for pid, instance in list(self.instances.items()):
-            with contextlib.suppress(psutil.Error):
+            with contextlib.suppress(psutil.Error, OSError):
                 for connection in psutil.Process(pid).net_connections("tcp4"):
                     if connection.laddr.port == port:
                         return instance
