--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON := $(VENV)/bin/python
 STAMP := $(VENV)/.installed
 
-.PHONY: setup format lint test demo faults faults-quick clean
+.PHONY: setup format lint test demo faults faults-quick promises clean
 
 setup: $(STAMP)
 
@@ -33,5 +33,9 @@
 faults-quick: setup
 	$(PYTHON) -m bench.proof.matrix --quick 24 --pairs 0
 
+# One run under load for each promise; about two minutes.
+promises: setup
+	$(PYTHON) -m bench.proof.promises
+
 clean:
 	rm -rf $(VENV) build *.egg-info src/*.egg-info
