Keep accepted streams through an engine's crash and count resumed answers whole

Cause: a plan that had run past its first deadline and lost its engine was refused when it asked for another slot, so it was lost; and each part of a resumed answer was taken for an answer of its own, which made the estimated lengths too short. Change: a stream with tokens is paused by a failure as by a preemption; the ticket counts its tokens over all uses. Streams with a token-gap target, or whose engine failed, do not wait for a cached prompt. Figures: the new tests fail without (the plan is shed, 700 instead of 1,000 tokens).

--- a/src/lagoonrill/_internal/coordination/policy/endpoint_choice.py
+++ b/src/lagoonrill/_internal/coordination/policy/endpoint_choice.py
@@ -60,6 +60,9 @@
         """Tells whether a stream should rather go on where its prompt is cached."""
         if ticket.paused_at is None or now > ticket.paused_at + RESUME_PATIENCE_S:
             return False
+        if ticket.excluded or ticket.request_class.latency.token_gap_ms is not None:
+            # The engine with the prompt has failed, or the answer is in a hurry.
+            return False
         cached = self.prefixes.cached_blocks(view.endpoint.id, ticket.prompt_blocks)
         return 2 * cached < len(ticket.prompt_blocks)
 
--- a/src/lagoonrill/_internal/state/request_queue.py
+++ b/src/lagoonrill/_internal/state/request_queue.py
@@ -526,7 +526,8 @@
         tokens = self.policy.output_length.estimate(
             ticket.request_class.name, ticket.team
         )
-        return self.policy.team_fairness.cost(ticket.prompt_tokens, tokens)
+        left = max(0.0, tokens - ticket.generated_tokens)
+        return self.policy.team_fairness.cost(ticket.prompt_tokens, left)
 
     def _count_in_views(
         self, endpoint_id: str, views: dict[str, list[EndpointView]]
@@ -561,7 +562,8 @@
         preempted = grant.preempted.is_set()
         finished = not usage.failed and not preempted and usage.tokens > 0
         self.counters.note_usage(ticket, usage)
-        if preempted and not usage.failed:
+        ticket.generated_tokens += usage.tokens
+        if preempted or (usage.failed and ticket.generated_tokens > 0):
             ticket.paused_at = now
         actual = self.policy.team_fairness.cost(ticket.prompt_tokens, usage.tokens)
         team_key = self.policy.team_fairness.team_key(ticket)
@@ -569,7 +571,8 @@
         queue.class_tag += actual - grant.estimated_cost
         if finished:
             name = ticket.request_class.name
-            self.policy.output_length.note(name, ticket.team, usage.tokens)
+            total = ticket.generated_tokens
+            self.policy.output_length.note(name, ticket.team, total)
         if not usage.failed:
             hold_s = now - grant.granted_at
             self.policy.load_estimate.note_hold(queue.request_class.name, hold_s)
--- a/src/lagoonrill/_internal/state/tickets.py
+++ b/src/lagoonrill/_internal/state/tickets.py
@@ -20,8 +20,10 @@
 
     `deadline` is the latest time at which the request is still worth starting.
     `excluded` holds the ids of endpoints that already failed for this request.
-    `paused_at` is set when a stream was preempted. It was accepted and keeps its
-    tokens, so neither its deadline nor a queue limit applies while it waits to go on.
+    The scheduler sets the other fields. `paused_at` is the time at which a stream lost
+    its slot, by preemption or by a failure after its first token. It was accepted and
+    keeps its tokens, so neither its deadline nor a queue limit applies while it waits
+    to go on. `generated_tokens` counts the tokens of all uses so far.
     """
 
     request_id: str
@@ -34,6 +36,7 @@
     prompt_blocks: tuple[int, ...] = ()
     excluded: set[str] = msgspec.field(default_factory=set)
     paused_at: float | None = None
+    generated_tokens: int = 0
 
     @property
     def resumes(self) -> bool:
--- a/tests/test_scheduler_rules.py
+++ b/tests/test_scheduler_rules.py
@@ -315,3 +315,29 @@
         kit.submit(waiting, wait_s=5)
         kit.advance(2)
         assert running.grant.preempted.is_set() == preempted
+
+
+@pytest.mark.parametrize("tokens", [0, 7])
+def test_stream_that_has_begun_is_not_shed_after_a_failure(tokens):
+    """An engine's crash must not lose an accepted plan, only refuse a fresh retry."""
+    kit = Kit(endpoints=[engine("e1", slots=1), engine("e2", slots=1)])
+    plan = kit.submit(PLAN, wait_s=1)
+    kit.submit(COUNTER)
+    kit.advance(60)
+    kit.release(plan, tokens=tokens, failed=True)
+    plan.ticket.excluded.add(plan.grant.endpoint.id)
+    retry = kit.scheduler.submit(plan.ticket)
+    assert isinstance(retry.error, DeadlineExceeded) == (tokens == 0)
+
+
+def test_length_of_a_resumed_answer_is_its_total():
+    """Preempted plans must not make the class's answers look short."""
+    kit = Kit(endpoints=[engine("e1", slots=1)])
+    plan = kit.submit(PLAN)
+    question = kit.submit(COUNTER)
+    kit.advance(2)
+    kit.release(plan, tokens=300)
+    resumed = kit.scheduler.submit(plan.ticket)
+    kit.release(question)
+    kit.release(resumed, tokens=700)
+    assert kit.policy.output_length.estimate("plan", "oak") == 1000
