Forget teams that a new manifest no longer has

Cause: every class queue kept a record of every team that ever sent a request. Change: idle teams without an entry in the manifest are dropped. Figures: the new test fails without (the record of the old team stays).

--- a/src/lagoonrill/_internal/state/class_queue.py
+++ b/src/lagoonrill/_internal/state/class_queue.py
@@ -3,7 +3,7 @@
 import heapq
 import itertools
 import threading
-from collections.abc import Callable
+from collections.abc import Callable, Container
 
 from ..protocol.errors import RequestError
 from ..protocol.manifest import RequestClass
@@ -167,7 +167,8 @@
         if team_name not in self.blocked:
             return
         self.blocked.discard(team_name)
-        self._list(self.teams[team_name])
+        if team_name in self.teams:
+            self._list(self.teams[team_name])
 
     def take_head(self, cost: float) -> Waiting:
         """Removes the request that `head` returned and charges its team."""
@@ -207,6 +208,12 @@
         del self.waiting[entry]
         self.teams[entry.team_key].forget_one()
 
+    def forget_teams(self, known: Container[str]) -> None:
+        """Drops idle teams that the manifest no longer has."""
+        for name, team in list(self.teams.items()):
+            if name not in known and not team.live:
+                del self.teams[name]
+
     def correct(self, team_name: str, difference: float) -> None:
         """Charges a team with its next pick what the estimate was short of."""
         team = self.teams.get(team_name)
--- a/src/lagoonrill/_internal/state/request_queue.py
+++ b/src/lagoonrill/_internal/state/request_queue.py
@@ -116,6 +116,7 @@
     def _place_queues(self, now: float) -> None:
         for (target, class_name), queue in list(self.queues.items()):
             queue.request_class = self.classes.get(class_name, queue.request_class)
+            queue.forget_teams(self.ledger.teams)
             pool = self.pools.get(target)
             if pool is not None:
                 pool.add_queue(queue)
--- a/tests/test_scheduler_rules.py
+++ b/tests/test_scheduler_rules.py
@@ -282,6 +282,18 @@
     assert kit.scheduler.dump().in_use["e1"] == 0
 
 
+def test_teams_of_old_manifests_are_forgotten():
+    """Memory must not grow with every team that ever existed."""
+    kit = Kit(endpoints=[engine("e1", slots=1)], teams=[("oak", {}), ("elm", {})])
+    running, waiting = kit.submit(LOOKUP, "oak"), kit.submit(LOOKUP, "elm")
+    kit.teams = []
+    kit.apply()
+    (queue,) = kit.scheduler.queues.values()
+    assert list(queue.teams) == ["elm"], "only the team that waits is needed"
+    kit.release(running)
+    assert waiting.grant is not None
+
+
 def test_baseline_serves_in_order_of_arrival():
     """The baselines must ignore tiers, or the comparison says nothing."""
     kit = Kit(endpoints=[engine("e1", slots=1)], policy="fifo_round_robin")
