Wait for two thirds of the time to the target before preempting

Cause: many requests preempted although a slot became free soon after. Ruled out: 0.75, which leaves a quarter of 1 s for the release and the first token; the simulated streams release within one token, real ones may take longer.

--- a/src/lagoonrill/_internal/coordination/policy/endpoint_choice.py
+++ b/src/lagoonrill/_internal/coordination/policy/endpoint_choice.py
@@ -19,10 +19,10 @@
 # For each multiple of the median's time per token. Ten times the zone penalty at twice
 # the time, so that a straggler is the last choice although its first token is in time.
 STRAGGLER_PENALTY_S = 0.1
-# Load alone makes an engine up to about a quarter slower than the median.
+# Uneven batches alone make engines differ by less than this.
 STRAGGLER_SLOWDOWN = 1.5
-# Preemption is due after half of the time to the target; a request takes a straggler
-# only if that did not get it a better slot.
+# Preemption is due after two thirds of the time to the target; a request takes a
+# straggler only if that did not get it a better slot.
 PATIENCE_SHARE = 0.8
 # A preempted stream leaves a slot to other requests for this time if its prompt is not
 # cached there. A small cache has replaced most of the prompt by then.
