--- a/src/lagoonrill/_internal/coordination/policy/preemption.py
+++ b/src/lagoonrill/_internal/coordination/policy/preemption.py
@@ -7,8 +7,8 @@
 PREEMPTION = Registry(decision="preemption")
 
 # Share of the time to the target that a request waits for a slot to become free by
-# itself. Earlier preemption repeats more prefill (0.5: up to 2.3 times in a burst);
-# later leaves less than a third for the release and the first token.
+# itself. Half repeated up to three times as much prefill in a burst of lookups; more
+# would leave less than a third for the release and the first token.
 PATIENCE_SHARE = 0.65
 # Usual speed of one stream, for comparing running streams only.
 TOKENS_PER_S = 40.0
--- a/src/lagoonrill/_internal/coordination/policy/prefix_affinity.py
+++ b/src/lagoonrill/_internal/coordination/policy/prefix_affinity.py
@@ -41,6 +41,12 @@
     return tuple(blocks)
 
 
+class PrefixDump(msgspec.Struct, kw_only=True):
+    """State dump of the index: known blocks by endpoint."""
+
+    blocks: dict[str, int]
+
+
 class EngineBlocks:
     """Least-recently-used blocks of one engine."""
 
@@ -125,6 +131,11 @@
         with self.lock:
             return sum(len(engine.blocks) for engine in self.engines.values())
 
+    def dump(self) -> PrefixDump:
+        with self.lock:
+            blocks = {name: len(item.blocks) for name, item in self.engines.items()}
+        return PrefixDump(blocks=blocks)
+
     def _engine(self, endpoint_id: str) -> EngineBlocks:
         if endpoint_id not in self.engines:
             self.engines[endpoint_id] = EngineBlocks()
--- a/src/lagoonrill/_internal/state/slots.py
+++ b/src/lagoonrill/_internal/state/slots.py
@@ -36,18 +36,18 @@
 
     All instances that see the same members compute the same division:
 
-    >>> division = Division("e1", 7, ["a", "b", "c"])
+    >>> division = Division(endpoint_id="e1", slots=7, members=["a", "b", "c"])
     >>> shares = [division.base(member) for member in "abc"]
     >>> sorted(shares)
     [2, 2, 3]
-    >>> other = Division("e1", 7, ["c", "b", "a"])
+    >>> other = Division(endpoint_id="e1", slots=7, members=["c", "b", "a"])
     >>> shares == [other.base(member) for member in "abc"]
     True
     """
 
     __slots__ = ("endpoint_id", "slots", "each", "favoured")
 
-    def __init__(self, endpoint_id: str, slots: int, members: Collection[str]):
+    def __init__(self, *, endpoint_id: str, slots: int, members: Collection[str]):
         self.endpoint_id = endpoint_id
         self.slots = slots
         self.each, remainder = divmod(slots, len(members))
@@ -138,7 +138,9 @@
     ) -> SlotShare:
         division = self.divisions.get(endpoint_id)
         if division is None or division.slots != slots:
-            division = Division(endpoint_id, slots, self.members)
+            division = Division(
+                endpoint_id=endpoint_id, slots=slots, members=self.members
+            )
             self.divisions[endpoint_id] = division
         return SlotShare(
             endpoint=endpoint_id,
@@ -161,5 +163,9 @@
         offered = unused - borrowed
         if offered <= 0:
             return 0
-        allotted = Division(f"borrow:{division.endpoint_id}", unused, borrowers)
+        allotted = Division(
+            endpoint_id=f"borrow:{division.endpoint_id}",
+            slots=unused,
+            members=borrowers,
+        )
         return min(allotted.base(self.instance), offered)
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -22,7 +22,7 @@
 @given(st.integers(0, 64), st.sets(st.text(min_size=1), min_size=1, max_size=9))
 def test_base_shares_add_up(slots, members):
     """Rounding must neither lose a slot nor give one to two instances."""
-    division = Division("e1", slots, members)
+    division = Division(endpoint_id="e1", slots=slots, members=members)
     shares = [division.base(member) for member in members]
     assert sum(shares) == slots
     assert max(shares) - min(shares) <= 1
