Take the first trial that has a free slot

Cause: a soak run of the invariants (3,000 examples of 100 steps) found a slot that idled: a trial that was due but had no free slot hid the later trial of another endpoint, so the request waited for its deadline. A retry also waited for the trial of the endpoint that had failed it. Change: only trials that are still ahead set timers (due ones are candidates already), and those of excluded endpoints do not count.

--- a/src/lagoonrill/_internal/state/endpoint_table.py
+++ b/src/lagoonrill/_internal/state/endpoint_table.py
@@ -159,6 +159,10 @@
     def is_trial_due(self, now: float) -> bool:
         return self.down and not self.trial_running and now >= self.probe_at
 
+    def is_probe_ahead(self, now: float) -> bool:
+        waits = self.down and not self.trial_running and self.probe_at > now
+        return waits and not self.is_leaving(now)
+
     def record_change(self, delta: int, now: float) -> None:
         self.in_flight = max(0, self.in_flight + delta)
         self.changes.append((now, delta))
@@ -280,21 +284,26 @@
         with self.lock:
             return any(e.is_candidate(now) for e in self.by_target.get(target, ()))
 
-    def next_probe_at(self, target: str) -> float | None:
-        """Returns when the next trial of a down endpoint of the target is due."""
+    def next_probe_at(
+        self, target: str, *, excluded: Container[str] = ()
+    ) -> float | None:
+        """Returns when the next trial becomes due; due ones are candidates already."""
         now = self.clock()
         with self.lock:
             times = [
                 entry.probe_at
                 for entry in self.by_target.get(target, ())
-                if entry.down and not entry.trial_running and not entry.is_leaving(now)
+                if entry.is_probe_ahead(now) and entry.endpoint.id not in excluded
             ]
         return min(times, default=None)
 
-    def has_trial_running(self, target: str) -> bool:
+    def has_trial_running(self, target: str, *, excluded: Container[str] = ()) -> bool:
         """Tells whether a trial request may soon bring back an endpoint."""
         with self.lock:
-            return any(e.trial_running for e in self.by_target.get(target, ()))
+            return any(
+                entry.trial_running and entry.endpoint.id not in excluded
+                for entry in self.by_target.get(target, ())
+            )
 
     def report_load(self, endpoint_id: str, report: LoadReport) -> None:
         """Takes an engine's report; one sampled before the last one is ignored."""
--- a/src/lagoonrill/_internal/state/request_queue.py
+++ b/src/lagoonrill/_internal/state/request_queue.py
@@ -334,10 +334,11 @@
         excluded = entry.ticket.excluded
         if any(view.endpoint.id not in excluded for view in views):
             return True
-        probe_at = self.table.next_probe_at(entry.ticket.target)
+        target = entry.ticket.target
+        probe_at = self.table.next_probe_at(target, excluded=excluded)
         if probe_at is not None and probe_at < entry.latest_start:
             return True
-        return self.table.has_trial_running(entry.ticket.target)
+        return self.table.has_trial_running(target, excluded=excluded)
 
     def _refusal(
         self,
--- a/tests/test_scheduler_rules.py
+++ b/tests/test_scheduler_rules.py
@@ -353,3 +353,23 @@
     kit.release(question)
     kit.release(resumed, tokens=700)
     assert kit.policy.output_length.estimate("plan", "oak") == 1000
+
+
+def test_due_trial_without_a_free_slot_does_not_hide_a_later_one():
+    """A request must take the first trial it can, not wait for its deadline."""
+    kit = Kit(endpoints=[engine("e1", slots=1), engine("e2", slots=1)])
+    running = {e.grant.endpoint.id: e for e in (kit.submit(LOOKUP), kit.submit(LOOKUP))}
+    waiting = kit.submit(LOOKUP)
+    kit.table.mark_down("e2", "connection lost")
+    kit.advance(0.3)
+    kit.table.mark_down("e1", "connection lost")
+    kit.release(running["e1"], tokens=0, failed=True)
+    kit.advance(0.6)
+    assert waiting.grant is not None and waiting.grant.endpoint.id == "e1"
+
+
+def test_trial_of_an_excluded_endpoint_is_not_waited_for():
+    """A retry must be answered at once if only the endpoint that failed it is left."""
+    kit = Kit(endpoints=[engine("e1", slots=1)])
+    kit.table.mark_down("e1", "connection lost")
+    assert isinstance(kit.submit(LOOKUP, excluded={"e1"}).error, NoEndpoint)
