--- a/src/lagoonrill/_internal/state/request_queue.py
+++ b/src/lagoonrill/_internal/state/request_queue.py
@@ -116,6 +116,7 @@
     def _place_queues(self, now: float) -> None:
         for (target, class_name), queue in list(self.queues.items()):
             queue.request_class = self.classes.get(class_name, queue.request_class)
+            queue.forget_teams(self.ledger.teams)
             pool = self.pools.get(target)
             if pool is not None:
                 pool.add_queue(queue)
@@ -333,10 +334,11 @@
         excluded = entry.ticket.excluded
         if any(view.endpoint.id not in excluded for view in views):
             return True
-        probe_at = self.table.next_probe_at(entry.ticket.target)
+        target = entry.ticket.target
+        probe_at = self.table.next_probe_at(target, excluded=excluded)
         if probe_at is not None and probe_at < entry.latest_start:
             return True
-        return self.table.has_trial_running(entry.ticket.target)
+        return self.table.has_trial_running(target, excluded=excluded)
 
     def _refusal(
         self,
@@ -550,6 +552,8 @@
     def _forget_running(self, grant: SlotGrant, queue: ClassQueue) -> None:
         queue.running.pop(grant, None)
         queue.signalled.pop(grant, None)
+        if grant.by_floor:
+            queue.return_floor_price()
         self.ledger.add_use(grant, -1)
         if not self.ledger.is_team_full(grant.ticket.team):
             for other in self.queues.values():
--- a/tests/test_scheduler_rules.py
+++ b/tests/test_scheduler_rules.py
@@ -282,6 +282,18 @@
     assert kit.scheduler.dump().in_use["e1"] == 0
 
 
+def test_teams_of_old_manifests_are_forgotten():
+    """Memory must not grow with every team that ever existed."""
+    kit = Kit(endpoints=[engine("e1", slots=1)], teams=[("oak", {}), ("elm", {})])
+    running, waiting = kit.submit(LOOKUP, "oak"), kit.submit(LOOKUP, "elm")
+    kit.teams = []
+    kit.apply()
+    (queue,) = kit.scheduler.queues.values()
+    assert list(queue.teams) == ["elm"], "only the team that waits is needed"
+    kit.release(running)
+    assert waiting.grant is not None
+
+
 def test_baseline_serves_in_order_of_arrival():
     """The baselines must ignore tiers, or the comparison says nothing."""
     kit = Kit(endpoints=[engine("e1", slots=1)], policy="fifo_round_robin")
@@ -341,3 +353,44 @@
     kit.release(question)
     kit.release(resumed, tokens=700)
     assert kit.policy.output_length.estimate("plan", "oak") == 1000
+
+
+def test_due_trial_without_a_free_slot_does_not_hide_a_later_one():
+    """A request must take the first trial it can, not wait for its deadline."""
+    kit = Kit(endpoints=[engine("e1", slots=1), engine("e2", slots=1)])
+    running = {e.grant.endpoint.id: e for e in (kit.submit(LOOKUP), kit.submit(LOOKUP))}
+    waiting = kit.submit(LOOKUP)
+    kit.table.mark_down("e2", "connection lost")
+    kit.advance(0.3)
+    kit.table.mark_down("e1", "connection lost")
+    kit.release(running["e1"], tokens=0, failed=True)
+    kit.advance(0.6)
+    assert waiting.grant is not None and waiting.grant.endpoint.id == "e1"
+
+
+def test_trial_of_an_excluded_endpoint_is_not_waited_for():
+    """A retry must be answered at once if only the endpoint that failed it is left."""
+    kit = Kit(endpoints=[engine("e1", slots=1)])
+    kit.table.mark_down("e1", "connection lost")
+    assert isinstance(kit.submit(LOOKUP, excluded={"e1"}).error, NoEndpoint)
+
+
+def test_class_that_always_waits_gets_its_whole_floor():
+    """Guards against a floor that is charged twice for each of its slots."""
+    plan = request_class("plan", 2, first_token_ms=60_000, floor=0.1)
+    counter = request_class("counter", 0, protected=True, max_wait_ms=600_000)
+    kit = Kit(endpoints=[engine("e1", slots=10)], classes=(counter, plan))
+    running, served = [], 0
+    waiting = [kit.submit(counter, wait_s=600) for _ in range(30)]
+    waiting += [kit.submit(plan, wait_s=600) for _ in range(4)]
+    for _ in range(60):
+        kit.advance(1.0)
+        for entry in running:
+            kit.release(entry, tokens=50)
+            kind = entry.ticket.request_class
+            served += kind is plan
+            waiting.append(kit.submit(kind, wait_s=600))
+        running = [entry for entry in waiting if entry.grant is not None]
+        waiting = [entry for entry in waiting if entry.grant is None]
+    # A tenth of ten slots for 60 s; a tenth less for the first credit.
+    assert served >= 54
