--- a/src/lagoonrill/_internal/coordination/rollout.py
+++ b/src/lagoonrill/_internal/coordination/rollout.py
@@ -285,16 +285,16 @@
 
     def _ask_peers(self, peers: list) -> list[str]:
         """Asks peers for a newer generation; returns those that answered."""
-        answered = []
-        for peer in peers:
-            request = GenerationRequest(newer_than=self.generations.generation())
-            result = self.membership.request(peer.instance, request, PEER_TIMEOUT_S)
-            match result:
-                case Success(GenerationReply(record=record)):
-                    answered.append(peer.instance)
-                    if record is not None:
-                        self._offer(record, f"peer {peer.instance}")
-        return answered
+        return [peer.instance for peer in peers if self._ask_peer(peer.instance)]
+
+    def _ask_peer(self, instance: str) -> bool:
+        request = GenerationRequest(newer_than=self.generations.generation())
+        match self.membership.request(instance, request, PEER_TIMEOUT_S):
+            case Success(GenerationReply(record=record)):
+                if record is not None:
+                    self._offer(record, f"peer {instance}")
+                return True
+        return False
 
     def check_peers(self) -> None:
         """Fetches the manifest of a peer that reports a higher generation."""
@@ -303,8 +303,15 @@
         newer = [peer for peer in peers if peer.generation > current]
         newer.sort(key=lambda peer: peer.generation, reverse=True)
         for peer in newer:
-            if peer.generation > self.generations.generation():
-                self._ask_peers([peer])
+            self.take_peer_generation(peer.instance, peer.generation)
+
+    def take_peer_generation(self, instance: str, generation: int) -> None:
+        """Fetches the manifest of a peer whose heartbeat shows a higher generation.
+
+        Makes a request to the peer, so it must not run on a thread that receives.
+        """
+        if generation > self.generations.generation():
+            self._ask_peer(instance)
 
     def answer_generation_request(
         self, request: GenerationRequest
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -7,8 +7,6 @@
 
 import msgspec
 import pytest
-from rollout_fleet import StoreClient, manifest, start_fleet
-from test_manifest import example
 from typer.testing import CliRunner
 
 from lagoonrill._internal import cli
@@ -17,6 +15,8 @@
 from lagoonrill._internal.coordination.apply import ManifestRollout, read_fleet
 from lagoonrill._internal.protocol.codec import to_json
 from standins.server import Response, StandIn, json_response
+from tests.rollout_fleet import StoreClient, manifest, start_fleet
+from tests.test_manifest import example
 
 KEY = "sk-operator-0123456789"
 URLS = ["--object-api-url", "http://127.0.0.1:1"]
--- a/tests/test_generation.py
+++ b/tests/test_generation.py
@@ -2,10 +2,9 @@
 
 import threading
 
-from rollout_fleet import Clock, manifest
-
 from lagoonrill._internal.protocol.objects import ConfigRecord
 from lagoonrill._internal.state.generation import GenerationState, PauseDetector
+from tests.rollout_fleet import Clock, manifest
 
 
 def record(generation: int) -> ConfigRecord:
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -6,7 +6,6 @@
 import time
 
 import pytest
-from rollout_fleet import Fleet, StoreClient, manifest, start_fleet
 
 from lagoonrill._internal.coordination.apply import (
     PROPOSAL_LIFETIME_S,
@@ -17,6 +16,7 @@
 )
 from lagoonrill._internal.protocol.errors import ManifestError
 from lagoonrill._internal.protocol.objects import COMMITTED_NAME, PROPOSAL_NAME
+from tests.rollout_fleet import Fleet, StoreClient, manifest, start_fleet
 
 
 def reports(report) -> dict:
--- a/tests/test_rollout_stateful.py
+++ b/tests/test_rollout_stateful.py
@@ -13,7 +13,6 @@
     rule,
     run_state_machine_as_test,
 )
-from rollout_fleet import Fleet
 
 from lagoonrill._internal.coordination.apply import (
     ApplyResult,
@@ -23,6 +22,7 @@
 from lagoonrill._internal.protocol.codec import from_json
 from lagoonrill._internal.protocol.objects import COMMITTED_NAME, ConfigRecord
 from lagoonrill._internal.state.generation import GenerationState
+from tests.rollout_fleet import Fleet
 
 NAMES = ("a1", "a2", "b1", "b2")
 # A whole zone may freeze, for example with its rack.
@@ -67,6 +67,15 @@
                 self.step_pipeline(which)
                 self.fleet.step()
 
+    @rule(stages=st.permutations([Stage.PROPOSE, Stage.COMMIT]))
+    def start_both(self, stages):
+        """Two pipelines read the same state, and one gets ahead of the other."""
+        self.pipelines = [None, None]
+        for stage in (Stage.PROPOSE, Stage.COMMIT):
+            for which in PIPELINES:
+                if stage in (Stage.PROPOSE, stages[which]):
+                    self.run_pipeline(which=which, until=stage)
+
     @rule(which=st.sampled_from(PIPELINES))
     def step_pipeline(self, which):
         pipeline = self.pipelines[which]
