Keep rollout threads alive after unexpected errors and pace the watch

Cause: an unexpected exception ended a thread for good, a store that answers a watch at once was asked in a tight loop, and a status write in doubt at the stop left the status behind. Change: each thread repeats guarded rounds; a watch is repeated after 50 ms at the earliest; the stop reads the status' version if it is not known. Keys behind a slash are removed from log lines as well. A test compares docs/cli.md with the exit statuses.

--- a/src/lagoonrill/_internal/coordination/rollout.py
+++ b/src/lagoonrill/_internal/coordination/rollout.py
@@ -50,6 +50,8 @@
 # 390 daemons write 39 times a second at this interval, a tenth of the store's budget.
 STATUS_REFRESH_S = 10.0
 RETRY_INTERVAL_S = 0.5
+# Keeps a store that answers a watch at once from being asked without a pause.
+SHORTEST_WATCH_S = 0.05
 JOIN_TIMEOUT_S = 2.0
 
 
@@ -147,7 +149,9 @@
             "status": self._run_status,
         }
         for name, loop in loops.items():
-            thread = threading.Thread(target=loop, name=f"rollout-{name}", daemon=True)
+            thread = threading.Thread(
+                target=self._repeat, args=(loop,), name=f"rollout-{name}", daemon=True
+            )
             self._threads.append(thread)
             thread.start()
 
@@ -166,36 +170,45 @@
             thread.join(max(0.0, deadline - time.monotonic()))
         self._remove_status()
 
+    def _repeat(self, round_of: Callable[[], None]) -> None:
+        """Runs rounds until the stop; an unexpected error does not end the thread."""
+        while not self._stopping.is_set():
+            try:
+                round_of()
+            except Exception:
+                logger.exception("unexpected error; trying again")
+                self._stopping.wait(_jittered(RETRY_INTERVAL_S))
+
     def _run_ticker(self) -> None:
-        while not self._stopping.wait(TICK_INTERVAL_S):
-            self.tick()
+        self.tick()
+        self._stopping.wait(TICK_INTERVAL_S)
 
     def _run_sources(self) -> None:
-        while not self._stopping.is_set():
-            if self._needs_confirmation():
-                confirmed = self.confirm()
-                pause_s = PEER_CHECK_INTERVAL_S if confirmed else RETRY_INTERVAL_S
-            else:
-                self.check_peers()
-                pause_s = PEER_CHECK_INTERVAL_S
-            self._confirm_wanted.wait(pause_s)
-            self._confirm_wanted.clear()
+        if self._needs_confirmation():
+            confirmed = self.confirm()
+            pause_s = PEER_CHECK_INTERVAL_S if confirmed else RETRY_INTERVAL_S
+        else:
+            self.check_peers()
+            pause_s = PEER_CHECK_INTERVAL_S
+        self._confirm_wanted.wait(pause_s)
+        self._confirm_wanted.clear()
 
     def _run_watch(self) -> None:
-        while not self._stopping.is_set():
-            if isinstance(self.watch_once(self.watch_wait_s), Failure):
-                self._stopping.wait(_jittered(RETRY_INTERVAL_S))
+        started_at = time.monotonic()
+        if isinstance(self.watch_once(self.watch_wait_s), Failure):
+            self._stopping.wait(_jittered(RETRY_INTERVAL_S))
+        elif time.monotonic() - started_at < SHORTEST_WATCH_S:
+            self._stopping.wait(SHORTEST_WATCH_S)
 
     def _run_poll(self) -> None:
-        while not self._stopping.wait(_jittered(POLL_INTERVAL_S)):
-            self.poll_store()
+        self._stopping.wait(_jittered(POLL_INTERVAL_S))
+        self.poll_store()
 
     def _run_status(self) -> None:
-        while not self._stopping.is_set():
-            if self.status_is_due() and not self.write_status():
-                self._stopping.wait(_jittered(RETRY_INTERVAL_S))
-            self._status_wanted.wait(STATUS_CHECK_INTERVAL_S)
-            self._status_wanted.clear()
+        if self.status_is_due() and not self.write_status():
+            self._stopping.wait(_jittered(RETRY_INTERVAL_S))
+        self._status_wanted.wait(STATUS_CHECK_INTERVAL_S)
+        self._status_wanted.clear()
 
     # Readiness and confirmation
 
@@ -513,9 +526,15 @@
         return result
 
     def _remove_status(self) -> None:
-        if self._status_version:
-            name = status_name(self.zone, self.instance)
-            self.store.delete(name, version=self._status_version)
+        name = status_name(self.zone, self.instance)
+        version = self._status_version
+        if version is None:
+            match self.store.get(name):
+                case Success(found) if found is not None:
+                    version = found.version
+        if version:
+            # On a failure the status stays and counts until it was silent for long.
+            self.store.delete(name, version=version)
 
     def dump(self) -> RolloutDump:
         """Returns the state for the state dump."""
--- a/src/lagoonrill/_internal/logs.py
+++ b/src/lagoonrill/_internal/logs.py
@@ -62,7 +62,8 @@
 
 def _remove_known_key(match: re.Match) -> str:
     word = match.group()
-    for candidate in {word, word.rstrip(".="), word.rpartition("=")[2]}:
+    last = word.rpartition("/")[2]
+    for candidate in {word, word.rstrip(".="), word.rpartition("=")[2], last}:
         if hashlib.sha256(candidate.encode()).hexdigest() in _known_digests:
             return _REMOVED
     return word
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -2,6 +2,7 @@
 
 import json
 import os
+import re
 import subprocess
 import sys
 
@@ -16,7 +17,7 @@
 from lagoonrill._internal.protocol.codec import to_json
 from standins.server import Response, StandIn, json_response
 from tests.rollout_fleet import StoreClient, manifest, start_fleet
-from tests.test_manifest import example
+from tests.test_manifest import DOCS, example
 
 KEY = "sk-operator-0123456789"
 URLS = ["--object-api-url", "http://127.0.0.1:1"]
@@ -157,6 +158,12 @@
         assert result.returncode == ExitStatus.USAGE
 
 
+def test_documented_exit_statuses_are_those_of_the_tool():
+    page = (DOCS / "cli.md").read_text()
+    documented = re.findall(r"^\| (\d+) \| `(\w+)` \|", page, re.M)
+    assert documented == [(str(int(status)), status.name) for status in ExitStatus]
+
+
 def test_unreachable_daemon_and_completion():
     result = run_tool("dump", "127.0.0.1:1", LAGOONRILL_OPERATOR_KEY=KEY)
     assert result.returncode == ExitStatus.UNREACHABLE
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -45,11 +45,12 @@
     logs.protect_keys([hashlib.sha256(KEY.encode()).hexdigest()])
     logger.info("unknown key {}", KEY)
     logger.info("query ?key={}&x=1", KEY)
+    logger.info("path /keys/{}", KEY)
     logger.info("quoted '{}', in a list [{}].", KEY, KEY)
     try:
         raise ValueError(f"no team for {KEY}")
     except ValueError:
         logger.exception("refused")
-    assert len(lines()) == 6
+    assert len(lines()) == 7
     assert all(KEY not in line for line in lines())
     assert all("[removed]" in line for line in lines())
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -400,7 +400,7 @@
     fleet.clock = time.monotonic
     nodes = [fleet.start(name, name[0]) for name in ("a1", "b1")]
     for node in nodes:
-        node.store.watch = slow_watch(node.store.watch)
+        node.store.watch = failing_watch(node.store.watch)
         node.rollout.start()
     options = {"wall_clock": time.monotonic, "clock": time.monotonic}
     for number in (1, 2):
@@ -419,11 +419,14 @@
     assert not [name for name in fleet.store.objects if name.startswith("status/")]
 
 
-def slow_watch(watch):
-    """The store in memory answers at once; a loop over it would not pause."""
+def failing_watch(watch):
+    """Fails once in a way that no interface allows, which must not end the thread."""
+    calls = []
 
-    def wait_and_watch(prefix, *, since, wait_s):
-        time.sleep(0.02)
+    def watch_or_fail(prefix, *, since, wait_s):
+        calls.append(prefix)
+        if len(calls) == 1:
+            raise RuntimeError("unexpected")
         return watch(prefix, since=since, wait_s=wait_s)
 
-    return wait_and_watch
+    return watch_or_fail
