Poll sooner after each stage and remove abandoned statuses

Cause: a run that just missed the first poll waited 0.2 s; crashed instances leave their status objects behind for ever; a cancelled pipeline (SIGTERM) left its proposal. Conclusion: one test covers pages of statuses and the removal.

--- a/src/lagoonrill/_internal/cli.py
+++ b/src/lagoonrill/_internal/cli.py
@@ -1,5 +1,6 @@
 """The command-line tool `lagoonrill`. Heavy modules are imported inside functions."""
 
+import signal
 import sys
 from typing import Annotated, Optional
 
@@ -240,6 +241,8 @@
     from .commands.output import CommandError, print_error
     from .protocol.errors import ConfigError
 
+    # A pipeline that is cancelled by SIGTERM withdraws its proposal as with Ctrl-C.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     try:
         app(prog_name="lagoonrill")
     except CommandError as error:
--- a/src/lagoonrill/_internal/coordination/apply.py
+++ b/src/lagoonrill/_internal/coordination/apply.py
@@ -29,7 +29,10 @@
     VersionedObject,
 )
 
-POLL_INTERVAL_S = 0.2
+# The first polls of a stage come soon after each other, because a small fleet reports
+# within milliseconds.
+FIRST_POLL_INTERVAL_S = 0.02
+LONGEST_POLL_INTERVAL_S = 0.2
 RETRY_INTERVAL_S = 0.5
 DEFAULT_TIMEOUT_S = 60.0
 # No tool waits longer than this with an open proposal, so an older one is abandoned.
@@ -37,6 +40,9 @@
 # Daemons go on unconfirmed after pauses of up to 30 s. The rest covers the interval
 # of status reports (10 s) and a difference between clocks of up to 5 s.
 SILENCE_BEFORE_EXCLUSION_S = 45.0
+# Instances that crash leave their status behind. An accepted run removes those that the
+# list does not show and that were silent for a day.
+STATUS_RETENTION_S = 86_400.0
 # The store accepts values up to 1 MB.
 MAX_RECORD_BYTES = 1_000_000
 LIST_LIMIT = 500
@@ -157,6 +163,8 @@
         self.clock = clock
         self.wall_clock = wall_clock
         self._seen: dict[str, _Sighting] = {}
+        # Versions of status objects that no instance keeps any more.
+        self.abandoned: dict[str, int] = {}
 
     def members(self) -> Result[list[Member], LagoonrillError]:
         """Returns the instances that count, or the error of the source that failed."""
@@ -171,6 +179,12 @@
             case failure:
                 return failure
 
+    def remove_abandoned(self) -> None:
+        """Removes the abandoned status objects that the last survey found."""
+        for key, version in self.abandoned.items():
+            self.store.delete(STATUS_PREFIX + key, version=version)
+        self.abandoned = {}
+
     def _read_statuses(self) -> Result[dict[str, InstanceStatus], StoreError]:
         statuses: dict[str, InstanceStatus] = {}
         after = ""
@@ -204,6 +218,7 @@
     ) -> list[Member]:
         members = []
         known = set()
+        self.abandoned = {}
         for entry in listed:
             key = f"{entry.zone}/{entry.id}"
             known.add(key)
@@ -215,6 +230,8 @@
             member = self._member(key, status, listed=False)
             if member.silent_s <= SILENCE_BEFORE_EXCLUSION_S:
                 members.append(member)
+            elif member.silent_s > STATUS_RETENTION_S:
+                self.abandoned[key] = self._seen[key].version
         return sorted(members, key=lambda member: (member.zone, member.instance))
 
     def _member(
@@ -281,6 +298,7 @@
         # The commit must come before another tool may regard the proposal as abandoned.
         self.deadline = self.started_at + timeout_s
         self.proposal_deadline = self.started_at + min(timeout_s, PROPOSAL_LIFETIME_S)
+        self.poll_interval_s = FIRST_POLL_INTERVAL_S
         self.generation = 0
         self.base_generation = 0
         self.base_version = 0
@@ -302,8 +320,14 @@
                 return report
             if self.clock() >= self._current_deadline():
                 return self.give_up()
-            if self.stage is stage:
-                self.sleep(RETRY_INTERVAL_S if self._is_retrying() else POLL_INTERVAL_S)
+            if self.stage is not stage:
+                self.poll_interval_s = FIRST_POLL_INTERVAL_S
+            elif self._is_retrying():
+                self.sleep(RETRY_INTERVAL_S)
+            else:
+                self.sleep(self.poll_interval_s)
+                longer_s = self.poll_interval_s * 1.5
+                self.poll_interval_s = min(longer_s, LONGEST_POLL_INTERVAL_S)
 
     def step(self) -> ApplyReport | None:
         """Does one round of the current stage; returns the report once there is one."""
@@ -557,6 +581,8 @@
         if any(report.state is not InstanceState.ACCEPTED for report in reports):
             return self._wait("not every live instance has the manifest in force")
         self._withdraw()
+        if self.written:
+            self.survey.remove_abandoned()
         return self._report(ApplyResult.ACCEPTED, "")
 
     def _superseded(self, record: ConfigRecord | None) -> ApplyReport:
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from lagoonrill._internal.coordination import apply
 from lagoonrill._internal.coordination.apply import (
     PROPOSAL_LIFETIME_S,
     ApplyResult,
@@ -155,6 +156,19 @@
     assert fleet.tool(2, timeout_s=60).run().result == "accepted"
 
 
+def test_statuses_beyond_one_page_count_and_abandoned_ones_are_removed(monkeypatch):
+    """A fleet has more statuses than a list call returns; crashes leave theirs."""
+    monkeypatch.setattr(apply, "LIST_LIMIT", 2)
+    fleet = start_fleet("a1", "a2", "b1", "b2", "b3")
+    del fleet.nodes["a1"], fleet.list.entries["a1"]
+    fleet.clock.sleep(apply.STATUS_RETENTION_S + 1)
+    fleet.step()
+    report = fleet.tool(2).run()
+    assert report.result == "accepted"
+    assert sorted(reports(report)) == ["a2", "b1", "b2", "b3"]
+    assert "status/a/a1" not in fleet.store.objects
+
+
 def test_instance_that_stopped_or_leaves_is_not_waited_for():
     fleet = start_fleet("a1", "a2", "b1")
     fleet.nodes.pop("b1").rollout.stop()
