--- a/src/lagoonrill/_internal/protocol/settings.py
+++ b/src/lagoonrill/_internal/protocol/settings.py
@@ -50,8 +50,16 @@
 
 
 class CallerSettings(ListenerSettings, kw_only=True, forbid_unknown_fields=True):
-    """The callers' listener; one thread serves each open connection."""
+    """The callers' listener; one thread serves each open connection.
 
+    `request_timeout_s` limits the time to receive a whole request, and
+    `slow_client_timeout_s` the time for which a caller may accept no part of its
+    answer. `default_deadline_s` applies to requests without `X-Deadline-Ms`.
+    """
+
+    request_timeout_s: Seconds = 15.0
+    slow_client_timeout_s: Seconds = 20.0
+    default_deadline_s: Seconds = 600.0
     threads: Threads = 640
 
 
@@ -70,11 +78,15 @@
 
 
 class PeerSettings(msgspec.Struct, kw_only=True, forbid_unknown_fields=True):
-    """The socket for peers; `addresses` are known before the Instance list answers."""
+    """The socket for peers; `addresses` are known before the Instance list answers.
+
+    `advertised_address` is what peers connect to, if it differs from host and port.
+    """
 
     host: IpAddress
     port: Port
     addresses: list[PeerAddress] = []
+    advertised_address: PeerAddress | None = None
     heartbeat_interval_s: Seconds = 0.5
     suspect_after_s: Seconds = 2.0
     drop_after_s: Seconds = 6.0
--- a/standins/server.py
+++ b/standins/server.py
@@ -8,6 +8,7 @@
 import argparse
 import re
 import signal
+import socket
 import sys
 import threading
 from collections.abc import Callable, Iterable
@@ -64,6 +65,23 @@
         return self.environ.get("HTTP_" + name.upper().replace("-", "_"))
 
 
+class DropConnection(Exception):
+    """Raised by a handler or a body to close the connection without an answer."""
+
+
+class ConnectionGateway(wsgi.Gateway_10):
+    """Lets an application drop its connection."""
+
+    def respond(self):
+        try:
+            super().respond()
+        except DropConnection:
+            self.req.sent_headers = True
+            self.req.close_connection = True
+            self.req.chunked_write = False
+            self.req.ready = False
+
+
 class StandIn:
     """Base of all stand-ins: routes, faults and the server."""
 
@@ -106,7 +124,15 @@
 
 def run(stand_in: StandIn, *, host: str = "127.0.0.1", port: int = 0) -> None:
     """Serves until SIGTERM; prints `ready <port>` once the socket listens."""
-    server = wsgi.Server((host, port), stand_in, numthreads=stand_in.threads)
+    server = wsgi.Server(
+        (host, port or free_port(host)),
+        stand_in,
+        numthreads=stand_in.threads,
+        request_queue_size=512,
+    )
+    server.gateway = ConnectionGateway
+    server.keep_alive_conn_limit = None
+    server.shutdown_timeout = 1
     server.prepare()
     signal.signal(
         signal.SIGTERM, lambda *_: threading.Thread(target=server.stop).start()
@@ -116,6 +142,16 @@
     sys.exit(0)
 
 
+def free_port(host: str) -> int:
+    """Returns a port that is free now.
+
+    cheroot makes only fixed ports reusable, and a stand-in that was killed is started
+    again on its port.
+    """
+    with socket.create_server((host, 0)) as probe:
+        return probe.getsockname()[1]
+
+
 def argument_parser(description: str) -> argparse.ArgumentParser:
     """Returns a parser with the arguments that all stand-ins take."""
     parser = argparse.ArgumentParser(description=description)
