Check the advertised peer address

Cause: peers.advertised_address was not checked, and peers.host 0.0.0.0 was refused even with an advertised address. Change: the advertised address must be an IP address with a port; with it, the host may be the unspecified address. Conclusion: both ways to give the address are checked.

--- a/src/lagoonrill/_internal/protocol/settings.py
+++ b/src/lagoonrill/_internal/protocol/settings.py
@@ -180,8 +180,14 @@
     for field in ("callers", "operators"):
         host = getattr(settings, field).host
         check_ip_address(f"{field}.host", host, problems, allow_any=True)
-    # Peers connect to this address, so it must not be the unspecified one.
-    check_ip_address("peers.host", settings.peers.host, problems)
+    # Peers connect to the advertised address, or else to this one, which then must not
+    # be the unspecified one.
+    advertised = settings.peers.advertised_address
+    has_other = advertised is not None
+    host = settings.peers.host
+    check_ip_address("peers.host", host, problems, allow_any=has_other)
+    if advertised is not None:
+        check_peer_address("peers.advertised_address", advertised, problems)
     for field in ("object_api_url", "instance_list_url"):
         check_url(f"platform.{field}", getattr(settings.platform, field), problems)
     addresses = [
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -28,6 +28,12 @@
     assert parse_settings(json.dumps(VALID).encode()).claims.shards == 16
 
 
+def test_unspecified_peer_address_needs_an_advertised_one():
+    document = copy.deepcopy(VALID)
+    document["peers"] |= {"host": "0.0.0.0", "advertised_address": "10.1.0.5:7000"}
+    assert parse_settings(json.dumps(document).encode()).peers.host == "0.0.0.0"
+
+
 def test_published_schema_comes_from_the_types():
     assert (DOCS / "settings.schema.json").read_bytes() == settings_schema()
 
@@ -46,6 +52,9 @@
         ("operators", "key_digest", "secret", "operators.key_digest"),
         ("operators", "port", 8080, "operators.port"),
         ("peers", "host", "0.0.0.0", "peers.host"),
+        ("peers", "advertised_address", "0.0.0.0:7", "peers.advertised_address"),
+        ("peers", "advertised_address", "entry-1:7", "peers.advertised_address"),
+        ("callers", "default_deadline_s", 0, "callers.default_deadline_s"),
         ("peers", "addresses", ["10.1.0.6"], "peers.addresses[0]"),
         ("peers", "addresses", ["entry-2:7000"], "peers.addresses[0]"),
         ("peers", "addresses", ["10.0.0.1:1", "10.0.0.1:1"], "peers.addresses[1]"),
