--- a/tests/test_rollout_stateful.py
+++ b/tests/test_rollout_stateful.py
@@ -67,6 +67,15 @@
                 self.step_pipeline(which)
                 self.fleet.step()
 
+    @rule(stages=st.permutations([Stage.PROPOSE, Stage.COMMIT]))
+    def start_both(self, stages):
+        """Two pipelines read the same state, and one gets ahead of the other."""
+        self.pipelines = [None, None]
+        for stage in (Stage.PROPOSE, Stage.COMMIT):
+            for which in PIPELINES:
+                if stage in (Stage.PROPOSE, stages[which]):
+                    self.run_pipeline(which=which, until=stage)
+
     @rule(which=st.sampled_from(PIPELINES))
     def step_pipeline(self, which):
         pipeline = self.pipelines[which]
