Take a peer's generation from its heartbeat and protect the operator key in logs

Cause: the rollout's new interface was not wired; the daemon did not tell the log filter the operator key's digest. Change: both calls in daemon.py and daemon_main.py.

--- a/src/lagoonrill/_internal/daemon.py
+++ b/src/lagoonrill/_internal/daemon.py
@@ -108,7 +108,7 @@
                 loads=self.monitor.loads_to_share,
             ),
             reports=PeerReports(
-                generation=lambda instance, generation: self.rollout.check_peers(),
+                generation=lambda *seen: self.rollout.take_peer_generation(*seen),
                 uses=self.scheduler.update_peers,
                 leaving_endpoints=self.monitor.update_peer_leaving,
                 down_endpoints=self.monitor.update_peer_down,
--- a/src/lagoonrill/_internal/daemon_main.py
+++ b/src/lagoonrill/_internal/daemon_main.py
@@ -33,6 +33,7 @@
         print(f"lagoonrilld: {error}", file=sys.stderr)
         raise typer.Exit(SETTINGS_REFUSED) from error
     logs.install(parsed.log)
+    logs.protect_keys([parsed.operators.key_digest])
     # Hundreds of threads relay tokens; the default of 5 ms lets one of them delay the
     # others' first tokens by many times that.
     sys.setswitchinterval(0.0005)
