--- /dev/null
+++ b/bench/claims_cost.py
@@ -0,0 +1,212 @@
+"""Measures what a claim costs: store calls, bytes and processor time.
+
+`python -m bench.claims_cost` starts the Object API stand-in and claims fresh keys at
+several rates from concurrent callers whose arrivals are random. It prints one line for
+each rate, and straight lines through the points.
+"""
+
+import argparse
+import random
+import statistics
+import threading
+import time
+
+import msgspec
+import urllib3
+from returns.result import Success
+
+from lagoonrill._internal.coordination.claims import ClaimService, digest_body
+from lagoonrill._internal.protocol.claim_records import Outcome
+from lagoonrill._internal.protocol.settings import ClaimSettings, PlatformSettings
+from lagoonrill._internal.transport.object_api import ObjectApi
+from standins.object_store import Stats
+
+from .processes import Process, start_stand_in
+
+RATES = (25.0, 50.0, 100.0, 200.0, 300.0)
+CALLERS = 64
+# A shard is compacted several times in a run, so that each rate pays for deletions.
+SNAPSHOT_AFTER_ENTRIES = 16
+CLAIM_TIMEOUT_S = 10.0
+# Garbage of a step is deleted within this time and belongs to its cost.
+GARBAGE_WAIT_S = 2.5
+OUTCOME = Outcome(
+    status=201, headers={"Content-Type": "application/json"}, body=b"x" * 200
+)
+
+
+class Totals(msgspec.Struct):
+    """Running totals of everything that a step costs."""
+
+    reads: int
+    writes: int
+    wire_bytes: int
+    cpu_s: float
+
+
+class Step(msgspec.Struct):
+    """Costs at one rate."""
+
+    rate: float
+    claims: int
+    failed: int
+    claims_per_s: float
+    reads: float
+    writes: float
+    wire_bytes: float
+    cpu_ms: float
+    p50_ms: float
+    p99_ms: float
+
+
+class Bench:
+    """The stand-in, the instances and their callers."""
+
+    def __init__(self, *, arguments: argparse.Namespace):
+        self.arguments = arguments
+        self.store: Process = start_stand_in("object_store")
+        platform = PlatformSettings(object_api_url=self.store.url, instance_list_url="")
+        settings = ClaimSettings(
+            append_interval_s=arguments.append_interval_s,
+            snapshot_after_entries=arguments.snapshot_after,
+        )
+        self.apis = [
+            ObjectApi(settings=platform, instance=f"bench-{number}")
+            for number in range(arguments.instances)
+        ]
+        self.services = [
+            ClaimService(store=api, settings=settings, instance=f"bench-{number}")
+            for number, api in enumerate(self.apis)
+        ]
+        for service in self.services:
+            service.start()
+
+    def stop(self) -> None:
+        """Ends the threads and the stand-in."""
+        for service in self.services:
+            service.stop()
+        self.store.stop()
+
+    def totals(self) -> Totals:
+        """Returns the totals up to now."""
+        data = urllib3.request("GET", f"{self.store.url}/stats").data
+        stats = msgspec.json.decode(data, type=Stats)
+        dumps = [api.dump() for api in self.apis]
+        return Totals(
+            reads=stats.reads,
+            writes=stats.writes,
+            wire_bytes=sum(dump.sent_bytes + dump.received_bytes for dump in dumps),
+            cpu_s=time.process_time(),
+        )
+
+    def step(self, rate: float) -> Step:
+        """Runs one rate and returns the costs per claim."""
+        before = self.totals()
+        latencies: list[float] = []
+        end = time.monotonic() + self.arguments.seconds
+        threads = [
+            threading.Thread(target=self.call, args=(rate, caller, end, latencies))
+            for caller in range(self.arguments.callers)
+        ]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        time.sleep(GARBAGE_WAIT_S)
+        after = self.totals()
+        failures = sum(1 for latency in latencies if latency < 0)
+        claims = len(latencies) - failures
+        times = sorted(latency for latency in latencies if latency >= 0)
+        return Step(
+            rate=rate,
+            claims=claims,
+            failed=failures,
+            claims_per_s=claims / self.arguments.seconds,
+            reads=(after.reads - before.reads) / claims,
+            writes=(after.writes - before.writes) / claims,
+            wire_bytes=(after.wire_bytes - before.wire_bytes) / claims,
+            cpu_ms=1000 * (after.cpu_s - before.cpu_s) / claims,
+            p50_ms=1000 * times[len(times) // 2],
+            p99_ms=1000 * times[int(len(times) * 0.99)],
+        )
+
+    def call(self, rate: float, caller: int, end: float, latencies: list) -> None:
+        """Claims until the end; a failed claim counts as a negative latency."""
+        service = self.services[caller % len(self.services)]
+        arrivals = random.Random(f"{rate}-{caller}")
+        due = time.monotonic()
+        number = 0
+        while True:
+            due += arrivals.expovariate(rate / self.arguments.callers)
+            if due >= end:
+                return
+            time.sleep(max(0.0, due - time.monotonic()))
+            number += 1
+            started = time.monotonic()
+            result = service.claim(
+                team="bench",
+                key=f"{rate}-{caller}-{number}",
+                body_digest=digest_body(b"bench"),
+                deadline=started + CLAIM_TIMEOUT_S,
+            )
+            granted = isinstance(result, Success)
+            latencies.append(time.monotonic() - started if granted else -1.0)
+            if granted and self.arguments.outcomes:
+                service.record_outcome(result.unwrap(), OUTCOME)
+
+
+def print_step(step: Step) -> None:
+    """Prints one line of the table."""
+    print(
+        f"{step.rate:7.0f} {step.claims:7d} {step.failed:6d} {step.claims_per_s:9.1f}"
+        f" {step.writes:9.3f} {step.reads:9.3f} {step.wire_bytes:9.0f}"
+        f" {step.cpu_ms:9.3f} {step.p50_ms:8.2f} {step.p99_ms:8.2f}",
+        flush=True,
+    )
+
+
+def print_fit(steps: list[Step], name: str, unit: str, scale: float) -> None:
+    """Prints the straight line of a cost per second over claims per second."""
+    rates = [step.claims_per_s for step in steps]
+    costs = [getattr(step, name) * scale * step.claims_per_s for step in steps]
+    slope, intercept = statistics.linear_regression(rates, costs)
+    correlation = statistics.correlation(rates, costs)
+    print(
+        f"{unit}/s = {intercept:.4g} + {slope:.4g} x claims/s"
+        f"  (r^2 {correlation**2:.3f})"
+    )
+
+
+def main() -> None:
+    """Runs all steps."""
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument("--seconds", type=float, default=8.0)
+    parser.add_argument("--instances", type=int, default=1)
+    parser.add_argument("--append-interval-s", type=float, default=0.0)
+    parser.add_argument("--rates", type=float, nargs="+", default=RATES)
+    parser.add_argument("--callers", type=int, default=CALLERS)
+    parser.add_argument("--snapshot-after", type=int, default=SNAPSHOT_AFTER_ENTRIES)
+    parser.add_argument(
+        "--outcomes", action="store_true", help="record an outcome of 200 bytes too"
+    )
+    arguments = parser.parse_args()
+    bench = Bench(arguments=arguments)
+    try:
+        print(
+            "   rate  claims failed  claims/s writes/cl  reads/cl  bytes/cl"
+            "  cpu ms/c   p50 ms   p99 ms"
+        )
+        steps = []
+        for rate in arguments.rates:
+            steps.append(bench.step(rate))
+            print_step(steps[-1])
+    finally:
+        bench.stop()
+    print_fit(steps, "cpu_ms", "CPU s", 0.001)
+    print_fit(steps, "writes", "writes", 1.0)
+    print_fit(steps, "reads", "reads", 1.0)
+    print_fit(steps, "wire_bytes", "bytes", 1.0)
+
+
+if __name__ == "__main__":
+    main()
--- a/src/lagoonrill/_internal/coordination/claims.py
+++ b/src/lagoonrill/_internal/coordination/claims.py
@@ -50,7 +50,7 @@
 
 KEY_DIGEST_BYTES = 16
 PROBE_INTERVAL_S = 0.5
-GARBAGE_INTERVAL_S = 1.0
+GARBAGE_INTERVAL_S = 0.1
 WAIT_SLICE_S = 1.0
 MIN_BACKOFF_S = 0.02
 MAX_BACKOFF_S = 1.0
@@ -439,13 +439,13 @@
     def _read_layout(self) -> int | None:
         """Returns the number of shards; the first instance writes its setting."""
         found = self.store.get(LAYOUT_NAME)
-        if not isinstance(found, Success):
-            return None
-        if found.unwrap() is not None:
-            return from_json(found.unwrap().value, ClaimLayout).shards
-        value = to_json(ClaimLayout(shards=self.settings.shards))
-        created = self.store.create(LAYOUT_NAME, value)
-        return self.settings.shards if isinstance(created, Success) else None
+        if isinstance(found, Success) and found.unwrap() is None:
+            value = to_json(ClaimLayout(shards=self.settings.shards))
+            self.store.create(LAYOUT_NAME, value)
+            # Another instance may have been first, or the answer was lost.
+            found = self.store.get(LAYOUT_NAME)
+        layout = found.value_or(None)
+        return None if layout is None else from_json(layout.value, ClaimLayout).shards
 
     def _set_layout(self, shards: int) -> None:
         with self.condition:
--- a/src/lagoonrill/_internal/coordination/shard_writer.py
+++ b/src/lagoonrill/_internal/coordination/shard_writer.py
@@ -61,6 +61,8 @@
 WRITE_ATTEMPTS = 3
 # Deltas since the last full snapshot; a full one rewrites the whole state.
 DELTAS_BEFORE_FULL = 32
+MIN_DELETIONS = 5
+DELETION_DIVISOR = 5
 # Spreads the instances so that they rarely compact the same shard together.
 SNAPSHOT_JITTER = 0.25
 
@@ -632,7 +634,18 @@
         names += [part.name for part in old.parts if part.name not in used]
         if self.floor.index:
             names.append(self.floor.index)
-        return names + self.expired_bodies
+        return names + self.expired_bodies + self._left_entries()
+
+    def _left_entries(self) -> list[str]:
+        """Returns entries that a compactor left when its process ended.
+
+        Those of the last snapshots may still be in another instance's deletions.
+        """
+        result = self.store.list(entry_prefix(self.shard), limit=1)
+        page = result.value_or([])
+        end = self.floor.through - 2 * self.snapshot_after
+        first = entry_sequence(page[0].name) if page else end
+        return [entry_name(self.shard, sequence) for sequence in range(first, end)]
 
     def _move_floor(self) -> None:
         """Makes a written snapshot the one in force, unless another one was first."""
@@ -676,12 +689,16 @@
     # Called by one background thread.
 
     def delete_garbage(self) -> bool:
-        """Deletes what compaction left; returns False if the store did not allow it.
+        """Deletes a share of what compaction left; returns False if the store refused.
+
+        The share spreads the deletions of a snapshot, which would delay appends, and
+        grows with their number, so that they keep up with any append rate.
 
         Deleting an entry at or below the floor is safe at any later time, since
         numbers below the floor never count again.
         """
-        while self.deletions:
+        share = MIN_DELETIONS + len(self.deletions) // DELETION_DIVISOR
+        for _ in range(min(share, len(self.deletions))):
             name = self.deletions[0]
             result = self.store.delete(name)
             if not isinstance(result, Success):
