Let only the probe call a store that does not answer

Cause: a writer with an unrecorded outcome called the store once a second for each shard while the breaker was open, beside the probe.

Change: writers wait for the breaker before they go on, and look at it again right after a failed call.

--- a/src/lagoonrill/_internal/coordination/claims.py
+++ b/src/lagoonrill/_internal/coordination/claims.py
@@ -402,14 +402,17 @@
         while not self.stopping.is_set():
             if not writer.wait_for_work(WAIT_SLICE_S):
                 continue
+            if self.breaker.open:
+                # Only the probe calls the store until it answers again.
+                writer.fail_queued()
+                self.breaker.wait_closed(WAIT_SLICE_S)
+                continue
             started = time.monotonic()
             if self._progressed(writer):
                 backoff_s = MIN_BACKOFF_S
                 self._pace(started)
                 continue
             if self.breaker.open:
-                writer.fail_queued()
-                self.breaker.wait_closed(WAIT_SLICE_S)
                 continue
             self.stopping.wait(backoff_s)
             backoff_s = min(MAX_BACKOFF_S, 2 * backoff_s)
