Skip the floor check of a batch that another writer certainly beat

Cause: with four instances a claim cost 4.1 reads, since each conflict read the log and the floor before the batch was sent again, which checks the floor anyway.

Change: a batch whose first sending met a conflict is not in the log. The writer reads the other entry and goes on; the entry stays unverified, and no answer is given from unverified entries. A batch that was ever in doubt keeps the old path.

Ruled out: skipping the check after doubt. The batch may have landed, been compacted and its number been created again, and a withdrawn claim would be answered not_run.

A peer that is asked again for an attempt would be granted it by an entry below the floor. A directed test shows it now.

Conclusion: a conflict is cheaper, but instances that share a shard still pay for it; the preferred instance of a shard is what avoids it.

--- a/src/lagoonrill/_internal/coordination/shard_writer.py
+++ b/src/lagoonrill/_internal/coordination/shard_writer.py
@@ -116,7 +116,11 @@
 
 
 class InFlight(msgspec.Struct):
-    """The batch in flight; `placed` once its number is known to be taken."""
+    """The batch in flight; `placed` once its number is known to be taken.
+
+    It is `beaten` if another writer took the number before the batch was ever in doubt,
+    so that the batch is certainly not in the log.
+    """
 
     sequence: int
     batch: ClaimBatch
@@ -124,6 +128,7 @@
     pendings: list[Pending]
     doubt: bool = False
     placed: bool = False
+    beaten: bool = False
 
 
 class Compaction(msgspec.Struct):
@@ -286,6 +291,8 @@
             return True
         if not self.in_flight.placed and not self._place():
             return False
+        if self.in_flight.beaten:
+            return self._go_on_after_conflict()
         if not self._verify_placed():
             return False
         self._settle()
@@ -299,13 +306,20 @@
             return False
         with self.condition:
             waiting = [item for item in self.queue if not item.upload]
-        if any(needs_refresh(self._decide(item)) for item in waiting) and (
-            not self._sync()
-        ):
-            return False
-        self._take(waiting)
+        decisions = [self._decide(item) for item in waiting]
+        if self._needs_sync(decisions):
+            if not self._sync():
+                return False
+            decisions = [self._decide(item) for item in waiting]
+        self._take(waiting, decisions)
         return uploaded or self.in_flight is not None
 
+    def _needs_sync(self, decisions: list[Result[None, ClaimError] | None]) -> bool:
+        """Returns whether an answer depends on entries not read or not checked yet."""
+        if self.state.applied != self.state.verified:
+            return any(decision is not None for decision in decisions)
+        return any(needs_refresh(decision) for decision in decisions)
+
     def _decide(self, pending: Pending) -> Result[None, ClaimError] | None:
         with self.condition:
             return decide(pending.record, self.state, self._log_time())
@@ -313,17 +327,20 @@
     def _log_time(self) -> float:
         return max(self.clock(), self.state.log_time)
 
-    def _take(self, waiting: list[Pending]) -> None:
+    def _take(
+        self,
+        waiting: list[Pending],
+        decisions: list[Result[None, ClaimError] | None],
+    ) -> None:
         """Answers decided records and puts the others in flight, one for each key."""
         taken = []
         keys = set()
         size = 0
-        for pending in waiting:
+        for pending, decision in zip(waiting, decisions, strict=True):
             record = pending.record
             if record.key in keys:
                 continue
             keys.add(record.key)
-            decision = self._decide(pending)
             if decision is not None:
                 self._resolve(pending, decision)
                 continue
@@ -381,6 +398,7 @@
         error = result.failure()
         if isinstance(error, StoreConflict):
             flight.placed = True
+            flight.beaten = not flight.doubt
             self.counters.conflicts += 1
             return True
         if isinstance(error, StoreInDoubt):
@@ -391,6 +409,13 @@
             self._return_to_queue(flight.pendings)
         return False
 
+    def _go_on_after_conflict(self) -> bool:
+        """Reads the other writer's entry; the next append checks it with its own."""
+        if not self._catch_up():
+            return False
+        self._return_to_queue(self.in_flight.pendings)
+        return True
+
     def _verify_placed(self) -> bool:
         """Makes sure that the state holds the entry that has the batch's number."""
         sequence = self.in_flight.sequence
--- a/tests/test_claim_cases.py
+++ b/tests/test_claim_cases.py
@@ -177,18 +177,32 @@
 
 def test_entry_created_again_below_the_floor_is_not_believed(zones):
     reader = submit_claim(zones.b, "b1", key=b"free")
+    repeat = submit_claim(zones.b, "a1", own=False)
     zones.b.pause_at("list")
     pending = compact_past_a_paused_writer(zones)
     zones.a.step()
     assert zones.objects.get(entry_name(0, 1)) is not None
     zones.b.settle()
     assert isinstance(reader.result, Success)
+    assert error_of(repeat.result) is OutcomeUnknown
     state = zones.b.writer.state
     assert state.keys[KEY].attempt_id == "c1"
     zones.a.settle()
     assert error_of(pending.result) is OutcomeUnknown
 
 
+def test_repeat_at_another_peer_is_not_granted_by_an_entry_below_the_floor(zones):
+    submit_claim(zones.b, "b1", key=b"free")
+    zones.b.pause_at("create")
+    pending = compact_past_a_paused_writer(zones)
+    zones.a.step()
+    repeat = submit_claim(zones.b, "a1", own=False)
+    zones.b.settle()
+    zones.a.settle()
+    assert error_of(repeat.result) is OutcomeUnknown
+    assert error_of(pending.result) is OutcomeUnknown
+
+
 def test_paused_compaction_does_not_move_the_floor_back(zones):
     fast = zones.new("f", snapshot_after=1)
     claim(fast, "f1", key=b"k1")
