--- a/src/lagoonrill/_internal/coordination/shard_writer.py
+++ b/src/lagoonrill/_internal/coordination/shard_writer.py
@@ -61,6 +61,8 @@
 WRITE_ATTEMPTS = 3
 # Deltas since the last full snapshot; a full one rewrites the whole state.
 DELTAS_BEFORE_FULL = 32
+MIN_DELETIONS = 5
+DELETION_DIVISOR = 5
 # Spreads the instances so that they rarely compact the same shard together.
 SNAPSHOT_JITTER = 0.25
 
@@ -114,7 +116,11 @@
 
 
 class InFlight(msgspec.Struct):
-    """The batch in flight; `placed` once its number is known to be taken."""
+    """The batch in flight; `placed` once its number is known to be taken.
+
+    It is `beaten` if another writer took the number before the batch was ever in doubt,
+    so that the batch is certainly not in the log.
+    """
 
     sequence: int
     batch: ClaimBatch
@@ -122,6 +128,7 @@
     pendings: list[Pending]
     doubt: bool = False
     placed: bool = False
+    beaten: bool = False
 
 
 class Compaction(msgspec.Struct):
@@ -284,6 +291,8 @@
             return True
         if not self.in_flight.placed and not self._place():
             return False
+        if self.in_flight.beaten:
+            return self._go_on_after_conflict()
         if not self._verify_placed():
             return False
         self._settle()
@@ -297,13 +306,20 @@
             return False
         with self.condition:
             waiting = [item for item in self.queue if not item.upload]
-        if any(needs_refresh(self._decide(item)) for item in waiting) and (
-            not self._sync()
-        ):
-            return False
-        self._take(waiting)
+        decisions = [self._decide(item) for item in waiting]
+        if self._needs_sync(decisions):
+            if not self._sync():
+                return False
+            decisions = [self._decide(item) for item in waiting]
+        self._take(waiting, decisions)
         return uploaded or self.in_flight is not None
 
+    def _needs_sync(self, decisions: list[Result[None, ClaimError] | None]) -> bool:
+        """Returns whether an answer depends on entries not read or not checked yet."""
+        if self.state.applied != self.state.verified:
+            return any(decision is not None for decision in decisions)
+        return any(needs_refresh(decision) for decision in decisions)
+
     def _decide(self, pending: Pending) -> Result[None, ClaimError] | None:
         with self.condition:
             return decide(pending.record, self.state, self._log_time())
@@ -311,17 +327,20 @@
     def _log_time(self) -> float:
         return max(self.clock(), self.state.log_time)
 
-    def _take(self, waiting: list[Pending]) -> None:
+    def _take(
+        self,
+        waiting: list[Pending],
+        decisions: list[Result[None, ClaimError] | None],
+    ) -> None:
         """Answers decided records and puts the others in flight, one for each key."""
         taken = []
         keys = set()
         size = 0
-        for pending in waiting:
+        for pending, decision in zip(waiting, decisions, strict=True):
             record = pending.record
             if record.key in keys:
                 continue
             keys.add(record.key)
-            decision = self._decide(pending)
             if decision is not None:
                 self._resolve(pending, decision)
                 continue
@@ -379,6 +398,7 @@
         error = result.failure()
         if isinstance(error, StoreConflict):
             flight.placed = True
+            flight.beaten = not flight.doubt
             self.counters.conflicts += 1
             return True
         if isinstance(error, StoreInDoubt):
@@ -389,6 +409,13 @@
             self._return_to_queue(flight.pendings)
         return False
 
+    def _go_on_after_conflict(self) -> bool:
+        """Reads the other writer's entry; the next append checks it with its own."""
+        if not self._catch_up():
+            return False
+        self._return_to_queue(self.in_flight.pendings)
+        return True
+
     def _verify_placed(self) -> bool:
         """Makes sure that the state holds the entry that has the batch's number."""
         sequence = self.in_flight.sequence
@@ -632,7 +659,18 @@
         names += [part.name for part in old.parts if part.name not in used]
         if self.floor.index:
             names.append(self.floor.index)
-        return names + self.expired_bodies
+        return names + self.expired_bodies + self._left_entries()
+
+    def _left_entries(self) -> list[str]:
+        """Returns entries that a compactor left when its process ended.
+
+        Those of the last snapshots may still be in another instance's deletions.
+        """
+        result = self.store.list(entry_prefix(self.shard), limit=1)
+        page = result.value_or([])
+        end = self.floor.through - 2 * self.snapshot_after
+        first = entry_sequence(page[0].name) if page else end
+        return [entry_name(self.shard, sequence) for sequence in range(first, end)]
 
     def _move_floor(self) -> None:
         """Makes a written snapshot the one in force, unless another one was first."""
@@ -676,12 +714,16 @@
     # Called by one background thread.
 
     def delete_garbage(self) -> bool:
-        """Deletes what compaction left; returns False if the store did not allow it.
+        """Deletes a share of what compaction left; returns False if the store refused.
+
+        The share spreads the deletions of a snapshot, which would delay appends, and
+        grows with their number, so that they keep up with any append rate.
 
         Deleting an entry at or below the floor is safe at any later time, since
         numbers below the floor never count again.
         """
-        while self.deletions:
+        share = MIN_DELETIONS + len(self.deletions) // DELETION_DIVISOR
+        for _ in range(min(share, len(self.deletions))):
             name = self.deletions[0]
             result = self.store.delete(name)
             if not isinstance(result, Success):
--- a/tests/test_claim_cases.py
+++ b/tests/test_claim_cases.py
@@ -1,7 +1,7 @@
 """Guards against double or lost executions in the cases of the design page, 5.1."""
 
 import pytest
-from returns.result import Success
+from returns.result import Failure, Success
 
 from lagoonrill._internal.coordination.shard_writer import Pending
 from lagoonrill._internal.protocol.claim_errors import (
@@ -84,7 +84,7 @@
 
 
 def error_of(result):
-    return type(result.failure())
+    return type(result.failure()) if isinstance(result, Failure) else None
 
 
 def test_retry_during_the_holders_pause_is_unknown_and_the_holder_runs_once(zones):
@@ -177,18 +177,32 @@
 
 def test_entry_created_again_below_the_floor_is_not_believed(zones):
     reader = submit_claim(zones.b, "b1", key=b"free")
+    repeat = submit_claim(zones.b, "a1", own=False)
     zones.b.pause_at("list")
     pending = compact_past_a_paused_writer(zones)
     zones.a.step()
     assert zones.objects.get(entry_name(0, 1)) is not None
     zones.b.settle()
     assert isinstance(reader.result, Success)
+    assert error_of(repeat.result) is OutcomeUnknown
     state = zones.b.writer.state
     assert state.keys[KEY].attempt_id == "c1"
     zones.a.settle()
     assert error_of(pending.result) is OutcomeUnknown
 
 
+def test_repeat_at_another_peer_is_not_granted_by_an_entry_below_the_floor(zones):
+    submit_claim(zones.b, "b1", key=b"free")
+    zones.b.pause_at("create")
+    pending = compact_past_a_paused_writer(zones)
+    zones.a.step()
+    repeat = submit_claim(zones.b, "a1", own=False)
+    zones.b.settle()
+    zones.a.settle()
+    assert error_of(repeat.result) is OutcomeUnknown
+    assert error_of(pending.result) is OutcomeUnknown
+
+
 def test_paused_compaction_does_not_move_the_floor_back(zones):
     fast = zones.new("f", snapshot_after=1)
     claim(fast, "f1", key=b"k1")
@@ -268,3 +282,16 @@
     claim(writer, "c101", key=b"k200")
     writer.settle()
     assert len(true_state(zones.objects).keys) == 2
+
+
+def test_entries_that_a_dead_compactor_left_are_deleted(zones):
+    dead = zones.new("d", snapshot_after=2)
+    for number in range(2):
+        submit_claim(dead, f"d{number}", key=f"d{number}".encode())
+        dead.pause_at("delete") if number else dead.settle()
+    dead.kill()
+    assert zones.objects.get(entry_name(0, 1)) is not None
+    writer = zones.new("c", snapshot_after=2)
+    for number in range(8):
+        claim(writer, f"c{number}", key=f"c{number}".encode())
+    assert zones.objects.list("claims/00/0", "", 10) == []
