Close a link's sockets even when its thread fails

Cause: with undecodable messages no longer caught, a trial of the tests hung instead of failing: the receiving thread ended without closing its socket, and `stop` waits for all sockets. Ruled out: a time-out for the stop; libzmq has none for ending a context. Change: the threads of a link close their socket in any case.

--- a/src/lagoonrill/_internal/transport/peer_link.py
+++ b/src/lagoonrill/_internal/transport/peer_link.py
@@ -230,7 +230,12 @@
         return socket
 
     def _run(self) -> None:
-        socket = self._open_socket()
+        # `PeerLink.stop` waits until every socket is closed.
+        with contextlib.closing(self._open_socket()) as socket:
+            self._serve(socket)
+        self.wakeup.close()
+
+    def _serve(self, socket: zmq.Socket) -> None:
         poller = zmq.Poller()
         poller.register(self.wakeup.fd, zmq.POLLIN)
         poller.register(socket, zmq.POLLIN)
@@ -245,8 +250,6 @@
             if blocked != was_blocked:
                 poller.modify(socket, zmq.POLLIN | (zmq.POLLOUT if blocked else 0))
         self._flush(socket)
-        socket.close()
-        self.wakeup.close()
 
     def _take(self) -> Outgoing | None:
         with self.lock:
@@ -471,6 +474,11 @@
         return socket
 
     def _run(self, socket: zmq.Socket) -> None:
+        with contextlib.closing(socket):
+            self._serve(socket)
+        self.wakeup.close()
+
+    def _serve(self, socket: zmq.Socket) -> None:
         poller = zmq.Poller()
         poller.register(socket, zmq.POLLIN)
         poller.register(self.wakeup.fd, zmq.POLLIN)
@@ -481,8 +489,6 @@
             if socket in events:
                 self._receive(socket)
             self._send_replies(socket)
-        socket.close()
-        self.wakeup.close()
 
     def _receive(self, socket: zmq.Socket) -> None:
         for _ in range(BATCH_MESSAGES):
