Keep a source's word in the endpoint table as long as the source does

Cause: the endpoint table forgets a peer's word after 5 s, keeps every other source's until it is withdrawn, and `mark_up` withdraws none. The monitor told it only of changes and took `mark_up` for a withdrawal: an endpoint that only peers knew to be leaving got work again after 5 s, and one that the Instance list had once called leaving never did. Ruled out: `mark_up` after every good poll; it resets the table's back-off for endpoints that answer polls but fail requests. Change: the monitor withdraws ended sources with `clear_leaving`, repeats a peer's word every second and marks up only what it marked down. Loads from peers say if the endpoint is leaving.

--- a/bench/member.py
+++ b/bench/member.py
@@ -85,6 +85,9 @@
     def mark_leaving(self, endpoint_id: str, source: str) -> None:
         pass
 
+    def clear_leaving(self, endpoint_id: str, source: str) -> None:
+        pass
+
     def mark_down(self, endpoint_id: str, reason: str) -> None:
         pass
 
--- a/src/lagoonrill/_internal/coordination/endpoint_monitor.py
+++ b/src/lagoonrill/_internal/coordination/endpoint_monitor.py
@@ -54,6 +54,9 @@
     PEER = "peer"
 
 
+PASSING_SOURCES = {LeavingSource.ANSWER, LeavingSource.PEER}
+
+
 class EndpointMonitorEntry(msgspec.Struct, kw_only=True):
     """State of one endpoint for the state dump."""
 
@@ -76,8 +79,8 @@
 class AppliedState(msgspec.Struct, kw_only=True):
     """What the table was last told about an endpoint."""
 
-    sources: list[LeavingSource]
-    down: bool
+    sources: list[LeavingSource] = []
+    down: str = ""
 
 
 class WatchedEndpoint:
@@ -111,7 +114,7 @@
         # Polled regardless of the choice of pollers, until a poll succeeds.
         self.probed = False
         self.scheduled = False
-        self.applied: AppliedState | None = None
+        self.applied = AppliedState()
 
     def leaving_sources(self, now: float) -> list[LeavingSource]:
         """Returns the sources that hold now."""
@@ -194,7 +197,6 @@
                 if record is None or record.endpoint.url != endpoint.url:
                     record = self._new_record(endpoint)
                 record.endpoint = endpoint
-                record.applied = None
                 self._set_source(record, LeavingSource.MANIFEST, endpoint.drain)
                 self.watched[endpoint.id] = record
             self._choose_polled()
@@ -235,6 +237,7 @@
                 running=load.running,
                 waiting=load.waiting,
                 slots=load.slots,
+                state="leaving" if load.leaving else "live",
                 age_s=load.age_ms / 1000,
             )
             self._take_load(load.endpoint, report, now, own=False)
@@ -334,6 +337,7 @@
             waiting=record.load.waiting,
             slots=record.load.slots,
             age_ms=int(self._load_age(record, now) * 1000),
+            leaving=record.load.state == "leaving",
         )
 
     # State
@@ -372,39 +376,50 @@
             records = list(self.watched.values())
         self._apply(records)
 
-    def _apply(self, records: list[WatchedEndpoint], *, always: bool = False) -> None:
+    def _apply(self, records: list[WatchedEndpoint]) -> None:
         """Brings the table in line with records that may have changed."""
         if not records:
             return
         with self.apply_lock:
             for record in records:
-                self._apply_one(record, always=always)
+                self._apply_one(record)
 
-    def _apply_one(self, record: WatchedEndpoint, *, always: bool) -> None:
-        endpoint_id = record.endpoint.id
+    def _apply_one(self, record: WatchedEndpoint) -> None:
         with self.lock:
             if not self._is_current(record):
                 return
+            before = record.applied
             sources = sorted(record.leaving_sources(time.monotonic()))
-            down = record.down_reason
-            if record.down_by_peers and not record.polled:
-                down = down or "reported down by peers"
-            applied = AppliedState(sources=sources, down=bool(down))
-            changed = record.applied != applied
-            record.applied = applied
-        if not (changed or always):
-            return
-        if down:
-            self.table.mark_down(endpoint_id, down)
-        else:
-            self.table.mark_up(endpoint_id)
-        for source in sources:
-            self.table.mark_leaving(endpoint_id, str(source))
-        if changed:
+            after = AppliedState(sources=sources, down=self._down_reason(record))
+            record.applied = after
+        self._tell_table(record.endpoint.id, before, after)
+        if before != after:
             leaving = f"leaving by {', '.join(sources)}" if sources else "not leaving"
-            log.info("{}: {}, {}", endpoint_id, leaving, down or "up")
+            log.info("{}: {}, {}", record.endpoint.id, leaving, after.down or "up")
             self.send_news()
 
+    def _tell_table(
+        self, endpoint_id: str, before: AppliedState, after: AppliedState
+    ) -> None:
+        # Only what this monitor marked down is marked up again: the table has its own
+        # trials for endpoints that answer polls but fail requests.
+        if after.down and not before.down:
+            self.table.mark_down(endpoint_id, after.down)
+        if before.down and not after.down:
+            self.table.mark_up(endpoint_id)
+        for source in after.sources:
+            # The table forgets a peer's word unless it is repeated.
+            if source not in before.sources or source is LeavingSource.PEER:
+                self.table.mark_leaving(endpoint_id, str(source))
+        for source in before.sources:
+            if source not in after.sources:
+                self.table.clear_leaving(endpoint_id, str(source))
+
+    def _down_reason(self, record: WatchedEndpoint) -> str:
+        if record.down_reason or record.polled or not record.down_by_peers:
+            return record.down_reason
+        return "reported down by the instances that poll it"
+
     def _take_load(
         self, endpoint_id: str, report: LoadReport, now: float, *, own: bool
     ) -> None:
@@ -464,11 +479,11 @@
                 self._choose_polled()
                 changed = list(self.watched.values())
             else:
-                # Their word holds only for a time.
+                # Their word holds only for a time, here or in the table.
                 changed = [
                     record
                     for record in self.watched.values()
-                    if LeavingSource.ANSWER in record.leaving_until
+                    if record.leaving_until.keys() & PASSING_SOURCES
                 ]
         self._apply(changed)
 
@@ -549,8 +564,7 @@
             self._set_source(record, LeavingSource.LOAD_REPORT, leaving)
             if not leaving:
                 record.leaving_until.pop(LeavingSource.ANSWER, None)
-        # The request path may have marked the endpoint down on its own.
-        self._apply([record], always=True)
+        self._apply([record])
 
     def _take_failure(self, record: WatchedEndpoint, error: LoadError) -> None:
         with self.lock:
--- a/src/lagoonrill/_internal/protocol/messages.py
+++ b/src/lagoonrill/_internal/protocol/messages.py
@@ -28,6 +28,7 @@
     waiting: int
     slots: int
     age_ms: int
+    leaving: bool = False
 
 
 class NoticeKind(enum.StrEnum):
