--- a/src/lagoonrill/_internal/protocol/messages.py
+++ b/src/lagoonrill/_internal/protocol/messages.py
@@ -85,7 +85,11 @@
 
 
 class ClaimRequest(PeerMessage):
-    """Asks a peer that reaches the store to append a claim for the sender."""
+    """Asks a peer that reaches the store to append a claim for the sender.
+
+    `body_digest` is hexadecimal; `deadline_s` is the time left, since the clocks of
+    two processes differ.
+    """
 
     team: str
     key: str
@@ -100,15 +104,20 @@
     kind: str
     detail: str = ""
     status: int = 0
-    content_type: str = ""
+    headers: dict[str, str] = {}
     body: bytes = b""
 
 
 class StreamAnnounce(PeerMessage):
-    """Tells a stream's home instance where the stream runs, or that it ended."""
+    """Tells a stream's home instance where the stream runs, or that it ended.
+
+    An engine knows the stream by its id and `attempt`. An ended stream without an
+    endpoint cannot be resumed and is forgotten.
+    """
 
     stream_id: str
     endpoint: str
+    attempt: int = 0
     ended: bool = False
 
 
@@ -123,6 +132,7 @@
 
     stream_id: str
     endpoint: str
+    attempt: int = 0
 
 
 class Leaving(PeerMessage):
