--- a/tests/test_endpoint_monitor.py
+++ b/tests/test_endpoint_monitor.py
@@ -16,6 +16,7 @@
 from lagoonrill._internal.protocol.load import LoadReport
 from lagoonrill._internal.protocol.manifest import Endpoint, Manifest
 from lagoonrill._internal.protocol.messages import EndpointLoad
+from lagoonrill._internal.state.endpoint_table import EndpointTable
 from lagoonrill._internal.transport.load_client import LoadClient
 from standins.server import StandIn, json_response
 
@@ -33,7 +34,7 @@
 
 
 class RecordingTable:
-    """An endpoint table of sets; it behaves as section 2.1 of the design says."""
+    """An endpoint table of sets; `mark_up` does not withdraw what a source said."""
 
     def __init__(self):
         self.leaving: dict[str, set[str]] = {}
@@ -51,10 +52,12 @@
 
     def mark_up(self, endpoint_id):
         self.down.discard(endpoint_id)
-        self.leaving.pop(endpoint_id, None)
+
+    def clear_leaving(self, endpoint_id, source):
+        self.leaving[endpoint_id].remove(source)
 
     def usable(self, endpoint_id):
-        return endpoint_id not in self.leaving and endpoint_id not in self.down
+        return not self.leaving.get(endpoint_id) and endpoint_id not in self.down
 
 
 class LoadServer:
@@ -172,6 +175,8 @@
     wait_until(lambda: first.live_peers())
     source.append("llm-1")
     wait_until(lambda: "peer" in monitor.table.leaving.get("llm-1", ()), LIMIT_S)
+    monitor.table.leaving.clear()
+    wait_until(lambda: "peer" in monitor.table.leaving.get("llm-1", ()), LIMIT_S)
     assert monitor.leaving_endpoints() == []
     source.clear()
     wait_until(lambda: monitor.table.usable("llm-1"), 10.0)
@@ -189,7 +194,8 @@
     assert monitor.down_endpoints() == ["llm-1"]
     restarted = LoadServer(port)
     wait_until(lambda: monitor.table.usable("llm-1"))
-    monitor.table.mark_down("llm-1", "by the request path")
+    monitor.report_failure("llm-1", "refused a request")
+    assert not monitor.table.usable("llm-1")
     wait_until(lambda: monitor.table.usable("llm-1"))
     restarted.server.stop()
 
@@ -240,3 +246,38 @@
     assert not monitor.table.usable(other)
     monitor.update_peer_down(set())
     assert monitor.table.usable(other)
+
+
+@pytest.mark.parametrize("source", ["peer", "instance_list"])
+def test_endpoint_table_follows_a_source_as_long_as_it_holds(source):
+    """Guards against the real table forgetting a word that holds, or keeping it."""
+    table = EndpointTable()
+    monitor = EndpointMonitor(
+        instance="a",
+        zone="tunis-a",
+        table=table,
+        fetch_load=lambda url: None,
+        members=lambda: {"a": "tunis-a"},
+    )
+    engine = Endpoint(
+        id="llm-1", url="http://127.0.0.1:9", zone="tunis-a", slots=4, models=["m"]
+    )
+    manifest = Manifest(classes=[], endpoints=[engine], teams=[])
+    table.apply_manifest(manifest)
+    monitor.apply_manifest(manifest)
+
+    def report(leaving):
+        if source == "peer":
+            monitor.update_peer_leaving({"llm-1"} if leaving else set())
+        else:
+            state = "leaving" if leaving else "live"
+            monitor.update_listed([ListedEndpoint(id="llm-1", state=state)])
+        monitor._refresh_once()
+
+    until = time.monotonic() + 6.0
+    while time.monotonic() < until:
+        report(True)
+        assert table.candidates("m") == []
+        time.sleep(0.5)
+    report(False)
+    assert len(table.candidates("m")) == 1
