Send headers and body of each request and answer in one system call

Cause: each system call on the way of a request gives up the interpreter lock and waits for it again.

--- a/src/lagoonrill/_internal/transport/caller_server.py
+++ b/src/lagoonrill/_internal/transport/caller_server.py
@@ -6,6 +6,7 @@
 """
 
 import contextlib
+import io
 import select
 import socket
 import struct
@@ -162,16 +163,29 @@
             self.req.ensure_headers_sent()
             response.close()
 
+    def _take_headers(self) -> bytes:
+        """Returns the headers, so that they leave together with the first event."""
+        connection = self.req.conn
+        writer, connection.wfile = connection.wfile, io.BytesIO()
+        try:
+            self.req.ensure_headers_sent()
+            return connection.wfile.getvalue()
+        finally:
+            connection.wfile = writer
+
     def _send_events(self, events: Iterator[bytes]) -> None:
         """Sends each item as it comes; the kernel's time-out drops a slow caller."""
         connection = self.req.conn
-        self.req.ensure_headers_sent()
+        head = self._take_headers()
         connection.set_send_timeout(self.req.server.settings.slow_client_timeout_s)
         chunked = self.req.chunked_write
         sendall = connection.socket.sendall
         try:
             for item in events:
-                sendall(b"%x\r\n%b\r\n" % (len(item), item) if chunked else item)
+                data = b"%x\r\n%b\r\n" % (len(item), item) if chunked else item
+                if head:
+                    data, head = head + data, b""
+                sendall(data)
         except OSError:
             # The caller is gone or reads too slowly.
             self.req.close_connection = True
--- a/src/lagoonrill/_internal/transport/endpoint_client.py
+++ b/src/lagoonrill/_internal/transport/endpoint_client.py
@@ -98,9 +98,25 @@
 
 
 class AbortableConnection(HTTPConnection):
-    """Attaches its socket to the handle of the call that uses it."""
+    """Attaches its socket to the handle of the call that uses it.
+
+    Headers and body leave in one system call.
+    """
+
+    def __init__(self, *args: Any, **kwargs: Any):
+        super().__init__(*args, **kwargs)
+        self.outgoing: list[bytes] = []
+
+    def send(self, data: bytes) -> None:
+        self.outgoing.append(data)
+
+    def getresponse(self):
+        data, self.outgoing = b"".join(self.outgoing), []
+        super().send(data)
+        return super().getresponse()
 
     def request(self, *args: Any, **kwargs: Any) -> None:
+        self.outgoing = []
         if self.sock is None:
             self.connect()
         handle = getattr(_current_call, "handle", None)
