--- a/bench/local_router.py
+++ b/bench/local_router.py
@@ -15,15 +15,17 @@
 import msgspec
 from returns.result import Failure, Success
 
+from lagoonrill._internal.coordination.caller_share import CallerShare
 from lagoonrill._internal.coordination.dispatch import Dispatcher
 from lagoonrill._internal.coordination.streams import StreamLimits, StreamRelay
-from lagoonrill._internal.protocol.errors import (
-    REQUEST_ERRORS,
-    DeadlineExceeded,
-    LagoonrillError,
-    NoEndpoint,
-    RequestError,
+from lagoonrill._internal.protocol.claim_errors import (
+    ClaimError,
+    KeyReused,
+    OutcomeKnown,
+    OutcomeUnknown,
 )
+from lagoonrill._internal.protocol.claim_records import Outcome
+from lagoonrill._internal.protocol.errors import DeadlineExceeded, NoEndpoint
 from lagoonrill._internal.protocol.manifest import (
     Endpoint,
     LatencyTarget,
@@ -72,12 +74,6 @@
     failed: bool = False
 
 
-class LocalOutcome(msgspec.Struct, kw_only=True):
-    status: int
-    headers: dict[str, str]
-    body: bytes
-
-
 class LocalScheduler:
     """Takes endpoints in turn; `paused` makes every request wait."""
 
@@ -148,29 +144,15 @@
         self.leaving[endpoint_id] = source
 
 
-class ClaimRefusal(LagoonrillError):
-    """Stands for every kind of claim error."""
-
-    def __init__(self, *, kind: str, outcome: LocalOutcome | None = None):
-        super().__init__(message=kind)
-        self.kind = kind
-        self.outcome = outcome
-
-    def to_request_error(self) -> RequestError:
-        kind = {"claim_not_made": "claims_unavailable"}.get(self.kind, self.kind)
-        kind = {"claim_in_doubt": "outcome_unknown"}.get(kind, kind)
-        return REQUEST_ERRORS[kind](message=self.message)
-
-
 class LocalClaims:
     """Claims in memory; `refusal` is returned in place of a grant."""
 
     def __init__(self):
         self.lock = threading.Lock()
         self.claims: dict[tuple[str, str], str] = {}
-        self.outcomes: dict[tuple[str, str], LocalOutcome] = {}
+        self.outcomes: dict[tuple[str, str], Outcome] = {}
         self.granted: set[tuple[str, str]] = set()
-        self.refusal: ClaimRefusal | None = None
+        self.refusal: ClaimError | None = None
 
     def claim(self, *, team, key, body_digest, deadline):
         claim = (team, key)
@@ -178,12 +160,12 @@
             if self.refusal is not None:
                 return Failure(self.refusal)
             if self.claims.setdefault(claim, body_digest) != body_digest:
-                return Failure(ClaimRefusal(kind="key_reused"))
+                return Failure(KeyReused(message="another body"))
             if claim in self.outcomes:
-                outcome = self.outcomes[claim]
-                return Failure(ClaimRefusal(kind="outcome_known", outcome=outcome))
+                known = self.outcomes[claim]
+                return Failure(OutcomeKnown(message="known", outcome=known))
             if claim in self.granted:
-                return Failure(ClaimRefusal(kind="outcome_unknown"))
+                return Failure(OutcomeUnknown(message="claimed before"))
             self.granted.add(claim)
         return Success(claim)
 
@@ -339,7 +321,7 @@
             relay=self.relay,
             ticket_type=LocalTicket,
             usage_type=LocalUsage,
-            outcome_type=LocalOutcome,
+            caller_share=CallerShare(threads=self.settings.threads),
             max_prompt_characters=self.settings.max_prompt_characters,
         )
         self.listener = CallerListener(
--- a/src/lagoonrill/_internal/coordination/dispatch.py
+++ b/src/lagoonrill/_internal/coordination/dispatch.py
@@ -19,6 +19,8 @@
     prompt_blocks,
     prompt_text,
 )
+from ..protocol.claim_errors import ClaimError, KeyReused, OutcomeKnown
+from ..protocol.claim_records import Outcome
 from ..protocol.endpoint_errors import EndpointError, EndpointNotReached
 from ..protocol.errors import (
     BadRequest,
@@ -35,6 +37,7 @@
     Unauthorized,
 )
 from ..protocol.manifest import Endpoint, Manifest, RequestClass, Service, Team
+from .caller_share import CallerShare
 from .flight import Flight
 from .streams import CallerGone, StreamJob, StreamRelay
 
@@ -161,9 +164,8 @@
 class Dispatcher:
     """Serves requests of callers; every method runs in the caller's own thread.
 
-    The types `ticket_type` and `usage_type` belong to the scheduler, `outcome_type` to
-    the claim service. `retry_budget` is the policy for retries: `note_request()` and
-    `allow_retry(request_class)`.
+    The types `ticket_type` and `usage_type` belong to the scheduler. `retry_budget` is
+    the policy for retries: `note_request()` and `allow_retry(request_class)`.
     """
 
     def __init__(
@@ -179,7 +181,7 @@
         relay: StreamRelay,
         ticket_type: Callable[..., Any],
         usage_type: Callable[..., Any],
-        outcome_type: Callable[..., Any],
+        caller_share: CallerShare,
         max_prompt_characters: int = 1_000_000,
     ):
         self.generation = generation
@@ -192,7 +194,7 @@
         self.relay = relay
         self.ticket_type = ticket_type
         self.usage_type = usage_type
-        self.outcome_type = outcome_type
+        self.caller_share = caller_share
         self.max_prompt_characters = max_prompt_characters
         self.lock = threading.Lock()
         self.index_cache: tuple[Any, ManifestIndex] | None = None
@@ -234,6 +236,7 @@
         prompt: str = "",
     ):
         self.retry_budget.note_request()
+        longest_wait_s = request_class.max_wait_ms / 1000
         return self.ticket_type(
             request_id=uuid.uuid4().hex,
             team=request.team.name,
@@ -242,7 +245,7 @@
             prompt_tokens=estimate_tokens(prompt) if prompt else 0,
             prompt_blocks=prompt_blocks(prompt),
             arrived_at=request.arrived_at,
-            deadline=request.deadline,
+            deadline=min(request.deadline, request.arrived_at + longest_wait_s),
         )
 
     def _call_deadline(
@@ -261,6 +264,7 @@
             message = f"the prompt has {len(text)} characters; the limit is {limit}"
             raise TooLarge(message=message)
         request_class = self._chat_class(chat, request)
+        flight.begin(request_class, self.caller_share)
         ticket = self._ticket(request, request_class, chat.model, prompt=text)
         job = StreamJob(
             stream_id=stream_id_for(request),
@@ -345,6 +349,7 @@
         path = checked_service_path(request.path)
         default = index.class_of_call(index.services[name], request.method, path)
         request_class = self._chosen_class(index, default, request)
+        flight.begin(request_class, self.caller_share)
         ticket = self._ticket(request, request_class, name)
         if request_class.repeatable:
             return self._call_service(request, ticket, flight)
@@ -475,17 +480,26 @@
             digest.update(part)
         return digest.hexdigest()
 
-    def _without_claim(self, error) -> Answer:
+    def _without_claim(self, error: ClaimError) -> Answer:
         """Answers a call whose claim was not granted."""
-        if error.kind != "outcome_known":
-            raise error.to_request_error()
-        headers = dict(error.outcome.headers)
-        return Answer(
-            status=error.outcome.status,
-            content_type=headers.pop("Content-Type", "application/octet-stream"),
-            headers=list(headers.items()),
-            body=error.outcome.body,
-        )
+        if isinstance(error, OutcomeKnown):
+            return recorded_answer(error.outcome)
+        refusal = error.to_request_error()
+        # A claim with another body shows that this body never ran under the key.
+        refusal.covers_all_attempts = isinstance(error, KeyReused)
+        raise refusal
+
+
+def recorded_answer(outcome: Outcome) -> Answer:
+    """Returns the answer that was recorded for an earlier attempt."""
+    headers = dict(outcome.headers)
+    content_type = headers.pop("Content-Type", "application/json")
+    return Answer(
+        status=outcome.status,
+        content_type=content_type,
+        headers=list(headers.items()),
+        body=outcome.body,
+    )
 
 
 class OnceCall:
@@ -515,10 +529,12 @@
             if self.flight.cancel():
                 self.ended.wait(CLOSE_WAIT_S)
             if self.closed:
-                raise DeadlineExceeded(
+                refusal = DeadlineExceeded(
                     message="the deadline passed before the call was sent",
                     retry_after_s=RETRY_AFTER_S,
                 )
+                refusal.covers_all_attempts = True
+                raise refusal
             raise OutcomeUnknown(
                 message="the deadline passed while the call ran",
                 retry_after_s=RETRY_AFTER_S,
@@ -539,11 +555,10 @@
             self.ended.set()
 
     def _record(self) -> None:
-        outcome = self.dispatcher.outcome_type(
-            status=self.answer.status,
-            headers={"Content-Type": self.answer.content_type}
-            | dict(self.answer.headers),
-            body=self.answer.body,
+        headers = dict(self.answer.headers)
+        headers["Content-Type"] = self.answer.content_type
+        outcome = Outcome(
+            status=self.answer.status, headers=headers, body=self.answer.body
         )
         recorded = self.dispatcher.claims.record_outcome(self.grant, outcome)
         if isinstance(recorded, Failure):
@@ -560,17 +575,20 @@
             error = OutcomeUnknown(message="the call failed inside the router")
             not_run = False
         if not_run:
-            closed = self.dispatcher.claims.close(self.grant)
-            self.closed = not isinstance(closed, Failure)
-            if not self.closed:
-                log.warning("A claim was not closed: {}", closed.failure())
-                not_run = False
-        self.error = error if not_run else self._unknown(error)
-
-    def _unknown(self, error: Exception) -> OutcomeUnknown:
-        if isinstance(error, OutcomeUnknown):
-            return error
-        return OutcomeUnknown(message=str(error), retry_after_s=RETRY_AFTER_S)
+            error = self._close(error)
+        elif not isinstance(error, OutcomeUnknown):
+            error = OutcomeUnknown(message=str(error), retry_after_s=RETRY_AFTER_S)
+        self.error = error
+
+    def _close(self, error: Exception) -> Exception:
+        """Closes the claim; without the record nobody else can know of `not_run`."""
+        closed = self.dispatcher.claims.close(self.grant)
+        if isinstance(closed, Failure):
+            log.warning("a claim is not closed yet: {}", closed.failure())
+            return closed.failure().to_request_error()
+        self.closed = True
+        error.covers_all_attempts = True
+        return error
 
 
 class EventBody:
--- a/src/lagoonrill/_internal/protocol/errors.py
+++ b/src/lagoonrill/_internal/protocol/errors.py
@@ -91,12 +91,23 @@
     default_remedy = "Try another peer"
 
 
+class PlatformError(LagoonrillError):
+    """The Instance list did not answer or its answer was not valid."""
+
+    default_remedy = "Check the Instance list's address; it is asked again"
+
+
 class RequestError(LagoonrillError):
-    """An answer other than success for one request of a caller."""
+    """An answer other than success for one request of a caller.
+
+    `run` is about this attempt. `covers_all_attempts` is set where the claim log showed
+    that it holds for earlier attempts with the same idempotency key, too.
+    """
 
     kind = "internal"
     http_status = 500
     run = RunState.UNKNOWN
+    covers_all_attempts = False
 
     def __init__(
         self,
--- a/tests/test_once_calls.py
+++ b/tests/test_once_calls.py
@@ -5,8 +5,8 @@
 
 import pytest
 
-from bench.local_router import ClaimRefusal
 from bench.processes import start_stand_in
+from lagoonrill._internal.protocol.claim_errors import CLAIM_ERRORS
 from tests.request_path import (
     call_service,
     chat_fields,
@@ -174,15 +174,20 @@
 
 
 @pytest.mark.parametrize(
-    ("refusal", "kind", "run"),
+    ("refusal", "kind", "first_attempt", "run"),
     [
-        ("claim_not_made", "claims_unavailable", "not_run"),
-        ("claim_in_doubt", "outcome_unknown", "unknown"),
-        ("outcome_unknown", "outcome_unknown", "unknown"),
+        ("claim_not_made", "claims_unavailable", "true", "not_run"),
+        # An earlier attempt may have run on an instance that reached the store.
+        ("claim_not_made", "claims_unavailable", "false", "unknown"),
+        ("claim_in_doubt", "outcome_unknown", "true", "unknown"),
+        ("outcome_unknown", "outcome_unknown", "true", "unknown"),
     ],
 )
-def test_call_without_claim_is_not_dispatched(router, service, key, refusal, kind, run):
-    router.claims.refusal = ClaimRefusal(kind=refusal)
+def test_call_without_claim_is_not_dispatched(
+    router, service, key, refusal, kind, first_attempt, run
+):
+    key = key | {"X-First-Attempt": first_attempt}
+    router.claims.refusal = CLAIM_ERRORS[refusal](message="refused")
     error = error_of(call_service(router, "POST", "/book", **key))
     assert (error["kind"], error["run"]) == (kind, run)
     assert executions(service, key) == 0
