--- a/bench/relay_speed.py
+++ b/bench/relay_speed.py
@@ -154,11 +154,12 @@
 
 
 def summarize(path: str, results: list[StreamTimes], engines: list[Process]) -> Figures:
-    """Joins what callers and engines saw."""
+    """Joins what callers and engines saw; streams without a token are left out."""
     executions = {}
     for engine in engines:
         listed = urllib3.request("GET", engine.url + "/executions").json()
         executions.update({entry["stream"]: entry for entry in listed})
+    results = [result for result in results if result.tokens]
     first = [(r.first_at - r.sent_at) * 1e3 for r in results]
     overhead = []
     for result in results:
