--- a/src/lagoonrill/_internal/transport/caller_server.py
+++ b/src/lagoonrill/_internal/transport/caller_server.py
@@ -6,6 +6,7 @@
 """
 
 import contextlib
+import io
 import select
 import socket
 import struct
@@ -56,9 +57,13 @@
 
 
 class CallerHTTPRequest(server.HTTPRequest):
-    """Parses a request within the time limit."""
+    """Parses a request within the time limit.
+
+    `events` is set by an application whose answer is sent as it comes.
+    """
 
     refused = False
+    events: Iterator[bytes] | None = None
 
     def parse_request(self) -> None:
         super().parse_request()
@@ -137,8 +142,8 @@
 class CallerGateway(wsgi.Gateway_10):
     """Gives the application access to its connection and sends streamed answers.
 
-    An application that puts an iterator under `lagoonrill.events` has its items sent
-    as chunks without the layers that cheroot and CherryPy add to each.
+    The items of a request's `events` are sent as chunks without the layers that cheroot
+    and CherryPy add to each.
     """
 
     def get_environ(self) -> dict:
@@ -149,9 +154,8 @@
     def respond(self) -> None:
         response = self.req.server.wsgi_app(self.env, self.start_response)
         try:
-            events = self.env.get("lagoonrill.events")
-            if events is not None:
-                self._send_events(events)
+            if self.req.events is not None:
+                self._send_events(self.req.events)
                 return
             for chunk in filter(None, response):
                 self.write(chunk)
@@ -159,16 +163,29 @@
             self.req.ensure_headers_sent()
             response.close()
 
+    def _take_headers(self) -> bytes:
+        """Returns the headers, so that they leave together with the first event."""
+        connection = self.req.conn
+        writer, connection.wfile = connection.wfile, io.BytesIO()
+        try:
+            self.req.ensure_headers_sent()
+            return connection.wfile.getvalue()
+        finally:
+            connection.wfile = writer
+
     def _send_events(self, events: Iterator[bytes]) -> None:
         """Sends each item as it comes; the kernel's time-out drops a slow caller."""
         connection = self.req.conn
-        self.req.ensure_headers_sent()
+        head = self._take_headers()
         connection.set_send_timeout(self.req.server.settings.slow_client_timeout_s)
         chunked = self.req.chunked_write
         sendall = connection.socket.sendall
         try:
             for item in events:
-                sendall(b"%x\r\n%b\r\n" % (len(item), item) if chunked else item)
+                data = b"%x\r\n%b\r\n" % (len(item), item) if chunked else item
+                if head:
+                    data, head = head + data, b""
+                sendall(data)
         except OSError:
             # The caller is gone or reads too slowly.
             self.req.close_connection = True
