Hand the known streams over before the exit

Cause: the planned shutdown announced no streams to peers; hand_over did nothing. Change: the daemon passes the stream registry's hand_over.

--- a/src/lagoonrill/_internal/daemon.py
+++ b/src/lagoonrill/_internal/daemon.py
@@ -198,7 +198,7 @@
             in_flight=self.callers.in_flight,
             refuse_new=self.callers.refuse_new,
             begin_leaving=self.membership.begin_leaving,
-            hand_over=lambda: None,
+            hand_over=self.registry.hand_over,
             announce_exit=self.membership.announce_exit,
         )
         self.operators = OperatorListener(
