Say unknown where a request was refused before its headers were read

Cause: when all threads are busy the connection is refused unread, and time-outs are answered by the server itself, both with run not_run. A repeat of an order that ran would be told that it was not run. Ruled out: reading the headers first; that is what there is no thread for. Change: such answers say unknown; answers of the HTTP framework follow the same rule as all others.

--- a/src/lagoonrill/_internal/transport/caller_listener.py
+++ b/src/lagoonrill/_internal/transport/caller_listener.py
@@ -266,4 +266,6 @@
     cherrypy.serving.response.headers["Content-Type"] = "application/json"
     with contextlib.suppress(ValueError):
         status = f"{int(status[:3])} {HTTPStatus(int(status[:3])).phrase}"
-    return error_body(refusal(status, message))
+    error = refusal(status, message)
+    limit_to_attempt(error, cherrypy.serving.request.wsgi_environ)
+    return error_body(error)
--- a/src/lagoonrill/_internal/transport/caller_server.py
+++ b/src/lagoonrill/_internal/transport/caller_server.py
@@ -21,6 +21,7 @@
     Overloaded,
     RequestError,
     RequestTimeout,
+    RunState,
     TooLarge,
 )
 from ..protocol.settings import CallerSettings
@@ -46,7 +47,12 @@
 
 
 def whole_response(error: RequestError, status: str) -> bytes:
-    """Returns a complete HTTP response, after which the connection is closed."""
+    """Returns a complete HTTP response, after which the connection is closed.
+
+    The headers were not all read, so they may hold the key of an earlier attempt that
+    ran. `not_run` would then be false.
+    """
+    error.run = RunState.UNKNOWN
     body = error_body(error)
     retry = f"Retry-After: {RETRY_AFTER_S}\r\n" if error.http_status == 503 else ""
     head = (
--- a/tests/test_caller_limits.py
+++ b/tests/test_caller_limits.py
@@ -181,9 +181,12 @@
         wait_until(lambda: router.listener.in_flight() == 32)
         started_at = time.monotonic()
         refused = raw_chat(router, chat_fields("q"))
-        line, kind = raw_error(receive_all(refused))
+        answer = receive_all(refused)
+        line, kind = raw_error(answer)
         assert b" 503 " in line
         assert kind == "overloaded"
+        # The key of an earlier attempt that ran may be among the unread headers.
+        assert b'"run":"unknown"' in answer
         assert time.monotonic() - started_at < 1
         for connection in idle:
             connection.close()
