--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON := $(VENV)/bin/python
 STAMP := $(VENV)/.installed
 
-.PHONY: setup format lint test demo faults faults-quick promises clean
+.PHONY: setup format lint test demo faults promises clean
 
 setup: $(STAMP)
 
@@ -22,6 +22,7 @@
 
 test: lint
 	$(PYTHON) -m pytest
+	$(PYTHON) -m bench.proof.matrix --quick 32 --pairs 0 --fleets 2
 
 demo: setup
 	$(PYTHON) -m bench.demo
@@ -30,9 +31,6 @@
 faults: setup
 	$(PYTHON) -m bench.proof.matrix --write
 
-faults-quick: setup
-	$(PYTHON) -m bench.proof.matrix --quick 24 --pairs 0
-
 # One run under load for each promise; about two minutes.
 promises: setup
 	$(PYTHON) -m bench.proof.promises
