Split apply.py and shard_writer.py by job

Change: fleet_survey.py, fleet_report.py and claim_decisions.py; definitions are moved only, private names that cross a module lose their underscore. A test patches the limit of a list call in its new module.

--- a/src/lagoonrill/_internal/commands/status.py
+++ b/src/lagoonrill/_internal/commands/status.py
@@ -2,7 +2,12 @@
 
 from returns.result import Failure, Success
 
-from ..coordination.apply import FleetReport, InstanceState, ZoneReport, read_fleet
+from ..coordination.fleet_report import (
+    FleetReport,
+    InstanceState,
+    ZoneReport,
+    read_fleet,
+)
 from .exit_status import ExitStatus
 from .output import CommandError, print_json
 
--- a/src/lagoonrill/_internal/coordination/apply.py
+++ b/src/lagoonrill/_internal/coordination/apply.py
@@ -9,9 +9,8 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
-from ..protocol.codec import from_json, to_json
+from ..protocol.codec import to_json
 from ..protocol.errors import (
-    LagoonrillError,
     StoreConflict,
     StoreError,
     StoreInDoubt,
@@ -22,12 +21,20 @@
     COMMITTED_NAME,
     CONFIG_MARK_NAME,
     PROPOSAL_NAME,
-    STATUS_PREFIX,
     ConfigRecord,
-    InstanceStatus,
-    ListedInstance,
-    VersionedObject,
 )
+from .fleet_report import (
+    InstanceReport,
+    InstanceState,
+    ZoneReport,
+    decode_record,
+    group_by_zone,
+    in_force_report,
+    instance_report,
+    pending_report,
+    zones_of,
+)
+from .fleet_survey import FleetSurvey, Member
 
 # The first polls of a stage come soon after each other, because a small fleet reports
 # within milliseconds.
@@ -37,15 +44,8 @@
 DEFAULT_TIMEOUT_S = 60.0
 # No tool waits longer than this with an open proposal, so an older one is abandoned.
 PROPOSAL_LIFETIME_S = 120.0
-# Daemons go on unconfirmed after pauses of up to 30 s. The rest covers the interval
-# of status reports (10 s) and a difference between clocks of up to 5 s.
-SILENCE_BEFORE_EXCLUSION_S = 45.0
-# Instances that crash leave their status behind. An accepted run removes those that the
-# list does not show and that were silent for a day.
-STATUS_RETENTION_S = 86_400.0
 # The store accepts values up to 1 MB.
 MAX_RECORD_BYTES = 1_000_000
-LIST_LIMIT = 500
 
 
 class ApplyResult(enum.StrEnum):
@@ -58,34 +58,6 @@
     PLATFORM_ERROR = "platform_error"
 
 
-class InstanceState(enum.StrEnum):
-    """State of one instance, and of a zone as the worst of its instances."""
-
-    ACCEPTED = "accepted"
-    STAGED = "staged"
-    PENDING = "pending"
-    REFUSED = "refused"
-    EMPTY = "empty"
-
-
-class InstanceReport(msgspec.Struct, kw_only=True):
-    """State of one instance, with the reason if it is pending or refused."""
-
-    zone: str
-    instance: str
-    state: InstanceState
-    generation: int = 0
-    reason: str = ""
-
-
-class ZoneReport(msgspec.Struct, kw_only=True):
-    """State of one availability zone; `empty` if no instance is live there."""
-
-    zone: str
-    state: InstanceState
-    instances: list[InstanceReport] = []
-
-
 class ApplyReport(msgspec.Struct, kw_only=True):
     """What a run of the tool achieved.
 
@@ -107,16 +79,6 @@
     elapsed_s: float = 0.0
 
 
-class FleetReport(msgspec.Struct, kw_only=True):
-    """Committed generation, open proposal and state of each zone and instance."""
-
-    generation: int
-    digest: str
-    proposal_id: str
-    open_proposal: str
-    zones: list[ZoneReport]
-
-
 class Stage(enum.StrEnum):
     """Steps of a run, in this order."""
 
@@ -127,139 +89,11 @@
     IN_FORCE = "in_force"
 
 
-class Member(msgspec.Struct, kw_only=True):
-    """An instance that a rollout waits for, with its last status if there is one."""
-
-    zone: str
-    instance: str
-    listed: bool
-    silent_s: float
-    status: InstanceStatus | None
-
-
 def manifest_digest(manifest: Manifest) -> str:
     """Returns the SHA-256 of the manifest's canonical encoding."""
     return hashlib.sha256(to_json(manifest)).hexdigest()
 
 
-class FleetSurvey:
-    """Finds the instances that an acceptance needs and what they last reported.
-
-    These are the entry instances that the Instance list shows live, and those that
-    reported recently without being listed: the list lags behind starts, and an
-    instance that it dropped may still serve.
-    """
-
-    def __init__(
-        self,
-        *,
-        store,
-        instance_list,
-        clock: Callable[[], float] = time.monotonic,
-        wall_clock: Callable[[], float] = time.time,
-    ):
-        self.store = store
-        self.instance_list = instance_list
-        self.clock = clock
-        self.wall_clock = wall_clock
-        self._seen: dict[str, _Sighting] = {}
-        # Versions of status objects that no instance keeps any more.
-        self.abandoned: dict[str, int] = {}
-
-    def members(self) -> Result[list[Member], LagoonrillError]:
-        """Returns the instances that count, or the error of the source that failed."""
-        match self.instance_list.fetch():
-            case Success(entries):
-                listed = [entry for entry in entries if entry.role == "entry"]
-            case failure:
-                return failure
-        match self._read_statuses():
-            case Success(statuses):
-                return Success(self._combine(listed, statuses))
-            case failure:
-                return failure
-
-    def remove_abandoned(self) -> None:
-        """Removes the abandoned status objects that the last survey found."""
-        for key, version in self.abandoned.items():
-            self.store.delete(STATUS_PREFIX + key, version=version)
-        self.abandoned = {}
-
-    def _read_statuses(self) -> Result[dict[str, InstanceStatus], StoreError]:
-        statuses: dict[str, InstanceStatus] = {}
-        after = ""
-        while True:
-            result = self.store.list(STATUS_PREFIX, after=after, limit=LIST_LIMIT)
-            match result:
-                case Success(page):
-                    for found in page:
-                        self._add_status(found, statuses)
-                    if len(page) < LIST_LIMIT:
-                        return Success(statuses)
-                    after = page[-1].name
-                case failure:
-                    return failure
-
-    def _add_status(
-        self, found: VersionedObject, statuses: dict[str, InstanceStatus]
-    ) -> None:
-        key = found.name.removeprefix(STATUS_PREFIX)
-        try:
-            statuses[key] = from_json(found.value, InstanceStatus)
-        except msgspec.DecodeError:
-            # Counts as no report: a listed instance stays pending.
-            return
-        sighting = self._seen.get(key)
-        if sighting is None or sighting.version != found.version:
-            self._seen[key] = _Sighting(version=found.version, at=self.clock())
-
-    def _combine(
-        self, listed: list[ListedInstance], statuses: dict[str, InstanceStatus]
-    ) -> list[Member]:
-        members = []
-        known = set()
-        self.abandoned = {}
-        for entry in listed:
-            key = f"{entry.zone}/{entry.id}"
-            known.add(key)
-            if entry.state == "live":
-                members.append(self._member(key, statuses.get(key), listed=True))
-        for key, status in statuses.items():
-            if key in known:
-                continue
-            member = self._member(key, status, listed=False)
-            if member.silent_s <= SILENCE_BEFORE_EXCLUSION_S:
-                members.append(member)
-            elif member.silent_s > STATUS_RETENTION_S:
-                self.abandoned[key] = self._seen[key].version
-        return sorted(members, key=lambda member: (member.zone, member.instance))
-
-    def _member(
-        self, key: str, status: InstanceStatus | None, *, listed: bool
-    ) -> Member:
-        zone, _, instance = key.partition("/")
-        silent_s = 0.0
-        if status is not None:
-            # The time since this process saw a change covers a writer whose clock
-            # is ahead.
-            by_wall_clock = self.wall_clock() - status.written_at
-            silent_s = max(by_wall_clock, self.clock() - self._seen[key].at)
-        return Member(
-            zone=zone,
-            instance=instance,
-            listed=listed,
-            silent_s=silent_s,
-            status=status,
-        )
-
-
-class _Sighting(msgspec.Struct, kw_only=True):
-    """When a version of a status object was first seen (monotonic seconds)."""
-
-    version: int
-    at: float
-
-
 class ManifestRollout:
     """One run that brings the fleet in line with a manifest.
 
@@ -367,7 +201,7 @@
     def _read(self) -> ApplyReport | None:
         match self.store.get(COMMITTED_NAME):
             case Success(found):
-                committed = _decode_record(found)
+                committed = decode_record(found)
             case Failure(error):
                 return self._wait(f"Object API: {error.message}")
         if found is not None and committed is None:
@@ -402,7 +236,7 @@
                 self.proposal_version = found.version if found else 0
             case Failure(error):
                 return self._wait(f"Object API: {error.message}")
-        other = _decode_record(found)
+        other = decode_record(found)
         if other is not None and self._is_open(other):
             age_s = self.wall_clock() - other.written_at
             reason = (
@@ -453,7 +287,7 @@
     def _resolve_proposal(self) -> ApplyReport | None:
         match self.store.get(PROPOSAL_NAME):
             case Success(found):
-                record = _decode_record(found)
+                record = decode_record(found)
             case Failure(error):
                 return self._wait(f"Object API: {error.message}")
         if record is not None and record.proposal_id == self.proposal_id:
@@ -504,20 +338,18 @@
         match self.store.get(COMMITTED_NAME):
             case Success(found) if found and found.version != self.base_version:
                 self._withdraw()
-                return self._lost_commit(_decode_record(found))
+                return self._lost_commit(decode_record(found))
         return None
 
     def _staging_report(self, member: Member) -> InstanceReport:
         status = member.status
         if status is None:
-            return _pending(member, "has not reported yet")
+            return pending_report(member, "has not reported yet")
         if status.refused_proposal == self.proposal_id:
-            return _instance_report(
-                member, InstanceState.REFUSED, status.refused_reason
-            )
+            return instance_report(member, InstanceState.REFUSED, status.refused_reason)
         if status.staged_proposal == self.proposal_id:
-            return _instance_report(member, InstanceState.STAGED, "")
-        return _pending(member, "has not staged the proposal")
+            return instance_report(member, InstanceState.STAGED, "")
+        return pending_report(member, "has not staged the proposal")
 
     def _commit(self) -> ApplyReport | None:
         result = self._write(COMMITTED_NAME, self.base_version)
@@ -537,7 +369,7 @@
         """Finds out whose commit made the write's condition false."""
         match self.store.get(COMMITTED_NAME):
             case Success(found):
-                record = _decode_record(found)
+                record = decode_record(found)
             case Failure(error):
                 return self._wait(f"commit write: {error.message}")
         if record is not None and record.proposal_id == self.proposal_id:
@@ -568,7 +400,7 @@
     def _check_in_force(self) -> ApplyReport | None:
         match self.store.get(COMMITTED_NAME):
             case Success(found):
-                record = _decode_record(found)
+                record = decode_record(found)
             case Failure(error):
                 return self._wait(f"Object API: {error.message}")
         if record is None or record.proposal_id != self.proposal_id:
@@ -652,118 +484,3 @@
             zones=self.zones,
             elapsed_s=round(self.clock() - self.started_at, 3),
         )
-
-
-def read_fleet(
-    *,
-    store,
-    instance_list,
-    clock: Callable[[], float] = time.monotonic,
-    wall_clock: Callable[[], float] = time.time,
-) -> Result[FleetReport, LagoonrillError]:
-    """Returns the committed generation and what each instance has in force."""
-    found = {}
-    for name in (COMMITTED_NAME, PROPOSAL_NAME):
-        match store.get(name):
-            case Success(value):
-                found[name] = _decode_record(value)
-            case failure:
-                return failure
-    committed, proposal = found[COMMITTED_NAME], found[PROPOSAL_NAME]
-    survey = FleetSurvey(
-        store=store, instance_list=instance_list, clock=clock, wall_clock=wall_clock
-    )
-    match survey.members():
-        case Success(members):
-            reports = [
-                in_force_report(
-                    member,
-                    generation=committed.generation if committed else 0,
-                    digest=committed.digest if committed else "",
-                    proposal_id=committed.proposal_id if committed else "",
-                )
-                for member in members
-            ]
-        case failure:
-            return failure
-    generation = committed.generation if committed else 0
-    is_open = proposal is not None and proposal.base_generation == generation
-    zones = zones_of(committed.manifest) if committed else set()
-    return Success(
-        FleetReport(
-            generation=generation,
-            digest=committed.digest if committed else "",
-            proposal_id=committed.proposal_id if committed else "",
-            open_proposal=proposal.proposal_id if is_open else "",
-            zones=group_by_zone(reports, zones),
-        )
-    )
-
-
-def in_force_report(
-    member: Member, *, generation: int, digest: str, proposal_id: str
-) -> InstanceReport:
-    """Says whether an instance has a generation (with its digest) in force."""
-    status = member.status
-    if status is None:
-        return _pending(member, "has not reported yet")
-    if status.in_force == generation and status.digest == digest:
-        return _instance_report(member, InstanceState.ACCEPTED, "")
-    if status.refused_proposal == proposal_id and status.refused_reason:
-        return _instance_report(member, InstanceState.REFUSED, status.refused_reason)
-    reason = f"has generation {status.in_force} in force"
-    if status.refused_reason:
-        reason += f" ({status.refused_reason})"
-    return _pending(member, reason)
-
-
-def zones_of(manifest: Manifest) -> set[str]:
-    """Returns the zones that a manifest names."""
-    return set(manifest.zones) | {endpoint.zone for endpoint in manifest.endpoints}
-
-
-def group_by_zone(reports: list[InstanceReport], zones: set[str]) -> list[ZoneReport]:
-    """Groups reports by zone; a zone of the manifest without any is `empty`."""
-    worst = (InstanceState.REFUSED, InstanceState.PENDING, InstanceState.STAGED)
-    grouped = []
-    for zone in sorted(zones | {report.zone for report in reports}):
-        inside = [report for report in reports if report.zone == zone]
-        states = {report.state for report in inside}
-        state = next((state for state in worst if state in states), None)
-        if state is None:
-            state = InstanceState.ACCEPTED if inside else InstanceState.EMPTY
-        grouped.append(ZoneReport(zone=zone, state=state, instances=inside))
-    return grouped
-
-
-def _instance_report(
-    member: Member, state: InstanceState, reason: str
-) -> InstanceReport:
-    return InstanceReport(
-        zone=member.zone,
-        instance=member.instance,
-        state=state,
-        generation=member.status.in_force if member.status else 0,
-        reason=reason,
-    )
-
-
-def _pending(member: Member, reason: str) -> InstanceReport:
-    """Reports a pending instance and adds what its silence and the list say."""
-    if member.status is not None:
-        reason += f"; last report {max(0.0, member.silent_s):.0f} s ago"
-    if not member.listed:
-        reason += (
-            "; not in the Instance list, left out after "
-            f"{SILENCE_BEFORE_EXCLUSION_S:.0f} s of silence"
-        )
-    return _instance_report(member, InstanceState.PENDING, reason)
-
-
-def _decode_record(found: VersionedObject | None) -> ConfigRecord | None:
-    if found is None:
-        return None
-    try:
-        return from_json(found.value, ConfigRecord)
-    except msgspec.DecodeError:
-        return None
--- a/src/lagoonrill/_internal/coordination/claims.py
+++ b/src/lagoonrill/_internal/coordination/claims.py
@@ -38,9 +38,9 @@
 from ..protocol.messages import ClaimReply, ClaimRequest
 from ..protocol.settings import ClaimSettings
 from .circuit_breaker import CircuitBreaker, ObservedStore, Store
+from .claim_decisions import OutcomeElsewhere
 from .shard_writer import (
     INLINE_BODY_BYTES,
-    OutcomeElsewhere,
     Pending,
     ShardDump,
     ShardWriter,
--- a/src/lagoonrill/_internal/coordination/shard_writer.py
+++ b/src/lagoonrill/_internal/coordination/shard_writer.py
@@ -21,8 +21,6 @@
     ClaimError,
     ClaimInDoubt,
     ClaimNotMade,
-    KeyReused,
-    OutcomeKnown,
     OutcomeUnknown,
 )
 from ..protocol.claim_records import (
@@ -30,7 +28,6 @@
     ClaimRecord,
     ClosedRecord,
     FloorRecord,
-    Outcome,
     OutcomeRecord,
     Record,
     SnapshotIndex,
@@ -47,6 +44,7 @@
 from ..protocol.settings import ClaimSettings
 from ..state.claim_log import PART_BYTES, ShardState, reference
 from .circuit_breaker import Store
+from .claim_decisions import closed_record, decide, needs_refresh, refuse
 
 log = Logger("claims")
 
@@ -75,14 +73,6 @@
     DONE = "done"
 
 
-class OutcomeElsewhere(ClaimError):
-    """The outcome is known and its body lies in other objects."""
-
-    def __init__(self, *, record: OutcomeRecord):
-        super().__init__(message="the outcome's body lies in other objects")
-        self.record = record
-
-
 class Pending:
     """A record that waits to be appended, and what came of it.
 
@@ -730,76 +720,3 @@
                 return False
             self.deletions.popleft()
         return True
-
-
-def decide(
-    record: Record, state: ShardState, log_time: float
-) -> Result[None, ClaimError] | None:
-    """Decides a record against the state; None if it has to be appended."""
-    current = state.live(record.key, log_time)
-    if isinstance(record, ClaimRecord):
-        return decide_claim(record, state, current)
-    if isinstance(record, ClosedRecord):
-        return decide_closed(record, state, current)
-    if current is None or current.attempt_id != record.attempt_id:
-        return Failure(OutcomeUnknown(message="the claim is no longer in the log"))
-    return Success(None) if current.outcome else None
-
-
-def decide_claim(record: ClaimRecord, state: ShardState, current):
-    """Decides a claim; a closed attempt never gets a grant."""
-    if state.is_closed(record.attempt_id):
-        return Failure(ClaimNotMade(message="the attempt was closed by its holder"))
-    if current is None:
-        return None
-    if current.attempt_id == record.attempt_id:
-        return Success(None)
-    return Failure(refuse(current, record.key, record.body_digest))
-
-
-def decide_closed(record: ClosedRecord, state: ShardState, current):
-    """Decides a close; it also bars a claim that a peer may still append."""
-    if state.is_closed(record.attempt_id):
-        return Success(None)
-    same = current is not None and current.attempt_id == record.attempt_id
-    if same and current.outcome:
-        return Failure(OutcomeUnknown(message="the attempt has an outcome"))
-    return None
-
-
-def refuse(current, key: bytes, body_digest: bytes) -> ClaimError:
-    """Returns why another attempt's claim refuses a key."""
-    if current.body_digest != body_digest:
-        return KeyReused(message="the key was used with another body")
-    outcome = current.outcome
-    if outcome is None:
-        return OutcomeUnknown(message="another attempt holds the key")
-    if outcome.body_parts:
-        return OutcomeElsewhere(
-            record=OutcomeRecord(
-                key,
-                current.attempt_id,
-                outcome.status,
-                outcome.headers,
-                b"",
-                outcome.body_parts,
-            )
-        )
-    return OutcomeKnown(
-        message="the request has run",
-        outcome=Outcome(
-            status=outcome.status, headers=outcome.headers, body=outcome.body
-        ),
-    )
-
-
-def needs_refresh(decision: Result[None, ClaimError] | None) -> bool:
-    """Returns whether newer entries could change a decision; an outcome is final."""
-    return isinstance(decision, Failure) and not isinstance(
-        decision.failure(), OutcomeKnown | OutcomeElsewhere
-    )
-
-
-def closed_record(record: ClaimRecord) -> ClosedRecord:
-    """Returns the record that closes a claim; the writer sets when it expires."""
-    return ClosedRecord(record.key, record.attempt_id, 0.0)
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -13,7 +13,8 @@
 from lagoonrill._internal import cli
 from lagoonrill._internal.commands import connection
 from lagoonrill._internal.commands.exit_status import ExitStatus
-from lagoonrill._internal.coordination.apply import ManifestRollout, read_fleet
+from lagoonrill._internal.coordination.apply import ManifestRollout
+from lagoonrill._internal.coordination.fleet_report import read_fleet
 from lagoonrill._internal.protocol.codec import to_json
 from standins.server import Response, StandIn, json_response
 from tests.rollout_fleet import StoreClient, manifest, start_fleet
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -7,14 +7,14 @@
 
 import pytest
 
-from lagoonrill._internal.coordination import apply
+from lagoonrill._internal.coordination import fleet_survey
 from lagoonrill._internal.coordination.apply import (
     PROPOSAL_LIFETIME_S,
     ApplyResult,
     ManifestRollout,
     Stage,
-    read_fleet,
 )
+from lagoonrill._internal.coordination.fleet_report import read_fleet
 from lagoonrill._internal.protocol.errors import ManifestError
 from lagoonrill._internal.protocol.objects import COMMITTED_NAME, PROPOSAL_NAME
 from tests.rollout_fleet import Fleet, StoreClient, manifest, start_fleet
@@ -158,10 +158,10 @@
 
 def test_statuses_beyond_one_page_count_and_abandoned_ones_are_removed(monkeypatch):
     """A fleet has more statuses than a list call returns; crashes leave theirs."""
-    monkeypatch.setattr(apply, "LIST_LIMIT", 2)
+    monkeypatch.setattr(fleet_survey, "LIST_LIMIT", 2)
     fleet = start_fleet("a1", "a2", "b1", "b2", "b3")
     del fleet.nodes["a1"], fleet.list.entries["a1"]
-    fleet.clock.sleep(apply.STATUS_RETENTION_S + 1)
+    fleet.clock.sleep(fleet_survey.STATUS_RETENTION_S + 1)
     fleet.step()
     report = fleet.tool(2).run()
     assert report.result == "accepted"
