Use the tool's ask, status and drain in the demo; remove the fleet's folder

Cause: lagoonrill ask, status and drain had not run against a real daemon, and each run of a fleet left a folder behind. Change: the demo calls them; a fleet that ended well removes its settings and logs.

--- a/bench/demo.py
+++ b/bench/demo.py
@@ -5,6 +5,7 @@
 replaces an instance and checks that each step did what it should.
 """
 
+import os
 import subprocess
 import sys
 import time
@@ -28,16 +29,24 @@
 
 
 def run_tool(fleet: Fleet, *arguments: str) -> subprocess.CompletedProcess:
-    """Runs the command-line tool against the fleet."""
-    platform = (
-        *("--object-api-url", fleet.store.url),
-        *("--instance-list-url", fleet.list.url),
-    )
+    """Runs the command-line tool with the fleet's addresses and the demo's keys."""
+    config = fleet.folder / "tool.json"
+    addresses = {
+        "object_api_url": fleet.store.url,
+        "instance_list_url": fleet.list.url,
+    }
+    config.write_bytes(msgspec.json.encode(addresses))
+    keys = {
+        "LAGOONRILL_CONFIG": str(config),
+        "LAGOONRILL_OPERATOR_KEY": OPERATOR_KEY,
+        "LAGOONRILL_TEAM_KEY": TEAM_KEYS["sales"],
+    }
     return subprocess.run(
-        [sys.executable, "-c", TOOL, *arguments, *platform],
+        [sys.executable, "-c", TOOL, *arguments],
         capture_output=True,
         text=True,
         timeout=30,
+        env=os.environ | keys,
     )
 
 
@@ -72,6 +81,25 @@
     report("streamed answer", complete and tokens >= 20, detail)
 
 
+def ask_with_tool(fleet: Fleet, instance: str) -> None:
+    """Asks a question with the tool and expects an answer."""
+    address = fleet.daemons[instance].callers_url.removeprefix("http://")
+    result = run_tool(
+        fleet, "ask", "What does cedar cost?", "--model", MODEL, "--address", address
+    )
+    words = len(result.stdout.split())
+    passed = result.returncode == 0 and words > 0
+    report("lagoonrill ask", passed, f"{words} words {result.stderr.strip()}")
+
+
+def show_status(fleet: Fleet) -> None:
+    """Prints the state of the configuration and expects it in force everywhere."""
+    result = run_tool(fleet, "status")
+    lines = result.stdout.strip().splitlines()
+    summary = lines[0] if lines else result.stderr.strip()
+    report("lagoonrill status", result.returncode == 0, summary)
+
+
 def book(fleet: Fleet, instance: str, key: str, *, first: bool):
     """Books an order through an instance."""
     headers = {
@@ -103,9 +131,13 @@
 
 
 def replace_instance(fleet: Fleet, instance: str) -> None:
-    """Ends an instance gracefully, starts it again and expects the manifest."""
-    status = fleet.daemons[instance].process.stop()
-    report("planned stop", status == 0, f"exit status {status}")
+    """Drains an instance, starts it again and expects the manifest."""
+    daemon = fleet.daemons[instance]
+    address = daemon.operators_url.removeprefix("http://")
+    drained = run_tool(fleet, "drain", address)
+    status = daemon.process.popen.wait(timeout=20)
+    passed = (drained.returncode, status) == (0, 0)
+    report("drain", passed, f"exit status {status} {drained.stderr.strip()}")
     fleet.restart(instance)
     fleet.wait_ready()
     stream_answer(fleet, instance)
@@ -130,8 +162,10 @@
             fleet.wait_ready()
             for instance in fleet.daemons:
                 stream_answer(fleet, instance)
+            ask_with_tool(fleet, list(fleet.daemons)[1])
             book_once(fleet)
             replace_instance(fleet, next(iter(fleet.daemons)))
+            show_status(fleet)
             show_state(fleet, next(iter(fleet.daemons)))
     except StepFailed as error:
         print(f"demo: failed at {error}")
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -3,6 +3,7 @@
 import collections
 import contextlib
 import hashlib
+import shutil
 import tempfile
 import time
 from pathlib import Path
@@ -170,8 +171,12 @@
             raise
         return self
 
-    def __exit__(self, *_) -> None:
+    def __exit__(self, kind, *_) -> None:
         self.stop()
+        if kind is None:
+            shutil.rmtree(self.folder)
+        else:
+            print(f"settings and logs are kept in {self.folder}", flush=True)
 
     def start(self) -> None:
         """Starts the platform, the endpoints and the daemons."""
