--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON := $(VENV)/bin/python
 STAMP := $(VENV)/.installed
 
-.PHONY: setup format lint test demo faults faults-quick promises clean
+.PHONY: setup format lint test demo faults faults-quick promises capacity clean
 
 setup: $(STAMP)
 
@@ -37,5 +37,12 @@
 promises: setup
 	$(PYTHON) -m bench.proof.promises
 
+# Costs behind docs/CAPACITY.md, one command after the other; about eight minutes.
+capacity: setup
+	$(PYTHON) -m bench.role_cost
+	$(PYTHON) -m bench.peer_cost
+	$(PYTHON) -m bench.claims_cost --outcomes
+	$(PYTHON) -m bench.daemon_cost
+
 clean:
 	rm -rf $(VENV) build *.egg-info src/*.egg-info
--- a/bench/claims_cost.py
+++ b/bench/claims_cost.py
@@ -7,7 +7,6 @@
 
 import argparse
 import random
-import statistics
 import threading
 import time
 
@@ -21,6 +20,7 @@
 from lagoonrill._internal.transport.object_api import ObjectApi
 from standins.object_store import Stats
 
+from .fits import Fit, fit_line, start_results, write_results
 from .processes import Process, start_stand_in
 
 # Below the rate at which one process of Python runs out of processor time.
@@ -166,16 +166,13 @@
     )
 
 
-def print_fit(steps: list[Step], name: str, unit: str, scale: float) -> None:
-    """Prints the straight line of a cost per second over claims per second."""
+def fit_cost(steps: list[Step], name: str, unit: str, scale: float) -> Fit:
+    """Prints and returns the line of a cost per second over claims per second."""
     rates = [step.claims_per_s for step in steps]
     costs = [getattr(step, name) * scale * step.claims_per_s for step in steps]
-    slope, intercept = statistics.linear_regression(rates, costs)
-    correlation = statistics.correlation(rates, costs)
-    print(
-        f"{unit}/s = {intercept:.4g} + {slope:.4g} x claims/s"
-        f"  (r^2 {correlation**2:.3f})"
-    )
+    line = fit_line(f"{unit}/s per claims/s", rates, costs)
+    print(line)
+    return line
 
 
 def main() -> None:
@@ -191,6 +188,7 @@
         "--outcomes", action="store_true", help="record an outcome of 200 bytes too"
     )
     arguments = parser.parse_args()
+    results = start_results("claims_cost")
     bench = Bench(arguments=arguments)
     try:
         print(
@@ -203,10 +201,13 @@
             print_step(steps[-1])
     finally:
         bench.stop()
-    print_fit(steps, "cpu_ms", "CPU s", 0.001)
-    print_fit(steps, "writes", "writes", 1.0)
-    print_fit(steps, "reads", "reads", 1.0)
-    print_fit(steps, "wire_bytes", "bytes", 1.0)
+    results.fits = [
+        fit_cost(steps, "cpu_ms", "CPU s", 0.001),
+        fit_cost(steps, "writes", "writes", 1.0),
+        fit_cost(steps, "reads", "reads", 1.0),
+        fit_cost(steps, "wire_bytes", "bytes", 1.0),
+    ]
+    write_results(results)
 
 
 if __name__ == "__main__":
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -139,6 +139,7 @@
         log_level: str = "info",
         worker_slots: int = 16,
         use_relays: bool = False,
+        watch_wait_s: float = 5.0,
     ):
         self.zones = zones
         self.http = urllib3.PoolManager(retries=False, timeout=10.0, maxsize=64)
@@ -147,6 +148,7 @@
         self.shutdown_notice_s = shutdown_notice_s
         self.log_level = log_level
         self.worker_slots = worker_slots
+        self.watch_wait_s = watch_wait_s
         self.relays: PeerRelays | None = PeerRelays() if use_relays else None
         self.engine_slots = engine_slots
         self.token_ms = token_ms
@@ -239,7 +241,7 @@
             platform=PlatformSettings(
                 object_api_url=self.store.url,
                 instance_list_url=self.list.url,
-                watch_wait_s=5.0,
+                watch_wait_s=self.watch_wait_s,
             ),
             claims=ClaimSettings(),
             log=LogSettings(level=self.log_level),
--- a/bench/peer_cost.py
+++ b/bench/peer_cost.py
@@ -11,8 +11,8 @@
 import argparse
 import contextlib
 import socket
-from statistics import linear_regression
 
+from bench.fits import Results, fit_line, start_results, write_results
 from bench.member import MemberConfig, MemberFigures
 from bench.processes import Process
 from lagoonrill._internal.coordination.peer_choice import choose_links
@@ -31,6 +31,7 @@
 OWN_ZONE_SHARE = 8 / 22
 SUBJECT = "subject"
 FIELDS = ("cpu_percent", "rss_mb", "sent_bytes_s", "received_bytes_s")
+TARGET_FIELDS = (*FIELDS, "threads", "links", "polled", "polls_s")
 
 USES = [EndpointUse(endpoint=f"llm-{n:03}", in_use=2, waiting=0) for n in range(16)]
 LOADS = [
@@ -158,12 +159,13 @@
     )
 
 
-def print_fit(unit: str, runs: dict[int, MemberFigures]) -> None:
-    """Prints the least-squares line of each figure."""
+def print_fit(unit: str, runs: dict[int, MemberFigures], results: Results) -> None:
+    """Prints and keeps the least-squares line of each figure."""
     for field in FIELDS:
         values = [getattr(figures, field) for figures in runs.values()]
-        line = linear_regression(list(runs), values)
-        print(f"  {field} = {line.intercept:.3f} + {line.slope:.3f} per {unit}")
+        line = fit_line(f"{field} per {unit}", list(runs), values)
+        results.fits.append(line)
+        print(f"  {line}")
 
 
 def main() -> None:
@@ -171,21 +173,25 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--measure-s", type=float, default=10.0)
     measure_s = parser.parse_args().measure_s
+    results = start_results("peer_cost")
     peer_runs = {}
     for count in PEER_COUNTS:
         peer_runs[count] = peer_run(count, measure_s)
         print_run(f"{count} peers", peer_runs[count])
-    print_fit("peer", peer_runs)
+    print_fit("peer", peer_runs, results)
     server = start_load_server()
     try:
         endpoint_runs = {}
         for count in ENDPOINT_COUNTS:
             endpoint_runs[count] = endpoint_run(count, server.url, measure_s)
             print_run(f"{count} endpoints", endpoint_runs[count])
-        print_fit("endpoint", endpoint_runs)
-        print_run("target size", target_run(server.url, measure_s))
+        print_fit("endpoint", endpoint_runs, results)
+        target = target_run(server.url, measure_s)
+        print_run("target size", target)
+        results.figures = {name: getattr(target, name) for name in TARGET_FIELDS}
     finally:
         server.stop()
+    write_results(results)
 
 
 def start_load_server() -> Process:
