--- a/bench/claims_cost.py
+++ b/bench/claims_cost.py
@@ -25,6 +25,9 @@
 
 # Below the rate at which one process of Python runs out of processor time.
 RATES = (25.0, 50.0, 100.0, 150.0, 200.0)
+# Callers of these numbers of instances share one rate.
+INSTANCE_COUNTS = (1, 2, 4, 8)
+SHARED_RATE = 40.0
 CALLERS = 64
 # A shard is compacted several times in a run, so that each rate pays for deletions.
 SNAPSHOT_AFTER_ENTRIES = 16
@@ -175,6 +178,26 @@
     return line
 
 
+def run_instances(arguments: argparse.Namespace, counts: tuple) -> list[Fit]:
+    """Measures one rate of claims that arrive at more and more instances."""
+    steps = []
+    for count in counts:
+        arguments.instances = count
+        bench = Bench(arguments=arguments)
+        try:
+            steps.append(bench.step(SHARED_RATE))
+        finally:
+            bench.stop()
+        print(f"{count} instances:", end="")
+        print_step(steps[-1])
+    fits = []
+    for name in ("writes", "reads", "wire_bytes", "cpu_ms"):
+        values = [getattr(step, name) for step in steps]
+        fits.append(fit_line(f"{name} a claim per instance", counts, values))
+        print(fits[-1])
+    return fits
+
+
 def main() -> None:
     """Runs all steps."""
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
@@ -207,6 +230,7 @@
         fit_cost(steps, "reads", "reads", 1.0),
         fit_cost(steps, "wire_bytes", "bytes", 1.0),
     ]
+    results.fits += run_instances(arguments, INSTANCE_COUNTS)
     write_results(results)
 
 
