Read a large manifest at 1,000 bytes a second

Cause: beside the watch and the 2 s poll of the small mark, every instance reads the committed manifest and the proposal each 30 s. At 410 teams and 600 endpoints the manifest has 141,104 bytes (measurements/role_cost.json). Ruled out: no full reads at all, because a writer may end before it rewrites the mark. Change: the time between full reads is 30 s, or the bytes last read at 1,000 bytes/s if that is longer. Manifests below 30 kB are read as before. Figures (computed from the size): 4.7 KB/s before, 1.0 KB/s after, for each daemon.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -1,6 +1,6 @@
 """Prints the costs at the target size from the lines in `measurements/`.
 
-`python -m bench.capacity` applies the formulas of docs/CAPACITY.md and measures nothing.
+`python -m bench.capacity` applies the formulas of docs/CAPACITY.md to them.
 """
 
 from pathlib import Path
@@ -19,7 +19,8 @@
 LINKS = 22
 HEARTBEAT_S = 1.0
 LIST_BYTES_S = 2_000
-FULL_POLL_S = 30.0
+# A daemon reads its manifest at this rate, if it is large (rollout module).
+FULL_READ_BYTES_S = 1_000
 MARK_POLL_S = 2.0
 WATCH_S = 20.0
 STATUS_S = 10.0
@@ -88,7 +89,7 @@
         "heartbeats received": lines.slope("received_bytes_s per peer") * LINKS,
         "endpoint polls": poll_bytes * polled / 2,
         "Instance list": LIST_BYTES_S,
-        "full reads of the manifest": manifest / FULL_POLL_S,
+        "full reads of the manifest": FULL_READ_BYTES_S,
         "proposals and commits": 2 * manifest * CHANGES_S,
         "claims with outcomes": lines.slope("bytes/s per claims/s")
         * REQUESTS_S
@@ -126,7 +127,10 @@
         "waiting watches": DAEMONS / WATCH_S,
         "watches ended by changes": 3 * DAEMONS * CHANGES_S,
         "polls of the mark": DAEMONS / MARK_POLL_S,
-        "full reads of the manifest": DAEMONS / FULL_POLL_S,
+        "full reads of the manifest": DAEMONS
+        * 2
+        * FULL_READ_BYTES_S
+        / lines.at("manifest bytes per team", TEAMS),
         "claims, one instance for a shard": lines.slope("reads/s per claims/s")
         * REQUESTS_S
         * KEYED_SHARE,
--- a/src/lagoonrill/_internal/coordination/rollout.py
+++ b/src/lagoonrill/_internal/coordination/rollout.py
@@ -44,6 +44,9 @@
 # Reads both objects even if the mark did not change, because the writer of a change
 # may have ended before it rewrote the mark.
 FULL_POLL_INTERVAL_S = 30.0
+# With 410 teams and 600 endpoints the manifest has 141 kB. Read every 30 s, it would
+# cost 4.7 KB/s of the 13 KB/s that a daemon has, so a large one is read less often.
+FULL_POLL_BYTES_PER_S = 1_000
 PEER_CHECK_INTERVAL_S = 0.5
 PEER_TIMEOUT_S = 1.0
 STATUS_CHECK_INTERVAL_S = 0.5
@@ -125,6 +128,7 @@
         self._revision = 0
         self._mark_version = -1
         self._full_poll_at = float("-inf")
+        self._full_poll_bytes = 0
         # None: not known; 0: the object does not exist.
         self._status_version: int | None = None
         self._reported: InstanceStatus | None = None
@@ -369,7 +373,7 @@
                 version = mark.version if mark else 0
             case _:
                 return
-        fresh = self.clock() - self._full_poll_at < FULL_POLL_INTERVAL_S
+        fresh = self.clock() - self._full_poll_at < self._full_poll_interval_s()
         if version == self._mark_version and fresh:
             return
         committed = self.store.get(COMMITTED_NAME)
@@ -383,6 +387,14 @@
         if isinstance(committed, Success) and isinstance(proposal, Success):
             self._mark_version = version
             self._full_poll_at = self.clock()
+            self._full_poll_bytes = sum(
+                len(found.value)
+                for found in (committed.unwrap(), proposal.unwrap())
+                if found is not None
+            )
+
+    def _full_poll_interval_s(self) -> float:
+        return max(FULL_POLL_INTERVAL_S, self._full_poll_bytes / FULL_POLL_BYTES_PER_S)
 
     def _handle(self, found: VersionedObject) -> None:
         if found.name == COMMITTED_NAME:
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -5,6 +5,7 @@
 
 import time
 
+import msgspec
 import pytest
 
 from lagoonrill._internal.coordination import apply
@@ -15,8 +16,14 @@
     Stage,
     read_fleet,
 )
+from lagoonrill._internal.protocol.codec import to_json
 from lagoonrill._internal.protocol.errors import ManifestError
-from lagoonrill._internal.protocol.objects import COMMITTED_NAME, PROPOSAL_NAME
+from lagoonrill._internal.protocol.manifest import Team
+from lagoonrill._internal.protocol.objects import (
+    COMMITTED_NAME,
+    PROPOSAL_NAME,
+    ConfigRecord,
+)
 from tests.rollout_fleet import Fleet, StoreClient, manifest, start_fleet
 
 
@@ -384,6 +391,44 @@
     assert "outage" in report.reason
 
 
+@pytest.mark.parametrize("teams", [1, 1_000])
+def test_full_reads_of_a_large_manifest_keep_to_their_bytes(teams):
+    """Guards against polls that use up the bytes that a daemon has for control.
+
+    A change without its mark, whose writer has ended, is still found at a full read.
+    """
+    large = manifest(1)
+    large.teams = [Team(name=f"t{n}", key_digests=["ab" * 32]) for n in range(teams)]
+    fleet = Fleet()
+    node = fleet.start("a1", "a")
+    record = ConfigRecord(
+        generation=1,
+        base_generation=0,
+        proposal_id="p1",
+        digest="",
+        manifest=large,
+        written_at=0.0,
+    )
+    put_committed(fleet, record)
+    node.rollout.poll_store()
+    size = len(fleet.store.objects[COMMITTED_NAME].value)
+    interval_s = 30 if teams == 1 else size / 1_000
+    assert interval_s >= 30
+    put_committed(fleet, msgspec.structs.replace(record, generation=2))
+    for _ in range(int(interval_s / 2)):
+        assert node.generations.generation() == 1
+        node.rollout.poll_store()
+        fleet.clock.sleep(2)
+    fleet.clock.sleep(2)
+    node.rollout.poll_store()
+    assert node.generations.generation() == 2
+
+
+def put_committed(fleet: Fleet, record: ConfigRecord) -> None:
+    """Commits a record without touching the mark."""
+    fleet.store.write(COMMITTED_NAME, to_json(record), None)
+
+
 def test_status_names_zones_instances_and_an_open_proposal():
     fleet = start_fleet("a1")
     run_until(fleet.tool(2), fleet, Stage.COMMIT)
