--- a/Makefile
+++ b/Makefile
@@ -43,6 +43,7 @@
 	$(PYTHON) -m bench.peer_cost
 	$(PYTHON) -m bench.claims_cost --outcomes
 	$(PYTHON) -m bench.daemon_cost
+	$(PYTHON) -m bench.change_cost
 	$(PYTHON) -m bench.capacity
 
 clean:
--- a/bench/daemon_cost.py
+++ b/bench/daemon_cost.py
@@ -1,4 +1,4 @@
-"""Measures real daemons: idle, with open streams, and while a manifest is applied.
+"""Measures real daemons: idle and with open streams.
 
 `python -m bench.daemon_cost` starts fleets as processes and writes the fitted lines to
 `measurements/daemon_cost.json`. Processor time and memory are the kernel's figures of
@@ -32,7 +32,6 @@
 ENGINES = 2
 ENGINE_SLOTS = 200
 WATCH_WAIT_S = 20.0
-CHANGES = 4
 SETTLE_S = 3.0
 
 
@@ -110,8 +109,8 @@
             self.fit(f"{field} per {unit}", list(runs), values)
 
     def run_idle(self) -> None:
-        """Measures idle daemons over their number, then one change of the manifest."""
-        runs, changes, reads, writes = {}, [], [], []
+        """Measures idle daemons over their number."""
+        runs = {}
         for count in DAEMON_COUNTS:
             with Fleet(
                 zones=("tunis-a",),
@@ -123,19 +122,9 @@
                 fleet.wait_ready()
                 time.sleep(SETTLE_S)
                 runs[count] = measure_over(fleet, IDLE_S, time.sleep)
-                before, began = store_stats(fleet), time.monotonic()
-                changes.append(sum(apply(fleet) for _ in range(CHANGES)) / CHANGES)
-                after, elapsed = store_stats(fleet), time.monotonic() - began
-            figures = runs[count]
-            idle = (figures.reads_s * elapsed, figures.writes_s * elapsed)
-            reads.append((after.reads - before.reads - idle[0]) / CHANGES)
-            writes.append((after.writes - before.writes - idle[1]) / CHANGES)
-            print(f"{count} daemons {figures} change {changes[-1]:.2f} s", flush=True)
+            print(f"{count} daemons {runs[count]}", flush=True)
         fields = ("cpu_percent", "rss_mb", "reads_s", "writes_s", "watches_s")
         self.fit_fields("daemon", runs, *fields, "waiting_watches")
-        self.fit("apply s per daemon", DAEMON_COUNTS, changes)
-        self.fit("reads of a change per daemon", DAEMON_COUNTS, reads)
-        self.fit("writes of a change per daemon", DAEMON_COUNTS, writes)
 
     def run_streams(self) -> None:
         """Measures a daemon over its open streams and over the rate of tokens."""
