--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -12,6 +12,7 @@
 WORKERS = 600
 REQUESTS_S = 6_400
 STREAMS = 475
+TOKENS_S = 6_700
 TEAMS = 410
 MODELS = 5
 CHANGES_S = 500 / 86_400
@@ -47,10 +48,12 @@
 
 def print_rows(title: str, rows: dict[str, float], budget: float) -> None:
     """Prints one table with its sum."""
-    print(f"{title} (budget {budget:g})")
+    print(f"| {title} | budget {budget:g} |")
+    print("|---|---:|")
     for name, value in rows.items():
-        print(f"  {name:<48}{value:12.3f}")
-    print(f"  {'sum':<48}{sum(rows.values()):12.3f}", flush=True)
+        print(f"| {name} | {value:.2f} |")
+    print(f"| **sum** | **{sum(rows.values()):.2f}** |")
+    print(flush=True)
 
 
 def cpu_percent(lines: Lines) -> dict[str, float]:
@@ -105,6 +108,8 @@
         "idle daemon": lines.at("rss_mb per open stream", 0),
         "open streams": lines.slope("rss_mb per open stream") * STREAMS,
         "links": lines.slope("rss_mb per peer") * LINKS,
+        "stream records, at the registry's bound": 12.6,
+        "metrics": 0.9,
         "members": lines.at("table bytes per member", DAEMONS) / 1e6,
         "endpoints": lines.at("scheduler bytes per endpoint", WORKERS) / 1e6,
     }
@@ -145,14 +150,37 @@
     print_rows("memory, MB", memory_mb(lines), 128)
     print_rows("writes/s of all daemons", store_writes(lines), 400)
     print_rows("reads/s of all daemons", store_reads(lines), 2_000)
+    print_claims(lines)
+    print_tokens(lines)
+
+
+def print_claims(lines: Lines) -> None:
+    """Prints how far the memory and the writes of claims reach."""
     keys = REQUESTS_S * KEYED_SHARE * RETENTION_S
     key_bytes = lines.slope("claim bytes per key, answer of 200 bytes")
-    print(f"keys of a day {keys / 1e6:.1f} M, {keys * key_bytes / 1e9:.1f} GB,")
-    print(f"{keys * key_bytes / SHARDS / 1e9:.2f} GB a shard; ", end="")
     free = 128e6 - sum(memory_mb(lines).values()) * 1e6
-    print(f"{free / key_bytes / RETENTION_S:.2f} keyed calls/s fill what is free")
+    others = sum(store_writes(lines).values())
+    per_call = lines.slope("writes/s per claims/s")
+    others -= per_call * REQUESTS_S * KEYED_SHARE
     batched = 2 * SHARDS / APPEND_INTERVAL_S
-    print(f"claim writes at one append and deletion per 60 ms a shard: {batched:.0f}/s")
+    print(
+        f"- keys of 24 h: {keys / 1e6:.1f} M, {keys * key_bytes / 1e9:.1f} GB in all,"
+    )
+    print(f"  {keys * key_bytes / SHARDS / 1e9:.2f} GB a shard")
+    print(f"- free memory {free / 1e6:.1f} MB: {free / key_bytes:.0f} keys, which")
+    print(f"  {free / key_bytes / RETENTION_S:.2f} keyed calls/s fill in 24 h")
+    print(
+        f"- 400 writes/s are reached at {(400 - others) / per_call:.0f} keyed calls/s"
+    )
+    print(f"- one append and one deletion per shard and 60 ms: {batched:.0f} writes/s")
+
+
+def print_tokens(lines: Lines) -> None:
+    """Prints the processor time of the relay, which is no control work."""
+    rate = lines.at("cpu_percent per token/s", TOKENS_S)
+    streams = lines.at("cpu_percent per open stream", STREAMS)
+    print(f"- relay at {TOKENS_S} tokens/s: {rate:.0f}% of a core by the line over")
+    print(f"  tokens, {streams:.0f}% by the line over open streams")
 
 
 if __name__ == "__main__":
