--- a/bench/change_cost.py
+++ b/bench/change_cost.py
@@ -10,7 +10,7 @@
 from bench.daemon_cost import store_stats
 from bench.demo import run_tool
 from bench.fits import fit_line, start_results, write_results
-from bench.fleet import Fleet
+from bench.fleet import Fleet, digest
 from lagoonrill._internal.protocol.codec import to_json
 from lagoonrill._internal.protocol.manifest import Team
 
@@ -22,9 +22,9 @@
 
 def apply_change(fleet: Fleet, number: int) -> float:
     """Applies a changed manifest and returns the seconds until it was accepted."""
-    manifest = fleet.manifest()
-    manifest.teams.append(Team(name=f"change-{number}", key_digests=[]))
-    path = fleet.folder / f"change-{number}.json"
+    name, manifest = f"change-{number}", fleet.manifest()
+    manifest.teams.append(Team(name=name, key_digests=[digest(name)]))
+    path = fleet.folder / f"{name}.json"
     path.write_bytes(to_json(manifest))
     began = time.monotonic()
     result = run_tool(fleet, "apply", str(path))
