--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON := $(VENV)/bin/python
 STAMP := $(VENV)/.installed
 
-.PHONY: setup format lint test demo faults promises clean
+.PHONY: setup format lint test demo faults promises capacity clean
 
 setup: $(STAMP)
 
@@ -35,5 +35,14 @@
 promises: setup
 	$(PYTHON) -m bench.proof.promises
 
+# Costs behind docs/CAPACITY.md, one command after the other; about eight minutes.
+capacity: setup
+	$(PYTHON) -m bench.role_cost
+	$(PYTHON) -m bench.peer_cost
+	$(PYTHON) -m bench.claims_cost --outcomes
+	$(PYTHON) -m bench.daemon_cost
+	$(PYTHON) -m bench.change_cost
+	$(PYTHON) -m bench.capacity
+
 clean:
 	rm -rf $(VENV) build *.egg-info src/*.egg-info
--- a/bench/claims_cost.py
+++ b/bench/claims_cost.py
@@ -7,7 +7,6 @@
 
 import argparse
 import random
-import statistics
 import threading
 import time
 
@@ -21,10 +20,14 @@
 from lagoonrill._internal.transport.object_api import ObjectApi
 from standins.object_store import Stats
 
+from .fits import Fit, fit_line, start_results, write_results
 from .processes import Process, start_stand_in
 
 # Below the rate at which one process of Python runs out of processor time.
 RATES = (25.0, 50.0, 100.0, 150.0, 200.0)
+# Callers of these numbers of instances share one rate.
+INSTANCE_COUNTS = (1, 2, 4, 8)
+SHARED_RATE = 40.0
 CALLERS = 64
 # A shard is compacted several times in a run, so that each rate pays for deletions.
 SNAPSHOT_AFTER_ENTRIES = 16
@@ -166,16 +169,33 @@
     )
 
 
-def print_fit(steps: list[Step], name: str, unit: str, scale: float) -> None:
-    """Prints the straight line of a cost per second over claims per second."""
+def fit_cost(steps: list[Step], name: str, unit: str, scale: float) -> Fit:
+    """Prints and returns the line of a cost per second over claims per second."""
     rates = [step.claims_per_s for step in steps]
     costs = [getattr(step, name) * scale * step.claims_per_s for step in steps]
-    slope, intercept = statistics.linear_regression(rates, costs)
-    correlation = statistics.correlation(rates, costs)
-    print(
-        f"{unit}/s = {intercept:.4g} + {slope:.4g} x claims/s"
-        f"  (r^2 {correlation**2:.3f})"
-    )
+    line = fit_line(f"{unit}/s per claims/s", rates, costs)
+    print(line)
+    return line
+
+
+def run_instances(arguments: argparse.Namespace, counts: tuple) -> list[Fit]:
+    """Measures one rate of claims that arrive at more and more instances."""
+    steps = []
+    for count in counts:
+        arguments.instances = count
+        bench = Bench(arguments=arguments)
+        try:
+            steps.append(bench.step(SHARED_RATE))
+        finally:
+            bench.stop()
+        print(f"{count} instances:", end="")
+        print_step(steps[-1])
+    fits = []
+    for name in ("writes", "reads", "wire_bytes", "cpu_ms"):
+        values = [getattr(step, name) for step in steps]
+        fits.append(fit_line(f"{name} a claim per instance", counts, values))
+        print(fits[-1])
+    return fits
 
 
 def main() -> None:
@@ -191,6 +211,7 @@
         "--outcomes", action="store_true", help="record an outcome of 200 bytes too"
     )
     arguments = parser.parse_args()
+    results = start_results("claims_cost")
     bench = Bench(arguments=arguments)
     try:
         print(
@@ -203,10 +224,14 @@
             print_step(steps[-1])
     finally:
         bench.stop()
-    print_fit(steps, "cpu_ms", "CPU s", 0.001)
-    print_fit(steps, "writes", "writes", 1.0)
-    print_fit(steps, "reads", "reads", 1.0)
-    print_fit(steps, "wire_bytes", "bytes", 1.0)
+    results.fits = [
+        fit_cost(steps, "cpu_ms", "CPU s", 0.001),
+        fit_cost(steps, "writes", "writes", 1.0),
+        fit_cost(steps, "reads", "reads", 1.0),
+        fit_cost(steps, "wire_bytes", "bytes", 1.0),
+    ]
+    results.fits += run_instances(arguments, INSTANCE_COUNTS)
+    write_results(results)
 
 
 if __name__ == "__main__":
