Move a repeatable request whose first token is late to another engine

Cause: an engine that accepted a request and sent no first token was given up only after first_event_timeout_s (60 s) or the deadline. hedge_delay_s and allow_hedge of the retry policy had no caller.

Ruled out: a second request in parallel, first answer wins. It takes a second slot and generates tokens twice for each late request, and gains little: after three times the usual delay a free engine most likely answers before the silent one. The request moves on at once, so only the prefill is repeated. This choice is by argument; the parallel form was not built or measured.

Change: the thread that watches for preemption also ends calls whose first token is late (every 25 ms in place of 100 ms). The delay comes from the median estimate of the model's engines, at least the prompt's prefill, or is half of the class's target while there is no estimate. A request moves only within the budget, before its queue deadline, and if another engine has a free slot; never if it is not repeatable or has tokens. The engine left gets the time waited as its first-token sample and a failure, and its stream is cancelled. The repeated prefill counts as wasted with the cause "hedged". The first event ends the watch before it is passed to the caller, so a slow caller cannot prolong it.

A straggler at a fifth of the speed answers before the delay, so nothing changes for it.

--- a/src/lagoonrill/_internal/coordination/streams.py
+++ b/src/lagoonrill/_internal/coordination/streams.py
@@ -46,9 +46,15 @@
     ServerSentEvent,
     parse_event,
 )
+from ..state.endpoint_table import EndpointView, median
+from .policy.endpoint_choice import PREFILL_S_PER_TOKEN
 
 DONE_EVENT = b"data: [DONE]\n\n"
-PREEMPTION_CHECK_INTERVAL_S = 0.1
+# Also the accuracy of the hedge delay, which is at least 0.2 s.
+WATCH_INTERVAL_S = 0.025
+# The policy hedges after three times the usual time to the first token. Without an
+# estimate, a sixth of the target leaves the second half of it to the next engine.
+UNKNOWN_FIRST_TOKEN_SHARE = 1 / 6
 CANCEL_THREADS = 4
 # Statuses by which an engine says that the request itself is wrong.
 CALLER_ERROR_STATUSES = (400, 413, 422)
@@ -77,6 +83,10 @@
     """The engine sent nothing for too long; a resume would wait as long again."""
 
 
+class FirstTokenLate(EndpointBroken):
+    """The request moves to another engine because its first token is late."""
+
+
 class CallerGone(Exception):
     """The caller closed its connection, so nobody waits for the answer."""
 
@@ -197,6 +207,8 @@
         "engines",
         "flight",
         "grant",
+        "hedge_at",
+        "hedged",
         "keyed",
         "once",
         "sent",
@@ -232,6 +244,8 @@
         self.attempt = 0
         self.engines = 0
         self.grant: Any = None
+        self.hedge_at: float | None = None  # for the current engine
+        self.hedged = False  # the current engine is given up for another one
 
     @property
     def engine_stream_id(self) -> str:
@@ -279,6 +293,8 @@
     """Relays answers from engines, through the scheduler's slots.
 
     `record_wasted(cause, tokens)` is called once for each answer that was discarded.
+    `candidates(target)` returns the endpoints that may receive a request now; a request
+    whose first token is late moves only if one of them has a free slot.
     """
 
     def __init__(
@@ -291,6 +307,7 @@
         retry_budget,
         usage_type: Callable[..., Any],
         record_wasted: Callable[[str, int], None] = lambda cause, tokens: None,
+        candidates: Callable[[str], list[EndpointView]] = lambda target: [],
         limits: StreamLimits | None = None,
     ):
         self.client = client
@@ -300,6 +317,7 @@
         self.retry_budget = retry_budget
         self.usage_type = usage_type
         self.record_wasted = record_wasted
+        self.candidates = candidates
         self.limits = limits or StreamLimits()
         self.lock = threading.Lock()
         self.awaiting_first_event: set[StreamJob] = set()
@@ -308,10 +326,10 @@
         self.cancellations: ThreadPoolExecutor | None = None
 
     def start(self) -> None:
-        """Starts the threads that cancel streams and notice preemption."""
+        """Starts the threads that cancel streams and watch silent engines."""
         self.cancellations = ThreadPoolExecutor(CANCEL_THREADS, "stream-cancel")
         self.thread = threading.Thread(
-            target=self._watch_preemption, name="preemption", daemon=True
+            target=self._watch_first_events, name="first-events", daemon=True
         )
         self.thread.start()
 
@@ -409,6 +427,9 @@
         endpoint = job.grant.endpoint
         job.attempt += 1
         meter = SpeedMeter()
+        job.hedged = False
+        delay_s = self._hedge_delay_s(job)
+        job.hedge_at = None if delay_s is None else meter.started_at + delay_s
         error: Exception | None = CallerGone()
         failed = False
         try:
@@ -446,6 +467,8 @@
             job.flight.check()
             if error is None or job.preempted:
                 return error
+            if job.hedged and meter.first_at is None:
+                return FirstTokenLate(message="the first token is late")
             if isinstance(opened, Failure) or isinstance(error, EngineStalled):
                 return error
             if resumes >= self.limits.max_resumes:
@@ -528,9 +551,9 @@
                 if accepted:
                     is_first = meter.first_at is None
                     meter.note(assembler.next_token - before)
-                    yield accepted
                     if is_first:
                         self._stop_awaiting(job)
+                    yield accepted
                     if is_first or job.whole:
                         timeout_s = self._event_timeout(job, meter)
                 if assembler.done and assembler.complete:
@@ -559,6 +582,10 @@
         if refused and error.status in CALLER_ERROR_STATUSES:
             text = error.body.decode(errors="replace")[:500]
             raise BadRequest(message=f"the engine refused the request: {text}")
+        if isinstance(error, FirstTokenLate):
+            # No token has arrived, so the discarded work is the prefill.
+            self.record_wasted("hedged", job.ticket.prompt_tokens)
+            return
         if job.once:
             raise OutcomeUnknown(message="the engine broke off after it had begun")
         if job.assembler.next_token:
@@ -583,10 +610,14 @@
         self, job: StreamJob, meter: SpeedMeter, *, failed: bool, discarded: bool
     ) -> None:
         grant, job.grant = job.grant, None
+        first_token_s = meter.first_token_s
+        if job.hedged and first_token_s is None:
+            # The time waited is a lower bound; without it the engine would look fast.
+            first_token_s = time.monotonic() - meter.started_at
         usage = self.usage_type(
             tokens=meter.tokens,
             wasted_tokens=job.assembler.next_token if discarded else 0,
-            first_token_s=meter.first_token_s,
+            first_token_s=first_token_s,
             token_gap_s=meter.token_gap_s,
             failed=failed,
         )
@@ -608,10 +639,62 @@
             self.client.cancel_stream, endpoint, stream_id=stream_id
         )
 
-    def _watch_preemption(self) -> None:
-        """Aborts calls that are preempted while they wait for their first event."""
-        while not self.stopping.wait(PREEMPTION_CHECK_INTERVAL_S):
+    def _hedge_delay_s(self, job: StreamJob) -> float | None:
+        """Returns after how long without a first token to move, None for never."""
+        request_class = job.ticket.request_class
+        if job.once or not request_class.repeatable or job.assembler.next_token:
+            return None
+        views = self.candidates(job.ticket.target)
+        if not views:
+            return None
+        # The median, because a straggler's own estimate would hide its delay.
+        first_token_s = median([view.first_token_s for view in views])
+        if first_token_s:
+            # The estimate includes the prefill of usual prompts; a long one needs more.
+            prefill_s = job.ticket.prompt_tokens * PREFILL_S_PER_TOKEN
+            first_token_s = max(first_token_s, prefill_s)
+        else:
+            latency = request_class.latency
+            target_ms = latency.first_token_ms or latency.whole_answer_ms
+            if target_ms is None:
+                return None
+            first_token_s = target_ms / 1000.0 * UNKNOWN_FIRST_TOKEN_SHARE
+        return self.retry_budget.hedge_delay_s(request_class, first_token_s)
+
+    def _may_hedge(self, job: StreamJob) -> bool:
+        """Takes a token of the budget if the request can move to a free engine.
+
+        The request moves at once; it does not run on both engines. A second request in
+        parallel would take a slot and repeat tokens for each late one, while the gain
+        is small: after three times the usual delay, a free engine most likely answers
+        before the silent one.
+        """
+        now = time.monotonic()
+        if job.hedged or job.hedge_at is None or now < job.hedge_at:
+            return False
+        if now >= job.ticket.deadline:
+            return False  # the scheduler would refuse it
+        left = {job.grant.endpoint.id, *job.ticket.excluded}
+        has_free_engine = any(
+            not view.trial and view.running + view.waiting < view.slots
+            for view in self.candidates(job.ticket.target)
+            if view.endpoint.id not in left
+        )
+        if not has_free_engine:
+            return False
+        if not self.retry_budget.allow_hedge(job.ticket.request_class):
+            job.hedge_at = None
+            return False
+        return True
+
+    def _watch_first_events(self) -> None:
+        """Aborts calls that are preempted, or late, before their first event."""
+        while not self.stopping.wait(WATCH_INTERVAL_S):
+            # The lock keeps a job from going on to its next call before the abort.
             with self.lock:
-                jobs = [job for job in self.awaiting_first_event if job.preempted]
-            for job in jobs:
-                job.flight.abort_call()
+                for job in self.awaiting_first_event:
+                    if not job.preempted:
+                        if not self._may_hedge(job):
+                            continue
+                        job.hedged = True
+                    job.flight.abort_call()
--- a/src/lagoonrill/_internal/daemon.py
+++ b/src/lagoonrill/_internal/daemon.py
@@ -168,6 +168,7 @@
             retry_budget=self.policy.retries,
             usage_type=Usage,
             record_wasted=self.metrics.record_wasted,
+            candidates=self.table.candidates,
         )
         self.dispatcher = Dispatcher(
             generation=ConfirmedManifest(
--- /dev/null
+++ b/tests/test_hedges.py
@@ -0,0 +1,136 @@
+"""Guards against requests that wait for an engine that sends no first token."""
+
+import contextlib
+import time
+import uuid
+
+import msgspec
+import pytest
+
+from bench.local_router import LocalRouter, local_manifest
+from lagoonrill._internal.coordination.policy.retries import RetryBudget
+from lagoonrill._internal.coordination.streams import StreamLimits
+from lagoonrill._internal.protocol.manifest import LatencyTarget
+from lagoonrill._internal.state.endpoint_table import EndpointView
+from tests.request_path import (
+    chat_fields,
+    error_of,
+    expected,
+    fetch,
+    post_chat,
+    read_events,
+    set_faults,
+    start_engine,
+    wait_until,
+)
+
+TARGET = LatencyTarget(first_token_ms=1_000, token_gap_ms=100)
+WAIT_MS = "3000"
+
+
+@pytest.fixture(scope="module")
+def engine_processes():
+    processes = [start_engine("--grace-s", "1") for _ in range(2)]
+    yield processes
+    for process in processes:
+        process.stop()
+
+
+@pytest.fixture
+def engines(engine_processes):
+    for process in engine_processes:
+        set_faults(process, freeze=False, straggler=1.0)
+    wait_until(lambda: not any(fetch(p, "/load")["running"] for p in engine_processes))
+    yield engine_processes
+    for process in engine_processes:
+        set_faults(process, freeze=False, straggler=1.0)
+
+
+@contextlib.contextmanager
+def hedging_router(engines, *, first_token_s=None, running=0):
+    manifest = local_manifest(engine_urls=[engine.url for engine in engines])
+    classes = [
+        msgspec.structs.replace(manifest.classes[0], latency=TARGET),
+        *manifest.classes[1:],
+    ]
+    manifest = msgspec.structs.replace(manifest, classes=classes)
+    router = LocalRouter(manifest=manifest, limits=StreamLimits())
+    router.relay.retry_budget = RetryBudget()
+    router.relay.candidates = lambda target: [
+        EndpointView(
+            endpoint=endpoint,
+            running=running,
+            waiting=0,
+            in_flight=0,
+            slots=endpoint.slots,
+            first_token_s=first_token_s,
+        )
+        for endpoint in manifest.endpoints
+    ]
+    router.start()
+    try:
+        yield router
+    finally:
+        router.stop()
+
+
+def timed_chat(router, **headers):
+    fields = chat_fields(f"question {uuid.uuid4()}", max_tokens=5)
+    began = time.monotonic()
+    response = post_chat(router, fields, **{"X-Deadline-Ms": WAIT_MS}, **headers)
+    return response, fields, time.monotonic() - began
+
+
+@pytest.mark.parametrize("fault", [{"freeze": True}, {"straggler": 500.0}], ids=str)
+@pytest.mark.parametrize("first_token_s", [None, 0.1])
+def test_silent_engine_is_left_before_the_target(engines, fault, first_token_s):
+    set_faults(engines[0], **fault)
+    with hedging_router(engines, first_token_s=first_token_s) as router:
+        response, fields, elapsed_s = timed_chat(router)
+        assert response.status == 200, response.data
+        assert read_events(response.data)[0] == expected(fields)
+        assert elapsed_s < 0.9
+        left, used = router.scheduler.usages
+        assert left.failed and left.tokens == 0
+        assert left.first_token_s == pytest.approx(elapsed_s, abs=0.3)
+        assert used.tokens == 5 and not used.failed
+        assert router.scheduler.running == []
+        assert router.relay.retry_budget.dump().hedges == {"chat": 1}
+        assert list(router.wasted) == ["hedged"]
+        assert router.wasted["hedged"] > 0
+        set_faults(engines[0], freeze=False, straggler=1.0)
+        wait_until(lambda: not fetch(engines[0], "/load")["running"])
+
+
+def test_request_stays_without_budget(engines):
+    set_faults(engines[0], straggler=200.0)
+    with hedging_router(engines) as router:
+        router.relay.retry_budget.budget = 0.0
+        response, _, _ = timed_chat(router)
+        assert len(router.scheduler.usages) == 1, response.data
+        assert router.relay.retry_budget.dump().denied == {"chat": 1}
+
+
+def test_request_stays_when_the_other_engines_are_full(engines):
+    set_faults(engines[0], straggler=200.0)
+    with hedging_router(engines, running=8) as router:
+        timed_chat(router)
+        assert len(router.scheduler.usages) == 1
+        assert router.relay.retry_budget.dump().hedges == {}
+
+
+def test_class_that_is_not_repeatable_never_moves(engines):
+    set_faults(engines[0], freeze=True)
+    executions = len(fetch(engines[1], "/executions"))
+    with hedging_router(engines, first_token_s=0.01) as router:
+        fields = chat_fields("order", max_tokens=5, stream=False)
+        headers = {
+            "X-Request-Class": "order",
+            "Idempotency-Key": uuid.uuid4().hex,
+            "X-Deadline-Ms": "1000",
+        }
+        response = post_chat(router, fields, **headers)
+        assert error_of(response)["kind"] in ("outcome_unknown", "deadline_exceeded")
+        assert len(fetch(engines[1], "/executions")) == executions
+        assert router.relay.retry_budget.dump().hedges == {}
+        set_faults(engines[0], freeze=False)
