Move a stalled stream of a class with a token-gap target early

Cause: a stream whose engine stopped between tokens was continued elsewhere only after stall_timeout_s (10 s), whatever gap the class promises.

Ruled out: a bound from the target alone. A slow engine would lose every stream; so the bound is ten gaps of the target or of the engine's own estimate, whichever is longer, and at least 1 s.

Change: the bound applies after the first token, to classes with a token-gap target that are repeatable. With no free slot on another engine the stream waits on, at most until stall_timeout_s. The bound does not apply to opening a resume after a broken connection, nor to a stream that another request started.

--- a/src/lagoonrill/_internal/coordination/streams.py
+++ b/src/lagoonrill/_internal/coordination/streams.py
@@ -55,6 +55,11 @@
 # The policy hedges after three times the usual time to the first token. Without an
 # estimate, a sixth of the target leaves the second half of it to the next engine.
 UNKNOWN_FIRST_TOKEN_SHARE = 1 / 6
+# A stream moves after this many gaps, of the class's target or the engine's usual one,
+# whichever is longer. The minimum keeps jitter of the engine or of this process, such
+# as a long prefill between two steps, from moving streams.
+STALL_GAPS = 10.0
+MIN_STALL_S = 1.0
 CANCEL_THREADS = 4
 # Statuses by which an engine says that the request itself is wrong.
 CALLER_ERROR_STATUSES = (400, 413, 422)
@@ -514,6 +519,43 @@
             return min(self.limits.stall_timeout_s, self._remaining(job))
         return self.limits.stall_timeout_s
 
+    def _read_timeout(self, job: StreamJob, meter: SpeedMeter) -> float:
+        """Returns how long a read may wait; less for a class with a gap target."""
+        timeout_s = self._event_timeout(job, meter)
+        if meter.first_at is None or not self._moves_early(job):
+            return timeout_s
+        gap_s = job.ticket.request_class.latency.token_gap_ms / 1000.0
+        for view in self.candidates(job.ticket.target):
+            if view.endpoint.id == job.grant.endpoint.id:
+                gap_s = max(gap_s, view.token_gap_s or 0.0)
+        return min(timeout_s, max(MIN_STALL_S, STALL_GAPS * gap_s))
+
+    def _moves_early(self, job: StreamJob) -> bool:
+        """Tells whether a stream moves before `stall_timeout_s`."""
+        # A stream that another request started has no grant and cannot be moved.
+        if job.once or job.grant is None:
+            return False
+        return job.ticket.request_class.latency.token_gap_ms is not None
+
+    def _must_stay(self, job: StreamJob, meter: SpeedMeter) -> bool:
+        """Tells whether a silent stream waits on, because no other engine is free."""
+        now = time.monotonic()
+        if meter.first_at is None or not self._moves_early(job):
+            return False
+        if now - meter.last_at >= self.limits.stall_timeout_s:
+            return False
+        if job.preempted or (job.whole and now >= job.call_deadline):
+            return False
+        return not self._has_free_engine(job)
+
+    def _has_free_engine(self, job: StreamJob) -> bool:
+        left = {job.grant.endpoint.id, *job.ticket.excluded}
+        return any(
+            not view.trial and view.running + view.waiting < view.slots
+            for view in self.candidates(job.ticket.target)
+            if view.endpoint.id not in left
+        )
+
     def _first_event_timeout(self, job: StreamJob) -> float:
         limit = self.limits.first_event_timeout_s
         if job.assembler.next_token and not job.whole:
@@ -541,13 +583,19 @@
         assembler.start_reading()
         if source.leaving:
             self.endpoint_table.mark_leaving(source.endpoint_id, "answer")
-        timeout_s = self._event_timeout(job, meter)
+        timeout_s = self._read_timeout(job, meter)
         gap_wait_s = self.limits.gap_wait_s
         try:
             while True:
                 before = assembler.next_token
                 wait_s = gap_wait_s if assembler.pending else timeout_s
-                accepted = assembler.feed(source.read(wait_s))
+                try:
+                    received = source.read(wait_s)
+                except TimeoutError:
+                    if assembler.pending or not self._must_stay(job, meter):
+                        raise
+                    continue
+                accepted = assembler.feed(received)
                 if accepted:
                     is_first = meter.first_at is None
                     meter.note(assembler.next_token - before)
@@ -555,7 +603,7 @@
                         self._stop_awaiting(job)
                     yield accepted
                     if is_first or job.whole:
-                        timeout_s = self._event_timeout(job, meter)
+                        timeout_s = self._read_timeout(job, meter)
                 if assembler.done and assembler.complete:
                     source.drain()
                     return None
@@ -674,13 +722,7 @@
             return False
         if now >= job.ticket.deadline:
             return False  # the scheduler would refuse it
-        left = {job.grant.endpoint.id, *job.ticket.excluded}
-        has_free_engine = any(
-            not view.trial and view.running + view.waiting < view.slots
-            for view in self.candidates(job.ticket.target)
-            if view.endpoint.id not in left
-        )
-        if not has_free_engine:
+        if not self._has_free_engine(job):
             return False
         if not self.retry_budget.allow_hedge(job.ticket.request_class):
             job.hedge_at = None
--- a/tests/test_hedges.py
+++ b/tests/test_hedges.py
@@ -18,6 +18,7 @@
     expected,
     fetch,
     post_chat,
+    raw_chat,
     read_events,
     set_faults,
     start_engine,
@@ -74,10 +75,10 @@
         router.stop()
 
 
-def timed_chat(router, **headers):
+def timed_chat(router, wait_ms=WAIT_MS):
     fields = chat_fields(f"question {uuid.uuid4()}", max_tokens=5)
     began = time.monotonic()
-    response = post_chat(router, fields, **{"X-Deadline-Ms": WAIT_MS}, **headers)
+    response = post_chat(router, fields, **{"X-Deadline-Ms": wait_ms})
     return response, fields, time.monotonic() - began
 
 
@@ -134,3 +135,49 @@
         assert len(fetch(engines[1], "/executions")) == executions
         assert router.relay.retry_budget.dump().hedges == {}
         set_faults(engines[0], freeze=False)
+
+
+def stalled_stream(engines, router):
+    """Freezes the engine of a running stream; returns its text and longest gap."""
+    # 500 tokens take 2 s, so the freeze comes before the end on a busy machine too.
+    fields = chat_fields(f"question {uuid.uuid4()}", max_tokens=500)
+    connection = raw_chat(router, fields, Connection="close")
+    received = connection.recv(100)
+    busy = router.scheduler.running[0].endpoint.id
+    set_faults(engines[int(busy[-1])], freeze=True)
+    connection.settimeout(15)
+    longest_s, last_at = 0.0, time.monotonic()
+    while part := connection.recv(65_536):
+        longest_s = max(longest_s, time.monotonic() - last_at)
+        last_at = time.monotonic()
+        received += part
+    set_faults(engines[int(busy[-1])], freeze=False)
+    return received, longest_s
+
+
+def test_stalled_stream_of_a_class_with_a_gap_target_moves(engines):
+    with hedging_router(engines) as router:
+        received, longest_s = stalled_stream(engines, router)
+        assert b"data: [DONE]" in received
+        assert received.count(b'"content":"') in (499, 500)
+        assert 0.9 < longest_s < 2.0
+        assert [usage.failed for usage in router.scheduler.usages] == [True, False]
+        assert sum(usage.tokens for usage in router.scheduler.usages) == 500
+        assert router.scheduler.running == []
+
+
+def test_stalled_stream_stays_when_the_other_engines_are_full(engines):
+    with hedging_router(engines, running=8) as router:
+        router.relay.limits.stall_timeout_s = 3.0
+        received, longest_s = stalled_stream(engines, router)
+        assert b"data: [DONE]" in received
+        assert longest_s > 2.8
+
+
+def test_jitter_does_not_move_a_stream(engines):
+    # 0.6 s is six times the target's gap.
+    set_faults(engines[0], straggler=150.0)
+    with hedging_router(engines, running=8) as router:
+        timed_chat(router, wait_ms="10000")
+        assert len(router.scheduler.usages) == 1
+        assert not router.scheduler.usages[0].failed
