Fetch the engines' cache events and apply them to the prefix index

Cause: PrefixIndex.apply_events and forget had no caller, so the index kept blocks that an engine had evicted or lost by a restart.

Ruled out: a restart seen by a lower number alone. An engine that restarts may have passed the old number again before the next fetch, so the last known event is fetched again and compared.

Change: CacheEventPoll fetches GET /cache-events every 5 s from the engines of which the index knows blocks, that is, those this instance has sent prompts to. A gap in the numbers drops what is known, a restart forgets the engine. The state dump shows the last number of each engine.

tests/test_cache_events.py; the daemon test without the wiring: E KeyError: 'cache_events' FAILED test_daemon_fetches_cache_events With it all 6 pass. The other five exercise a module that did not exist before, so there is no failing output of theirs.

Not covered: engines are asked one after another, so each one that is silent delays the others by the client's time-out of 2 s. Hit rates of a fleet were not measured.

--- a/src/lagoonrill/_internal/daemon.py
+++ b/src/lagoonrill/_internal/daemon.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from . import logs
+from .coordination.cache_events import CacheEventPoll
 from .coordination.caller_share import CallerShare
 from .coordination.claims import ClaimService
 from .coordination.dispatch import Dispatcher
@@ -160,6 +161,9 @@
             instance=settings.instance, membership=self.membership
         )
         self.client = EndpointClient(instance=settings.instance)
+        self.cache_events = CacheEventPoll(
+            client=self.client, prefixes=self.policy.prefixes
+        )
         self.relay = StreamRelay(
             client=self.client,
             scheduler=self.scheduler,
@@ -223,6 +227,7 @@
             "endpoints": self.table.dump,
             "endpoint_monitor": self.monitor.dump,
             "scheduler": self.scheduler.dump,
+            "cache_events": self.cache_events.dump,
             "retries": self.policy.retries.dump,
             "claims": self.claims.dump,
             "streams": self.registry.dump,
@@ -234,6 +239,7 @@
         self.table.apply_manifest(record.manifest)
         self.scheduler.apply_manifest(record.manifest)
         self.monitor.apply_manifest(record.manifest)
+        self.cache_events.apply_manifest(record.manifest)
 
     def start(self) -> Addresses:
         """Starts all components and returns the bound ports."""
@@ -243,6 +249,7 @@
         self.claims.start()
         self.rollout.start()
         self.relay.start()
+        self.cache_events.start()
         self.callers.start()
         self.operators.start()
         self.shutdown.start()
@@ -265,6 +272,7 @@
         steps = (
             self.callers.stop,
             self.relay.stop,
+            self.cache_events.stop,
             self.claims.stop,
             self.rollout.stop,
             self.instance_watch.stop,
