Measure the routing policies on real processes

Cause: the goals of section 2.4 of the design had only been tried on a simulated fleet. bench.measure starts 4 daemons in 3 zones with 9 engines and 3 workers (second profile: 6 and 3), sends seeded open-loop arrivals and prints each figure with its goal. The stand-ins add the latency between zones.

No figure is claimed yet.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON := $(VENV)/bin/python
 STAMP := $(VENV)/.installed
 
-.PHONY: setup format lint test demo faults faults-quick promises clean
+.PHONY: setup format lint test demo faults faults-quick promises measure measure-quick clean
 
 setup: $(STAMP)
 
@@ -37,5 +37,15 @@
 promises: setup
 	$(PYTHON) -m bench.proof.promises
 
+# All scenarios with all policies; about ten minutes. Set SEED and PROFILE to vary it.
+SEED := 1
+PROFILE := workshops
+measure: setup
+	$(PYTHON) -m bench.measure --seed $(SEED) --profile $(PROFILE) \
+	    --output measurements/$(PROFILE)-seed-$(SEED).json
+
+measure-quick: setup
+	$(PYTHON) -m bench.measure --quick
+
 clean:
 	rm -rf $(VENV) build *.egg-info src/*.egg-info
--- /dev/null
+++ b/bench/measure/figures.py
@@ -0,0 +1,191 @@
+"""Computes the figures of a run from its records."""
+
+from collections import Counter, defaultdict
+from collections.abc import Iterable, Mapping
+
+import msgspec
+
+from lagoonrill._internal.protocol.manifest import LatencyTarget
+
+from .arrivals import NOISY_TEAM
+from .goals import DURABLE, PROTECTED
+from .records import Outcome, RunRecord
+
+
+class Figures(msgspec.Struct, kw_only=True):
+    """Figures of one run; times in seconds, shares from 0 to 1."""
+
+    scenario: str
+    policy: str
+    attainment: dict[str, float]
+    attainment_without_noisy: dict[str, float]
+    offered: dict[str, int]
+    goodput: float
+    wasted: float
+    generated: int
+    added_p50_s: float
+    added_p95_s: float
+    added_p99_s: float
+    sheds: dict[str, dict[str, int]]
+    refusals: dict[str, dict[str, int]]
+    lost_plans: int
+    longest_wait_s: float
+    longest_first_token_s: float
+    load_average: float
+
+
+def met_target(outcome: Outcome, target: LatencyTarget) -> bool:
+    """Tells whether a whole answer arrived within the target of its class."""
+    if outcome.verdict != "whole":
+        return False
+    limits = (
+        (outcome.elapsed_s, target.whole_answer_ms),
+        (outcome.first_token_s, target.first_token_ms),
+        (outcome.token_gap_s, target.token_gap_ms),
+    )
+    return all(
+        limit_ms is None or (seconds is not None and seconds * 1e3 <= limit_ms)
+        for seconds, limit_ms in limits
+    )
+
+
+def attainment(
+    outcomes: Iterable[Outcome], targets: Mapping[str, LatencyTarget]
+) -> dict[str, float]:
+    """Returns the share of the offered requests of each class that met its target."""
+    offered: Counter[str] = Counter()
+    met: Counter[str] = Counter()
+    for outcome in outcomes:
+        offered[outcome.request_class] += 1
+        met[outcome.request_class] += met_target(
+            outcome, targets[outcome.request_class]
+        )
+    return {name: met[name] / count for name, count in offered.items()}
+
+
+def goodput(record: RunRecord, targets: Mapping[str, LatencyTarget]) -> float:
+    """Returns the tokens of answers that met their target per slot-second."""
+    tokens = sum(
+        outcome.tokens
+        for outcome in record.outcomes
+        if met_target(outcome, targets[outcome.request_class])
+    )
+    return tokens / (record.slots * record.seconds)
+
+
+def wasted_share(record: RunRecord) -> float:
+    """Returns the share of the engines' generated tokens in no whole answer."""
+    generated = sum(engine.generated for engine in record.engines)
+    useful = sum(o.tokens for o in record.outcomes if o.verdict == "whole")
+    return (generated - useful) / generated if generated else 0.0
+
+
+def added_delays(record: RunRecord) -> list[float]:
+    """Returns the first-token delay of each answer beyond the engine's own, sorted.
+
+    It holds the time in the router's queue. An answer that needed several attempts
+    has no single engine execution to compare with and is left out.
+    """
+    executions = defaultdict(list)
+    for execution in record.executions:
+        # The router appends the number of the attempt to a stream's id.
+        executions[execution.stream.rpartition("-")[0]].append(execution)
+        executions[execution.stream].append(execution)
+    delays = []
+    for outcome in record.outcomes:
+        found = executions.get(outcome.stream, []) if outcome.stream else []
+        found = [item for item in found if item.first_token_at is not None]
+        if outcome.attempts != 1 or outcome.first_at is None or not found:
+            continue
+        first = min(found, key=lambda item: item.received_at)
+        engine_s = first.first_token_at - first.received_at
+        delays.append(outcome.first_at - outcome.sent_at - engine_s)
+    return sorted(delays)
+
+
+def quantile(ordered: list[float], share: float) -> float:
+    """Returns a quantile of sorted values, 0 if there are none."""
+    if not ordered:
+        return 0.0
+    return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
+
+
+def refusals(outcomes: Iterable[Outcome]) -> dict[str, dict[str, int]]:
+    """Counts requests without a whole answer by class and kind of error."""
+    counts: dict[str, Counter[str]] = defaultdict(Counter)
+    for outcome in outcomes:
+        if outcome.verdict != "whole":
+            kind = f"{outcome.verdict}: {outcome.kind or 'no end'}"
+            counts[outcome.request_class][kind] += 1
+    return {name: dict(kinds) for name, kinds in counts.items()}
+
+
+def lost_plans(outcomes: Iterable[Outcome]) -> int:
+    """Counts plans and menus without a whole answer that were not refused unrun."""
+    return sum(
+        outcome.request_class in DURABLE
+        and outcome.verdict != "whole"
+        and not (outcome.verdict == "refused" and outcome.run == "not_run")
+        for outcome in outcomes
+    )
+
+
+def compute(record: RunRecord, targets: Mapping[str, LatencyTarget]) -> Figures:
+    """Returns all figures of a run."""
+    delays = added_delays(record)
+    first_tokens = [o.first_token_s for o in record.outcomes if o.first_at is not None]
+    quiet = [o for o in record.outcomes if o.team != NOISY_TEAM]
+    return Figures(
+        scenario=record.scenario,
+        policy=record.policy,
+        attainment=attainment(record.outcomes, targets),
+        attainment_without_noisy=attainment(quiet, targets),
+        offered=dict(Counter(o.request_class for o in record.outcomes)),
+        goodput=goodput(record, targets),
+        wasted=wasted_share(record),
+        generated=sum(engine.generated for engine in record.engines),
+        added_p50_s=quantile(delays, 0.5),
+        added_p95_s=quantile(delays, 0.95),
+        added_p99_s=quantile(delays, 0.99),
+        sheds=record.sheds,
+        refusals=refusals(record.outcomes),
+        lost_plans=lost_plans(record.outcomes),
+        longest_wait_s=max(record.waits.values(), default=0.0),
+        longest_first_token_s=max(first_tokens, default=0.0),
+        load_average=record.load_average,
+    )
+
+
+def problems_of(record: RunRecord) -> list[str]:
+    """Returns violations of the invariants that hold in every run of the router.
+
+    The shed rule is checked for the router's own policy only. Protected work alone
+    stays below capacity in every scenario, so each shed of it made room for lower work.
+    """
+    problems = []
+    wrong = [o.call for o in record.outcomes if o.verdict == "wrong"]
+    if wrong:
+        problems.append(f"answers that are not the request's own: {wrong[:5]}")
+    twice = [call for call, count in record.orders_executed.items() if count > 1]
+    if twice:
+        problems.append(f"orders executed more than once: {twice[:5]}")
+    refused = [
+        outcome.call
+        for outcome in record.outcomes
+        if outcome.verdict == "refused"
+        and outcome.run == "not_run"
+        and record.orders_executed.get(outcome.call)
+    ]
+    if refused:
+        problems.append(f"orders that ran but were answered not_run: {refused[:5]}")
+    mismatches = sum(engine.continuation_mismatches for engine in record.engines)
+    if mismatches:
+        problems.append(f"{mismatches} continuations began with a wrong text")
+    if record.policy == "default":
+        for name in PROTECTED:
+            shed = record.sheds.get(name)
+            if shed:
+                problems.append(f"class {name} was shed: {shed}")
+    if record.unfinished:
+        problems.append(f"{record.unfinished} requests did not end")
+    return problems
--- /dev/null
+++ b/bench/measure/goals.py
@@ -0,0 +1,12 @@
+"""The goals of section 2.4 of the design; they never follow what was measured."""
+
+PROTECTED = ("counter", "order")
+DURABLE = ("plan", "menu")
+ATTAINMENT = 0.99
+WASTED_CALM = 0.01
+WASTED_CRASH = 0.03
+WASTED_OF_BASELINE = 0.5
+GOODPUT_OF_BASELINE_CALM = 0.95
+NOISY_TEAM_COST = 0.02
+# Section 2.3 states this aim for 200 open streams; it is printed for comparison.
+ADDED_FIRST_TOKEN_S = 0.020
--- /dev/null
+++ b/bench/measure/report.py
@@ -0,0 +1,125 @@
+"""Judges figures by the goals and prints one table."""
+
+from collections.abc import Callable, Mapping, Sequence
+
+import msgspec
+
+from . import goals
+from .figures import Figures
+from .scenarios import SCENARIOS
+
+
+class Verdict(msgspec.Struct, kw_only=True):
+    """Whether one goal was met in one scenario by the `default` policy."""
+
+    scenario: str
+    goal: str
+    figure: str
+    met: bool
+
+
+Runs = Mapping[tuple[str, str], Figures]
+
+
+def judge(runs: Runs) -> list[Verdict]:
+    """Returns a verdict for each goal that the runs can show."""
+    verdicts = []
+    for scenario in SCENARIOS:
+        own = runs.get((scenario.name, "default"))
+        if own is None:
+            continue
+        baselines = [
+            figures
+            for (name, policy), figures in runs.items()
+            if name == scenario.name and policy != "default"
+        ]
+
+        def add(goal: str, figure: str, met: bool, name: str = scenario.name) -> None:
+            verdicts.append(Verdict(scenario=name, goal=goal, figure=figure, met=met))
+
+        _judge_classes(own, add)
+        _judge_work(own, baselines, scenario.is_fault, add)
+        if scenario.name == "noisy_team" and ("calm", "default") in runs:
+            _judge_noisy(own, runs["calm", "default"], add)
+    return verdicts
+
+
+def _judge_classes(own: Figures, add: Callable) -> None:
+    for name in goals.PROTECTED:
+        if name in own.attainment:
+            share = own.attainment[name]
+            add(f"{name} >= 99%", f"{share:.1%}", share >= goals.ATTAINMENT)
+        shed = sum(own.sheds.get(name, {}).values())
+        add(f"{name} not shed", str(shed), shed == 0)
+    add("no plan or menu lost", str(own.lost_plans), own.lost_plans == 0)
+
+
+def _judge_work(
+    own: Figures, baselines: Sequence[Figures], is_fault: bool, add: Callable
+) -> None:
+    if own.scenario == "calm":
+        add("wasted < 1%", f"{own.wasted:.2%}", own.wasted < goals.WASTED_CALM)
+    if own.scenario == "crash":
+        add("wasted < 3%", f"{own.wasted:.2%}", own.wasted < goals.WASTED_CRASH)
+    if not baselines:
+        return
+    best = max(figures.goodput for figures in baselines)
+    if not is_fault:
+        limit = goals.GOODPUT_OF_BASELINE_CALM * best
+        figure = f"{own.goodput:.2f} to {best:.2f}"
+        add("goodput >= 95% of best baseline", figure, own.goodput >= limit)
+        return
+    add(
+        "goodput above both baselines",
+        f"{own.goodput:.2f} to {best:.2f}",
+        own.goodput > best,
+    )
+    least = min(figures.wasted for figures in baselines)
+    add(
+        "wasted below half of either baseline",
+        f"{own.wasted:.2%} to {least:.2%}",
+        own.wasted < goals.WASTED_OF_BASELINE * least,
+    )
+
+
+def _judge_noisy(own: Figures, calm: Figures, add: Callable) -> None:
+    for name, share in own.attainment_without_noisy.items():
+        cost = calm.attainment_without_noisy.get(name, share) - share
+        add(
+            f"others' {name} costs < 2 points",
+            f"{cost * 100:+.1f}",
+            cost < goals.NOISY_TEAM_COST,
+        )
+
+
+CLASSES = ("counter", "order", "lookup", "menu", "plan")
+HEADER = (
+    "scenario      policy             counter  order lookup   menu   plan  goodput"
+    "  wasted  added p50/p95/p99 ms  lost  wait s  load"
+)
+
+
+def row(figures: Figures) -> str:
+    """Returns the line of one run."""
+    shares = " ".join(
+        f"{figures.attainment.get(name, float('nan')) * 100:6.1f}" for name in CLASSES
+    )
+    delays = "/".join(
+        f"{seconds * 1e3:.0f}"
+        for seconds in (figures.added_p50_s, figures.added_p95_s, figures.added_p99_s)
+    )
+    return (
+        f"{figures.scenario:13} {figures.policy:18} {shares}  {figures.goodput:7.2f}"
+        f"  {figures.wasted:6.2%}  {delays:>20}  {figures.lost_plans:4}"
+        f"  {figures.longest_wait_s:6.2f}  {figures.load_average:4.1f}"
+    )
+
+
+def failures(figures: Figures) -> list[str]:
+    """Returns a line for each class that was shed or refused."""
+    lines = []
+    for what, counts in (("shed", figures.sheds), ("no answer", figures.refusals)):
+        for name, reasons in counts.items():
+            parts = ", ".join(f"{kind} {count}" for kind, count in reasons.items())
+            lines.append(f"    {what}, {name}: {parts}")
+    return lines
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -24,6 +24,7 @@
     Request,
     Response,
     StandIn,
+    ZoneLatency,
     argument_parser,
     json_response,
     run,
@@ -237,6 +238,9 @@
     def __init__(self, *, arguments):
         super().__init__(faults=EngineFaults(), threads=arguments.threads)
         self.arguments = arguments
+        self.latency = ZoneLatency(
+            zone=arguments.zone, one_way_ms=arguments.zone_latency_ms
+        )
         self.lock = threading.RLock()
         self.streams: collections.OrderedDict[str, Stream] = collections.OrderedDict()
         self.waiting: list[tuple[int, int, Stream]] = []
@@ -271,6 +275,7 @@
         """Applies the faults that concern whole connections."""
         if request.path in ("/faults", "/stats", "/executions"):
             return super().handle(request)
+        self.latency.wait(request)
         while self.faults.freeze:
             time.sleep(0.02)
         refused = request.header("X-Instance") in self.faults.refuse_instances
--- a/standins/plain_service.py
+++ b/standins/plain_service.py
@@ -16,6 +16,7 @@
     Request,
     Response,
     StandIn,
+    ZoneLatency,
     argument_parser,
     json_response,
     run,
@@ -46,8 +47,15 @@
 class PlainService(StandIn):
     """Counts executions by key."""
 
-    def __init__(self, *, threads: int, journal: str | None = None):
+    def __init__(
+        self,
+        *,
+        threads: int,
+        journal: str | None = None,
+        latency: ZoneLatency | None = None,
+    ):
         super().__init__(faults=ServiceFaults(), threads=threads)
+        self.latency = latency or ZoneLatency(zone="", one_way_ms=0.0)
         # The record of executions must survive a kill of this process.
         self.journal = Path(journal) if journal else None
         self.lock = threading.Lock()
@@ -59,6 +67,7 @@
     def handle(self, request: Request) -> Response:
         """Applies the faults that concern every call."""
         if request.path not in ("/faults", "/executions"):
+            self.latency.wait(request)
             refused = request.header("X-Instance") in self.faults.refuse_instances
             if refused or self.faults.drop_before:
                 raise DropConnection
@@ -104,7 +113,11 @@
     parser.add_argument("--threads", type=int, default=64)
     parser.add_argument("--journal", help="file that records each execution")
     arguments = parser.parse_args()
-    service = PlainService(threads=arguments.threads, journal=arguments.journal)
+    service = PlainService(
+        threads=arguments.threads,
+        journal=arguments.journal,
+        latency=ZoneLatency(zone=arguments.zone, one_way_ms=arguments.zone_latency_ms),
+    )
     run(service, host=arguments.host, port=arguments.port)
 
 
--- a/standins/server.py
+++ b/standins/server.py
@@ -11,6 +11,7 @@
 import socket
 import sys
 import threading
+import time
 from collections.abc import Callable, Iterable
 
 import msgspec
@@ -82,6 +83,38 @@
             self.req.ready = False
 
 
+class ZoneLatency:
+    """Delays calls of instances in other zones by a round trip.
+
+    The zone is read from the instance's name, `entry-<zone>-<number>`. The whole round
+    trip passes before the call is handled, so an answer of many events pays it once.
+    """
+
+    def __init__(self, *, zone: str, one_way_ms: float):
+        self.zone = zone
+        self.one_way_ms = one_way_ms
+
+    def round_trip_s(self, instance: str | None) -> float:
+        """Returns the delay for a call of an instance.
+
+        >>> latency = ZoneLatency(zone="tunis-a", one_way_ms=0.5)
+        >>> latency.round_trip_s("entry-tunis-b-0")
+        0.001
+        >>> latency.round_trip_s("entry-tunis-a-0")
+        0.0
+        """
+        if not self.zone or not instance:
+            return 0.0
+        zone = instance.removeprefix("entry-").rpartition("-")[0]
+        return 0.0 if zone == self.zone else 2 * self.one_way_ms / 1e3
+
+    def wait(self, request: Request) -> None:
+        """Waits for the round trip of a call."""
+        delay_s = self.round_trip_s(request.header("X-Instance"))
+        if delay_s:
+            time.sleep(delay_s)
+
+
 class StandIn:
     """Base of all stand-ins: routes, faults and the server."""
 
@@ -157,4 +190,6 @@
     parser = argparse.ArgumentParser(description=description)
     parser.add_argument("--host", default="127.0.0.1")
     parser.add_argument("--port", type=int, default=0)
+    parser.add_argument("--zone", default="", help="zone of this endpoint")
+    parser.add_argument("--zone-latency-ms", type=float, default=0.0, help="one way")
     return parser
