--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON := $(VENV)/bin/python
 STAMP := $(VENV)/.installed
 
-.PHONY: setup format lint test demo faults promises capacity clean
+.PHONY: setup format lint test demo faults promises capacity measure measure-quick clean
 
 setup: $(STAMP)
 
@@ -23,6 +23,7 @@
 test: lint
 	$(PYTHON) -m pytest
 	$(PYTHON) -m bench.proof.matrix --quick 32 --pairs 0 --fleets 2
+	$(PYTHON) -m bench.measure --quick
 
 demo: setup
 	$(PYTHON) -m bench.demo
@@ -44,5 +45,15 @@
 	$(PYTHON) -m bench.change_cost
 	$(PYTHON) -m bench.capacity
 
+# All scenarios with all policies; about ten minutes. Set SEED and PROFILE to vary it.
+SEED := 1
+PROFILE := workshops
+measure: setup
+	$(PYTHON) -m bench.measure --seed $(SEED) --profile $(PROFILE) \
+	    --output measurements/$(PROFILE)-seed-$(SEED).json
+
+measure-quick: setup
+	$(PYTHON) -m bench.measure --quick
+
 clean:
 	rm -rf $(VENV) build *.egg-info src/*.egg-info
