Give borrowed slots back by preemption, and divide slots over all live members

Cause: under plans everywhere a counter question started on its own share of an engine that others had borrowed full, and waited up to 2.4 s in the engine until one of their long answers ended. With more than 8 members an instance divided slots over the peers it hears only, so that all shares together exceeded the slots 17.7 times at 390 members (docs/CAPACITY.md). Ruled out: leaving slots unborrowed as a reserve, which costs goodput at all times. Change: when all instances together exceed an endpoint, a borrower preempts resumable work of lower classes above its own share; live members without a link count with no use.

--- a/src/lagoonrill/_internal/coordination/policy/preemption.py
+++ b/src/lagoonrill/_internal/coordination/policy/preemption.py
@@ -19,6 +19,7 @@
     """Preempts when waiting for a free slot would probably miss the target."""
 
     shields_protected = True
+    gives_back = True
 
     def due_at(self, ticket: Ticket, outlook: Outlook) -> float | None:
         slack_s = self._target_s(ticket) - outlook.service_s
@@ -45,6 +46,7 @@
     """Running work always keeps its slot."""
 
     shields_protected = False
+    gives_back = False
 
     def due_at(self, ticket: Ticket, outlook: Outlook) -> float | None:
         return None
--- a/src/lagoonrill/_internal/daemon.py
+++ b/src/lagoonrill/_internal/daemon.py
@@ -18,7 +18,7 @@
 from .coordination.serving import ConfirmedManifest, EndpointReports, PeerClaims
 from .coordination.shutdown import PlannedShutdown
 from .coordination.streams import StreamRelay
-from .protocol.messages import ClaimRequest
+from .protocol.messages import ClaimRequest, EndpointUse
 from .protocol.objects import ConfigRecord, ListedInstance
 from .protocol.settings import Settings
 from .state.endpoint_table import EndpointTable
@@ -111,7 +111,7 @@
             ),
             reports=PeerReports(
                 generation=lambda *seen: self.rollout.take_peer_generation(*seen),
-                uses=self.scheduler.update_peers,
+                uses=self._take_peer_uses,
                 leaving_endpoints=self.monitor.update_peer_leaving,
                 down_endpoints=self.monitor.update_peer_down,
                 loads=self.monitor.take_loads,
@@ -123,6 +123,12 @@
             subscribers=[self._take_members, self.monitor.update_listed],
         )
 
+    def _take_peer_uses(self, uses: dict[str, list[EndpointUse]]) -> None:
+        # Live instances without a link use what nobody here knows, but their shares of
+        # the slots are theirs.
+        unheard = {view.instance: [] for view in self.membership.live_peers()}
+        self.scheduler.update_peers(unheard | uses)
+
     def _take_members(self, instances: list[ListedInstance]) -> None:
         members = [
             ListedMember(
--- a/src/lagoonrill/_internal/state/preemption.py
+++ b/src/lagoonrill/_internal/state/preemption.py
@@ -113,6 +113,24 @@
                 return True
         return False
 
+    def give_back(
+        self, queues: list[ClassQueue], endpoint_id: str, count: int, now: float
+    ) -> None:
+        """Signals grants on an endpoint, those of the lowest tier and newest first."""
+        if not self.policy.preemption.gives_back:
+            return
+        for queue in queues:
+            running = [g for g in queue.running if g.endpoint.id == endpoint_id]
+            count -= sum(grant.preempted_at is not None for grant in running)
+            for grant in reversed(running):
+                if (
+                    count > 0
+                    and may_give_back(grant)
+                    and queue.has_slots_beyond_floor()
+                ):
+                    self._signal(grant, queue, now)
+                    count -= 1
+
     def _signal(self, grant: SlotGrant, queue: ClassQueue, now: float) -> None:
         grant.preempted_at = now
         grant.preempted.set()
@@ -150,6 +168,13 @@
     return [queue for queue in reversed(pool.queues) if queue.tier > tier]
 
 
+def may_give_back(grant: SlotGrant) -> bool:
+    """Tells whether a grant may leave a borrowed slot: a resumable one of low tier."""
+    running = grant.ticket.request_class
+    is_lower = running.repeatable and not running.protected
+    return is_lower and not grant.by_floor and grant.preempted_at is None
+
+
 def is_preemptible(grant: SlotGrant, usable: set[str], ticket: Ticket) -> bool:
     """Tells whether a waiting ticket may take the slot on one of the endpoints.
 
--- a/src/lagoonrill/_internal/state/request_queue.py
+++ b/src/lagoonrill/_internal/state/request_queue.py
@@ -132,7 +132,19 @@
         # it, since the shares have their own lock.
         self.shares.update_peers(uses)
         with self.lock:
-            self._shares_changed(self.clock())
+            now = self.clock()
+            self._shares_changed(now)
+            self._give_back(now)
+
+    def _give_back(self, now: float) -> None:
+        """Preempts work on borrowed slots whose lenders use them again.
+
+        A request on its own share would otherwise wait in the engine until a borrowed
+        slot's long answer ends.
+        """
+        for endpoint_id, surplus in self.shares.surpluses(self.ledger.in_use).items():
+            queues = sorted(self.queues.values(), key=lambda queue: -queue.tier)
+            self.preemptor.give_back(queues, endpoint_id, surplus, now)
 
     def refresh(self) -> None:
         """Grants what became possible, for example after an endpoint came back."""
--- a/src/lagoonrill/_internal/state/slots.py
+++ b/src/lagoonrill/_internal/state/slots.py
@@ -18,6 +18,12 @@
     slots: int
     base: int
     borrowable: int
+    peers_in_use: int
+
+    def surplus(self, in_use: int) -> int:
+        """Returns the borrowed slots by which all instances exceed the endpoint."""
+        overshoot = in_use + self.peers_in_use - self.slots
+        return max(0, min(in_use - self.base, overshoot))
 
     @property
     def limit(self) -> int:
@@ -105,6 +111,16 @@
         with self.lock:
             return {name: share.limit for name, share in self.shares.items()}
 
+    def surpluses(self, in_use: dict[str, int]) -> dict[str, int]:
+        """Returns the slots to give back, for endpoints where there are any."""
+        with self.lock:
+            found = {
+                name: self.shares[name].surplus(used)
+                for name, used in in_use.items()
+                if used and name in self.shares
+            }
+        return {name: surplus for name, surplus in found.items() if surplus}
+
     def base(self, endpoint_id: str) -> int:
         with self.lock:
             share = self.shares.get(endpoint_id)
@@ -147,6 +163,7 @@
             slots=slots,
             base=division.base(self.instance),
             borrowable=self._borrowable(division, uses),
+            peers_in_use=sum(use.in_use for use in uses.values()),
         )
 
     def _borrowable(self, division: Division, uses: dict[str, EndpointUse]) -> int:
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -4,7 +4,7 @@
 
 from lagoonrill._internal.protocol.messages import EndpointUse
 from lagoonrill._internal.state.slots import Division, SlotShares
-from tests.scheduler_kit import PLAN, Kit, engine
+from tests.scheduler_kit import COUNTER, PLAN, Kit, engine
 
 
 def shares_of(instance, slots, peers):
@@ -96,3 +96,31 @@
     assert uses == [EndpointUse(endpoint="e1", in_use=2, waiting=2)]
     kit.scheduler.update_peers({})
     assert all(entry.grant is not None for entry in entries)
+
+
+def test_borrowed_slot_is_given_back_when_its_lender_uses_it():
+    """A lender's request must not wait in the engine for a borrower's long answer."""
+    kit = Kit(endpoints=[engine("e1", slots=4)])
+    idle = [EndpointUse(endpoint="e1", in_use=0, waiting=0)]
+    kit.scheduler.update_peers({"i2": idle})
+    plans = [kit.submit(PLAN) for _ in range(4)]
+    assert all(entry.grant is not None for entry in plans)
+    lender = [EndpointUse(endpoint="e1", in_use=1, waiting=0)]
+    kit.scheduler.update_peers({"i2": lender})
+    signalled = [entry for entry in plans if entry.grant.preempted.is_set()]
+    assert signalled == [plans[-1]]
+    kit.scheduler.update_peers({"i2": lender})
+    assert sum(entry.grant.preempted.is_set() for entry in plans) == 1
+
+
+def test_own_share_and_protected_work_are_not_given_back():
+    """Only work of lower classes above the own share makes room for a lender."""
+    kit = Kit(endpoints=[engine("e1", slots=4)])
+    kit.scheduler.update_peers(
+        {"i2": [EndpointUse(endpoint="e1", in_use=0, waiting=0)]}
+    )
+    running = [kit.submit(COUNTER) for _ in range(3)] + [kit.submit(PLAN)]
+    busy = [EndpointUse(endpoint="e1", in_use=4, waiting=2)]
+    kit.scheduler.update_peers({"i2": busy})
+    signalled = [entry for entry in running if entry.grant.preempted.is_set()]
+    assert signalled == [running[-1]]
