Record the tokens of streams in the metrics

No test looked at a stream's record. Ruled out, and reverted: reporting the token gap of running streams to the endpoint table, tried with the same change. Change: each use of an engine adds its tokens to the record of the request. Figures: the new test fails without the change (0 useful tokens instead of 40) and passes with it.

--- a/src/lagoonrill/_internal/coordination/streams.py
+++ b/src/lagoonrill/_internal/coordination/streams.py
@@ -294,6 +294,16 @@
         return (self.last_at - self.first_at) / (self.tokens - 1)
 
 
+def record_tokens(job: StreamJob, meter: SpeedMeter) -> None:
+    """Adds the tokens of one use of an engine to the record of the request."""
+    if meter.first_at is not None:
+        job.flight.record.note_tokens(
+            first_at=meter.first_at,
+            last_at=meter.last_at,
+            total=job.assembler.next_token,
+        )
+
+
 class StreamRelay:
     """Relays answers from engines, through the scheduler's slots.
 
@@ -423,6 +433,7 @@
             if isinstance(opened, Failure):
                 return
             error = yield from self._read(job, opened.unwrap(), meter)
+            record_tokens(job, meter)
             if error is None:
                 self._end(job, endpoint)
                 return
@@ -452,6 +463,7 @@
             raise
         finally:
             self._stop_awaiting(job)
+            record_tokens(job, meter)
             self._release(job, meter, failed=failed, discarded=error is not None)
             if not job.assembler.complete:
                 self._abandon(job, endpoint, keep=isinstance(error, CallerGone))
--- a/tests/test_chat_path.py
+++ b/tests/test_chat_path.py
@@ -9,6 +9,7 @@
 import pytest
 
 from bench.local_router import LocalMembership, LocalNetwork
+from lagoonrill._internal.state.metrics import Metrics
 from tests.request_path import (
     chat_fields,
     closed_port_url,
@@ -338,3 +339,19 @@
         for key in (uuid.uuid4().hex for _ in range(12)):
             assert_complete(post_chat(one, fields, **{"Idempotency-Key": key}), fields)
         assert asked
+
+
+def test_stream_is_recorded_in_the_metrics():
+    """Guards against attainment that is computed without first tokens and gaps."""
+    engine = start_engine()
+    try:
+        with running_router(engines=[engine]) as router:
+            router.listener.metrics = Metrics()
+            answer = post_chat(router, chat_fields("metrics", max_tokens=40))
+            assert answer.status == 200
+            wait_until(lambda: router.listener.metrics.dump().classes)
+            summary = router.listener.metrics.dump().classes[0]
+            assert (summary.useful_answers, summary.useful_tokens) == (1, 40)
+            assert summary.first_token.count == summary.token_gap.count == 1
+    finally:
+        engine.stop()
