--- a/src/lagoonrill/_internal/coordination/claims.py
+++ b/src/lagoonrill/_internal/coordination/claims.py
@@ -422,7 +422,7 @@
             return writer.run_once()
         except Exception:
             # The writer keeps what is in flight, and other shards go on.
-            log.exception("claims: shard {} failed and is tried again", writer.shard)
+            log.exception("shard {} failed and is tried again", writer.shard)
             return False
 
     def _pace(self, started: float) -> None:
--- a/src/lagoonrill/_internal/coordination/dispatch.py
+++ b/src/lagoonrill/_internal/coordination/dispatch.py
@@ -566,7 +566,7 @@
         )
         recorded = self.dispatcher.claims.record_outcome(self.grant, outcome)
         if isinstance(recorded, Failure):
-            log.warning("An outcome was not recorded: {}", recorded.failure())
+            log.warning("an outcome is not recorded yet: {}", recorded.failure())
 
     def _fail(self, error: Exception) -> None:
         """Closes the claim if nothing was sent; else the outcome stays unknown."""
@@ -575,7 +575,7 @@
         elif isinstance(error, RequestError):
             not_run = error.run is RunState.NOT_RUN
         else:
-            log.exception("A call failed unexpectedly")
+            log.exception("a call failed unexpectedly")
             error = OutcomeUnknown(message="the call failed inside the router")
             not_run = False
         if not_run:
--- a/src/lagoonrill/_internal/coordination/shard_writer.py
+++ b/src/lagoonrill/_internal/coordination/shard_writer.py
@@ -395,7 +395,7 @@
             flight.doubt = True
             self.counters.in_doubt += 1
         if not flight.doubt:
-            log.info("claims: shard {} append was not made: {}", self.shard, error)
+            log.info("shard {} append was not made: {}", self.shard, error)
             self._return_to_queue(flight.pendings)
         return False
 
--- a/src/lagoonrill/_internal/transport/caller_watch.py
+++ b/src/lagoonrill/_internal/transport/caller_watch.py
@@ -81,7 +81,7 @@
         try:
             flight.cancel()
         except Exception:
-            log.exception("A request of a caller that went away was not cancelled")
+            log.exception("a request of a caller that went away was not cancelled")
 
     def _end_overdue_reads(self) -> None:
         now = time.monotonic()
