Write optional options of the tool as unions

Cause: ten options used Optional with a silenced lint rule, which the installed typer does not need. Change: str | None and int | None; the silences are gone.

--- a/src/lagoonrill/_internal/cli.py
+++ b/src/lagoonrill/_internal/cli.py
@@ -2,7 +2,7 @@
 
 import signal
 import sys
-from typing import Annotated, Optional
+from typing import Annotated
 
 import typer
 
@@ -21,21 +21,21 @@
 
 Json = Annotated[bool, typer.Option("--json", help="Print the result as JSON.")]
 Config = Annotated[
-    Optional[str],  # noqa: UP045
+    str | None,
     typer.Option(
         envvar="LAGOONRILL_CONFIG", help="JSON file with addresses and key files."
     ),
 ]
 ObjectApiUrl = Annotated[
-    Optional[str],  # noqa: UP045
+    str | None,
     typer.Option("--object-api-url", help="URL of the Object API."),
 ]
 InstanceListUrl = Annotated[
-    Optional[str],  # noqa: UP045
+    str | None,
     typer.Option("--instance-list-url", help="URL of the Instance list."),
 ]
 OperatorKeyFile = Annotated[
-    Optional[str],  # noqa: UP045
+    str | None,
     typer.Option(help="File with the operator key; else $LAGOONRILL_OPERATOR_KEY."),
 ]
 Address = Annotated[
@@ -56,7 +56,7 @@
 def apply(
     manifest: ManifestPath,
     base_generation: Annotated[
-        Optional[int],  # noqa: UP045
+        int | None,
         typer.Option(min=0, help="Generation from which the manifest was generated."),
     ] = None,
     timeout_s: Annotated[
@@ -133,19 +133,19 @@
     prompt: Annotated[str, typer.Argument(help="Text, or '-' for standard input.")],
     model: Annotated[str, typer.Option(help="Model that the manifest declares.")],
     address: Annotated[
-        Optional[str],  # noqa: UP045
+        str | None,
         typer.Option(help="Callers' listener, for example 10.0.0.5:8080."),
     ] = None,
     request_class: Annotated[
-        Optional[str],  # noqa: UP045
+        str | None,
         typer.Option("--class", help="Request class; else the model's default."),
     ] = None,
     deadline_ms: Annotated[
-        Optional[int],  # noqa: UP045
+        int | None,
         typer.Option(min=1, help="Deadline of the request in milliseconds."),
     ] = None,
     idempotency_key: Annotated[
-        Optional[str],  # noqa: UP045
+        str | None,
         typer.Option(help="Key with which a retry finds the running answer."),
     ] = None,
     stream: Annotated[
@@ -155,7 +155,7 @@
         float, typer.Option(min=0.1, help="Longest wait for the next part in seconds.")
     ] = ASK_TIMEOUT_S,
     team_key_file: Annotated[
-        Optional[str],  # noqa: UP045
+        str | None,
         typer.Option(help="File with the team's key; else $LAGOONRILL_TEAM_KEY."),
     ] = None,
     config: Config = None,
