--- a/src/lagoonrill/_internal/coordination/dispatch.py
+++ b/src/lagoonrill/_internal/coordination/dispatch.py
@@ -37,6 +37,7 @@
     Unauthorized,
 )
 from ..protocol.manifest import Endpoint, Manifest, RequestClass, Service, Team
+from ..state.tickets import Ticket, Usage
 from .caller_share import CallerShare
 from .flight import Flight
 from .streams import CallerGone, StreamJob, StreamRelay
@@ -164,8 +165,8 @@
 class Dispatcher:
     """Serves requests of callers; every method runs in the caller's own thread.
 
-    The types `ticket_type` and `usage_type` belong to the scheduler. `retry_budget` is
-    the policy for retries: `note_request()` and `allow_retry(request_class)`.
+    `retry_budget` is the policy for retries: `note_request()` and
+    `allow_retry(request_class)`.
     """
 
     def __init__(
@@ -179,8 +180,6 @@
         client,
         retry_budget,
         relay: StreamRelay,
-        ticket_type: Callable[..., Any],
-        usage_type: Callable[..., Any],
         caller_share: CallerShare,
         max_prompt_characters: int = 1_000_000,
     ):
@@ -192,8 +191,6 @@
         self.client = client
         self.retry_budget = retry_budget
         self.relay = relay
-        self.ticket_type = ticket_type
-        self.usage_type = usage_type
         self.caller_share = caller_share
         self.max_prompt_characters = max_prompt_characters
         self.lock = threading.Lock()
@@ -237,7 +234,7 @@
     ):
         self.retry_budget.note_request()
         longest_wait_s = request_class.max_wait_ms / 1000
-        return self.ticket_type(
+        return Ticket(
             request_id=uuid.uuid4().hex,
             team=request.team.name,
             request_class=request_class,
@@ -392,7 +389,7 @@
 
     def _call_worker(self, request, ticket, grant, flight: Flight, once: bool):
         started_at = time.monotonic()
-        usage = self.usage_type(tokens=0, wasted_tokens=0, failed=True)
+        usage = Usage(tokens=0, wasted_tokens=0, failed=True)
         try:
             flight.begin_call()
             answered = self.client.call(
@@ -410,7 +407,7 @@
             )
             if not isinstance(answered, Failure):
                 elapsed_s = time.monotonic() - started_at
-                usage = self.usage_type(
+                usage = Usage(
                     tokens=0, wasted_tokens=0, first_token_s=elapsed_s, failed=False
                 )
             return answered
--- a/src/lagoonrill/_internal/coordination/streams.py
+++ b/src/lagoonrill/_internal/coordination/streams.py
@@ -47,6 +47,7 @@
     parse_event,
 )
 from ..state.endpoint_table import EndpointView, median
+from ..state.tickets import Usage
 from .policy.endpoint_choice import PREFILL_S_PER_TOKEN
 
 DONE_EVENT = b"data: [DONE]\n\n"
@@ -320,7 +321,6 @@
         endpoint_table,
         registry,
         retry_budget,
-        usage_type: Callable[..., Any],
         record_wasted: Callable[[str, int], None] = lambda cause, tokens: None,
         candidates: Callable[[str], list[EndpointView]] = lambda target: [],
         limits: StreamLimits | None = None,
@@ -330,7 +330,6 @@
         self.endpoint_table = endpoint_table
         self.registry = registry
         self.retry_budget = retry_budget
-        self.usage_type = usage_type
         self.record_wasted = record_wasted
         self.candidates = candidates
         self.limits = limits or StreamLimits()
@@ -674,7 +673,7 @@
         if job.hedged and first_token_s is None:
             # The time waited is a lower bound; without it the engine would look fast.
             first_token_s = time.monotonic() - meter.started_at
-        usage = self.usage_type(
+        usage = Usage(
             tokens=meter.tokens,
             wasted_tokens=job.assembler.next_token if discarded else 0,
             first_token_s=first_token_s,
--- a/src/lagoonrill/_internal/daemon.py
+++ b/src/lagoonrill/_internal/daemon.py
@@ -27,7 +27,6 @@
 from .state.metrics import Metrics
 from .state.request_queue import Scheduler
 from .state.stream_registry import StreamRegistry
-from .state.tickets import Ticket, Usage
 from .transport.caller_listener import CallerListener
 from .transport.endpoint_client import EndpointClient
 from .transport.instance_list import InstanceList
@@ -176,7 +175,6 @@
             endpoint_table=reports,
             registry=self.registry,
             retry_budget=self.policy.retries,
-            usage_type=Usage,
             record_wasted=self.metrics.record_wasted,
             candidates=self.table.candidates,
         )
@@ -191,8 +189,6 @@
             client=self.client,
             retry_budget=self.policy.retries,
             relay=self.relay,
-            ticket_type=Ticket,
-            usage_type=Usage,
             caller_share=CallerShare(threads=settings.callers.threads),
             max_prompt_characters=settings.callers.max_prompt_characters,
         )
