Share which prompts engines have read, and copy cached parts between engines

Ruled out: a stronger hash affinity alone, which overloads the engine of a hot part. Change: peers tell each other what engines have read; a prompt whose leading parts another engine holds is sent with that engine's address to copy from.

--- a/src/lagoonrill/_internal/coordination/engine_admission.py
+++ b/src/lagoonrill/_internal/coordination/engine_admission.py
@@ -12,10 +12,17 @@
 
 from ..event_log import EventLog
 from ..protocol.headers import parse_token_usage
+from ..protocol.messages import EngineWork
 from ..protocol.refusals import Refusal
-from ..protocol.routing import PromptPart, Route, RoutingConfig
+from ..protocol.routing import (
+    EndpointRecord,
+    EngineProfile,
+    PromptPart,
+    Route,
+    RoutingConfig,
+)
 from ..state.endpoint_registry import EndpointRegistry
-from ..state.engine_board import EngineBoard, EngineJob
+from ..state.engine_board import CachedParts, EngineBoard, EngineJob
 from .policy.engine_placement import (
     HEAVY_SHARE_OF_PAUSE,
     EngineView,
@@ -33,6 +40,14 @@
 FIRST_RUN_S = 1.0
 # Time of a first event beyond the reading of the prompt: network and a few steps.
 FIRST_EVENT_S = 0.15
+# Requests that found no engine before a review ends; those behind them in line are
+# seldom smaller.
+MAX_MISSES = 3
+# A cached part is copied from another engine if that takes less than this share of the
+# time to read it, and if it is not tiny.
+MAX_COPY_SHARE = 0.5
+MIN_COPY_TOKENS = 256
+NO_PROFILE = EngineProfile(slots=1, cache_tokens=1)
 # A request that finds no engine at all comes back when one may have been found.
 NO_ENGINE_RETRY_S = 0.5
 
@@ -60,9 +75,30 @@
     engine: str
     job: EngineJob
     placement: Placement
+    # Address of an engine from which the cached part of the prompt is copied.
+    copy_from: str | None
     waited_s: float
 
 
+class Engine:
+    """An engine during one review of a line; its load includes what was just placed."""
+
+    __slots__ = ("cache", "load", "record", "suspect")
+
+    def __init__(
+        self,
+        *,
+        record: EndpointRecord,
+        load: EngineWork,
+        cache: CachedParts,
+        suspect: bool,
+    ):
+        self.record = record
+        self.load = load
+        self.cache = cache
+        self.suspect = suspect
+
+
 class Waiter:
     """A request that waits for a decision."""
 
@@ -195,28 +231,46 @@
             if not line:
                 return
             now = self.clock()
-            by_id = {waiter.view.id: waiter for waiter in line}
-            views = [waiter.view for waiter in line]
-            for view in self.order.order(views, now):
-                self._try_place(by_id[view.id], now)
+            waiters = {waiter.view.id: waiter for waiter in line}
+            engines = self._engines(service)
+            misses = 0
+            for view in self.order.order([item.view for item in line], now):
+                if misses >= MAX_MISSES:
+                    break
+                placed = self._try_place(waiters[view.id], engines, now)
+                misses += not placed
             left = [waiter.view for waiter in line if not waiter.decided.is_set()]
             rate = self._tokens_per_s(service)
             for view in self.order.hopeless(left, now, rate):
-                by_id[view.id].refused = True
-                by_id[view.id].decided.set()
+                waiters[view.id].refused = True
+                waiters[view.id].decided.set()
             line[:] = [waiter for waiter in line if not waiter.decided.is_set()]
 
     def review_all(self) -> None:
         """Reviews the lines of all services."""
-        for service in list(self.waiting):
-            self.review(service)
+        for service, line in list(self.waiting.items()):
+            if line:
+                self.review(service)
+
+    def _engines(self, service: str) -> list[Engine]:
+        records = self.registry.ready(service)
+        loads = self.board.loads([record.id for record in records])
+        tokens = self._profile(service).cache_tokens
+        return [
+            Engine(
+                record=record,
+                load=loads[record.id],
+                cache=self.board.cache(
+                    record.id, incarnation=record.incarnation, tokens=tokens
+                ),
+                suspect=self.registry.is_suspect(record.id),
+            )
+            for record in records
+        ]
 
-    def _try_place(self, waiter: Waiter, now: float) -> None:
+    def _try_place(self, waiter: Waiter, engines: list[Engine], now: float) -> bool:
         generation = waiter.generation
-        records = self.registry.ready(generation.service)
-        views = self._engine_views(generation, waiter.excluded)
-        if not records or not views:
-            return
+        usable = [item for item in engines if item.record.id not in waiter.excluded]
         rate = self.board.prefill_rate(generation.service)
         on_time = waiter.view.on_time(now)
         job = PromptJob(
@@ -226,55 +280,71 @@
             goal_s=generation.route.goal_s if on_time else 0.0,
             pause_goal_s=self._tightest_pause_s(generation.service),
         )
+        holder = self._holder(generation, engines)
+        views = [self._engine_view(generation, item, holder) for item in usable]
         placement = self.placement.choose(job, views, rate)
         if placement.engine is None:
-            return
+            return False
+        engine = next(item for item in usable if item.record.id == placement.engine)
         engine_job = self.board.begin(
             engine=placement.engine, tokens=placement.uncached_tokens, heavy=job.heavy
         )
-        self._note_cached(generation, placement.engine)
+        engine.load.pending_tokens += placement.uncached_tokens
+        engine.load.light += not job.heavy
+        engine.load.heavy += job.heavy
+        self.board.note_sent(placement.engine, generation.parts)
         waiter.admission = Admission(
-            engine=placement.engine, job=engine_job, placement=placement, waited_s=0.0
+            engine=placement.engine,
+            job=engine_job,
+            placement=placement,
+            copy_from=holder.record.address if placement.copied_tokens else None,
+            waited_s=0.0,
         )
         waiter.decided.set()
+        return True
+
+    def _holder(self, generation: Generation, engines: list[Engine]) -> Engine | None:
+        """Returns the engine that holds most of a prompt, if copying is quicker."""
+        profile = self._profile(generation.service)
+        if not (profile.token_bytes and profile.link_bytes_per_s and engines):
+            return None
+        copy_s = profile.token_bytes / profile.link_bytes_per_s
+        read_s = 1 / self.board.prefill_rate(generation.service)
+        if copy_s > MAX_COPY_SHARE * read_s:
+            return None
+        sound = [item for item in engines if not item.suspect]
+        best = max(
+            sound,
+            key=lambda item: item.cache.held_tokens(generation.parts),
+            default=None,
+        )
+        if best is None or best.cache.held_tokens(generation.parts) < MIN_COPY_TOKENS:
+            return None
+        return best
+
+    def _engine_view(
+        self, generation: Generation, engine: Engine, holder: Engine | None
+    ) -> EngineView:
+        expected = engine.cache.expected_tokens(generation.parts)
+        copied = 0
+        if holder is not None and holder is not engine:
+            copied = holder.cache.held_tokens(generation.parts) - expected
+            copied = copied if copied >= MIN_COPY_TOKENS else 0
+        return EngineView(
+            id=engine.record.id,
+            zone=engine.record.zone,
+            slots=engine.record.slots,
+            pending_tokens=engine.load.pending_tokens,
+            light=engine.load.light,
+            heavy=engine.load.heavy,
+            uncached_tokens=max(0, generation.prompt_tokens - expected - copied),
+            copied_tokens=copied,
+            suspect=engine.suspect,
+        )
 
-    def _engine_views(
-        self, generation: Generation, excluded: frozenset[str]
-    ) -> list[EngineView]:
-        views = []
-        for record in self.registry.ready(generation.service):
-            if record.id in excluded:
-                continue
-            load = self.board.load(record.id)
-            cache = self.board.cache(
-                record.id,
-                incarnation=record.incarnation,
-                tokens=self._cache_tokens(generation.service),
-            )
-            unread = cache.uncached_tokens(generation.parts)
-            shared = sum(part.tokens for part in generation.parts)
-            views.append(
-                EngineView(
-                    id=record.id,
-                    zone=record.zone,
-                    slots=record.slots,
-                    pending_tokens=load.pending_tokens,
-                    light=load.light,
-                    heavy=load.heavy,
-                    uncached_tokens=max(0, generation.prompt_tokens - shared) + unread,
-                    suspect=self.registry.is_suspect(record.id),
-                )
-            )
-        return views
-
-    def _note_cached(self, generation: Generation, engine: str) -> None:
-        cache = self.board.caches.get(engine)
-        if cache is not None:
-            cache.note(generation.parts)
-
-    def _cache_tokens(self, service: str) -> int:
+    def _profile(self, service: str) -> EngineProfile:
         found = self.config.services.get(service) if self.config else None
-        return found.engine.cache_tokens if found and found.engine else 1
+        return found.engine if found and found.engine else NO_PROFILE
 
     def _tightest_pause_s(self, service: str) -> float:
         if self.config is None:
@@ -330,6 +400,9 @@
 
     def started(self, admission: Admission, generation: Generation) -> None:
         """Counts the first event of a generation."""
+        if admission.job.started:
+            return
+        self.board.note_read(admission.engine, generation.parts)
         self.board.started(admission.job, service=generation.service)
         means = self.means[generation.route.name]
         step = admission.placement.uncached_tokens - means.unread_tokens
--- a/src/lagoonrill/_internal/coordination/forwarding.py
+++ b/src/lagoonrill/_internal/coordination/forwarding.py
@@ -87,6 +87,8 @@
         self.last_reason = ""
         self.last_event = request.resume_after
         self.stream_started = False
+        # Address of an engine that holds a part of the prompt.
+        self.copy_from: str | None = None
 
 
 class Forwarder:
@@ -225,6 +227,7 @@
         try:
             if record is not None and not record.leaving:
                 self._log_placed(request, admission, record)
+                sending.copy_from = admission.copy_from
                 outcome = self._exchange(
                     sending,
                     record,
@@ -250,6 +253,7 @@
             reason=admission.placement.reason,
             waited_ms=round(admission.waited_s * 1000),
             unread_tokens=admission.placement.uncached_tokens,
+            copied_tokens=admission.placement.copied_tokens,
             ahead_tokens=admission.job.ahead_tokens,
         )
 
@@ -340,6 +344,9 @@
         headers = request.headers_for(
             self.vocabulary, endpoint=record.id, now=time.monotonic()
         )
+        if sending.copy_from is not None:
+            name = self.vocabulary.copy_prompt_from.encode()
+            headers.append((name, sending.copy_from.encode()))
         if sending.last_event is not None:
             name = self.vocabulary.resume_after.encode()
             headers = [item for item in headers if item[0].lower() != name.lower()]
--- a/src/lagoonrill/_internal/coordination/gateway_peers.py
+++ b/src/lagoonrill/_internal/coordination/gateway_peers.py
@@ -15,6 +15,7 @@
 from ..event_log import EventLog
 from ..protocol.messages import (
     GatewayDigest,
+    PromptsRead,
     RoutingReply,
     RoutingRequest,
     encode_message,
@@ -87,6 +88,7 @@
         self.behind_since: float | None = None
         self.addresses_sent_at = 0.0
         link.register_handler(GatewayDigest, self._take_digest, inline=True)
+        link.register_handler(PromptsRead, self._take_reads, inline=True)
         link.register_handler(RoutingRequest, self._answer_routing)
 
     def start(self) -> None:
@@ -122,6 +124,7 @@
         while not self.stopping.is_set():
             self.changed.wait(DIGEST_INTERVAL_S)
             self.changed.clear()
+            self._send_reads()
             self._send_digest()
             self.stopping.wait(DIGEST_SPACING_S)
 
@@ -145,6 +148,17 @@
         for address in self.link.addresses():
             self.link.send_latest(address, payload, DIGEST_LIFETIME_S)
 
+    def _send_reads(self) -> None:
+        reads = self.board.take_unshared_reads()
+        if not reads:
+            return
+        message = PromptsRead(reads=reads)
+        for address in self.link.addresses():
+            self.link.send(address, message)
+
+    def _take_reads(self, message: PromptsRead) -> None:
+        self.board.take_peer_reads(message.reads)
+
     def _live_addresses(self) -> list[str]:
         with self.lock:
             return [
--- a/src/lagoonrill/_internal/coordination/policy/engine_placement.py
+++ b/src/lagoonrill/_internal/coordination/policy/engine_placement.py
@@ -25,10 +25,11 @@
 PROMPT_SHARE_OF_PAUSE = 0.7
 # A prompt is long if reading it takes more than this share of the tightest pause goal.
 HEAVY_SHARE_OF_PAUSE = 0.25
-# Part of a prompt's shared tokens that the engine chosen by its hash is taken to hold
-# although this instance has not sent them there: its peers have.
-HASH_SHARE_FIRST = 0.5
-HASH_SHARE_SECOND = 0.25
+# Part of a prompt's last shared part that the engine chosen by its hash is taken to
+# hold although nobody has reported it read: a peer may have just sent it there.
+HASH_SHARE_FIRST = 0.3
+# Cost of copying a cached token from another engine, in tokens read.
+COPY_COST = 0.3
 # Cost of crossing to another zone, and of a request that runs already, in tokens.
 CROSS_ZONE_TOKENS = 300
 RUNNING_TOKENS = 40
@@ -45,8 +46,10 @@
     pending_tokens: int
     light: int
     heavy: int
-    # Prompt tokens of this request that the engine has to read.
+    # Prompt tokens of this request that the engine has to read, after those that it
+    # copies from another engine.
     uncached_tokens: int
+    copied_tokens: int = 0
     suspect: bool = False
 
 
@@ -67,7 +70,7 @@
     engine: str | None
     reason: str
     uncached_tokens: int = 0
-    estimated_s: float = 0.0
+    copied_tokens: int = 0
 
 
 def hash_rank(key: str, engine: str) -> int:
@@ -107,7 +110,7 @@
         count = self.interactive_count(ordered)
         if job.heavy:
             return self._place_heavy(job, ordered, count, rate)
-        return self._place_light(job, ordered, count, rate)
+        return self._place_light(ordered, count)
 
     def interactive_count(self, ordered: list[EngineView]) -> int:
         """Returns how many engines, from the first on, hold interactive streams."""
@@ -115,9 +118,7 @@
         most = max(1, int(len(ordered) * (1 - MIN_HEAVY_SHARE)))
         return min(most, -(-streams // LIGHT_STREAMS_PER_ENGINE))
 
-    def _place_light(
-        self, job: PromptJob, ordered: list[EngineView], count: int, rate: float
-    ) -> Placement:
+    def _place_light(self, ordered: list[EngineView], count: int) -> Placement:
         def cost(engine: EngineView) -> float:
             return (
                 engine.pending_tokens
@@ -129,27 +130,23 @@
         best = min(ordered[:count], key=cost)
         if best.light + best.heavy >= best.slots and len(ordered) > count:
             best = min(ordered, key=cost)
-        return self._placed(best, "interactive", rate)
+        return self._placed(best, "interactive")
 
     def _place_heavy(
         self, job: PromptJob, ordered: list[EngineView], count: int, rate: float
     ) -> Placement:
-        shared = self._shared(job)
+        subject, subject_tokens = self._subject(job)
         candidates = ordered[count:] or ordered
-        ranked = sorted(candidates, key=lambda item: -hash_rank(shared[0], item.id))
-        bonus = {}
-        for engine, share in zip(
-            ranked, (HASH_SHARE_FIRST, HASH_SHARE_SECOND), strict=False
-        ):
-            bonus[engine.id] = share * shared[1]
+        expected = max(candidates, key=lambda item: hash_rank(subject, item.id))
 
         def cost(engine: EngineView) -> float:
             unread = engine.uncached_tokens
-            held = min(bonus.get(engine.id, 0.0), max(0, unread))
+            if engine is expected:
+                unread -= min(unread, HASH_SHARE_FIRST * subject_tokens)
             return (
                 engine.pending_tokens
                 + unread
-                - held
+                + COPY_COST * engine.copied_tokens
                 + RUNNING_TOKENS * (engine.light + engine.heavy)
                 + self._distance(engine)
             )
@@ -161,7 +158,7 @@
             if engine.heavy + engine.light < engine.slots and self._fits(engine, budget)
         ]
         if free:
-            return self._placed(min(free, key=cost), "cached_and_least_unread", rate)
+            return self._placed(min(free, key=cost), "cached_and_least_unread")
         pause_tokens = rate * job.pause_goal_s * PROMPT_SHARE_OF_PAUSE
         paced = [
             engine
@@ -171,7 +168,7 @@
             and engine.heavy == 0
         ]
         if paced:
-            return self._placed(min(paced, key=cost), "paced_beside_streams", rate)
+            return self._placed(min(paced, key=cost), "paced_beside_streams")
         return Placement(engine=None, reason="engines_have_enough_to_read")
 
     def _fits(self, engine: EngineView, budget: float) -> bool:
@@ -180,22 +177,20 @@
             or engine.pending_tokens + engine.uncached_tokens <= budget
         )
 
-    def _shared(self, job: PromptJob) -> tuple[str, int]:
-        """Returns the last shared part's id and the tokens up to it."""
+    def _subject(self, job: PromptJob) -> tuple[str, int]:
+        """Returns the id and the size of the last part that other prompts share."""
         if len(job.parts) < 2:
-            part = job.parts[0].id if job.parts else ""
-            return part, 0
-        shared = job.parts[:-1]
-        return shared[-1].id, shared[-1].tokens
+            return (job.parts[0].id if job.parts else ""), 0
+        return job.parts[-2].id, job.parts[-2].tokens
 
     def _distance(self, engine: EngineView) -> int:
         cost = 0 if engine.zone == self.zone else CROSS_ZONE_TOKENS
         return cost + (SUSPECT_TOKENS if engine.suspect else 0)
 
-    def _placed(self, engine: EngineView, reason: str, rate: float) -> Placement:
+    def _placed(self, engine: EngineView, reason: str) -> Placement:
         return Placement(
             engine=engine.id,
             reason=reason,
             uncached_tokens=engine.uncached_tokens,
-            estimated_s=(engine.pending_tokens + engine.uncached_tokens) / rate,
+            copied_tokens=engine.copied_tokens,
         )
--- a/src/lagoonrill/_internal/protocol/headers.py
+++ b/src/lagoonrill/_internal/protocol/headers.py
@@ -43,6 +43,8 @@
     token_usage: str = "X-Token-Usage"
     prompt_parts: str = "X-Prompt-Parts"
     output_estimate: str = "X-Output-Estimate"
+    # Address of an engine from which the cached part of a prompt is copied.
+    copy_prompt_from: str = "X-Copy-Prompt-From"
     resume_after: str = "Last-Event-Id"
     key_scheme: str = "Bearer"
     # Headers that only the router may set; a caller's are removed.
@@ -57,6 +59,7 @@
             self.expected_endpoint,
             self.not_run,
             self.proof,
+            self.copy_prompt_from,
             "Authorization",
             *self.router_only,
         }
--- a/src/lagoonrill/_internal/protocol/messages.py
+++ b/src/lagoonrill/_internal/protocol/messages.py
@@ -6,7 +6,7 @@
 
 from .codec import from_msgpack, to_msgpack
 from .objects import ConfigRecord
-from .routing import EndpointRecord, RoutingConfig
+from .routing import EndpointRecord, PromptPart, RoutingConfig
 
 
 class PeerMessage(msgspec.Struct, kw_only=True, tag=True):
@@ -171,6 +171,12 @@
     known_addresses: list[str] = []
 
 
+class PromptsRead(PeerMessage):
+    """Prompt parts that engines have read for the sender, in prompt order."""
+
+    reads: list[tuple[str, list[PromptPart]]]
+
+
 class RoutingRequest(PeerMessage):
     """Asks a gateway for a configuration and endpoints newer than the sender's."""
 
@@ -197,6 +203,7 @@
     | StreamLocation
     | Leaving
     | GatewayDigest
+    | PromptsRead
     | RoutingRequest
     | RoutingReply
 )
--- a/src/lagoonrill/_internal/protocol/routing.py
+++ b/src/lagoonrill/_internal/protocol/routing.py
@@ -65,6 +65,10 @@
     cache_tokens: int
     # Output tokens in one event of a stream.
     tokens_per_event: int = 1
+    # Memory of one token, and the link over which engines copy it from each other;
+    # 0 where they cannot.
+    token_bytes: int = 0
+    link_bytes_per_s: float = 0.0
 
 
 class Service(msgspec.Struct, kw_only=True, frozen=True):
--- a/src/lagoonrill/_internal/state/engine_board.py
+++ b/src/lagoonrill/_internal/state/engine_board.py
@@ -40,36 +40,54 @@
 class CachedParts:
     """Least-recently-used prompt parts that one engine probably holds.
 
+    A part is expected from the moment its prompt is sent and held once it was read.
+
     >>> cache = CachedParts(limit_tokens=100)
     >>> parts = (PromptPart(id="a", tokens=60), PromptPart(id="b", tokens=30))
-    >>> cache.note(parts)
-    >>> cache.uncached_tokens((*parts, PromptPart(id="c", tokens=20)))
-    20
+    >>> cache.note(parts, read=False)
+    >>> asked = (*parts, PromptPart(id="c", tokens=20))
+    >>> cache.expected_tokens(asked), cache.held_tokens(asked)
+    (90, 0)
+    >>> cache.note(parts, read=True)
+    >>> cache.held_tokens(asked)
+    90
     """
 
     __slots__ = ("limit_tokens", "parts", "tokens")
 
     def __init__(self, *, limit_tokens: int):
         self.limit_tokens = limit_tokens
-        self.parts: OrderedDict[str, int] = OrderedDict()
+        # Tokens of each part, and whether it was read.
+        self.parts: OrderedDict[str, tuple[int, bool]] = OrderedDict()
         self.tokens = 0
 
-    def note(self, parts: tuple[PromptPart, ...]) -> None:
-        """Remembers the parts of a prompt that the engine has read."""
+    def note(self, parts: tuple[PromptPart, ...], *, read: bool) -> None:
+        """Remembers the parts of a prompt that was sent to the engine or read by it."""
         for part in reversed(parts):
-            self.tokens -= self.parts.pop(part.id, 0)
-            self.parts[part.id] = part.tokens
-            self.tokens += part.tokens
+            tokens, was_read = self.parts.pop(part.id, (0, False))
+            self.tokens += part.tokens - tokens
+            self.parts[part.id] = (part.tokens, read or was_read)
         while self.tokens > self.limit_tokens and self.parts:
-            _, tokens = self.parts.popitem(last=False)
+            _, (tokens, _) = self.parts.popitem(last=False)
             self.tokens -= tokens
 
-    def uncached_tokens(self, parts: tuple[PromptPart, ...]) -> int:
-        """Returns the tokens after the longest cached run of leading parts."""
-        position = 0
-        while position < len(parts) and parts[position].id in self.parts:
-            position += 1
-        return sum(part.tokens for part in parts[position:])
+    def expected_tokens(self, parts: tuple[PromptPart, ...]) -> int:
+        """Returns the tokens of the leading parts that are or will be cached."""
+        total = 0
+        for part in parts:
+            if part.id not in self.parts:
+                break
+            total += part.tokens
+        return total
+
+    def held_tokens(self, parts: tuple[PromptPart, ...]) -> int:
+        """Returns the tokens of the leading parts that were read."""
+        total = 0
+        for part in parts:
+            if not self.parts.get(part.id, (0, False))[1]:
+                break
+            total += part.tokens
+        return total
 
 
 class EngineBoard:
@@ -85,6 +103,8 @@
         self.prefill_rates: dict[str, float] = {}
         # Called, without the lock, after this instance's own work has changed.
         self.changed = lambda: None
+        # Reads that the peers have not been told of yet.
+        self.unshared_reads: list[tuple[str, list[PromptPart]]] = []
 
     def prefill_rate(self, service: str) -> float:
         """Returns the measured prompt tokens per second of a service's engines."""
@@ -102,6 +122,36 @@
                 cache = self.caches[engine] = CachedParts(limit_tokens=limit)
             return cache
 
+    def note_sent(self, engine: str, parts: tuple[PromptPart, ...]) -> None:
+        """Expects the parts of a prompt on an engine that has a cache here."""
+        with self.lock:
+            cache = self.caches.get(engine)
+            if cache is not None:
+                cache.note(parts, read=False)
+
+    def note_read(self, engine: str, parts: tuple[PromptPart, ...]) -> None:
+        """Counts the parts of a prompt as held; peers are told of those it shares."""
+        with self.lock:
+            cache = self.caches.get(engine)
+            if cache is not None:
+                cache.note(parts, read=True)
+            if len(parts) > 1:
+                self.unshared_reads.append((engine, list(parts[:-1])))
+
+    def take_unshared_reads(self) -> list[tuple[str, list[PromptPart]]]:
+        """Returns the reads since the last call."""
+        with self.lock:
+            reads, self.unshared_reads = self.unshared_reads, []
+            return reads
+
+    def take_peer_reads(self, reads: list[tuple[str, list[PromptPart]]]) -> None:
+        """Counts what engines have read for a peer."""
+        with self.lock:
+            for engine, parts in reads:
+                cache = self.caches.get(engine)
+                if cache is not None:
+                    cache.note(tuple(parts), read=True)
+
     def forget(self, engine: str) -> None:
         """Drops what is believed about an engine's memory, after it broke off."""
         with self.lock:
@@ -116,19 +166,19 @@
 
     def load(self, engine: str) -> EngineWork:
         """Returns the outstanding work of this instance and its live peers."""
+        return self.loads([engine])[engine]
+
+    def loads(self, engines: list[str]) -> dict[str, EngineWork]:
+        """Returns `load` for several engines."""
         now = self.clock()
         with self.lock:
-            total = EngineWork(engine=engine)
-            loads = [self.own.get(engine)]
-            for received_at, digest in self.peers.values():
-                if now - received_at < PEER_DIGEST_LIFETIME_S:
-                    loads.append(digest.get(engine))
-            for load in loads:
-                if load is not None:
-                    total.pending_tokens += load.pending_tokens
-                    total.light += load.light
-                    total.heavy += load.heavy
-            return total
+            digests = [self.own]
+            digests.extend(
+                digest
+                for received_at, digest in self.peers.values()
+                if now - received_at < PEER_DIGEST_LIFETIME_S
+            )
+            return {engine: _sum(engine, digests) for engine in engines}
 
     def begin(self, *, engine: str, tokens: int, heavy: bool) -> EngineJob:
         """Counts a request that is sent now."""
@@ -210,3 +260,14 @@
                 "prefill_tokens_per_s": dict(self.prefill_rates),
                 "cached_tokens": {n: c.tokens for n, c in self.caches.items()},
             }
+
+
+def _sum(engine: str, digests: list[dict[str, EngineWork]]) -> EngineWork:
+    total = EngineWork(engine=engine)
+    for digest in digests:
+        work = digest.get(engine)
+        if work is not None:
+            total.pending_tokens += work.pending_tokens
+            total.light += work.light
+            total.heavy += work.heavy
+    return total
--- a/src/lagoonrill/platform/_configuration.py
+++ b/src/lagoonrill/platform/_configuration.py
@@ -56,6 +56,9 @@
     kv_tokens: int = 0
     # Output tokens in one event.
     stride: int = 1
+    # Memory of one token.
+    kv_bytes: int = 0
+    link_mbps: float = 0.0
 
 
 class WireService(msgspec.Struct, rename="pascal"):
@@ -143,6 +146,8 @@
         slots=wire.engine.slots,
         cache_tokens=wire.engine.kv_tokens,
         tokens_per_event=max(1, wire.engine.stride),
+        token_bytes=wire.engine.kv_bytes,
+        link_bytes_per_s=wire.engine.link_mbps * 1e6 / 8,
     )
     return Service(
         name=wire.name,
--- a/src/lagoonrill/platform/_headers.py
+++ b/src/lagoonrill/platform/_headers.py
@@ -17,9 +17,8 @@
     token_usage="Token-Usage",
     prompt_parts="Prompt-Prefix",
     output_estimate="Length-Hint",
+    copy_prompt_from="Kv-Fetch",
     resume_after="Last-Event-Id",
     key_scheme="Token",
-    router_only=frozenset(
-        ("Expect-Version", "Hold", "Pin-Ms", "Kv-Backup", "Kv-From", "Kv-Fetch")
-    ),
+    router_only=frozenset(("Expect-Version", "Hold", "Pin-Ms", "Kv-Backup", "Kv-From")),
 )
