--- a/src/lagoonrill/_internal/coordination/engine_admission.py
+++ b/src/lagoonrill/_internal/coordination/engine_admission.py
@@ -29,6 +29,7 @@
     PackedPlacement,
     Placement,
     PromptJob,
+    interactive_order,
 )
 from .policy.waiting_order import GoalFirstOrder, WaitingJob
 
@@ -80,8 +81,19 @@
     waited_s: float
 
 
+class Fleet:
+    """The engines of a service, in the order in which they take streams."""
+
+    __slots__ = ("edition", "ordered", "records")
+
+    def __init__(self, *, records: tuple[EndpointRecord, ...], edition: int):
+        self.records = {record.id: record for record in records}
+        self.ordered = interactive_order(list(records))
+        self.edition = edition
+
+
 class Engine:
-    """An engine during one review of a line; its load includes what was just placed."""
+    """An engine while a request is placed."""
 
     __slots__ = ("cache", "load", "record", "suspect")
 
@@ -147,6 +159,7 @@
         self.lock = threading.Lock()
         self.waiting: dict[str, list[Waiter]] = {}
         self.means: dict[str, RouteMeans] = {}
+        self.fleets: dict[str, Fleet] = {}
         self.config: RoutingConfig | None = None
 
     def install(self, config: RoutingConfig) -> None:
@@ -232,7 +245,7 @@
                 return
             now = self.clock()
             waiters = {waiter.view.id: waiter for waiter in line}
-            engines = self._engines(service)
+            engines = self._fleet(service)
             misses = 0
             for view in self.order.order([item.view for item in line], now):
                 if misses >= MAX_MISSES:
@@ -252,74 +265,99 @@
             if line:
                 self.review(service)
 
-    def _engines(self, service: str) -> list[Engine]:
-        records = self.registry.ready(service)
-        loads = self.board.loads([record.id for record in records])
-        tokens = self._profile(service).cache_tokens
-        return [
-            Engine(
-                record=record,
-                load=loads[record.id],
-                cache=self.board.cache(
-                    record.id, incarnation=record.incarnation, tokens=tokens
-                ),
-                suspect=self.registry.is_suspect(record.id),
-            )
-            for record in records
-        ]
+    def _fleet(self, service: str) -> Fleet:
+        """Returns the service's engines; kept until the list of endpoints changes."""
+        fleet = self.fleets.get(service)
+        if fleet is None or fleet.edition != self.registry.edition:
+            edition = self.registry.edition
+            fleet = Fleet(records=self.registry.ready(service), edition=edition)
+            self.fleets[service] = fleet
+        return fleet
+
+    def _engine(self, record: EndpointRecord, service: str) -> Engine:
+        cache = self.board.cache(
+            record.id,
+            incarnation=record.incarnation,
+            tokens=self._profile(service).cache_tokens,
+        )
+        return Engine(
+            record=record,
+            load=self.board.load(record.id),
+            cache=cache,
+            suspect=self.registry.is_suspect(record.id),
+        )
 
-    def _try_place(self, waiter: Waiter, engines: list[Engine], now: float) -> bool:
+    def _try_place(self, waiter: Waiter, fleet: Fleet, now: float) -> bool:
         generation = waiter.generation
-        usable = [item for item in engines if item.record.id not in waiter.excluded]
-        rate = self.board.prefill_rate(generation.service)
+        service = generation.service
+        rate = self.board.prefill_rate(service)
         on_time = waiter.view.on_time(now)
         job = PromptJob(
+            id=generation.id,
             parts=generation.parts,
             prompt_tokens=generation.prompt_tokens,
             heavy=self._is_heavy(generation),
             goal_s=generation.route.goal_s if on_time else 0.0,
-            pause_goal_s=self._tightest_pause_s(generation.service),
+            pause_goal_s=self._tightest_pause_s(service),
+        )
+        ordered = [
+            engine
+            for engine in fleet.ordered
+            if engine not in waiter.excluded and not self.registry.is_suspect(engine)
+        ] or [engine for engine in fleet.ordered if engine not in waiter.excluded]
+        if not ordered:
+            return False
+        count = self.placement.interactive_count(
+            len(ordered),
+            fleet.records[ordered[0]].slots,
+            self.board.light_streams(fleet.ordered),
+        )
+        listed = self.placement.shortlist(job, ordered, count)
+        main = [self._engine(fleet.records[name], service) for name in listed.main]
+        paced = [self._engine(fleet.records[name], service) for name in listed.paced]
+        holder = self._holder(generation, fleet)
+        placement = self.placement.choose(
+            job,
+            [self._engine_view(generation, item, holder) for item in main],
+            [self._engine_view(generation, item, holder) for item in paced],
+            rate,
         )
-        holder = self._holder(generation, engines)
-        views = [self._engine_view(generation, item, holder) for item in usable]
-        placement = self.placement.choose(job, views, rate)
         if placement.engine is None:
             return False
-        engine = next(item for item in usable if item.record.id == placement.engine)
         engine_job = self.board.begin(
             engine=placement.engine, tokens=placement.uncached_tokens, heavy=job.heavy
         )
-        engine.load.pending_tokens += placement.uncached_tokens
-        engine.load.light += not job.heavy
-        engine.load.heavy += job.heavy
         self.board.note_sent(placement.engine, generation.parts)
+        copies = holder is not None and placement.copied_tokens > 0
         waiter.admission = Admission(
             engine=placement.engine,
             job=engine_job,
             placement=placement,
-            copy_from=holder.record.address if placement.copied_tokens else None,
+            copy_from=holder.record.address if copies else None,
             waited_s=0.0,
         )
         waiter.decided.set()
         return True
 
-    def _holder(self, generation: Generation, engines: list[Engine]) -> Engine | None:
+    def _holder(self, generation: Generation, fleet: Fleet) -> Engine | None:
         """Returns the engine that holds most of a prompt, if copying is quicker."""
         profile = self._profile(generation.service)
-        if not (profile.token_bytes and profile.link_bytes_per_s and engines):
+        if not (profile.token_bytes and profile.link_bytes_per_s):
             return None
         copy_s = profile.token_bytes / profile.link_bytes_per_s
         read_s = 1 / self.board.prefill_rate(generation.service)
         if copy_s > MAX_COPY_SHARE * read_s:
             return None
-        sound = [item for item in engines if not item.suspect]
-        best = max(
-            sound,
-            key=lambda item: item.cache.held_tokens(generation.parts),
-            default=None,
-        )
-        if best is None or best.cache.held_tokens(generation.parts) < MIN_COPY_TOKENS:
-            return None
+        best = None
+        most = MIN_COPY_TOKENS
+        for name in self.board.holders(generation.parts):
+            record = fleet.records.get(name)
+            if record is None or self.registry.is_suspect(name):
+                continue
+            engine = self._engine(record, generation.service)
+            held = engine.cache.held_tokens(generation.parts)
+            if held > most:
+                best, most = engine, held
         return best
 
     def _engine_view(
@@ -327,7 +365,7 @@
     ) -> EngineView:
         expected = engine.cache.expected_tokens(generation.parts)
         copied = 0
-        if holder is not None and holder is not engine:
+        if holder is not None and holder.record.id != engine.record.id:
             copied = holder.cache.held_tokens(generation.parts) - expected
             copied = copied if copied >= MIN_COPY_TOKENS else 0
         return EngineView(
--- a/src/lagoonrill/_internal/coordination/gateway_peers.py
+++ b/src/lagoonrill/_internal/coordination/gateway_peers.py
@@ -15,10 +15,8 @@
 from ..event_log import EventLog
 from ..protocol.messages import (
     GatewayDigest,
-    PromptsRead,
     RoutingReply,
     RoutingRequest,
-    encode_message,
 )
 from ..state.endpoint_registry import EndpointRegistry
 from ..state.engine_board import EngineBoard
@@ -28,6 +26,8 @@
 
 # Changes that follow each other within this time leave in one digest.
 DIGEST_SPACING_S = 0.02
+# All peers together send at most so many to one instance.
+MAX_DIGESTS_RECEIVED_PER_S = 100
 # Without changes a digest still shows that its sender lives.
 DIGEST_INTERVAL_S = 0.5
 ADDRESSES_INTERVAL_S = 2.0
@@ -38,7 +38,6 @@
 # The store usually delivers a change itself within this time.
 ASK_AFTER_S = 0.2
 REQUEST_TIMEOUT_S = 0.6
-DIGEST_LIFETIME_S = 1.0
 
 
 class PeerView(msgspec.Struct, kw_only=True):
@@ -88,7 +87,6 @@
         self.behind_since: float | None = None
         self.addresses_sent_at = 0.0
         link.register_handler(GatewayDigest, self._take_digest, inline=True)
-        link.register_handler(PromptsRead, self._take_reads, inline=True)
         link.register_handler(RoutingRequest, self._answer_routing)
 
     def start(self) -> None:
@@ -124,9 +122,12 @@
         while not self.stopping.is_set():
             self.changed.wait(DIGEST_INTERVAL_S)
             self.changed.clear()
-            self._send_reads()
             self._send_digest()
-            self.stopping.wait(DIGEST_SPACING_S)
+            self.stopping.wait(self._spacing_s())
+
+    def _spacing_s(self) -> float:
+        """Returns the pause between digests; it grows with the number of peers."""
+        return max(DIGEST_SPACING_S, len(self.views) / MAX_DIGESTS_RECEIVED_PER_S)
 
     def _send_digest(self) -> None:
         now = self.clock()
@@ -142,22 +143,10 @@
             store_in_touch=self.store_in_touch(),
             leaving=self.leaving,
             work=[] if self.leaving else self.board.own_work(),
+            reads=self.board.take_unshared_reads(),
             known_addresses=addresses,
         )
-        payload = encode_message(digest)
-        for address in self.link.addresses():
-            self.link.send_latest(address, payload, DIGEST_LIFETIME_S)
-
-    def _send_reads(self) -> None:
-        reads = self.board.take_unshared_reads()
-        if not reads:
-            return
-        message = PromptsRead(reads=reads)
-        for address in self.link.addresses():
-            self.link.send(address, message)
-
-    def _take_reads(self, message: PromptsRead) -> None:
-        self.board.take_peer_reads(message.reads)
+        self.link.send_to_all(digest)
 
     def _live_addresses(self) -> list[str]:
         with self.lock:
@@ -189,11 +178,14 @@
             if address != self.link.address:
                 self.link.connect(address)
         self.board.take_peer(digest.instance, digest.work)
+        if digest.reads:
+            self.board.take_peer_reads(digest.reads)
         self.work_changed()
 
     def _watch(self) -> None:
         while not self.stopping.wait(ASK_AFTER_S / 2):
             self._note_lost()
+            self.board.drop_silent_peers()
             self.discovery.end_holds()
             ahead = self._ahead()
             if ahead is None:
--- a/src/lagoonrill/_internal/coordination/policy/engine_placement.py
+++ b/src/lagoonrill/_internal/coordination/policy/engine_placement.py
@@ -6,13 +6,17 @@
 them, and long prompts go to the others, to the one that has cached most of them and has
 least to read. A long prompt goes to an engine with interactive streams only when that
 engine has nothing to read and the prompt fits into the streams' pause goal.
+
+In a large fleet every instance knows the others' work a little late, and all of them
+would choose the same idle engine. So a request looks at a few engines only: those that
+a hash of its shared prompt names, and a few that a hash of its own id names.
 """
 
 import zlib
 
 import msgspec
 
-from ...protocol.routing import PromptPart
+from ...protocol.routing import EndpointRecord, PromptPart
 
 # Share of an engine's slots that interactive streams fill before the next engine is
 # opened to them.
@@ -43,6 +47,12 @@
 PENDING_WEIGHT = 3
 # A suspect engine is chosen only if nothing else is left.
 SUSPECT_TOKENS = 10_000_000
+# Up to this number of engines a request looks at all of them.
+SMALL_FLEET = 16
+# Engines that a request looks at in a larger one.
+SUBJECT_CHOICES = 4
+RANDOM_CHOICES = 4
+PACED_CHOICES = 2
 
 
 class EngineView(msgspec.Struct, kw_only=True):
@@ -64,13 +74,20 @@
 class PromptJob(msgspec.Struct, kw_only=True):
     """The request that is placed."""
 
+    id: str
     parts: tuple[PromptPart, ...]
     prompt_tokens: int
     heavy: bool
     goal_s: float
-    # Tightest pause goal among the service's other routes, 0 without one.
+    # Tightest pause goal among the service's routes, 0 without one.
     pause_goal_s: float
 
+    def subject(self) -> tuple[str, int]:
+        """Returns the id and the size of the last part that other prompts share."""
+        if len(self.parts) < 2:
+            return (self.parts[0].id if self.parts else self.id), 0
+        return self.parts[-2].id, self.parts[-2].tokens
+
 
 class Placement(msgspec.Struct, kw_only=True):
     """The chosen engine; without one the request waits, for the reason given."""
@@ -81,19 +98,28 @@
     copied_tokens: int = 0
 
 
+class Shortlist(msgspec.Struct, kw_only=True):
+    """The engines that a request looks at."""
+
+    # Engines for requests of its kind.
+    main: list[str]
+    # Engines with interactive streams that a long prompt may go to.
+    paced: list[str]
+
+
 def hash_rank(key: str, engine: str) -> int:
     """Returns the weight of an engine for a key (rendezvous hashing)."""
     return zlib.crc32(f"{key}/{engine}".encode())
 
 
-def interactive_order(engines: list[EngineView]) -> list[EngineView]:
+def interactive_order(engines: list[EndpointRecord]) -> list[str]:
     """Orders engines for interactive streams, the same on every instance.
 
     Zones take turns, so that each zone keeps engines of both kinds.
     """
-    zones: dict[str, list[EngineView]] = {}
+    zones: dict[str, list[str]] = {}
     for engine in sorted(engines, key=lambda item: hash_rank("light", item.id)):
-        zones.setdefault(engine.zone, []).append(engine)
+        zones.setdefault(engine.zone, []).append(engine.id)
     ordered = []
     queues = [zones[zone] for zone in sorted(zones)]
     while any(queues):
@@ -101,52 +127,76 @@
     return ordered
 
 
+def top(key: str, engines: list[str], count: int) -> list[str]:
+    """Returns the engines with the largest weights for a key."""
+    if len(engines) <= count:
+        return engines
+    return sorted(engines, key=lambda item: -hash_rank(key, item))[:count]
+
+
 class PackedPlacement:
     """Packs interactive streams, spreads long prompts over the other engines."""
 
     def __init__(self, *, zone: str):
         self.zone = zone
 
+    def interactive_count(self, engines: int, slots: int, streams: int) -> int:
+        """Returns how many engines, from the first on, hold `streams` streams."""
+        most = max(1, int(engines * (1 - MIN_HEAVY_SHARE)))
+        per_engine = max(1, int(slots * LIGHT_SHARE_OF_SLOTS))
+        return min(most, -(-(streams + 1) // per_engine))
+
+    def shortlist(self, job: PromptJob, ordered: list[str], count: int) -> Shortlist:
+        """Returns the engines to look at; the first `count` hold streams."""
+        light, heavy = ordered[:count], ordered[count:] or ordered
+        large = len(ordered) > SMALL_FLEET
+        if not job.heavy:
+            main = top(job.id, light, RANDOM_CHOICES) if large else light
+            return Shortlist(main=main, paced=[])
+        if not large:
+            paced = [engine for engine in light if engine not in heavy]
+            return Shortlist(main=heavy, paced=paced)
+        subject, _ = job.subject()
+        main = top(subject, heavy, SUBJECT_CHOICES)
+        main += [e for e in top(job.id, heavy, RANDOM_CHOICES) if e not in main]
+        return Shortlist(main=main, paced=top(job.id, light, PACED_CHOICES))
+
     def choose(
-        self, job: PromptJob, engines: list[EngineView], rate: float
+        self,
+        job: PromptJob,
+        main: list[EngineView],
+        paced: list[EngineView],
+        rate: float,
     ) -> Placement:
-        """Places a job; `rate` is in prompt tokens per second."""
-        if not engines:
+        """Places a job on a listed engine; `rate` is in prompt tokens per second."""
+        if not main:
             return Placement(engine=None, reason="no_engine")
-        usable = [engine for engine in engines if not engine.suspect] or engines
-        ordered = interactive_order(usable)
-        count = self.interactive_count(ordered)
-        if job.heavy:
-            return self._place_heavy(job, ordered, count, rate)
-        return self._place_light(ordered, count)
-
-    def interactive_count(self, ordered: list[EngineView]) -> int:
-        """Returns how many engines, from the first on, hold interactive streams."""
-        streams = sum(engine.light for engine in ordered) + 1
-        most = max(1, int(len(ordered) * (1 - MIN_HEAVY_SHARE)))
-        per_engine = max(1, int(ordered[0].slots * LIGHT_SHARE_OF_SLOTS))
-        return min(most, -(-streams // per_engine))
-
-    def _place_light(self, ordered: list[EngineView], count: int) -> Placement:
-        def cost(engine: EngineView) -> float:
-            return (
+        sound = [engine for engine in main if not engine.suspect]
+        if not job.heavy:
+            return self._place_light(sound or main)
+        return self._place_heavy(job, sound or main, paced, rate)
+
+    def _place_light(self, engines: list[EngineView]) -> Placement:
+        def cost(engine: EngineView) -> tuple[float, str]:
+            tokens = (
                 PENDING_WEIGHT * engine.pending_tokens
                 + engine.uncached_tokens
                 + RUNNING_TOKENS * (engine.light + 4 * engine.heavy)
                 + self._distance(engine)
             )
+            return tokens, engine.id
 
-        best = min(ordered[:count], key=cost)
-        if best.light + best.heavy >= best.slots and len(ordered) > count:
-            best = min(ordered, key=cost)
-        return self._placed(best, "interactive")
+        return self._placed(min(engines, key=cost), "interactive")
 
     def _place_heavy(
-        self, job: PromptJob, ordered: list[EngineView], count: int, rate: float
+        self,
+        job: PromptJob,
+        engines: list[EngineView],
+        paced: list[EngineView],
+        rate: float,
     ) -> Placement:
-        subject, subject_tokens = self._subject(job)
-        candidates = ordered[count:] or ordered
-        expected = max(candidates, key=lambda item: hash_rank(subject, item.id))
+        subject, subject_tokens = job.subject()
+        expected = max(engines, key=lambda item: hash_rank(subject, item.id))
 
         def cost(engine: EngineView) -> float:
             unread = engine.uncached_tokens
@@ -163,7 +213,7 @@
         budget = rate * job.goal_s * PREFILL_SHARE_OF_GOAL
         free = [
             (cost(engine), engine.id, engine, "cached_and_least_unread")
-            for engine in candidates
+            for engine in engines
             if engine.heavy + engine.light < engine.slots and self._fits(engine, budget)
         ]
         pause_tokens = rate * job.pause_goal_s * PROMPT_SHARE_OF_PAUSE
@@ -174,8 +224,8 @@
                 engine,
                 "paced_beside_streams",
             )
-            for engine in ordered[:count]
-            if engine not in candidates
+            for engine in paced
+            if not engine.suspect
             and engine.pending_tokens == 0
             and engine.uncached_tokens <= pause_tokens
             and engine.heavy < MAX_HEAVY_BESIDE_STREAMS
@@ -191,12 +241,6 @@
             or engine.pending_tokens + engine.uncached_tokens <= budget
         )
 
-    def _subject(self, job: PromptJob) -> tuple[str, int]:
-        """Returns the id and the size of the last part that other prompts share."""
-        if len(job.parts) < 2:
-            return (job.parts[0].id if job.parts else ""), 0
-        return job.parts[-2].id, job.parts[-2].tokens
-
     def _distance(self, engine: EngineView) -> int:
         cost = 0 if engine.zone == self.zone else CROSS_ZONE_TOKENS
         return cost + (SUSPECT_TOKENS if engine.suspect else 0)
--- a/src/lagoonrill/_internal/coordination/store_follower.py
+++ b/src/lagoonrill/_internal/coordination/store_follower.py
@@ -19,6 +19,8 @@
 # A watch that waits for long costs few calls; a connection that has fallen silent is
 # ended by its keep-alive probes, not by this time.
 WATCH_WAIT_S = 25.0
+# Changes that follow each other within this time are fetched by one call.
+CHANGE_SPACING_S = 0.25
 # Pauses after failed calls; each call is counted by the store.
 FIRST_PAUSE_S = 0.15
 MAX_PAUSE_S = 0.8
@@ -71,9 +73,11 @@
         source: ObjectSource,
         apply: Callable[["StoreFollower"], None],
         event_log: EventLog,
+        spacing_s: float = CHANGE_SPACING_S,
         clock=time.monotonic,
     ):
         self.kind = kind
+        self.spacing_s = spacing_s
         self.source = source
         self.apply = apply
         self.event_log = event_log
@@ -119,7 +123,7 @@
         if isinstance(answer, ObjectList):
             return self._take_list(answer)
         self._take_changes(answer)
-        return 0.0
+        return self.spacing_s
 
     def _failed(self, error: StoreError) -> float:
         if isinstance(error, StoreHistoryGone):
--- a/src/lagoonrill/_internal/gateway_daemon.py
+++ b/src/lagoonrill/_internal/gateway_daemon.py
@@ -45,6 +45,9 @@
 SWITCH_INTERVAL_S = 0.001
 # Instances that share the fleet's budgets while too few peers are known.
 EXPECTED_INSTANCES = 4
+# Configurations in quick succession are fetched together; callers may not see a newer
+# one take effect much earlier than others do.
+CONFIG_SPACING_S = 0.1
 SETTINGS_REFUSED = 2
 
 
@@ -105,6 +108,7 @@
             source=source.configs,
             apply=self._apply_config,
             event_log=self.event_log,
+            spacing_s=CONFIG_SPACING_S,
         )
         self.endpoint_follower = StoreFollower(
             kind="endpoints",
--- a/src/lagoonrill/_internal/protocol/messages.py
+++ b/src/lagoonrill/_internal/protocol/messages.py
@@ -168,15 +168,12 @@
     store_in_touch: bool = False
     leaving: bool = False
     work: list[EngineWork] = []
+    # Engines, and the shared prompt parts that they have read for the sender since its
+    # last digest, in prompt order.
+    reads: list[tuple[str, list[PromptPart]]] = []
     known_addresses: list[str] = []
 
 
-class PromptsRead(PeerMessage):
-    """Prompt parts that engines have read for the sender, in prompt order."""
-
-    reads: list[tuple[str, list[PromptPart]]]
-
-
 class RoutingRequest(PeerMessage):
     """Asks a gateway for a configuration and endpoints newer than the sender's."""
 
@@ -203,7 +200,6 @@
     | StreamLocation
     | Leaving
     | GatewayDigest
-    | PromptsRead
     | RoutingRequest
     | RoutingReply
 )
--- a/src/lagoonrill/_internal/state/endpoint_registry.py
+++ b/src/lagoonrill/_internal/state/endpoint_registry.py
@@ -47,6 +47,8 @@
         self.by_service: dict[str, tuple[EndpointRecord, ...]] = {}
         self.known = False
         self.updated_at = 0.0
+        # Counts the installations, for those who keep what they derive from a list.
+        self.edition = 0
 
     def replace(self, records: dict[str, EndpointRecord]) -> None:
         """Installs the endpoints that exist now."""
@@ -67,6 +69,7 @@
                 for name, found in by_service.items()
             }
             self.known = True
+            self.edition += 1
             self.updated_at = self.clock()
 
     def ready(self, service: str) -> tuple[EndpointRecord, ...]:
--- a/src/lagoonrill/_internal/state/engine_board.py
+++ b/src/lagoonrill/_internal/state/engine_board.py
@@ -3,6 +3,8 @@
 import threading
 import time
 from collections import OrderedDict
+from collections.abc import Iterable
+from copy import copy
 
 import msgspec
 
@@ -13,11 +15,16 @@
 PEER_DIGEST_LIFETIME_S = 1.5
 # Share of an engine's memory that cached parts are believed to keep beside requests.
 CACHE_SHARE = 0.6
+# Limit of a cache whose engine's memory is not known yet.
+FIRST_CACHE_TOKENS = 100_000
 # Prompt tokens per second before the first measurement, and bounds of what is measured.
 FIRST_PREFILL_RATE = 20_000.0
 MIN_PREFILL_RATE = 2_000.0
 MAX_PREFILL_RATE = 400_000.0
 PREFILL_RATE_WEIGHT = 0.05
+# Readers of one part, and parts with readers, that are remembered.
+MAX_READERS = 3
+MAX_PARTS = 20_000
 # Smaller samples measure the network and the first token rather than the prompt.
 MIN_SAMPLE_TOKENS = 2_000
 
@@ -99,12 +106,17 @@
         self.own: dict[str, EngineWork] = {}
         self.caches: dict[str, CachedParts] = {}
         self.incarnations: dict[str, int] = {}
-        self.peers: dict[str, tuple[float, dict[str, EngineWork]]] = {}
+        # When each peer was heard of last, and its work.
+        self.peers: dict[str, tuple[float, list[EngineWork]]] = {}
+        # Own work and that of all peers, by engine.
+        self.totals: dict[str, EngineWork] = {}
         self.prefill_rates: dict[str, float] = {}
         # Called, without the lock, after this instance's own work has changed.
         self.changed = lambda: None
         # Reads that the peers have not been told of yet.
         self.unshared_reads: list[tuple[str, list[PromptPart]]] = []
+        # The engines that read each part last, newest last.
+        self.readers: dict[str, dict[str, None]] = {}
 
     def prefill_rate(self, service: str) -> float:
         """Returns the measured prompt tokens per second of a service's engines."""
@@ -113,31 +125,52 @@
     def cache(self, engine: str, *, incarnation: int, tokens: int) -> CachedParts:
         """Returns what an engine probably holds; a restart empties it."""
         with self.lock:
-            if self.incarnations.get(engine) != incarnation:
+            if self.incarnations.setdefault(engine, incarnation) != incarnation:
                 self.incarnations[engine] = incarnation
                 self.caches.pop(engine, None)
-            cache = self.caches.get(engine)
-            if cache is None:
-                limit = max(1, int(tokens * CACHE_SHARE))
-                cache = self.caches[engine] = CachedParts(limit_tokens=limit)
+            cache = self._cache(engine)
+            cache.limit_tokens = max(1, int(tokens * CACHE_SHARE))
             return cache
 
+    def _cache(self, engine: str) -> CachedParts:
+        cache = self.caches.get(engine)
+        if cache is None:
+            cache = self.caches[engine] = CachedParts(limit_tokens=FIRST_CACHE_TOKENS)
+        return cache
+
     def note_sent(self, engine: str, parts: tuple[PromptPart, ...]) -> None:
-        """Expects the parts of a prompt on an engine that has a cache here."""
+        """Expects the parts of a prompt on an engine."""
         with self.lock:
-            cache = self.caches.get(engine)
-            if cache is not None:
-                cache.note(parts, read=False)
+            self._cache(engine).note(parts, read=False)
 
     def note_read(self, engine: str, parts: tuple[PromptPart, ...]) -> None:
         """Counts the parts of a prompt as held; peers are told of those it shares."""
         with self.lock:
-            cache = self.caches.get(engine)
-            if cache is not None:
-                cache.note(parts, read=True)
+            self._cache(engine).note(parts, read=True)
             if len(parts) > 1:
+                self._note_reader(engine, parts[:-1])
                 self.unshared_reads.append((engine, list(parts[:-1])))
 
+    def holders(self, parts: tuple[PromptPart, ...]) -> list[str]:
+        """Returns engines that hold the last shared part of a prompt, or the first."""
+        with self.lock:
+            for part in (*parts[-2:-1], *parts[:1]):
+                found = self.readers.get(part.id)
+                if found:
+                    return list(found)
+        return []
+
+    def _note_reader(self, engine: str, parts: Iterable[PromptPart]) -> None:
+        for part in parts:
+            readers = self.readers.pop(part.id, None) or {}
+            readers.pop(engine, None)
+            readers[engine] = None
+            while len(readers) > MAX_READERS:
+                del readers[next(iter(readers))]
+            self.readers[part.id] = readers
+        while len(self.readers) > MAX_PARTS:
+            del self.readers[next(iter(self.readers))]
+
     def take_unshared_reads(self) -> list[tuple[str, list[PromptPart]]]:
         """Returns the reads since the last call."""
         with self.lock:
@@ -148,9 +181,8 @@
         """Counts what engines have read for a peer."""
         with self.lock:
             for engine, parts in reads:
-                cache = self.caches.get(engine)
-                if cache is not None:
-                    cache.note(tuple(parts), read=True)
+                self._cache(engine).note(tuple(parts), read=True)
+                self._note_reader(engine, parts)
 
     def forget(self, engine: str) -> None:
         """Drops what is believed about an engine's memory, after it broke off."""
@@ -166,19 +198,34 @@
 
     def load(self, engine: str) -> EngineWork:
         """Returns the outstanding work of this instance and its live peers."""
-        return self.loads([engine])[engine]
+        with self.lock:
+            total = self.totals.get(engine)
+            return EngineWork(engine=engine) if total is None else copy(total)
 
-    def loads(self, engines: list[str]) -> dict[str, EngineWork]:
-        """Returns `load` for several engines."""
-        now = self.clock()
+    def light_streams(self, engines: Iterable[str]) -> int:
+        """Returns how many requests with short prompts run on some engines."""
         with self.lock:
-            digests = [self.own]
-            digests.extend(
-                digest
-                for received_at, digest in self.peers.values()
-                if now - received_at < PEER_DIGEST_LIFETIME_S
+            found = (self.totals.get(engine) for engine in engines)
+            return sum(work.light for work in found if work is not None)
+
+    def _add(self, engine: str, *, tokens: int, light: int, heavy: int) -> None:
+        total = self.totals.get(engine)
+        if total is None:
+            total = self.totals[engine] = EngineWork(engine=engine)
+        total.pending_tokens += tokens
+        total.light += light
+        total.heavy += heavy
+        if not (total.pending_tokens or total.light or total.heavy):
+            del self.totals[engine]
+
+    def _add_digest(self, digest: list[EngineWork], sign: int) -> None:
+        for work in digest:
+            self._add(
+                work.engine,
+                tokens=sign * work.pending_tokens,
+                light=sign * work.light,
+                heavy=sign * work.heavy,
             )
-            return {engine: _sum(engine, digests) for engine in engines}
 
     def begin(self, *, engine: str, tokens: int, heavy: bool) -> EngineJob:
         """Counts a request that is sent now."""
@@ -186,15 +233,21 @@
         job = EngineJob(engine=engine, tokens=tokens, ahead_tokens=ahead, heavy=heavy)
         job.sent_at = self.clock()
         with self.lock:
-            load = self.own.setdefault(engine, EngineWork(engine=engine))
-            load.pending_tokens += tokens
-            if heavy:
-                load.heavy += 1
-            else:
-                load.light += 1
+            self._count_own(job, tokens=tokens, requests=1)
         self.changed()
         return job
 
+    def _count_own(self, job: EngineJob, *, tokens: int, requests: int) -> None:
+        light = 0 if job.heavy else requests
+        heavy = requests if job.heavy else 0
+        own = self.own.setdefault(job.engine, EngineWork(engine=job.engine))
+        own.pending_tokens += tokens
+        own.light += light
+        own.heavy += heavy
+        if not (own.light or own.heavy):
+            del self.own[job.engine]
+        self._add(job.engine, tokens=tokens, light=light, heavy=heavy)
+
     def started(self, job: EngineJob, *, service: str) -> None:
         """Counts the first event of a request: its prompt has been read."""
         if job.started:
@@ -203,7 +256,7 @@
         elapsed_s = max(1e-3, self.clock() - job.sent_at)
         work = job.ahead_tokens + job.tokens
         with self.lock:
-            self.own[job.engine].pending_tokens -= job.tokens
+            self._count_own(job, tokens=-job.tokens, requests=0)
             if job.tokens >= MIN_SAMPLE_TOKENS:
                 rate = work / elapsed_s
                 rate = min(MAX_PREFILL_RATE, max(MIN_PREFILL_RATE, rate))
@@ -216,15 +269,8 @@
     def end(self, job: EngineJob) -> None:
         """Counts the end of a request, whatever it was."""
         with self.lock:
-            load = self.own[job.engine]
-            if not job.started:
-                load.pending_tokens -= job.tokens
-            if job.heavy:
-                load.heavy -= 1
-            else:
-                load.light -= 1
-            if not (load.light or load.heavy):
-                del self.own[job.engine]
+            tokens = 0 if job.started else -job.tokens
+            self._count_own(job, tokens=tokens, requests=-1)
         self.changed()
 
     def own_work(self) -> list[EngineWork]:
@@ -234,23 +280,28 @@
 
     def take_peer(self, instance: str, work: list[EngineWork]) -> None:
         """Replaces what a peer said of its work."""
-        digest = {load.engine: load for load in work}
         with self.lock:
-            self.peers[instance] = (self.clock(), digest)
+            _, before = self.peers.get(instance, (0.0, []))
+            self._add_digest(before, -1)
+            self._add_digest(work, 1)
+            self.peers[instance] = (self.clock(), work)
 
     def drop_peer(self, instance: str) -> None:
         """Forgets the work of a peer that has left."""
         with self.lock:
-            self.peers.pop(instance, None)
+            _, before = self.peers.pop(instance, (0.0, []))
+            self._add_digest(before, -1)
+
+    def drop_silent_peers(self) -> None:
+        """Forgets the work of peers that were not heard of lately."""
+        oldest = self.clock() - PEER_DIGEST_LIFETIME_S
+        silent = [name for name, (at, _) in self.peers.items() if at < oldest]
+        for name in silent:
+            self.drop_peer(name)
 
     def live_peers(self) -> int:
         """Returns how many peers were heard of lately."""
-        now = self.clock()
-        with self.lock:
-            return sum(
-                now - received_at < PEER_DIGEST_LIFETIME_S
-                for received_at, _ in self.peers.values()
-            )
+        return len(self.peers)
 
     def dump(self) -> dict:
         with self.lock:
@@ -260,14 +311,3 @@
                 "prefill_tokens_per_s": dict(self.prefill_rates),
                 "cached_tokens": {n: c.tokens for n, c in self.caches.items()},
             }
-
-
-def _sum(engine: str, digests: list[dict[str, EngineWork]]) -> EngineWork:
-    total = EngineWork(engine=engine)
-    for digest in digests:
-        work = digest.get(engine)
-        if work is not None:
-            total.pending_tokens += work.pending_tokens
-            total.light += work.light
-            total.heavy += work.heavy
-    return total
--- a/src/lagoonrill/_internal/transport/peer_link.py
+++ b/src/lagoonrill/_internal/transport/peer_link.py
@@ -417,6 +417,14 @@
         connection = self._connection(address)
         return connection is not None and connection.put(encode_message(message))
 
+    def send_to_all(self, message: PeerMessage) -> None:
+        """Queues a one-way message, encoded once, for every connected peer."""
+        payload = encode_message(message)
+        with self.lock:
+            connections = list(self.connections.values())
+        for connection in connections:
+            connection.put(payload)
+
     def send_latest(self, address: str, payload: bytes, lifetime_s: float) -> None:
         """Queues an encoded message that replaces an unsent earlier one."""
         connection = self._connection(address)
