--- a/src/lagoonrill/_internal/cli.py
+++ b/src/lagoonrill/_internal/cli.py
@@ -52,6 +52,27 @@
     finish(CheckCommand(path=manifest, as_json=as_json))
 
 
+@app.command()
+def explain(
+    logs: Annotated[list[str], typer.Argument(metavar="LOG...", help="Log files.")],
+    request: Annotated[
+        str, typer.Option(help="Id of the request that is explained.")
+    ] = "",
+    summary: Annotated[
+        bool, typer.Option("--summary", help="Count outcomes and causes instead.")
+    ] = False,
+    as_json: Json = False,
+) -> None:
+    """Tells from the logs of gateways what happened to a request, and why."""
+    from .commands.explain import ExplainCommand
+
+    if bool(request) == summary:
+        raise typer.BadParameter("give either --request or --summary")
+    finish(
+        ExplainCommand(request=request, paths=logs, summary=summary, as_json=as_json)
+    )
+
+
 @app.command()
 def apply(
     manifest: ManifestPath,
--- /dev/null
+++ b/src/lagoonrill/_internal/commands/explain.py
@@ -0,0 +1,201 @@
+"""`lagoonrill explain`: from a request's id, or a whole log, to what went wrong."""
+
+from collections import Counter, defaultdict
+from collections.abc import Iterable
+
+import msgspec
+
+from .exit_status import ExitStatus
+from .output import print_error, print_json
+
+# Lines about an endpoint, the store or a configuration that far before the end of a
+# request may explain it.
+CONTEXT_S = 5.0
+CONTEXT_EVENTS = frozenset(
+    (
+        "config_installed",
+        "endpoint_gone",
+        "endpoint_leaving",
+        "endpoint_restarted",
+        "endpoint_suspect",
+        "peer_lost",
+        "stopping",
+        "store_lost",
+        "store_reached",
+    )
+)
+END_EVENTS = frozenset(
+    ("request_answered", "request_refused", "request_cancelled", "stream_broken_off")
+)
+
+
+class Line(msgspec.Struct, kw_only=True):
+    """One line of the log; `fields` are those that its event adds."""
+
+    time: float
+    event: str
+    instance: str
+    fields: dict
+
+
+class Story(msgspec.Struct, kw_only=True):
+    """What happened to one request and why."""
+
+    request: str
+    outcome: str
+    cause: str
+    steps: list[str]
+    context: list[str] = []
+
+
+def read_lines(texts: Iterable[str]) -> list[Line]:
+    """Returns the lines of several logs in the order of their times.
+
+    Whatever stands before the JSON object, for example a name that a collector adds,
+    is left out, and so are lines without one.
+    """
+    lines = []
+    for text in texts:
+        start = text.find('{"time"')
+        if start < 0:
+            continue
+        try:
+            found = msgspec.json.decode(text[start:])
+        except msgspec.DecodeError:
+            continue
+        lines.append(
+            Line(
+                time=found.pop("time"),
+                event=found.pop("event", ""),
+                instance=found.pop("instance", ""),
+                fields=found,
+            )
+        )
+    return sorted(lines, key=lambda line: line.time)
+
+
+def by_request(lines: list[Line]) -> dict[str, list[Line]]:
+    """Groups the lines of each request."""
+    found = defaultdict(list)
+    for line in lines:
+        if request := line.fields.get("request"):
+            found[request].append(line)
+    return found
+
+
+def cause_of(lines: list[Line]) -> tuple[str, str]:
+    """Returns the outcome of a request and the decision or failure behind it."""
+    end = next((line for line in reversed(lines) if line.event in END_EVENTS), None)
+    failures = [line for line in lines if line.event == "send_failed"]
+    last = failures[-1].fields["reason"] if failures else ""
+    if end is None:
+        return "no end", "the instance ended, or its log was cut"
+    fields = end.fields
+    if end.event == "request_cancelled":
+        placed = any(line.event == "request_sent" for line in lines)
+        where = "an endpoint worked on it" if placed else "it waited for an engine"
+        return "cancelled", f"the caller left while {where}"
+    if end.event == "stream_broken_off":
+        return "broken off", f"the stream could not go on: {fields.get('reason', '')}"
+    if end.event == "request_refused":
+        return _refusal(fields, last)
+    status = fields.get("status", 0)
+    if status >= 500:
+        return f"status {status}", "the endpoint's own answer"
+    if failures:
+        return f"status {status}", f"answered after {len(failures)} failed: {last}"
+    return f"status {status}", "answered"
+
+
+def _refusal(fields: dict, last_failure: str) -> tuple[str, str]:
+    outcome = f"refused {fields.get('status')}"
+    reason = fields.get("reason", "")
+    if reason == "engines_busy":
+        return outcome, "the engines had too much to read before its time limit"
+    if reason == "timeout":
+        after = f" after {last_failure}" if last_failure else ""
+        return outcome, f"its time ran out{after}"
+    if last_failure:
+        return outcome, f"{reason}: {last_failure}"
+    return outcome, reason
+
+
+def tell(request: str, lines: list[Line], all_lines: list[Line]) -> Story:
+    """Returns the story of one request."""
+    outcome, cause = cause_of(lines)
+    started, ended = lines[0].time, lines[-1].time
+    endpoints = {line.fields.get("endpoint") for line in lines} - {None}
+    instances = {line.instance for line in lines}
+    context = [
+        _step(line, started)
+        for line in all_lines
+        if line.event in CONTEXT_EVENTS
+        and started - CONTEXT_S <= line.time <= ended + 1
+        and line.instance in instances
+        and line.fields.get("endpoint") in {None, *endpoints}
+    ]
+    return Story(
+        request=request,
+        outcome=outcome,
+        cause=cause,
+        steps=[_step(line, started) for line in lines],
+        context=context,
+    )
+
+
+def _step(line: Line, started: float) -> str:
+    fields = " ".join(
+        f"{name}={value}"
+        for name, value in line.fields.items()
+        if name != "request" and value is not None
+    )
+    offset_ms = (line.time - started) * 1000
+    return f"{offset_ms:+9.0f} ms {line.instance} {line.event} {fields}"
+
+
+class ExplainCommand:
+    """Explains one request, or counts the causes of all that were not answered."""
+
+    def __init__(self, *, request: str, paths: list[str], summary: bool, as_json: bool):
+        self.request = request
+        self.paths = paths
+        self.summary = summary
+        self.as_json = as_json
+
+    def run(self) -> ExitStatus:
+        """Returns OK, or USAGE if no line was found."""
+        lines = read_lines(self._texts())
+        requests = by_request(lines)
+        if self.summary:
+            return self._summarize(requests)
+        found = requests.get(self.request)
+        if not found:
+            print_error(f"no line of request {self.request} in {len(lines)} lines")
+            return ExitStatus.USAGE
+        story = tell(self.request, found, lines)
+        if self.as_json:
+            print_json(story)
+            return ExitStatus.OK
+        print(f"{story.request}: {story.outcome}: {story.cause}")
+        print("\n".join(story.steps))
+        if story.context:
+            print("around it:")
+            print("\n".join(story.context))
+        return ExitStatus.OK
+
+    def _texts(self) -> Iterable[str]:
+        for path in self.paths:
+            with open(path, encoding="utf-8", errors="replace") as file:
+                yield from file
+
+    def _summarize(self, requests: dict[str, list[Line]]) -> ExitStatus:
+        counts: Counter[tuple[str, str]] = Counter()
+        samples: dict[tuple[str, str], str] = {}
+        for request, lines in requests.items():
+            key = cause_of(lines)
+            counts[key] += 1
+            samples.setdefault(key, request)
+        for (outcome, cause), count in counts.most_common():
+            sample = samples[outcome, cause]
+            print(f"{count:7d}  {outcome}: {cause}  (for example {sample})")
+        return ExitStatus.OK if counts else ExitStatus.USAGE
--- a/src/lagoonrill/_internal/protocol/headers.py
+++ b/src/lagoonrill/_internal/protocol/headers.py
@@ -40,7 +40,7 @@
     not_run: str = "X-Not-Run"
     proof: str = "X-Proof"
     model: str = "X-Model"
-    token_usage: str = "X-Token-Usage"
+    token_usage: str = "X-Tokens"
     prompt_parts: str = "X-Prompt-Parts"
     output_estimate: str = "X-Output-Estimate"
     # Address of an engine from which the cached part of a prompt is copied.
--- a/src/lagoonrill/_internal/transport/endpoint_connection.py
+++ b/src/lagoonrill/_internal/transport/endpoint_connection.py
@@ -193,12 +193,10 @@
     def _next_event(self, deadline: float, caller: socket.socket | None):
         try:
             while (event := self.parser.next_event()) is h11.NEED_DATA:
-                try:
-                    received = self.sock.recv(RECEIVE_BYTES)
-                except BlockingIOError:
-                    wait_for(self.sock, select.POLLIN, deadline, caller)
-                    continue
-                self.parser.receive_data(received)
+                # Answers and events seldom wait already, so a first look costs more.
+                wait_for(self.sock, select.POLLIN, deadline, caller)
+                with contextlib.suppress(BlockingIOError):
+                    self.parser.receive_data(self.sock.recv(RECEIVE_BYTES))
             return event
         except h11.RemoteProtocolError as error:
             raise EndpointFailure(
--- /dev/null
+++ b/tests/test_explain.py
@@ -0,0 +1,92 @@
+"""Guards that the cause of each kind of failed request is found in the logs."""
+
+import json
+
+import pytest
+
+from lagoonrill._internal.commands.explain import (
+    by_request,
+    cause_of,
+    read_lines,
+    tell,
+)
+
+
+def line(at: float, event: str, **fields) -> str:
+    entry = {"time": at, "event": event, "instance": "gw-1", **fields}
+    return f"  {at:.4f} gw-1 {json.dumps(entry, separators=(',', ':'))}\n"
+
+
+RECEIVED = line(1.0, "request_received", request="r", route="plan")
+SENT = line(1.1, "request_sent", request="r", endpoint="e1", send=1)
+FAILED = line(1.2, "send_failed", request="r", reason="silent", may_have_run=True)
+
+
+@pytest.mark.parametrize(
+    ("lines", "outcome", "cause"),
+    [
+        (
+            [line(2, "request_refused", request="r", status=503, reason="no_route")],
+            "refused 503",
+            "no_route",
+        ),
+        (
+            [
+                line(
+                    2, "request_refused", request="r", status=503, reason="engines_busy"
+                )
+            ],
+            "refused 503",
+            "the engines had too much to read before its time limit",
+        ),
+        (
+            [
+                SENT,
+                FAILED,
+                line(2, "request_refused", request="r", status=504, reason="timeout"),
+            ],
+            "refused 504",
+            "its time ran out after silent",
+        ),
+        (
+            [SENT, line(2, "stream_broken_off", request="r", reason="closed")],
+            "broken off",
+            "the stream could not go on: closed",
+        ),
+        (
+            [SENT, line(2, "request_cancelled", request="r")],
+            "cancelled",
+            "the caller left while an endpoint worked on it",
+        ),
+        (
+            [SENT, FAILED, line(2, "request_answered", request="r", status=200)],
+            "status 200",
+            "answered after 1 failed: silent",
+        ),
+        (
+            [SENT, line(2, "request_answered", request="r", status=500)],
+            "status 500",
+            "the endpoint's own answer",
+        ),
+        ([SENT], "no end", "the instance ended, or its log was cut"),
+    ],
+)
+def test_cause(lines, outcome, cause):
+    found = by_request(read_lines([RECEIVED, *lines]))["r"]
+    assert cause_of(found) == (outcome, cause)
+
+
+def test_story_has_what_was_believed_about_its_endpoint():
+    texts = [
+        RECEIVED,
+        line(0.9, "endpoint_suspect", endpoint="e1", reason="connect"),
+        line(0.9, "endpoint_suspect", endpoint="e2", reason="connect"),
+        SENT,
+        line(2, "request_answered", request="r", status=200),
+        "not a line of the log\n",
+    ]
+    lines = read_lines(texts)
+    story = tell("r", by_request(lines)["r"], lines)
+    assert len(story.steps) == 3
+    assert len(story.context) == 1
+    assert "endpoint=e1" in story.context[0]
