--- a/src/lagoonrill/_internal/coordination/engine_admission.py
+++ b/src/lagoonrill/_internal/coordination/engine_admission.py
@@ -33,9 +33,12 @@
 )
 from .policy.waiting_order import GoalFirstOrder, WaitingJob
 
-# How often a waiting request looks whether its caller is still there, and the line is
-# looked through although nothing was reported.
-CHECK_INTERVAL_S = 0.1
+# How often a waiting request looks whether its caller is still there.
+CHECK_INTERVAL_S = 0.2
+# The line is looked through after changes, not more often than the first time says, and
+# without changes after the second.
+REVIEW_SPACING_S = 0.02
+REVIEW_INTERVAL_S = 0.1
 # Weight of the newest request in the means that are kept by route.
 MEAN_WEIGHT = 0.1
 FIRST_RUN_S = 1.0
@@ -43,7 +46,7 @@
 FIRST_EVENT_S = 0.15
 # Requests that found no engine before a review ends; those behind them in line are
 # seldom smaller.
-MAX_MISSES = 3
+MAX_MISSES = 2
 # A cached part is copied from another engine if that takes less than this share of the
 # time to read it, and if it is not tiny.
 MAX_COPY_SHARE = 0.5
@@ -161,6 +164,8 @@
         self.means: dict[str, RouteMeans] = {}
         self.fleets: dict[str, Fleet] = {}
         self.config: RoutingConfig | None = None
+        self.changed = threading.Event()
+        self.stopping = threading.Event()
 
     def install(self, config: RoutingConfig) -> None:
         """Takes the services of a new configuration."""
@@ -182,29 +187,42 @@
         waiter = Waiter(
             generation=generation, view=self._view(generation), excluded=excluded
         )
-        with self.lock:
-            line = self.waiting.setdefault(generation.service, [])
-            line.append(waiter)
-        self.review(generation.service)
-        if not waiter.decided.is_set():
-            self.event_log.emit(
-                "request_waits",
-                request=generation.id,
-                route=generation.route.name,
-                line=len(line),
-                time_left_s=round(generation.deadline - started_at, 3),
-            )
-        while not waiter.decided.wait(CHECK_INTERVAL_S):
-            if caller_left():
-                if self._withdraw(waiter):
-                    return None
-                break
-            self.review(generation.service)
+        if not self._place_at_once(waiter):
+            self.changed.set()
+            while not waiter.decided.wait(CHECK_INTERVAL_S):
+                if caller_left():
+                    if self._withdraw(waiter):
+                        return None
+                    break
         if waiter.refused:
             raise self._refusal(generation)
         waiter.admission.waited_s = self.clock() - started_at
         return waiter.admission
 
+    def _place_at_once(self, waiter: Waiter) -> bool:
+        """Places a request that nobody waits before; else it joins the line."""
+        generation = waiter.generation
+        service = generation.service
+        now = self.clock()
+        with self.lock:
+            line = self.waiting.setdefault(service, [])
+            ahead = any(other.view.on_time(now) for other in line)
+            heavy = self._is_heavy(generation)
+            if not (ahead and heavy):
+                fleet = self._fleet(service)
+                if self._try_place(waiter, fleet, now):
+                    return True
+            line.append(waiter)
+            length = len(line)
+        self.event_log.emit(
+            "request_waits",
+            request=generation.id,
+            route=generation.route.name,
+            line=length,
+            time_left_s=round(generation.deadline - now, 3),
+        )
+        return False
+
     def _withdraw(self, waiter: Waiter) -> bool:
         with self.lock:
             line = self.waiting.get(waiter.generation.service, [])
@@ -237,8 +255,29 @@
             ),
         )
 
+    def start(self) -> None:
+        """Begins to look through the lines after changes."""
+        threading.Thread(target=self._run, name="engine-lines", daemon=True).start()
+
+    def stop(self) -> None:
+        """Ends the thread."""
+        self.stopping.set()
+        self.changed.set()
+
+    def note_change(self) -> None:
+        """Lets the lines be looked through soon, if anybody waits."""
+        if any(self.waiting.values()):
+            self.changed.set()
+
+    def _run(self) -> None:
+        while not self.stopping.is_set():
+            self.changed.wait(REVIEW_INTERVAL_S)
+            self.changed.clear()
+            self.review_all()
+            self.stopping.wait(REVIEW_SPACING_S)
+
     def review(self, service: str) -> None:
-        """Places and refuses those that wait; called when anything has changed."""
+        """Places and refuses those that wait for a service."""
         with self.lock:
             line = self.waiting.get(service)
             if not line:
@@ -445,7 +484,7 @@
         means = self.means[generation.route.name]
         step = admission.placement.uncached_tokens - means.unread_tokens
         means.unread_tokens += MEAN_WEIGHT * step
-        self.review(generation.service)
+        self.note_change()
 
     def ended(
         self,
@@ -463,4 +502,4 @@
             means.run_s += MEAN_WEIGHT * (run_s - means.run_s)
         if broken:
             self.board.forget(admission.engine)
-        self.review(generation.service)
+        self.note_change()
--- a/src/lagoonrill/_internal/gateway_daemon.py
+++ b/src/lagoonrill/_internal/gateway_daemon.py
@@ -129,7 +129,7 @@
             registry=self.registry,
             board=self.board,
             store_in_touch=self._store_in_touch,
-            work_changed=self.admission.review_all,
+            work_changed=self.admission.note_change,
             event_log=self.event_log,
         )
         self.board.changed = self.peers.note_change
@@ -209,7 +209,7 @@
         records = self.registry.records
         self.pool.keep_only({record.address for record in records.values()})
         self.board.keep_only(set(records))
-        self.admission.review_all()
+        self.admission.note_change()
         self.peers.note_change()
 
     def not_ready_reason(self) -> str:
@@ -255,6 +255,7 @@
         self.config_follower.start()
         self.endpoint_follower.start()
         self.peers.start()
+        self.admission.start()
         self.listener.start()
         # What lives until the end need not be looked through again.
         gc.collect()
@@ -332,6 +333,7 @@
             self.config_follower.stop,
             self.endpoint_follower.stop,
             self.peers.stop,
+            self.admission.stop,
             self.pages.close,
         )
         for step in steps:
--- a/tests/gateway_kit.py
+++ b/tests/gateway_kit.py
@@ -143,6 +143,7 @@
 
     def start(self, configuration: RoutingConfig | None = None) -> "Gateway":
         self.routing.install(configuration or config())
+        self.admission.start()
         self.listener.start()
         return self
 
