--- a/src/lagoonrill/_internal/transport/gateway_listener.py
+++ b/src/lagoonrill/_internal/transport/gateway_listener.py
@@ -184,6 +184,7 @@
                 route=route,
                 service=request.service,
                 team=request.team,
+                priority=request.priority,
                 time_limit_s=round(request.deadline - request.arrived_at, 3),
                 config=request.config_version,
             )
