Rank by team and route together, and keep kinds of prompt and rates steady under overload

Ruled out: preemption by the engines' own error; the rank that was sent explains it. Change: dense ranks of both priorities; kinds by tokens, not by the measured rate; a rate that follows the better samples; engines have owners that alone use them when idle.

--- a/bench/engine_model.py
+++ b/bench/engine_model.py
@@ -146,7 +146,7 @@
         goal_s=request.kind.goal_ms / 1000,
         pause_goal_s=0.3,
     )
-    listed = policy.shortlist(job, ordered, count)
+    listed = policy.shortlist(job, ordered, count, frozenset())
 
     def view(name: str) -> EngineView:
         engine = by_id[name]
--- a/src/lagoonrill/_internal/coordination/engine_admission.py
+++ b/src/lagoonrill/_internal/coordination/engine_admission.py
@@ -24,12 +24,13 @@
 from ..state.endpoint_registry import EndpointRegistry
 from ..state.engine_board import CachedParts, EngineBoard, EngineJob
 from .policy.engine_placement import (
-    HEAVY_SHARE_OF_PAUSE,
+    HEAVY_TOKENS_PER_PAUSE_S,
     EngineView,
     PackedPlacement,
     Placement,
     PromptJob,
     interactive_order,
+    owned_by,
 )
 from .policy.waiting_order import GoalFirstOrder, WaitingJob
 
@@ -52,6 +53,8 @@
 MAX_COPY_SHARE = 0.5
 MIN_COPY_TOKENS = 256
 NO_PROFILE = EngineProfile(slots=1, cache_tokens=1)
+# Share of the number of streams that is left after a second without them.
+STREAMS_DECAY_PER_S = 0.8
 # A request that finds no engine at all comes back when one may have been found.
 NO_ENGINE_RETRY_S = 0.5
 
@@ -87,12 +90,33 @@
 class Fleet:
     """The engines of a service, in the order in which they take streams."""
 
-    __slots__ = ("edition", "ordered", "records")
+    __slots__ = (
+        "edition",
+        "members",
+        "ordered",
+        "owned",
+        "records",
+        "streams",
+        "streams_at",
+    )
 
     def __init__(self, *, records: tuple[EndpointRecord, ...], edition: int):
         self.records = {record.id: record for record in records}
         self.ordered = interactive_order(list(records))
         self.edition = edition
+        self.members: list[str] = []
+        self.owned: frozenset[str] = frozenset()
+        self.streams = 0.0
+        self.streams_at = 0.0
+
+    def smoothed_streams(self, streams: int, now: float) -> int:
+        """Returns the number of streams; it follows a rise at once, a fall slowly.
+
+        An engine that changes its kind with each stream would serve neither kind well.
+        """
+        fallen = self.streams * STREAMS_DECAY_PER_S ** (now - self.streams_at)
+        self.streams, self.streams_at = max(float(streams), fallen), now
+        return round(self.streams)
 
 
 class Engine:
@@ -147,12 +171,16 @@
     def __init__(
         self,
         *,
+        instance: str,
         zone: str,
         registry: EndpointRegistry,
         board: EngineBoard,
         event_log: EventLog,
         clock=time.monotonic,
     ):
+        self.instance = instance
+        # Names of the live instances, this one included, in order.
+        self.members = lambda: [instance]
         self.registry = registry
         self.board = board
         self.event_log = event_log
@@ -309,10 +337,21 @@
         fleet = self.fleets.get(service)
         if fleet is None or fleet.edition != self.registry.edition:
             edition = self.registry.edition
+            before = fleet
             fleet = Fleet(records=self.registry.ready(service), edition=edition)
+            if before is not None:
+                fleet.streams, fleet.streams_at = before.streams, before.streams_at
             self.fleets[service] = fleet
         return fleet
 
+    def _owned(self, fleet: Fleet) -> frozenset[str]:
+        """Returns the engines that this instance owns among the live ones."""
+        members = self.members()
+        if members != fleet.members:
+            fleet.members = members
+            fleet.owned = owned_by(self.instance, members, fleet.ordered)
+        return fleet.owned
+
     def _engine(self, record: EndpointRecord, service: str) -> Engine:
         cache = self.board.cache(
             record.id,
@@ -349,9 +388,9 @@
         count = self.placement.interactive_count(
             len(ordered),
             fleet.records[ordered[0]].slots,
-            self.board.light_streams(fleet.ordered),
+            fleet.smoothed_streams(self.board.light_streams(fleet.ordered), now),
         )
-        listed = self.placement.shortlist(job, ordered, count)
+        listed = self.placement.shortlist(job, ordered, count, self._owned(fleet))
         main = [self._engine(fleet.records[name], service) for name in listed.main]
         paced = [self._engine(fleet.records[name], service) for name in listed.paced]
         holder = self._holder(generation, fleet)
@@ -439,9 +478,8 @@
         pause_s = self._tightest_pause_s(generation.service)
         if not pause_s:
             return False
-        rate = self.board.prefill_rate(generation.service)
         mean = self.means[generation.route.name].prompt_tokens
-        return mean / rate > HEAVY_SHARE_OF_PAUSE * pause_s
+        return mean > HEAVY_TOKENS_PER_PAUSE_S * pause_s
 
     def _tokens_per_s(self, service: str) -> float:
         """Returns what all engines for long prompts read together."""
--- a/src/lagoonrill/_internal/coordination/gateway_peers.py
+++ b/src/lagoonrill/_internal/coordination/gateway_peers.py
@@ -118,6 +118,12 @@
             )
         return max(known, self.expected_instances)
 
+    def members(self) -> list[str]:
+        """Returns the names of the live instances, this one included, in order."""
+        with self.lock:
+            live = [name for name, view in self.views.items() if not view.lost]
+        return sorted([self.instance, *live])
+
     def _send_digests(self) -> None:
         while not self.stopping.is_set():
             self.changed.wait(DIGEST_INTERVAL_S)
--- a/src/lagoonrill/_internal/coordination/policy/engine_placement.py
+++ b/src/lagoonrill/_internal/coordination/policy/engine_placement.py
@@ -28,8 +28,11 @@
 PREFILL_SHARE_OF_GOAL = 0.5
 # Share of a pause goal that one long prompt may take on an engine with streams.
 PROMPT_SHARE_OF_PAUSE = 0.4
-# A prompt is long if reading it takes more than this share of the tightest pause goal.
-HEAVY_SHARE_OF_PAUSE = 0.25
+# A route's prompts are long if they have more tokens than this for each second of the
+# tightest pause goal: present engines read some 20,000 a second, and a quarter of the
+# pause may go into reading. What an engine reads at the moment does not count, so that
+# an overload does not turn questions into long prompts.
+HEAVY_TOKENS_PER_PAUSE_S = 5_000
 # Part of a prompt's last shared part that the engine chosen by its hash is taken to
 # hold although nobody has reported it read: a peer may have just sent it there.
 HASH_SHARE_FIRST = 0.3
@@ -52,7 +55,7 @@
 # Engines that a request looks at in a larger one.
 SUBJECT_CHOICES = 4
 RANDOM_CHOICES = 4
-PACED_CHOICES = 2
+OWNED_CHOICES = 4
 
 
 class EngineView(msgspec.Struct, kw_only=True):
@@ -127,6 +130,15 @@
     return ordered
 
 
+def owned_by(instance: str, instances: list[str], engines: list[str]) -> frozenset[str]:
+    """Returns the engines whose hash names `instance` among all instances."""
+    return frozenset(
+        engine
+        for engine in engines
+        if max(instances, key=lambda name: (hash_rank(engine, name), name)) == instance
+    )
+
+
 def top(key: str, engines: list[str], count: int) -> list[str]:
     """Returns the engines with the largest weights for a key."""
     if len(engines) <= count:
@@ -146,8 +158,14 @@
         per_engine = max(1, int(slots * LIGHT_SHARE_OF_SLOTS))
         return min(most, -(-(streams + 1) // per_engine))
 
-    def shortlist(self, job: PromptJob, ordered: list[str], count: int) -> Shortlist:
-        """Returns the engines to look at; the first `count` hold streams."""
+    def shortlist(
+        self, job: PromptJob, ordered: list[str], count: int, owned: frozenset[str]
+    ) -> Shortlist:
+        """Returns the engines to look at; the first `count` hold streams.
+
+        In a large fleet only the instance that owns an engine gives it what needs an
+        engine with nothing to read: the others' news of it comes too late.
+        """
         light, heavy = ordered[:count], ordered[count:] or ordered
         large = len(ordered) > SMALL_FLEET
         if not job.heavy:
@@ -156,10 +174,15 @@
         if not large:
             paced = [engine for engine in light if engine not in heavy]
             return Shortlist(main=heavy, paced=paced)
+        own_heavy = [engine for engine in heavy if engine in owned][:OWNED_CHOICES]
+        paced = [engine for engine in light if engine in owned and engine not in heavy]
+        if job.goal_s <= 0:
+            return Shortlist(main=own_heavy, paced=paced[:OWNED_CHOICES])
         subject, _ = job.subject()
         main = top(subject, heavy, SUBJECT_CHOICES)
         main += [e for e in top(job.id, heavy, RANDOM_CHOICES) if e not in main]
-        return Shortlist(main=main, paced=top(job.id, light, PACED_CHOICES))
+        main += [e for e in own_heavy if e not in main]
+        return Shortlist(main=main, paced=paced[:OWNED_CHOICES])
 
     def choose(
         self,
--- a/src/lagoonrill/_internal/coordination/routed_request.py
+++ b/src/lagoonrill/_internal/coordination/routed_request.py
@@ -27,6 +27,7 @@
     route: Route
     service: str
     team: str | None
+    # How urgent it is for the engines, 0 first, 9 last.
     priority: int
     # Headers that are passed on; those of the router are added for each endpoint.
     headers: RawHeaders
@@ -55,7 +56,7 @@
         if self.team is not None:
             headers.append((vocabulary.team.encode(), self.team.encode()))
         if self.route.uses_engine:
-            rank = b"%d" % min(9, max(0, self.priority))
+            rank = b"%d" % self.priority
             headers.append((vocabulary.priority.encode(), rank))
         if self.incoming.body or self.incoming.method not in (b"GET", b"HEAD"):
             length = b"%d" % len(self.incoming.body)
@@ -87,9 +88,6 @@
         limit_s = route.timeout_s
         if limit_ms is not None:
             limit_s = min(limit_s, limit_ms / 1000)
-        priority = route.priority
-        if team is not None and team.priority is not None:
-            priority = team.priority
         resume = first_value(incoming.headers, vocabulary.resume_after)
         return RoutedRequest(
             id=request_id,
@@ -97,7 +95,7 @@
             route=route,
             service=choose_service(route, request_id),
             team=team.name if team else None,
-            priority=priority,
+            priority=table.rank(route, team),
             headers=self._passed_on(incoming),
             arrived_at=incoming.arrived_at,
             deadline=incoming.arrived_at + limit_s,
--- a/src/lagoonrill/_internal/gateway_daemon.py
+++ b/src/lagoonrill/_internal/gateway_daemon.py
@@ -90,6 +90,7 @@
 
     def _build_admission(self) -> None:
         self.admission = EngineAdmission(
+            instance=self.settings.instance,
             zone=self.settings.zone,
             registry=self.registry,
             board=self.board,
@@ -133,6 +134,7 @@
             event_log=self.event_log,
         )
         self.board.changed = self.peers.note_change
+        self.admission.members = self.peers.members
 
     def _build_request_path(self, vocabulary: HeaderVocabulary) -> None:
         settings = self.settings
--- a/src/lagoonrill/_internal/protocol/routing.py
+++ b/src/lagoonrill/_internal/protocol/routing.py
@@ -90,7 +90,7 @@
 
 
 class RoutedTeam(msgspec.Struct, kw_only=True, frozen=True):
-    """A team; its priority, if any, goes before that of the route."""
+    """A team; its priority is compared first, that of the route among equals."""
 
     name: str
     priority: int | None = None
--- a/src/lagoonrill/_internal/state/engine_board.py
+++ b/src/lagoonrill/_internal/state/engine_board.py
@@ -21,7 +21,11 @@
 FIRST_PREFILL_RATE = 20_000.0
 MIN_PREFILL_RATE = 2_000.0
 MAX_PREFILL_RATE = 400_000.0
-PREFILL_RATE_WEIGHT = 0.05
+# The rate is a property of the engines, which samples can only understate: other work
+# and late news of it lengthen them. Unequal steps up and down lead to the sample that
+# four of five stay below.
+PREFILL_STEP_UP = 0.04
+PREFILL_STEP_DOWN = 0.01
 # Readers of one part, and parts with readers, that are remembered.
 MAX_READERS = 3
 MAX_PARTS = 20_000
@@ -261,9 +265,8 @@
                 rate = work / elapsed_s
                 rate = min(MAX_PREFILL_RATE, max(MIN_PREFILL_RATE, rate))
                 before = self.prefill_rates.get(service, FIRST_PREFILL_RATE)
-                self.prefill_rates[service] = before + PREFILL_RATE_WEIGHT * (
-                    rate - before
-                )
+                step = PREFILL_STEP_UP if rate > before else -PREFILL_STEP_DOWN
+                self.prefill_rates[service] = before * (1 + step)
         self.changed()
 
     def end(self, job: EngineJob) -> None:
--- a/src/lagoonrill/_internal/state/route_table.py
+++ b/src/lagoonrill/_internal/state/route_table.py
@@ -7,11 +7,14 @@
 
 from ..protocol.routing import Route, RoutedTeam, RoutingConfig
 
+# Engines know the ranks 0 to 9.
+LAST_RANK = 9
+
 
 class RouteTable:
     """Index over one configuration; immutable after its construction."""
 
-    __slots__ = ("by_host", "config", "installed_at")
+    __slots__ = ("by_host", "config", "installed_at", "ranks")
 
     def __init__(self, *, config: RoutingConfig):
         self.config = config
@@ -20,6 +23,12 @@
         for route in config.routes:
             prefixes = self.by_host.setdefault(route.host.lower(), {})
             prefixes[route.path_prefix] = route
+        self.ranks = engine_ranks(config)
+
+    def rank(self, route: Route, team: RoutedTeam | None) -> int:
+        """Returns how urgent a request is for the engines, 0 first, 9 last."""
+        key = (team_priority(team), route.priority)
+        return self.ranks.get(key, LAST_RANK)
 
     def find(self, host: str, path: str) -> Route | None:
         """Returns the route of `host` with the longest prefix of `path`.
@@ -43,6 +52,23 @@
         return (self.config.teams or {}).get(key)
 
 
+def team_priority(team: RoutedTeam | None) -> int:
+    """Returns a team's priority; a team without one is as urgent as the first."""
+    return 0 if team is None or team.priority is None else team.priority
+
+
+def engine_ranks(config: RoutingConfig) -> dict[tuple[int, int], int]:
+    """Maps priorities of teams and routes to the ranks that engines know.
+
+    The team's priority goes before the route's: within a team's priority, the routes
+    keep their order. Engines know ten ranks; more pairs than that share the last ones.
+    """
+    routes = {route.priority for route in config.routes if route.uses_engine}
+    teams = {team_priority(team) for team in (config.teams or {}).values()} | {0}
+    pairs = sorted((team, route) for team in teams for route in routes)
+    return {pair: min(rank, LAST_RANK) for rank, pair in enumerate(pairs)}
+
+
 def choose_service(route: Route, request_id: str) -> str:
     """Returns the service for a request; the same id always gives the same one."""
     if len(route.services) == 1:
--- a/tests/gateway_kit.py
+++ b/tests/gateway_kit.py
@@ -100,6 +100,7 @@
         self.routing = RoutingState()
         self.board = EngineBoard()
         self.admission = EngineAdmission(
+            instance="gateway-test",
             zone="a",
             registry=self.registry,
             board=self.board,
--- /dev/null
+++ b/tests/test_engine_admission.py
@@ -0,0 +1,130 @@
+"""Guards ranks, kinds of prompt and owners of engines under overload and growth."""
+
+from lagoonrill._internal.coordination.engine_admission import (
+    EngineAdmission,
+    Fleet,
+    Generation,
+)
+from lagoonrill._internal.coordination.policy.engine_placement import (
+    SMALL_FLEET,
+    PackedPlacement,
+    PromptJob,
+    owned_by,
+)
+from lagoonrill._internal.event_log import EventLog
+from lagoonrill._internal.protocol.routing import EndpointRecord, RoutedTeam
+from lagoonrill._internal.state.endpoint_registry import EndpointRegistry
+from lagoonrill._internal.state.engine_board import EngineBoard
+from lagoonrill._internal.state.route_table import RouteTable
+from tests.gateway_kit import ROUTES, config
+
+
+def test_team_goes_first_and_the_route_decides_among_equal_teams():
+    # A question was preempted while a long prompt of an equal team ran on.
+    teams = {
+        "k0": RoutedTeam(name="large", priority=0),
+        "k1": RoutedTeam(name="small", priority=1),
+    }
+    table = RouteTable(config=config(teams=teams))
+    ask, plan = (route for route in ROUTES if route.uses_engine)
+    ranks = [
+        table.rank(ask, teams["k0"]),
+        table.rank(plan, teams["k0"]),
+        table.rank(ask, teams["k1"]),
+        table.rank(plan, teams["k1"]),
+    ]
+    assert ranks == sorted(set(ranks))
+    assert ranks[-1] <= 9
+
+
+def admission(count: int) -> EngineAdmission:
+    registry = EndpointRegistry()
+    records = [
+        EndpointRecord(
+            id=f"e{n}", service="models", address="127.0.0.1:1", zone="a", slots=8
+        )
+        for n in range(count)
+    ]
+    registry.replace({record.id: record for record in records})
+    built = EngineAdmission(
+        instance="i",
+        zone="a",
+        registry=registry,
+        board=EngineBoard(),
+        event_log=EventLog(),
+    )
+    built.install(config())
+    return built
+
+
+def generation(name: str, tokens: int) -> Generation:
+    route = next(route for route in ROUTES if route.name == name)
+    return Generation(
+        id="r",
+        route=route,
+        service="models",
+        priority=0,
+        parts=(),
+        prompt_tokens=tokens,
+        arrived_at=0.0,
+        deadline=10.0,
+    )
+
+
+def test_a_question_stays_a_question_when_engines_read_slowly():
+    # Under overload the measured rate fell so far that questions were placed like long
+    # prompts, beside them.
+    built = admission(3)
+    question, plan = generation("ask", 800), generation("plan", 9_000)
+    for item in (question, plan):
+        built._note_prompt(item)
+    built.board.prefill_rates["models"] = 2_000.0
+    assert not built._is_heavy(question)
+    assert built._is_heavy(plan)
+
+
+def test_the_measured_rate_does_not_collapse_under_contention():
+    # One sample in four shows what the engine can do; the others include other work.
+    now = [0.0]
+    board = EngineBoard(clock=lambda: now[0])
+    for number in range(400):
+        rate = 36_000 if number % 4 == 0 else 4_000
+        job = board.begin(engine="e", tokens=4_000, heavy=True)
+        now[0] += 4_000 / rate
+        board.started(job, service="models")
+        board.end(job)
+    assert board.prefill_rate("models") > 18_000
+
+
+def test_each_engine_has_one_owner_and_they_are_spread():
+    instances = [f"i{n}" for n in range(35)]
+    engines = [f"e{n}" for n in range(70)]
+    owned = [owned_by(name, instances, engines) for name in instances]
+    assert sorted(engine for found in owned for engine in found) == sorted(engines)
+    assert max(len(found) for found in owned) <= 8
+
+
+def test_only_the_owner_gives_an_engine_what_needs_an_idle_one():
+    # All instances of a large fleet saw the same idle engine and sent to it at once.
+    engines = [f"e{n}" for n in range(SMALL_FLEET + 14)]
+    policy = PackedPlacement(zone="a")
+    late = PromptJob(
+        id="r",
+        parts=(),
+        prompt_tokens=9_000,
+        heavy=True,
+        goal_s=0.0,
+        pause_goal_s=0.3,
+    )
+    listed = policy.shortlist(late, engines, 10, frozenset(("e3", "e20")))
+    assert (listed.main, listed.paced) == (["e20"], ["e3"])
+
+
+def test_the_number_of_engines_for_streams_falls_slowly():
+    records = (
+        EndpointRecord(id="e", service="s", address="127.0.0.1:1", zone="a", slots=8),
+    )
+    fleet = Fleet(records=records, edition=1)
+    assert fleet.smoothed_streams(100, 0.0) == 100
+    assert fleet.smoothed_streams(0, 1.0) == 80
+    assert fleet.smoothed_streams(90, 1.0) == 90
