--- a/src/lagoonrill/_internal/coordination/engine_admission.py
+++ b/src/lagoonrill/_internal/coordination/engine_admission.py
@@ -4,9 +4,11 @@
 module collects what they need and wakes the threads of requests that were decided on.
 """
 
+import math
 import threading
 import time
 import zlib
+from typing import Protocol
 
 import msgspec
 
@@ -87,6 +89,32 @@
     waited_s: float
 
 
+class FleetNews(Protocol):
+    """What an admission asks of the exchange with the peers."""
+
+    def members(self) -> list[str]: ...
+
+    def most_stream_engines(self, service: str) -> int: ...
+
+    def news_age_s(self) -> float: ...
+
+
+class NoPeers:
+    """The exchange of an instance that is alone."""
+
+    def __init__(self, *, instance: str):
+        self.instance = instance
+
+    def members(self) -> list[str]:
+        return [self.instance]
+
+    def most_stream_engines(self, service: str) -> int:
+        return 0
+
+    def news_age_s(self) -> float:
+        return 0.0
+
+
 class Fleet:
     """The engines of a service, in the order in which they take streams."""
 
@@ -96,6 +124,7 @@
         "ordered",
         "owned",
         "records",
+        "stream_engines",
         "streams",
         "streams_at",
     )
@@ -108,6 +137,8 @@
         self.owned: frozenset[str] = frozenset()
         self.streams = 0.0
         self.streams_at = 0.0
+        # How many engines, from the first on, this instance keeps for streams.
+        self.stream_engines = 0
 
     def smoothed_streams(self, streams: int, now: float) -> int:
         """Returns the number of streams; it follows a rise at once, a fall slowly.
@@ -154,6 +185,25 @@
         self.refused = False
 
 
+class TokenRate:
+    """Tokens per second over about the last second."""
+
+    __slots__ = ("at", "tokens")
+
+    def __init__(self):
+        self.tokens = 0.0
+        self.at = 0.0
+
+    def add(self, tokens: int, now: float) -> None:
+        """Counts tokens."""
+        self.tokens = self.rate(now) + tokens
+        self.at = now
+
+    def rate(self, now: float) -> float:
+        """Returns the tokens per second; they fade with a time constant of 1 s."""
+        return self.tokens * math.exp(-max(0.0, now - self.at))
+
+
 class RouteMeans:
     """Running means of a route's requests."""
 
@@ -179,8 +229,7 @@
         clock=time.monotonic,
     ):
         self.instance = instance
-        # Names of the live instances, this one included, in order.
-        self.members = lambda: [instance]
+        self.peers: FleetNews = NoPeers(instance=instance)
         self.registry = registry
         self.board = board
         self.event_log = event_log
@@ -192,6 +241,7 @@
         self.means: dict[str, RouteMeans] = {}
         self.fleets: dict[str, Fleet] = {}
         self.config: RoutingConfig | None = None
+        self.heavy_tokens = TokenRate()
         self.changed = threading.Event()
         self.stopping = threading.Event()
 
@@ -344,9 +394,29 @@
             self.fleets[service] = fleet
         return fleet
 
+    def stream_engines(self) -> dict[str, int]:
+        """Returns how many engines of each service are kept for streams here."""
+        return {
+            service: fleet.stream_engines
+            for service, fleet in self.fleets.items()
+            if fleet.stream_engines
+        }
+
+    def _unseen_tokens(self, service: str, fleet: Fleet) -> int:
+        """Returns what peers have probably sent to an engine since their last news.
+
+        Every instance gets about as many long prompts as this one.
+        """
+        peers = len(self.peers.members()) - 1
+        if not peers or not fleet.ordered:
+            return 0
+        rate = self.heavy_tokens.rate(self.clock())
+        engines = max(1, len(fleet.ordered) - fleet.stream_engines)
+        return int(rate * peers / engines * self.peers.news_age_s())
+
     def _owned(self, fleet: Fleet) -> frozenset[str]:
         """Returns the engines that this instance owns among the live ones."""
-        members = self.members()
+        members = self.peers.members()
         if members != fleet.members:
             fleet.members = members
             fleet.owned = owned_by(self.instance, members, fleet.ordered)
@@ -390,6 +460,11 @@
             fleet.records[ordered[0]].slots,
             fleet.smoothed_streams(self.board.light_streams(fleet.ordered), now),
         )
+        fleet.stream_engines = count
+        if job.heavy:
+            # An engine that any peer keeps for streams gets no long prompt.
+            most = self.peers.most_stream_engines(service)
+            count = min(max(count, most), self.placement.most_for_streams(len(ordered)))
         listed = self.placement.shortlist(job, ordered, count, self._owned(fleet))
         main = [self._engine(fleet.records[name], service) for name in listed.main]
         paced = [self._engine(fleet.records[name], service) for name in listed.paced]
@@ -399,9 +474,12 @@
             [self._engine_view(generation, item, holder) for item in main],
             [self._engine_view(generation, item, holder) for item in paced],
             rate,
+            unseen_tokens=self._unseen_tokens(service, fleet),
         )
         if placement.engine is None:
             return False
+        if job.heavy:
+            self.heavy_tokens.add(placement.uncached_tokens, now)
         engine_job = self.board.begin(
             engine=placement.engine, tokens=placement.uncached_tokens, heavy=job.heavy
         )
--- a/src/lagoonrill/_internal/coordination/gateway_peers.py
+++ b/src/lagoonrill/_internal/coordination/gateway_peers.py
@@ -64,6 +64,7 @@
         board: EngineBoard,
         store_in_touch: Callable[[], bool],
         work_changed: Callable[[], None],
+        stream_engines: Callable[[], dict[str, int]],
         event_log: EventLog,
         clock=time.monotonic,
     ):
@@ -77,6 +78,7 @@
         self.board = board
         self.store_in_touch = store_in_touch
         self.work_changed = work_changed
+        self.stream_engines = stream_engines
         self.event_log = event_log
         self.clock = clock
         self.lock = threading.Lock()
@@ -118,6 +120,18 @@
             )
         return max(known, self.expected_instances)
 
+    def most_stream_engines(self, service: str) -> int:
+        """Returns the most engines that a live peer keeps for streams of a service."""
+        with self.lock:
+            return max(
+                (
+                    view.digest.stream_engines.get(service, 0)
+                    for view in self.views.values()
+                    if not view.lost
+                ),
+                default=0,
+            )
+
     def members(self) -> list[str]:
         """Returns the names of the live instances, this one included, in order."""
         with self.lock:
@@ -131,6 +145,10 @@
             self._send_digest()
             self.stopping.wait(self._spacing_s())
 
+    def news_age_s(self) -> float:
+        """Returns how old the peers' news of their work is on average."""
+        return self._spacing_s() / 2 if self.views else 0.0
+
     def _spacing_s(self) -> float:
         """Returns the pause between digests; it grows with the number of peers."""
         return max(DIGEST_SPACING_S, len(self.views) / MAX_DIGESTS_RECEIVED_PER_S)
@@ -150,6 +168,7 @@
             leaving=self.leaving,
             work=[] if self.leaving else self.board.own_work(),
             reads=self.board.take_unshared_reads(),
+            stream_engines=self.stream_engines(),
             known_addresses=addresses,
         )
         self.link.send_to_all(digest)
--- a/src/lagoonrill/_internal/coordination/policy/engine_placement.py
+++ b/src/lagoonrill/_internal/coordination/policy/engine_placement.py
@@ -23,6 +23,9 @@
 LIGHT_SHARE_OF_SLOTS = 0.6
 # At least this share of the engines is left to long prompts.
 MIN_HEAVY_SHARE = 0.4
+# This share of the engines is kept for streams also when there are few: questions come
+# sooner than the news of them.
+MIN_LIGHT_SHARE = 0.12
 # Share of the goal for the first event that may be spent on reading prompts; the rest
 # covers the first event's own steps, the network and errors of the estimate.
 PREFILL_SHARE_OF_GOAL = 0.5
@@ -154,9 +157,14 @@
 
     def interactive_count(self, engines: int, slots: int, streams: int) -> int:
         """Returns how many engines, from the first on, hold `streams` streams."""
-        most = max(1, int(engines * (1 - MIN_HEAVY_SHARE)))
         per_engine = max(1, int(slots * LIGHT_SHARE_OF_SLOTS))
-        return min(most, -(-(streams + 1) // per_engine))
+        least = max(1, int(engines * MIN_LIGHT_SHARE))
+        wanted = max(least, -(-(streams + 1) // per_engine))
+        return min(self.most_for_streams(engines), wanted)
+
+    def most_for_streams(self, engines: int) -> int:
+        """Returns how many engines interactive streams may take."""
+        return max(1, int(engines * (1 - MIN_HEAVY_SHARE)))
 
     def shortlist(
         self, job: PromptJob, ordered: list[str], count: int, owned: frozenset[str]
@@ -190,14 +198,20 @@
         main: list[EngineView],
         paced: list[EngineView],
         rate: float,
+        unseen_tokens: int = 0,
     ) -> Placement:
-        """Places a job on a listed engine; `rate` is in prompt tokens per second."""
+        """Places a job on a listed engine; `rate` is in prompt tokens per second.
+
+        An engine probably has `unseen_tokens` more to read than is known.
+        """
         if not main:
             return Placement(engine=None, reason="no_engine")
         sound = [engine for engine in main if not engine.suspect]
         if not job.heavy:
             return self._place_light(sound or main)
-        return self._place_heavy(job, sound or main, paced, rate)
+        budget = rate * job.goal_s * PREFILL_SHARE_OF_GOAL
+        budget = max(0.0, budget - unseen_tokens)
+        return self._place_heavy(job, sound or main, paced, rate, budget)
 
     def _place_light(self, engines: list[EngineView]) -> Placement:
         def cost(engine: EngineView) -> tuple[float, str]:
@@ -217,6 +231,7 @@
         engines: list[EngineView],
         paced: list[EngineView],
         rate: float,
+        budget: float,
     ) -> Placement:
         subject, subject_tokens = job.subject()
         expected = max(engines, key=lambda item: hash_rank(subject, item.id))
@@ -233,7 +248,6 @@
                 + self._distance(engine)
             )
 
-        budget = rate * job.goal_s * PREFILL_SHARE_OF_GOAL
         free = [
             (cost(engine), engine.id, engine, "cached_and_least_unread")
             for engine in engines
--- a/src/lagoonrill/_internal/gateway_daemon.py
+++ b/src/lagoonrill/_internal/gateway_daemon.py
@@ -131,10 +131,11 @@
             board=self.board,
             store_in_touch=self._store_in_touch,
             work_changed=self.admission.note_change,
+            stream_engines=self.admission.stream_engines,
             event_log=self.event_log,
         )
         self.board.changed = self.peers.note_change
-        self.admission.members = self.peers.members
+        self.admission.peers = self.peers
 
     def _build_request_path(self, vocabulary: HeaderVocabulary) -> None:
         settings = self.settings
--- a/src/lagoonrill/_internal/protocol/messages.py
+++ b/src/lagoonrill/_internal/protocol/messages.py
@@ -171,6 +171,8 @@
     # Engines, and the shared prompt parts that they have read for the sender since its
     # last digest, in prompt order.
     reads: list[tuple[str, list[PromptPart]]] = []
+    # For each service, how many engines the sender keeps for interactive streams.
+    stream_engines: dict[str, int] = {}
     known_addresses: list[str] = []
 
 
--- a/tests/test_engine_admission.py
+++ b/tests/test_engine_admission.py
@@ -128,3 +128,53 @@
     assert fleet.smoothed_streams(100, 0.0) == 100
     assert fleet.smoothed_streams(0, 1.0) == 80
     assert fleet.smoothed_streams(90, 1.0) == 90
+
+
+class Peers:
+    """News from other instances."""
+
+    def __init__(self, *, stream_engines: int = 0, age_s: float = 0.0, count: int = 0):
+        self.stream_engines = stream_engines
+        self.age_s = age_s
+        self.count = count
+
+    def members(self):
+        return ["i", *(f"p{n}" for n in range(self.count))]
+
+    def most_stream_engines(self, service):
+        return self.stream_engines
+
+    def news_age_s(self):
+        return self.age_s
+
+
+def placed(built, name: str, tokens: int, number: int) -> str:
+    item = generation(name, tokens)
+    item.id = f"r{number}"
+    item.deadline = built.clock() + 10
+    item.arrived_at = built.clock()
+    admission = built.admit(item, excluded=frozenset(), caller_left=lambda: False)
+    return admission.engine
+
+
+def test_long_prompts_keep_off_engines_that_any_peer_keeps_for_streams():
+    # Instances that counted streams a little differently put long prompts on engines
+    # that the others had filled with streams.
+    built = admission(20)
+    built.peers = Peers(stream_engines=8, count=1)
+    built.review("models")
+    kept = set(built._fleet("models").ordered[:8])
+    built.start()
+    plans = {placed(built, "plan", 9_000, number) for number in range(4)}
+    built.stop()
+    assert not plans & kept
+
+
+def test_old_news_leave_room_for_what_peers_have_sent_meanwhile():
+    built = admission(4)
+    fleet = built._fleet("models")
+    built.heavy_tokens.add(40_000, built.clock())
+    assert built._unseen_tokens("models", fleet) == 0
+    built.peers = Peers(count=10, age_s=0.2)
+    # Ten peers send 40,000 tokens a second each to four engines.
+    assert 15_000 < built._unseen_tokens("models", fleet) <= 20_000
