--- a/src/lagoonrill/_internal/coordination/engine_admission.py
+++ b/src/lagoonrill/_internal/coordination/engine_admission.py
@@ -26,12 +26,15 @@
 from ..state.engine_board import CachedParts, EngineBoard, EngineJob
 from .policy.engine_placement import (
     HEAVY_TOKENS_PER_PAUSE_S,
+    RANDOM_CHOICES,
     EngineView,
     PackedPlacement,
     Placement,
     PromptJob,
+    Shortlist,
     interactive_order,
     owned_by,
+    top,
 )
 from .policy.waiting_order import GoalFirstOrder, WaitingJob
 
@@ -54,6 +57,11 @@
 MAX_COPY_SHARE = 0.5
 MIN_COPY_TOKENS = 256
 NO_PROFILE = EngineProfile(slots=1, cache_tokens=1)
+# A zone with fewer engines than this shares those of all zones.
+MIN_ZONE_ENGINES = 4
+# A long prompt goes to another zone's engine only if that engine has, by older news,
+# this many times less to read than one of the own zone may have.
+FAR_CAUTION = 2.0
 # Share of the number of streams that is left after a second without them.
 STREAMS_DECAY_PER_S = 0.8
 # A request that finds no engine at all comes back when one may have been found.
@@ -93,6 +101,8 @@
 
     def members(self) -> list[str]: ...
 
+    def is_split(self) -> bool: ...
+
     def most_stream_engines(self, service: str) -> int: ...
 
 
@@ -105,15 +115,23 @@
     def members(self) -> list[str]:
         return [self.instance]
 
+    def is_split(self) -> bool:
+        return False
+
     def most_stream_engines(self, service: str) -> int:
         return 0
 
 
 class Fleet:
-    """The engines of a service, in the order in which they take streams."""
+    """The engines of a service, in the order in which they take streams.
+
+    In a large fleet these are the engines of the own `zone`, since the news of their
+    work come early; `far` holds the others.
+    """
 
     __slots__ = (
         "edition",
+        "far",
         "members",
         "ordered",
         "owned",
@@ -123,9 +141,24 @@
         "streams_at",
     )
 
-    def __init__(self, *, records: tuple[EndpointRecord, ...], edition: int):
+    def __init__(
+        self,
+        *,
+        records: tuple[EndpointRecord, ...],
+        edition: tuple[int, str | None],
+        zone: str | None = None,
+    ):
         self.records = {record.id: record for record in records}
-        self.ordered = interactive_order(list(records))
+        near = [record for record in records if zone in (None, record.zone)]
+        if len(near) < MIN_ZONE_ENGINES:
+            near = list(records)
+        self.ordered = interactive_order(near)
+        # Other zones' engines, each zone in the order of its own instances.
+        self.far: list[list[str]] = []
+        for other in sorted({record.zone for record in records}):
+            found = [record for record in records if record.zone == other]
+            if other != zone and len(near) < len(records):
+                self.far.append(interactive_order(found))
         self.edition = edition
         self.members: list[str] = []
         self.owned: frozenset[str] = frozenset()
@@ -204,6 +237,7 @@
         clock=time.monotonic,
     ):
         self.instance = instance
+        self.zone = zone
         self.peers: FleetNews = NoPeers(instance=instance)
         self.registry = registry
         self.board = board
@@ -359,10 +393,13 @@
     def _fleet(self, service: str) -> Fleet:
         """Returns the service's engines; kept until the list of endpoints changes."""
         fleet = self.fleets.get(service)
-        if fleet is None or fleet.edition != self.registry.edition:
-            edition = self.registry.edition
+        zone = self.zone if self.peers.is_split() else None
+        edition = (self.registry.edition, zone)
+        if fleet is None or fleet.edition != edition:
             before = fleet
-            fleet = Fleet(records=self.registry.ready(service), edition=edition)
+            fleet = Fleet(
+                records=self.registry.ready(service), edition=edition, zone=zone
+            )
             if before is not None:
                 fleet.streams, fleet.streams_at = before.streams, before.streams_at
             self.fleets[service] = fleet
@@ -400,7 +437,6 @@
     def _try_place(self, waiter: Waiter, fleet: Fleet, now: float) -> bool:
         generation = waiter.generation
         service = generation.service
-        rate = self.board.prefill_rate(service)
         on_time = waiter.view.on_time(now)
         job = PromptJob(
             id=generation.id,
@@ -428,16 +464,13 @@
             most = self.peers.most_stream_engines(service)
             count = min(max(count, most), self.placement.most_for_streams(len(ordered)))
         listed = self.placement.shortlist(job, ordered, count, self._owned(fleet))
-        main = [self._engine(fleet.records[name], service) for name in listed.main]
-        paced = [self._engine(fleet.records[name], service) for name in listed.paced]
         holder = self._holder(generation, fleet)
-        placement = self.placement.choose(
-            job,
-            [self._engine_view(generation, item, holder) for item in main],
-            [self._engine_view(generation, item, holder) for item in paced],
-            rate,
-            delay_ratio=self.board.delay_ratio(service),
-        )
+        ratio = self.board.delay_ratio(service)
+        placement = self._choose(job, generation, fleet, holder, listed, ratio)
+        if placement.engine is None and job.heavy and on_time:
+            far = self._far_shortlist(job, waiter, fleet, count)
+            ratio *= FAR_CAUTION
+            placement = self._choose(job, generation, fleet, holder, far, ratio)
         if placement.engine is None:
             return False
         engine_job = self.board.begin(
@@ -455,6 +488,41 @@
         waiter.decided.set()
         return True
 
+    def _choose(
+        self,
+        job: PromptJob,
+        generation: Generation,
+        fleet: Fleet,
+        holder: Engine | None,
+        listed: Shortlist,
+        delay_ratio: float,
+    ) -> Placement:
+        def views(names: list[str]) -> list[EngineView]:
+            engines = (
+                self._engine(fleet.records[name], generation.service) for name in names
+            )
+            return [self._engine_view(generation, item, holder) for item in engines]
+
+        return self.placement.choose(
+            job,
+            views(listed.main),
+            views(listed.paced),
+            self.board.prefill_rate(generation.service),
+            delay_ratio=delay_ratio,
+        )
+
+    def _far_shortlist(
+        self, job: PromptJob, waiter: Waiter, fleet: Fleet, count: int
+    ) -> Shortlist:
+        """Returns engines of other zones that are not kept for streams there."""
+        names = [
+            name
+            for ordered in fleet.far
+            for name in ordered[count:]
+            if name not in waiter.excluded and not self.registry.is_suspect(name)
+        ]
+        return Shortlist(main=top(job.id, names, RANDOM_CHOICES), paced=[])
+
     def _holder(self, generation: Generation, fleet: Fleet) -> Engine | None:
         """Returns the engine that holds most of a prompt, if copying is quicker."""
         profile = self._profile(generation.service)
@@ -521,9 +589,8 @@
 
     def _tokens_per_s(self, service: str) -> float:
         """Returns what all engines for long prompts read together."""
-        engines = max(1, len(self.registry.ready(service)) - 1)
-        live = 1 + self.board.live_peers()
-        return self.board.prefill_rate(service) * engines / live
+        engines = max(1, len(self._fleet(service).ordered) - 1)
+        return self.board.prefill_rate(service) * engines / len(self.peers.members())
 
     def _view(self, generation: Generation) -> WaitingJob:
         means = self.means[generation.route.name]
--- a/src/lagoonrill/_internal/coordination/gateway_peers.py
+++ b/src/lagoonrill/_internal/coordination/gateway_peers.py
@@ -7,6 +7,7 @@
 
 import threading
 import time
+from collections import deque
 from collections.abc import Callable
 
 import msgspec
@@ -26,8 +27,14 @@
 
 # Changes that follow each other within this time leave in one digest.
 DIGEST_SPACING_S = 0.02
-# All peers together send at most so many to one instance.
-MAX_DIGESTS_RECEIVED_PER_S = 100
+# In a small fleet all peers are near. In a larger one those of the own zone are: they
+# share its engines and need the news at once, the others need little of it.
+SMALL_FLEET = 12
+# The peers of each group together send at most so many to one instance.
+MAX_NEAR_DIGESTS_PER_S = 120
+MAX_FAR_DIGESTS_PER_S = 30
+# Reads that far peers have not been told of; older ones are left out.
+MAX_FAR_READS = 100
 # Without changes a digest still shows that its sender lives.
 DIGEST_INTERVAL_S = 0.5
 ADDRESSES_INTERVAL_S = 2.0
@@ -35,6 +42,8 @@
 # one that is cut off keeps its part of the shared budgets.
 MEMBER_LIFETIME_S = 30.0
 LOST_AFTER_S = 1.5
+# A far peer is lost after so many of its digests stayed away.
+LOST_AFTER_DIGESTS = 4
 # The store usually delivers a change itself within this time.
 ASK_AFTER_S = 0.2
 REQUEST_TIMEOUT_S = 0.6
@@ -55,6 +64,7 @@
         self,
         *,
         instance: str,
+        zone: str,
         link: PeerLink,
         seeds: list[str],
         expected_instances: int,
@@ -69,6 +79,7 @@
         clock=time.monotonic,
     ):
         self.instance = instance
+        self.zone = zone
         self.link = link
         self.seeds = [seed for seed in seeds if seed != link.address]
         self.expected_instances = expected_instances
@@ -88,6 +99,8 @@
         self.leaving = False
         self.behind_since: float | None = None
         self.addresses_sent_at = 0.0
+        self.far_sent_at = 0.0
+        self.far_reads: deque = deque(maxlen=MAX_FAR_READS)
         link.register_handler(GatewayDigest, self._take_digest, inline=True)
         link.register_handler(RoutingRequest, self._answer_routing)
 
@@ -120,54 +133,91 @@
             )
         return max(known, self.expected_instances)
 
+    def is_split(self) -> bool:
+        """Returns whether each zone of the fleet keeps to its own engines."""
+        return len(self.views) + 1 > SMALL_FLEET
+
+    def _is_near(self, view: PeerView) -> bool:
+        return not self.is_split() or view.digest.zone == self.zone
+
     def most_stream_engines(self, service: str) -> int:
-        """Returns the most engines that a live peer keeps for streams of a service."""
+        """Returns the most engines that a near peer keeps for streams of a service."""
         with self.lock:
             return max(
                 (
                     view.digest.stream_engines.get(service, 0)
                     for view in self.views.values()
-                    if not view.lost
+                    if not view.lost and self._is_near(view)
                 ),
                 default=0,
             )
 
     def members(self) -> list[str]:
-        """Returns the names of the live instances, this one included, in order."""
+        """Returns the names of the near instances, this one included, in order."""
         with self.lock:
-            live = [name for name, view in self.views.items() if not view.lost]
-        return sorted([self.instance, *live])
+            near = [
+                name
+                for name, view in self.views.items()
+                if not view.lost and self._is_near(view)
+            ]
+        return sorted([self.instance, *near])
 
     def _send_digests(self) -> None:
         while not self.stopping.is_set():
             self.changed.wait(DIGEST_INTERVAL_S)
             self.changed.clear()
             self._send_digest()
-            self.stopping.wait(self._spacing_s())
+            self.stopping.wait(self._near_spacing_s())
+
+    def _near_spacing_s(self) -> float:
+        """Returns the pause between digests; it grows with the number of near peers."""
+        near = len(self.members()) - 1
+        return max(DIGEST_SPACING_S, near / MAX_NEAR_DIGESTS_PER_S)
 
-    def _spacing_s(self) -> float:
-        """Returns the pause between digests; it grows with the number of peers."""
-        return max(DIGEST_SPACING_S, len(self.views) / MAX_DIGESTS_RECEIVED_PER_S)
+    def _far_spacing_s(self) -> float:
+        far = len(self.views) + 1 - len(self.members())
+        return max(DIGEST_INTERVAL_S, far / MAX_FAR_DIGESTS_PER_S)
 
     def _send_digest(self) -> None:
         now = self.clock()
+        reads = self.board.take_unshared_reads()
+        far = self._far_addresses()
+        near = self.link.addresses() - far
+        self.link.send_to(near, self._digest(reads, now))
+        if not far:
+            return
+        self.far_reads.extend(reads)
+        if self.leaving or now - self.far_sent_at >= self._far_spacing_s():
+            self.far_sent_at = now
+            self.link.send_to(far, self._digest(list(self.far_reads), now))
+            self.far_reads.clear()
+
+    def _digest(self, reads: list, now: float) -> GatewayDigest:
         addresses: list[str] = []
         if now - self.addresses_sent_at >= ADDRESSES_INTERVAL_S:
             self.addresses_sent_at = now
             addresses = self._live_addresses()
-        digest = GatewayDigest(
+        return GatewayDigest(
             instance=self.instance,
+            zone=self.zone,
             address=self.link.address,
             config_version=self.routing.version,
             endpoint_revision=self.discovery.revision,
             store_in_touch=self.store_in_touch(),
             leaving=self.leaving,
             work=[] if self.leaving else self.board.own_work(),
-            reads=self.board.take_unshared_reads(),
+            reads=reads,
             stream_engines=self.stream_engines(),
             known_addresses=addresses,
         )
-        self.link.send_to_all(digest)
+
+    def _far_addresses(self) -> set[str]:
+        with self.lock:
+            return {
+                view.digest.address
+                for view in self.views.values()
+                if not self._is_near(view)
+            }
 
     def _live_addresses(self) -> list[str]:
         with self.lock:
@@ -206,7 +256,6 @@
     def _watch(self) -> None:
         while not self.stopping.wait(ASK_AFTER_S / 2):
             self._note_lost()
-            self.board.drop_silent_peers()
             self.discovery.end_holds()
             ahead = self._ahead()
             if ahead is None:
@@ -218,12 +267,15 @@
 
     def _note_lost(self) -> None:
         now = self.clock()
+        far_limit_s = max(LOST_AFTER_S, LOST_AFTER_DIGESTS * self._far_spacing_s())
         forgotten = []
         with self.lock:
             for name, view in self.views.items():
                 age_s = now - view.heard_at
-                if age_s > LOST_AFTER_S and not view.lost:
+                limit_s = LOST_AFTER_S if self._is_near(view) else far_limit_s
+                if age_s > limit_s and not view.lost:
                     view.lost = True
+                    self.board.drop_peer(name)
                     self.event_log.emit(
                         "peer_lost", peer=name, silent_s=round(age_s, 2)
                     )
--- a/src/lagoonrill/_internal/gateway_daemon.py
+++ b/src/lagoonrill/_internal/gateway_daemon.py
@@ -122,6 +122,7 @@
         host, _, port = self.settings.peer_address.rpartition(":")
         self.peers = GatewayPeers(
             instance=self.settings.instance,
+            zone=self.settings.zone,
             link=PeerLink(host=host, port=int(port), handler_threads=1),
             seeds=self.settings.seeds,
             expected_instances=EXPECTED_INSTANCES,
--- a/src/lagoonrill/_internal/protocol/messages.py
+++ b/src/lagoonrill/_internal/protocol/messages.py
@@ -162,6 +162,7 @@
     """
 
     instance: str
+    zone: str
     address: str
     config_version: int = 0
     endpoint_revision: int = 0
--- a/src/lagoonrill/_internal/state/engine_board.py
+++ b/src/lagoonrill/_internal/state/engine_board.py
@@ -11,8 +11,6 @@
 from ..protocol.messages import EngineWork
 from ..protocol.routing import PromptPart
 
-# A digest of a peer that is older says nothing about the present load.
-PEER_DIGEST_LIFETIME_S = 1.5
 # Share of an engine's memory that cached parts are believed to keep beside requests.
 CACHE_SHARE = 0.6
 # Limit of a cache whose engine's memory is not known yet.
@@ -115,8 +113,8 @@
         self.own: dict[str, EngineWork] = {}
         self.caches: dict[str, CachedParts] = {}
         self.incarnations: dict[str, int] = {}
-        # When each peer was heard of last, and its work.
-        self.peers: dict[str, tuple[float, list[EngineWork]]] = {}
+        # What each live peer said of its work last.
+        self.peers: dict[str, list[EngineWork]] = {}
         # Own work and that of all peers, by engine.
         self.totals: dict[str, EngineWork] = {}
         self.prefill_rates: dict[str, float] = {}
@@ -304,26 +302,17 @@
     def take_peer(self, instance: str, work: list[EngineWork]) -> None:
         """Replaces what a peer said of its work."""
         with self.lock:
-            _, before = self.peers.get(instance, (0.0, []))
-            self._add_digest(before, -1)
+            self._add_digest(self.peers.get(instance, []), -1)
             self._add_digest(work, 1)
-            self.peers[instance] = (self.clock(), work)
+            self.peers[instance] = work
 
     def drop_peer(self, instance: str) -> None:
-        """Forgets the work of a peer that has left."""
+        """Forgets the work of a peer that has left or is silent."""
         with self.lock:
-            _, before = self.peers.pop(instance, (0.0, []))
-            self._add_digest(before, -1)
-
-    def drop_silent_peers(self) -> None:
-        """Forgets the work of peers that were not heard of lately."""
-        oldest = self.clock() - PEER_DIGEST_LIFETIME_S
-        silent = [name for name, (at, _) in self.peers.items() if at < oldest]
-        for name in silent:
-            self.drop_peer(name)
+            self._add_digest(self.peers.pop(instance, []), -1)
 
     def live_peers(self) -> int:
-        """Returns how many peers were heard of lately."""
+        """Returns how many peers' work is known."""
         return len(self.peers)
 
     def dump(self) -> dict:
--- a/src/lagoonrill/_internal/transport/peer_link.py
+++ b/src/lagoonrill/_internal/transport/peer_link.py
@@ -417,13 +417,14 @@
         connection = self._connection(address)
         return connection is not None and connection.put(encode_message(message))
 
-    def send_to_all(self, message: PeerMessage) -> None:
-        """Queues a one-way message, encoded once, for every connected peer."""
+    def send_to(self, addresses: set[str], message: PeerMessage) -> None:
+        """Queues a one-way message, encoded once, for several peers."""
         payload = encode_message(message)
         with self.lock:
-            connections = list(self.connections.values())
+            connections = [self.connections.get(address) for address in addresses]
         for connection in connections:
-            connection.put(payload)
+            if connection is not None:
+                connection.put(payload)
 
     def send_latest(self, address: str, payload: bytes, lifetime_s: float) -> None:
         """Queues an encoded message that replaces an unsent earlier one."""
--- a/tests/test_engine_admission.py
+++ b/tests/test_engine_admission.py
@@ -38,11 +38,15 @@
     assert ranks[-1] <= 9
 
 
-def admission(count: int) -> EngineAdmission:
+def admission(count: int, *, zones: str = "a") -> EngineAdmission:
     registry = EndpointRegistry()
     records = [
         EndpointRecord(
-            id=f"e{n}", service="models", address="127.0.0.1:1", zone="a", slots=8
+            id=f"e{n}",
+            service="models",
+            address="127.0.0.1:1",
+            zone=zones[n % len(zones)],
+            slots=8,
         )
         for n in range(count)
     ]
@@ -125,7 +129,7 @@
     records = (
         EndpointRecord(id="e", service="s", address="127.0.0.1:1", zone="a", slots=8),
     )
-    fleet = Fleet(records=records, edition=1)
+    fleet = Fleet(records=records, edition=(1, None))
     assert fleet.smoothed_streams(100, 0.0) == 100
     assert fleet.smoothed_streams(0, 1.0) == 80
     assert fleet.smoothed_streams(90, 1.0) == 90
@@ -134,9 +138,13 @@
 class Peers:
     """News from other instances."""
 
-    def __init__(self, *, stream_engines: int = 0, count: int = 0):
+    def __init__(self, *, stream_engines: int = 0, count: int = 0, split: bool = False):
         self.stream_engines = stream_engines
         self.count = count
+        self.split = split
+
+    def is_split(self):
+        return self.split
 
     def members(self):
         return ["i", *(f"p{n}" for n in range(self.count))]
@@ -201,3 +209,17 @@
     policy = built.placement
     assert policy.choose(job, [busy], [], 30_000.0).engine == "e0"
     assert policy.choose(job, [busy], [], 30_000.0, delay_ratio=ratio).engine is None
+
+
+def test_a_zone_of_a_large_fleet_uses_its_own_engines_first():
+    # News from other zones are old; all instances together overfilled engines that
+    # each of them saw idle.
+    built = admission(24, zones="abc")
+    built.peers = Peers(count=8, split=True)
+    own = {record.id for record in built.registry.ready("models") if record.zone == "a"}
+    first = {placed(built, "plan", 1_500, number) for number in range(3)}
+    assert first <= own
+    # Engines of other zones serve what the own ones have no room for.
+    for engine in own:
+        built.board.begin(engine=engine, tokens=50_000, heavy=True)
+    assert placed(built, "plan", 1_500, 99) not in own
