--- a/src/lagoonrill/_internal/coordination/engine_admission.py
+++ b/src/lagoonrill/_internal/coordination/engine_admission.py
@@ -103,7 +103,7 @@
 
     def is_split(self) -> bool: ...
 
-    def most_stream_engines(self, service: str) -> int: ...
+    def most_stream_engines(self, service: str, *, far: bool = False) -> int: ...
 
 
 class NoPeers:
@@ -118,7 +118,7 @@
     def is_split(self) -> bool:
         return False
 
-    def most_stream_engines(self, service: str) -> int:
+    def most_stream_engines(self, service: str, *, far: bool = False) -> int:
         return 0
 
 
@@ -468,7 +468,8 @@
         ratio = self.board.delay_ratio(service)
         placement = self._choose(job, generation, fleet, holder, listed, ratio)
         if placement.engine is None and job.heavy and on_time:
-            far = self._far_shortlist(job, waiter, fleet, count)
+            most = self.peers.most_stream_engines(service, far=True)
+            far = self._far_shortlist(job, waiter, fleet, max(count, most))
             ratio *= FAR_CAUTION
             placement = self._choose(job, generation, fleet, holder, far, ratio)
         if placement.engine is None:
--- a/src/lagoonrill/_internal/coordination/gateway_peers.py
+++ b/src/lagoonrill/_internal/coordination/gateway_peers.py
@@ -140,14 +140,17 @@
     def _is_near(self, view: PeerView) -> bool:
         return not self.is_split() or view.digest.zone == self.zone
 
-    def most_stream_engines(self, service: str) -> int:
-        """Returns the most engines that a near peer keeps for streams of a service."""
+    def most_stream_engines(self, service: str, *, far: bool = False) -> int:
+        """Returns the most engines that a peer keeps for streams of a service.
+
+        Only near peers are asked, or with `far` those of all zones.
+        """
         with self.lock:
             return max(
                 (
                     view.digest.stream_engines.get(service, 0)
                     for view in self.views.values()
-                    if not view.lost and self._is_near(view)
+                    if not view.lost and (far or self._is_near(view))
                 ),
                 default=0,
             )
--- a/src/lagoonrill/_internal/coordination/policy/engine_placement.py
+++ b/src/lagoonrill/_internal/coordination/policy/engine_placement.py
@@ -30,7 +30,7 @@
 # covers the first event's own steps, the network and errors of the estimate.
 PREFILL_SHARE_OF_GOAL = 0.6
 # Share of a pause goal that one long prompt may take on an engine with streams.
-PROMPT_SHARE_OF_PAUSE = 0.4
+PROMPT_SHARE_OF_PAUSE = 0.35
 # A route's prompts are long if they have more tokens than this for each second of the
 # tightest pause goal: present engines read some 20,000 a second, and a quarter of the
 # pause may go into reading. What an engine reads at the moment does not count, so that
@@ -48,7 +48,7 @@
 # engines may have that much more to read before it goes there.
 BESIDE_STREAMS_TOKENS = 6_000
 # Long generations that may run on an engine with interactive streams.
-MAX_HEAVY_BESIDE_STREAMS = 2
+MAX_HEAVY_BESIDE_STREAMS = 1
 # Weight of prompts that an engine has to read when an interactive stream is placed.
 PENDING_WEIGHT = 3
 # A suspect engine is chosen only if nothing else is left.
--- a/src/lagoonrill/_internal/state/engine_board.py
+++ b/src/lagoonrill/_internal/state/engine_board.py
@@ -11,8 +11,9 @@
 from ..protocol.messages import EngineWork
 from ..protocol.routing import PromptPart
 
-# Share of an engine's memory that cached parts are believed to keep beside requests.
-CACHE_SHARE = 0.6
+# Share of an engine's memory that the known parts are believed to keep. Peers report
+# only the shared two thirds of their prompts, and running requests need memory too.
+CACHE_SHARE = 0.45
 # Limit of a cache whose engine's memory is not known yet.
 FIRST_CACHE_TOKENS = 100_000
 # Prompt tokens per second before the first measurement, and bounds of what is measured.
--- a/tests/test_engine_admission.py
+++ b/tests/test_engine_admission.py
@@ -149,7 +149,7 @@
     def members(self):
         return ["i", *(f"p{n}" for n in range(self.count))]
 
-    def most_stream_engines(self, service):
+    def most_stream_engines(self, service, *, far=False):
         return self.stream_engines
 
 
