Refuse answers that cannot end in time, and do not blame endpoints for time limits

Change: the output estimate and the measured time for a token decide under load whether an answer can end in time; a break within 0.5 s of the limit is no failure.

--- a/src/lagoonrill/_internal/coordination/engine_admission.py
+++ b/src/lagoonrill/_internal/coordination/engine_admission.py
@@ -12,7 +12,7 @@
 import msgspec
 
 from ..event_log import EventLog
-from ..protocol.headers import parse_token_usage
+from ..protocol.headers import parse_positive_int, parse_token_usage
 from ..protocol.messages import EngineWork
 from ..protocol.refusals import Refusal
 from ..protocol.routing import (
@@ -79,10 +79,18 @@
     prompt_tokens: int
     arrived_at: float
     deadline: float
+    # Estimated tokens of the answer, 0 if unknown.
+    output_tokens: int = 0
 
     @classmethod
-    def from_headers(cls, *, usage: str | None, **fields) -> "Generation":
-        return cls(prompt_tokens=parse_token_usage(usage)[0], **fields)
+    def from_headers(
+        cls, *, usage: str | None, output_estimate: str | None, **fields
+    ) -> "Generation":
+        prompt, most_output = parse_token_usage(usage)
+        estimate = parse_positive_int(output_estimate)
+        if estimate is None or (most_output and estimate > most_output):
+            estimate = most_output
+        return cls(prompt_tokens=prompt, output_tokens=estimate, **fields)
 
 
 class Admission(msgspec.Struct, kw_only=True):
@@ -215,12 +223,20 @@
 class RouteMeans:
     """Running means of a route's requests."""
 
-    __slots__ = ("prompt_tokens", "run_s", "unread_tokens")
+    __slots__ = ("prompt_tokens", "run_s", "token_s", "unread_tokens")
 
     def __init__(self):
         self.prompt_tokens = 0.0
         self.unread_tokens = 0.0
         self.run_s = FIRST_RUN_S
+        # Time for one token of an answer; 0 before the first is known.
+        self.token_s = 0.0
+
+    def output_s(self, tokens: int) -> float:
+        """Returns how long an answer of so many tokens probably takes."""
+        if tokens and self.token_s:
+            return tokens * self.token_s
+        return self.run_s
 
 
 class EngineAdmission:
@@ -298,6 +314,10 @@
                 fleet = self._fleet(service)
                 if self._try_place(waiter, fleet, now):
                     return True
+            if line and not waiter.view.can_end(now):
+                waiter.refused = True
+                waiter.decided.set()
+                return True
             line.append(waiter)
             length = len(line)
         self.event_log.emit(
@@ -413,6 +433,10 @@
             if fleet.stream_engines
         }
 
+    def tokens_per_event(self, generation: Generation) -> int:
+        """Returns the output tokens in one event of a generation's stream."""
+        return self._profile(generation.service).tokens_per_event
+
     def _owned(self, fleet: Fleet) -> frozenset[str]:
         """Returns the engines that this instance owns among the live ones."""
         members = self.peers.members()
@@ -605,7 +629,7 @@
             priority=generation.priority,
             prompt_tokens=int(means.unread_tokens),
             first_event_s=read_s + FIRST_EVENT_S,
-            run_s=read_s + means.run_s,
+            run_s=read_s + FIRST_EVENT_S + means.output_s(generation.output_tokens),
         )
 
     def _note_prompt(self, generation: Generation) -> None:
@@ -637,9 +661,17 @@
         *,
         complete: bool,
         broken: bool,
+        token_s: float | None,
     ) -> None:
-        """Counts the end of a generation; a `broken` engine may hold nothing more."""
+        """Counts the end of a generation; a `broken` engine may hold nothing more.
+
+        `token_s` is the time that each token of the answer took.
+        """
         self.board.end(admission.job)
+        if token_s is not None:
+            means = self.means[generation.route.name]
+            weight = MEAN_WEIGHT if means.token_s else 1.0
+            means.token_s += weight * (token_s - means.token_s)
         if complete:
             means = self.means[generation.route.name]
             run_s = self.clock() - admission.job.sent_at
--- a/src/lagoonrill/_internal/coordination/forwarding.py
+++ b/src/lagoonrill/_internal/coordination/forwarding.py
@@ -48,6 +48,11 @@
 STALLED_PAUSE_GOALS = 5.0
 MIN_STALL_S = 1.2
 RETRY_AFTER_S = 0.3
+# An endpoint stops at the time limit that it was given; an answer that breaks off so
+# shortly before it says nothing about the endpoint.
+TIME_LIMIT_SLACK_S = 0.5
+# A stream with fewer events says little about the speed of its engine.
+MIN_EVENTS_FOR_SPEED = 3
 # Statuses that promise "not run"; only the router itself may give them.
 PROMISING_STATUSES = frozenset((408, 421, 429, 503))
 
@@ -91,6 +96,7 @@
         self.first_event_at = 0.0
         self.last_event_at = 0.0
         self.longest_pause_s = 0.0
+        self.events = 0
         # Address of an engine that holds a part of the prompt.
         self.copy_from: str | None = None
 
@@ -104,6 +110,13 @@
             self.longest_pause_s = max(self.longest_pause_s, pause_s)
         self.last_event_at = now
 
+    def token_s(self, tokens_per_event: int) -> float | None:
+        """Returns the time for a token after the first event, None if unknown."""
+        if self.events < MIN_EVENTS_FOR_SPEED:
+            return None
+        tokens = (self.events - 1) * tokens_per_event
+        return (self.last_event_at - self.first_event_at) / tokens
+
     def timing(self) -> dict[str, int]:
         """Returns when the first event came and the longest pause, for the log."""
         if not self.first_event_at:
@@ -228,6 +241,7 @@
         request = sending.request
         generation = Generation.from_headers(
             usage=request.header(self.vocabulary.token_usage),
+            output_estimate=request.header(self.vocabulary.output_estimate),
             id=request.id,
             route=request.route,
             service=request.service,
@@ -258,11 +272,16 @@
                     on_event=lambda: self.admission.started(admission, generation),
                 )
                 complete = outcome is None
-                broken = outcome is not None and outcome.may_have_run
+                broken = outcome is not None and outcome.reason != "time_limit"
+                broken = broken and outcome.may_have_run
             return outcome
         finally:
             self.admission.ended(
-                admission, generation, complete=complete, broken=broken
+                admission,
+                generation,
+                complete=complete,
+                broken=broken,
+                token_s=sending.token_s(self.admission.tokens_per_event(generation)),
             )
 
     def _log_placed(
@@ -333,6 +352,8 @@
     ) -> Outcome:
         if not failure.may_have_run:
             sending.connect_failures += 1
+        if time.monotonic() > sending.request.deadline - TIME_LIMIT_SLACK_S:
+            return Outcome(reason="time_limit", may_have_run=True)
         if self.registry.note_failure(record.id, unreachable=True):
             self.event_log.emit(
                 "endpoint_suspect",
@@ -536,6 +557,7 @@
                 self._start_stream(sending, head)
             on_event()
             sending.note_event()
+            sending.events += len(fresh)
             sending.caller.send_data(b"".join(fresh))
         if splitter.rest.strip() or not sending.stream_started:
             raise EndpointFailure("the stream ended early", may_have_run=True)
--- a/src/lagoonrill/_internal/coordination/policy/waiting_order.py
+++ b/src/lagoonrill/_internal/coordination/policy/waiting_order.py
@@ -8,9 +8,9 @@
 
 import msgspec
 
-# Waiting beyond its goal, a request needs this many times its estimated run time before
-# its time limit; the estimate is a mean.
-RUN_TIME_MARGIN = 1.3
+# A request needs this many times its estimated run time before its time limit. The
+# estimate of its output is right in the median only, so nothing is added.
+RUN_TIME_MARGIN = 1.0
 # A caller that is told to come back waits at least so long, and newcomers are spread
 # over as much again.
 MIN_RETRY_AFTER_S = 0.2
--- a/standins/scripted_endpoint.py
+++ b/standins/scripted_endpoint.py
@@ -329,3 +329,12 @@
         % (request.header("Attempt-Id").encode(), len(body), body)
     )
     return True
+
+
+@behaviour
+def stream_cut_late(sock, request, endpoint) -> bool:
+    """Stops shortly before the time limit that it was given."""
+    endpoint.ran(request)
+    sock.sendall(head_of(request) + STREAM_HEAD + chunk(event(1)))
+    time.sleep(int(request.header("X-Deadline-Ms")) / 1000 - 0.1)
+    return False
--- a/tests/test_engine_admission.py
+++ b/tests/test_engine_admission.py
@@ -1,5 +1,9 @@
 """Guards ranks, kinds of prompt and owners of engines under overload and growth."""
 
+import threading
+
+import pytest
+
 from lagoonrill._internal.coordination.engine_admission import (
     EngineAdmission,
     Fleet,
@@ -13,11 +17,12 @@
     owned_by,
 )
 from lagoonrill._internal.event_log import EventLog
+from lagoonrill._internal.protocol.refusals import Refusal
 from lagoonrill._internal.protocol.routing import EndpointRecord, RoutedTeam
 from lagoonrill._internal.state.endpoint_registry import EndpointRegistry
-from lagoonrill._internal.state.engine_board import EngineBoard
+from lagoonrill._internal.state.engine_board import EngineBoard, EngineJob
 from lagoonrill._internal.state.route_table import RouteTable
-from tests.gateway_kit import ROUTES, config
+from tests.gateway_kit import ROUTES, config, wait_until
 
 
 def test_team_goes_first_and_the_route_decides_among_equal_teams():
@@ -223,3 +228,57 @@
     for engine in own:
         built.board.begin(engine=engine, tokens=50_000, heavy=True)
     assert placed(built, "plan", 1_500, 99) not in own
+
+
+def test_an_answer_that_cannot_end_in_time_is_not_begun_under_load():
+    # Long answers ran into their time limit on saturated engines, so that neither they
+    # nor those who waited for their place were served.
+    built = admission(1)
+    built.start()
+    first = placed(built, "plan", 9_000, 1)
+    assert first == "e0"
+    built.means["plan"].token_s = 0.07
+    waiting = generation("plan", 9_000)
+    waiting.id, waiting.arrived_at = "w", built.clock()
+    waiting.deadline = built.clock() + 5
+    waiting.output_tokens = 10
+    thread = threading.Thread(
+        target=lambda: built.admit(
+            waiting, excluded=frozenset(), caller_left=lambda: False
+        )
+    )
+    thread.start()
+    assert wait_until(lambda: built.waiting["models"])
+    late = generation("plan", 9_000)
+    late.id, late.arrived_at = "l", built.clock()
+    late.deadline = built.clock() + 5
+    late.output_tokens = 200
+    with pytest.raises(Refusal) as refused:
+        built.admit(late, excluded=frozenset(), caller_left=lambda: False)
+    assert refused.value.status == 503
+    assert refused.value.retry_after_s > 0
+    built.board.end(EngineJob(engine="e0", tokens=9_000, ahead_tokens=0, heavy=True))
+    thread.join(5)
+    built.stop()
+    assert not thread.is_alive()
+
+
+def test_output_estimate_is_bounded_by_what_was_asked_for():
+    fields = {
+        name: getattr(generation("plan", 1), name)
+        for name in ("id", "route", "service", "priority", "parts")
+    }
+
+    def tokens(usage, estimate):
+        return Generation.from_headers(
+            usage=usage,
+            output_estimate=estimate,
+            arrived_at=0.0,
+            deadline=1.0,
+            **fields,
+        ).output_tokens
+
+    assert tokens("100,80", "40") == 40
+    assert tokens("100,80", "400") == 80
+    assert tokens("100,80", None) == 80
+    assert tokens(None, "x") == 0
--- a/tests/test_gateway_sends.py
+++ b/tests/test_gateway_sends.py
@@ -185,3 +185,13 @@
     # The endpoint has half a second to stop its work.
     assert endpoint.cancelled.wait(0.4)
     assert wait_until(lambda: gateway.events("request_cancelled"))
+
+
+def test_an_answer_cut_at_its_time_limit_is_not_held_against_the_endpoint(gateway_for):
+    # Endpoints stop at the limit that they were given; under overload that made them
+    # suspect one after the other.
+    gateway, (endpoint,) = gateway_for("models", ["stream_cut_late"])
+    response, _ = gateway.ask("/plan/1", headers={"X-Deadline-Ms": "600"})
+    assert not response.whole
+    assert not gateway.events("endpoint_suspect")
+    assert not gateway.registry.is_suspect(endpoint.id)
