--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON := $(VENV)/bin/python
 STAMP := $(VENV)/.installed
 
-.PHONY: setup format lint test demo faults promises capacity measure measure-quick clean
+.PHONY: setup format lint test demo soak faults promises capacity measure measure-quick clean
 
 setup: $(STAMP)
 
@@ -26,6 +26,12 @@
 	$(PYTHON) -m pytest $$(sed -n 's/^test: /--deselect /p' KNOWN-RED.txt)
 	$(PYTHON) -m bench.proof.matrix --quick 32 --pairs 0 --fleets 2
 	$(PYTHON) -m bench.measure --quick
+	$(PYTHON) -m bench.soak --seed 1 --seconds 8
+
+# Faults from outside against real gateways; `make soak SEED=7 SECONDS=60`.
+SECONDS := 30
+soak: setup
+	$(PYTHON) -m bench.soak --seed $(SEED) --seconds $(SECONDS)
 
 demo: setup
 	$(PYTHON) -m bench.demo
--- /dev/null
+++ b/bench/soak/__main__.py
@@ -0,0 +1,90 @@
+"""Runs a soak: `python -m bench.soak --seed 1 --seconds 30`."""
+
+import random
+import tempfile
+import threading
+import time
+from collections import Counter
+from pathlib import Path
+from typing import Annotated
+
+import typer
+
+from bench.soak.faults import FAULTS, strike
+from bench.soak.history import RECOVERY_S, check
+from bench.soak.world import World
+
+# Faults that follow each other overlap: a few strike at the same time.
+STRIKERS = 2
+PAUSE_S = (0.1, 0.8)
+# Requests after the recovery that show whether service is back.
+CALM_S = 3.0
+
+
+def main(
+    seed: Annotated[int, typer.Option(help="Seed of the faults.")] = 1,
+    seconds: Annotated[float, typer.Option(help="How long faults strike.")] = 30.0,
+    gateways: Annotated[int, typer.Option(help="Number of gateways.")] = 4,
+    callers: Annotated[int, typer.Option(help="Number of callers.")] = 12,
+    keep: Annotated[str, typer.Option(help="Folder for the gateways' logs.")] = "",
+) -> None:
+    """Plays faults against real gateways and checks what callers and endpoints saw."""
+    with tempfile.TemporaryDirectory() as temporary:
+        folder = Path(keep or temporary)
+        folder.mkdir(parents=True, exist_ok=True)
+        world = World(folder=folder, seed=seed, gateways=gateways, callers=callers)
+        try:
+            world.start()
+            play(world, seed, seconds)
+            time.sleep(RECOVERY_S + CALM_S)
+            ended_at = time.monotonic()
+        finally:
+            world.close()
+    broken = check(world.history, ended_at=ended_at)
+    report(world, seed, broken)
+    raise typer.Exit(1 if broken else 0)
+
+
+def play(world: World, seed: int, seconds: float) -> None:
+    """Lets several strikers play faults, each from its own seed."""
+    until = time.monotonic() + seconds
+    names = [name for name in FAULTS.variants if name != "default"]
+    # Two strikers never hold the same gateway or endpoint at the same time.
+    busy = threading.Lock()
+
+    def run(number: int) -> None:
+        chance = random.Random(seed * 100 + number)
+        groups = (
+            [name for name in names if name in ("kill", "pause", "stop", "reload")],
+            [name for name in names if name not in ("kill", "pause", "stop", "reload")],
+        )
+        while time.monotonic() < until:
+            name = chance.choice(groups[number % len(groups)])
+            if number >= len(groups):
+                with busy:
+                    strike(world, name, chance)
+            else:
+                strike(world, name, chance)
+            time.sleep(chance.uniform(*PAUSE_S))
+
+    threads = [threading.Thread(target=run, args=(n,)) for n in range(STRIKERS)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+
+
+def report(world: World, seed: int, broken: list[str]) -> None:
+    """Prints what was played and what was broken."""
+    statuses = Counter((item.kind, item.status) for item in world.history.outcomes)
+    faults = Counter(fault.what for fault in world.history.faults)
+    print(f"seed {seed}: {len(world.history.outcomes)} requests, {dict(faults)}")
+    for (kind, status), count in sorted(statuses.items()):
+        print(f"  {kind} {status or 'broken off'}: {count}")
+    for line in broken:
+        print(f"  BROKEN: {line}")
+    print(f"soak: {'failed' if broken else 'ok'}")
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- /dev/null
+++ b/bench/soak/endpoints.py
@@ -0,0 +1,167 @@
+"""Endpoints of the soak: threads that answer, fail and report what they ran."""
+
+import contextlib
+import random
+import socket
+import threading
+import time
+
+import h11
+
+from bench.soak.history import LAST_EVENT, History, Run
+from lagoonrill.platform._headers import VOCABULARY
+from standins.scripted_endpoint import chunk, read_request
+
+EVENT_PAUSE_S = 0.03
+WORK_S = 0.02
+
+
+class SoakEndpoint:
+    """One endpoint; `trouble` is the share of calls that fail in some way."""
+
+    def __init__(self, *, id: str, service: str, history: History, seed: int):
+        self.id = id
+        self.service = service
+        self.history = history
+        self.chance = random.Random(seed)
+        self.trouble = 0.0
+        self.socket = socket.create_server(("127.0.0.1", 0), backlog=128)
+        self.port = self.socket.getsockname()[1]
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def close(self) -> None:
+        with contextlib.suppress(OSError):
+            self.socket.shutdown(socket.SHUT_RDWR)
+        self.socket.close()
+
+    def _accept(self) -> None:
+        while True:
+            try:
+                sock, _ = self.socket.accept()
+            except OSError:
+                return
+            threading.Thread(target=self._serve, args=(sock,), daemon=True).start()
+
+    def _serve(self, sock: socket.socket) -> None:
+        parser = h11.Connection(h11.SERVER)
+        with contextlib.suppress(OSError, h11.ProtocolError), sock:
+            while (request := read_request(sock, parser)) is not None:
+                if not self._answer(sock, request):
+                    return
+                parser = h11.Connection(h11.SERVER)
+
+    def _answer(self, sock: socket.socket, request) -> bool:
+        id = request.header(VOCABULARY.request_id) or ""
+        if request.header(VOCABULARY.expected_endpoint) != self.id:
+            sock.sendall(b"HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n")
+            return True
+        fails = self.chance.random() < self.trouble
+        how = self.chance.choice(("refuse", "reset", "cut", "slow")) if fails else ""
+        if how == "refuse":
+            mark = VOCABULARY.not_run.encode()
+            sock.sendall(
+                b"HTTP/1.1 503 Full\r\n" + mark + b": 1\r\nContent-Length: 0\r\n\r\n"
+            )
+            return True
+        is_stream = request.target.startswith((b"/ask/", b"/plan/"))
+        after = int(request.header(VOCABULARY.resume_after) or 0)
+        run = Run(
+            request=id, endpoint=self.id, at=time.monotonic(), first_event=after + 1
+        )
+        self.history.add(run)
+        if how == "reset":
+            return False
+        time.sleep(1.0 if how == "slow" else WORK_S)
+        head = (
+            f"HTTP/1.1 200 OK\r\n{VOCABULARY.request_id}: {id}\r\n"
+            f"{VOCABULARY.proof}: proof {id}\r\n"
+        ).encode()
+        if is_stream:
+            return self._stream(sock, head, after, cut=how == "cut")
+        body = f"{self.service} did {id}".encode()
+        length = b"Content-Length: %d\r\n\r\n" % len(body)
+        sock.sendall(head + length + (body[:4] if how == "cut" else body))
+        return how != "cut"
+
+    def _stream(self, sock, head: bytes, after: int, *, cut: bool) -> bool:
+        sock.sendall(head + b"Transfer-Encoding: chunked\r\n\r\n")
+        for number in range(after + 1, LAST_EVENT + 1):
+            data = b"id: %d\ndata: token\n\n" % number
+            if cut and number > after + 2:
+                sock.sendall(chunk(data[:5]))
+                return False
+            sock.sendall(chunk(data))
+            time.sleep(EVENT_PAUSE_S)
+        sock.sendall(b"0\r\n\r\n")
+        return True
+
+
+class Proxy:
+    """A loopback proxy in front of an address.
+
+    `mode` is `pass`, `delay`, `silent` (accepts and passes nothing on), `one_way` (no
+    answers come back) or `reset` (ends each connection).
+    """
+
+    def __init__(self, *, target: tuple[str, int]):
+        self.target = target
+        self.mode = "pass"
+        self.socket = socket.create_server(("127.0.0.1", 0), backlog=128)
+        self.address = f"127.0.0.1:{self.socket.getsockname()[1]}"
+        self.lock = threading.Lock()
+        self.open: list[socket.socket] = []
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def set_mode(self, mode: str) -> None:
+        """Changes how bytes are treated; `reset` also ends what is open."""
+        self.mode = mode
+        if mode == "reset":
+            with self.lock:
+                ended, self.open = self.open, []
+            for sock in ended:
+                with contextlib.suppress(OSError):
+                    sock.shutdown(socket.SHUT_RDWR)
+
+    def close(self) -> None:
+        with contextlib.suppress(OSError):
+            self.socket.shutdown(socket.SHUT_RDWR)
+        self.socket.close()
+        self.set_mode("reset")
+
+    def _accept(self) -> None:
+        while True:
+            try:
+                sock, _ = self.socket.accept()
+            except OSError:
+                return
+            threading.Thread(target=self._relay, args=(sock,), daemon=True).start()
+
+    def _relay(self, near: socket.socket) -> None:
+        if self.mode == "reset":
+            near.close()
+            return
+        try:
+            far = socket.create_connection(self.target, 1)
+        except OSError:
+            near.close()
+            return
+        far.settimeout(None)
+        with self.lock:
+            self.open += [near, far]
+        back = threading.Thread(target=self._pump, args=(far, near, True), daemon=True)
+        back.start()
+        self._pump(near, far, False)
+        back.join()
+        near.close()
+        far.close()
+
+    def _pump(self, source: socket.socket, sink: socket.socket, back: bool) -> None:
+        with contextlib.suppress(OSError):
+            while data := source.recv(65_536):
+                while self.mode == "silent" or (self.mode == "one_way" and back):
+                    time.sleep(0.02)
+                if self.mode == "delay":
+                    time.sleep(0.1)
+                sink.sendall(data)
+        with contextlib.suppress(OSError):
+            sink.shutdown(socket.SHUT_WR)
--- /dev/null
+++ b/bench/soak/history.py
@@ -0,0 +1,219 @@
+"""What callers and endpoints saw, and the promises that must hold over it."""
+
+import threading
+
+import msgspec
+
+
+class Run(msgspec.Struct, kw_only=True):
+    """An endpoint began to work on a request; times are on the steady clock."""
+
+    request: str
+    endpoint: str
+    at: float
+    # Number of the first event that this run sent.
+    first_event: int = 1
+
+
+class Outcome(msgspec.Struct, kw_only=True):
+    """How a caller's request ended; status 0 stands for a broken connection."""
+
+    request: str
+    kind: str
+    instance: str
+    sent_at: float
+    ended_at: float
+    status: int
+    # Whether body and proof are the endpoint's for this request, and all of it.
+    whole: bool
+    body: bytes = b""
+
+
+class Fault(msgspec.Struct, kw_only=True):
+    """A fault; `planned` ones must not cut anything off."""
+
+    what: str
+    target: str
+    began_at: float
+    ended_at: float = 0.0
+    planned: bool = False
+
+
+class Probe(msgspec.Struct, kw_only=True):
+    """The version of the configuration that one lifetime of an instance showed."""
+
+    lifetime: str
+    version: int
+    at: float
+
+
+class History:
+    """Everything that was seen; safe from any thread."""
+
+    def __init__(self):
+        self.lock = threading.Lock()
+        self.runs: list[Run] = []
+        self.outcomes: list[Outcome] = []
+        self.faults: list[Fault] = []
+        self.probes: list[Probe] = []
+        # When an endpoint's leaving was acknowledged by the store.
+        self.leaving: dict[str, float] = {}
+
+    def add(self, item) -> None:
+        """Adds a run, an outcome, a fault or a probe."""
+        lists = {
+            Run: self.runs,
+            Outcome: self.outcomes,
+            Fault: self.faults,
+            Probe: self.probes,
+        }
+        with self.lock:
+            lists[type(item)].append(item)
+
+
+ONCE_KINDS = frozenset(("order", "plan"))
+STREAM_KINDS = frozenset(("ask", "plan"))
+# The bounds of the users' pages: time after which a leaving endpoint gets nothing, and
+# after which service is back.
+DRAIN_S = 2.0
+RECOVERY_S = 12.0
+# An instance or the store that was disturbed so recently is excused.
+CONTACT_S = 3.0
+LAST_EVENT = 6
+
+
+def check(history: History, *, ended_at: float) -> list[str]:
+    """Returns a line for each broken promise."""
+    return [
+        *check_at_most_once(history),
+        *check_refusals(history),
+        *check_answers(history),
+        *check_leaving(history),
+        *check_versions(history),
+        *check_planned_stops(history),
+        *check_recovery(history, ended_at=ended_at),
+    ]
+
+
+def runs_by_request(history: History) -> dict[str, list[Run]]:
+    """Groups the runs of each request."""
+    found: dict[str, list[Run]] = {}
+    for run in history.runs:
+        found.setdefault(run.request, []).append(run)
+    return found
+
+
+def check_at_most_once(history: History) -> list[str]:
+    """A request that must not be repeated runs once at most."""
+    kinds = {item.request: item.kind for item in history.outcomes}
+    return [
+        f"{request} ({kinds[request]}) ran {len(runs)} times"
+        for request, runs in runs_by_request(history).items()
+        if kinds.get(request) in ONCE_KINDS and len(runs) > 1
+    ]
+
+
+def check_refusals(history: History) -> list[str]:
+    """A request that was refused as not run has not run."""
+    runs = runs_by_request(history)
+    return [
+        f"{item.request} ({item.kind}) was refused with {item.status} and ran"
+        for item in history.outcomes
+        if item.status in (408, 421, 429, 503) and item.request in runs
+    ]
+
+
+def check_answers(history: History) -> list[str]:
+    """A success is whole, with its own proof; the events of a stream are in order."""
+    broken = []
+    for item in history.outcomes:
+        if item.status == 200 and not item.whole:
+            broken.append(f"{item.request} ({item.kind}): not its own answer")
+        if item.kind in STREAM_KINDS and item.body:
+            broken += _check_events(item)
+    return broken
+
+
+def _check_events(item: Outcome) -> list[str]:
+    events = item.body.split(b"\n\n")
+    numbers = [
+        int(event.partition(b"\n")[0].removeprefix(b"id: ")) for event in events[:-1]
+    ]
+    if numbers != list(range(1, len(numbers) + 1)) or events[-1]:
+        return [f"{item.request} ({item.kind}): events {numbers}, rest {events[-1]!r}"]
+    if item.status == 200 and len(numbers) != LAST_EVENT:
+        return [f"{item.request} ({item.kind}) ended as complete after {len(numbers)}"]
+    return []
+
+
+def check_leaving(history: History) -> list[str]:
+    """A leaving endpoint gets nothing after its bound, in calm times."""
+    return [
+        f"{run.request} reached {run.endpoint} {run.at - left_at:.2f} s after it left"
+        for run in history.runs
+        if (left_at := history.leaving.get(run.endpoint)) is not None
+        and run.at > left_at + DRAIN_S
+        and is_calm(history, left_at - CONTACT_S, run.at)
+    ]
+
+
+def is_calm(history: History, since: float, until: float) -> bool:
+    """Returns whether no fault touched a time span, planned ones aside."""
+    return not any(
+        fault.began_at < until and (fault.ended_at or until) > since - CONTACT_S
+        for fault in history.faults
+        if not fault.planned
+    )
+
+
+def check_versions(history: History) -> list[str]:
+    """In one lifetime of an instance the configuration never goes back."""
+    broken = []
+    newest: dict[str, int] = {}
+    for probe in sorted(history.probes, key=lambda item: item.at):
+        if probe.version < newest.get(probe.lifetime, 0):
+            broken.append(
+                f"{probe.lifetime} went back from version "
+                f"{newest[probe.lifetime]} to {probe.version}"
+            )
+        newest[probe.lifetime] = max(probe.version, newest.get(probe.lifetime, 0))
+    return broken
+
+
+def check_planned_stops(history: History) -> list[str]:
+    """A planned stop cuts off no request that was in flight."""
+    broken = []
+    for fault in history.faults:
+        if not fault.planned:
+            continue
+        for item in history.outcomes:
+            in_flight = item.sent_at < fault.began_at < item.ended_at
+            if (
+                item.instance == fault.target
+                and in_flight
+                and item.status in (0, 502)
+                and is_calm(history, item.sent_at, item.ended_at)
+            ):
+                broken.append(
+                    f"{item.request} ({item.kind}) was cut off by a planned stop"
+                )
+    return broken
+
+
+def check_recovery(history: History, *, ended_at: float) -> list[str]:
+    """After the last fault every kind of request is served again."""
+    last = max((fault.ended_at for fault in history.faults), default=0.0)
+    since = last + RECOVERY_S
+    if since > ended_at:
+        return []
+    broken = []
+    for kind in sorted({item.kind for item in history.outcomes}):
+        late = [
+            item
+            for item in history.outcomes
+            if item.kind == kind and item.sent_at > since
+        ]
+        served = sum(item.status == 200 for item in late)
+        if late and served < 0.9 * len(late):
+            broken.append(f"{kind}: {served} of {len(late)} served after the recovery")
+    return broken
--- /dev/null
+++ b/bench/soak/world.py
@@ -0,0 +1,287 @@
+"""The gateways of a soak as processes, the store, the endpoints and the callers."""
+
+import contextlib
+import http.client
+import json
+import os
+import signal
+import subprocess
+import sys
+import threading
+import time
+from pathlib import Path
+
+from bench.soak.endpoints import Proxy, SoakEndpoint
+from bench.soak.history import History, Outcome, Probe
+from lagoonrill.platform.__main__ import SETTINGS_VARIABLE
+from lagoonrill.platform._headers import READINESS_PATH, VOCABULARY
+from standins.metadata_store import MetadataStore, MetadataStoreServer
+from standins.platform_objects import configuration, server
+from standins.ports import free_port
+
+START = Path(__file__).parents[2] / "deploy" / "start.py"
+KINDS = {"order": "POST", "status": "GET", "ask": "POST", "plan": "POST"}
+GRACE_S = 6.0
+CALLER_PAUSE_S = 0.05
+TIME_LIMIT_S = 3.0
+
+
+class Gateway:
+    """One gateway; it is started again at the same address after it ended."""
+
+    def __init__(self, *, name: str, zone: str, folder: Path, store: str):
+        self.name = name
+        self.port = free_port()
+        self.readiness_port = free_port()
+        self.peer = f"127.0.0.1:{free_port()}"
+        self.path = folder / f"{name}.json"
+        self.log_path = folder / f"{name}.log"
+        self.settings = {
+            "instance": name,
+            "zone": zone,
+            "callers_address": f"127.0.0.1:{self.port}",
+            "readiness_address": f"127.0.0.1:{self.readiness_port}",
+            "peer_address": self.peer,
+            "store_address": store,
+            "bounds": {"grace_s": GRACE_S},
+        }
+        self.process: subprocess.Popen | None = None
+        self.lives = 0
+
+    def start(self, seeds: list[str]) -> None:
+        """Writes the settings and starts the process."""
+        self.path.write_text(json.dumps({**self.settings, "seeds": seeds}))
+        self.lives += 1
+        with self.log_path.open("ab") as output:
+            self.process = subprocess.Popen(
+                [sys.executable, str(START)],
+                env={**os.environ, SETTINGS_VARIABLE: str(self.path)},
+                stdout=output,
+                stderr=subprocess.STDOUT,
+            )
+
+    def signal(self, number: int) -> None:
+        if self.process.poll() is None:
+            self.process.send_signal(number)
+
+    def end(self) -> None:
+        """Kills the process if it still runs, and waits for its end."""
+        if self.process is not None:
+            self.signal(signal.SIGKILL)
+            self.process.wait()
+
+    def is_ready(self) -> bool:
+        connection = http.client.HTTPConnection(
+            "127.0.0.1", self.readiness_port, timeout=1
+        )
+        try:
+            connection.request("GET", READINESS_PATH)
+            return connection.getresponse().status == 200
+        except (OSError, http.client.HTTPException):
+            return False
+        finally:
+            connection.close()
+
+
+class World:
+    """Everything that takes part in a soak; ends only what it started."""
+
+    def __init__(self, *, folder: Path, seed: int, gateways: int, callers: int):
+        self.history = History()
+        self.stopping = threading.Event()
+        self.store = MetadataStore()
+        self.server = MetadataStoreServer(self.store)
+        self.version = 1
+        self.next_endpoint = 0
+        self.seed = seed
+        self.endpoints: dict[str, tuple[SoakEndpoint, Proxy]] = {}
+        host, _, port = self.server.address.rpartition(":")
+        self.gateways: list[Gateway] = []
+        self.store_links: dict[str, Proxy] = {}
+        for number in range(gateways):
+            link = Proxy(target=(host, int(port)))
+            name = f"g{number}"
+            self.store_links[name] = link
+            self.gateways.append(
+                Gateway(
+                    name=name,
+                    zone="ab"[number % 2],
+                    folder=folder,
+                    store=link.address,
+                )
+            )
+        self.callers = callers
+        self.threads: list[threading.Thread] = []
+
+    def start(self) -> None:
+        """Starts all, waits until every gateway is ready, then begins to call."""
+        for service, count in (("desk", 3), ("models", 4)):
+            for _ in range(count):
+                self.add_endpoint(service)
+        self.put_configuration()
+        for gateway in self.gateways:
+            gateway.start(self.seeds())
+        until = time.monotonic() + 20
+        while not all(gateway.is_ready() for gateway in self.gateways):
+            if time.monotonic() > until:
+                raise RuntimeError("a gateway did not become ready within 20 s")
+            time.sleep(0.1)
+        for number in range(self.callers):
+            self._spawn(self._call, number)
+        self._spawn(self._probe)
+
+    def _spawn(self, target, *arguments) -> None:
+        thread = threading.Thread(target=target, args=arguments, daemon=True)
+        thread.start()
+        self.threads.append(thread)
+
+    def seeds(self) -> list[str]:
+        return [gateway.peer for gateway in self.gateways[:3]]
+
+    def add_endpoint(self, service: str) -> str:
+        """Starts an endpoint and registers it; returns its id."""
+        self.next_endpoint += 1
+        id = f"i-{self.next_endpoint}"
+        endpoint = SoakEndpoint(
+            id=id,
+            service=service,
+            history=self.history,
+            seed=self.seed * 1_000 + self.next_endpoint,
+        )
+        proxy = Proxy(target=("127.0.0.1", endpoint.port))
+        self.endpoints[id] = (endpoint, proxy)
+        self._register(id, "ready")
+        return id
+
+    def _register(self, id: str, state: str) -> None:
+        endpoint, proxy = self.endpoints[id]
+        self.store.put(
+            "servers",
+            id,
+            server(
+                Service=endpoint.service,
+                Address=proxy.address,
+                Zone="ab"[len(id) % 2],
+                State=state,
+            ),
+        )
+
+    def drain_endpoint(self, id: str) -> None:
+        """Reports an endpoint as leaving."""
+        self._register(id, "draining")
+        self.history.leaving[id] = time.monotonic()
+
+    def put_configuration(self) -> None:
+        """Writes the next version, which adds a route that only it has."""
+        self.version += 1
+        base = configuration()
+        order, ask = base["Routes"][2], base["Routes"][0]
+        plan = {**ask, "Name": "plan", "PathPrefix": "/plan/"}
+        plan |= {"Attempts": 1, "StreamResume": False, "Priority": 1}
+        status = {**order, "Name": "status", "PathPrefix": "/status/"}
+        status |= {"Type": "safe", "Attempts": 2}
+        probe = {**status, "Name": "v", "PathPrefix": f"/v{self.version}/"}
+        routes = [ask, plan, order, status, probe]
+        self.store.put(
+            "config", "main", {**base, "Version": self.version, "Routes": routes}
+        )
+
+    def _call(self, number: int) -> None:
+        """One caller: keeps its connection until it ends, then takes another one."""
+        connection, gateway = None, None
+        count = 0
+        while not self.stopping.wait(CALLER_PAUSE_S):
+            count += 1
+            kind = list(KINDS)[(count + number) % len(KINDS)]
+            if connection is None:
+                gateway = self.gateways[(count + number) % len(self.gateways)]
+                connection = http.client.HTTPConnection(
+                    "127.0.0.1", gateway.port, timeout=TIME_LIMIT_S + 2
+                )
+            outcome = self._ask(connection, gateway, kind, f"c{number}-{count}")
+            if outcome is None or outcome.status in (0, 503):
+                connection.close()
+                connection = None
+            if outcome is not None:
+                self.history.add(outcome)
+
+    def _ask(self, connection, gateway, kind: str, id: str) -> Outcome | None:
+        """Sends one request; returns None if no gateway has read it."""
+        sent_at = time.monotonic()
+        headers = {
+            "Host": "shop.example",
+            "Authorization": f"{VOCABULARY.key_scheme} key-1",
+            VOCABULARY.request_id: id,
+            VOCABULARY.time_limit_ms: str(int(TIME_LIMIT_S * 1000)),
+        }
+        status, body, whole = 0, b"", False
+        try:
+            connection.request(KINDS[kind], f"/{kind}/1", headers=headers)
+        except OSError:
+            return None
+        with contextlib.suppress(OSError, http.client.HTTPException):
+            response = connection.getresponse()
+            proof = response.getheader(VOCABULARY.proof)
+            try:
+                body = response.read()
+                status = response.status
+                whole = proof == f"proof {id}" and (
+                    kind in ("ask", "plan") or body == f"desk did {id}".encode()
+                )
+            except http.client.IncompleteRead as error:
+                body = error.partial
+            if response.getheader("Connection") == "close":
+                connection.close()
+        return Outcome(
+            request=id,
+            kind=kind,
+            instance=gateway.name,
+            sent_at=sent_at,
+            ended_at=time.monotonic(),
+            status=status,
+            whole=whole,
+            body=body,
+        )
+
+    def _probe(self) -> None:
+        """Asks each gateway for routes that only one version has, newest first."""
+        while not self.stopping.wait(0.1):
+            for gateway in self.gateways:
+                lifetime = f"{gateway.name}/{gateway.lives}"
+                for version in (self.version, self.version - 1):
+                    if self._has_version(gateway, version):
+                        if lifetime == f"{gateway.name}/{gateway.lives}":
+                            now = time.monotonic()
+                            self.history.add(
+                                Probe(lifetime=lifetime, version=version, at=now)
+                            )
+                        break
+
+    def _has_version(self, gateway: Gateway, version: int) -> bool:
+        connection = http.client.HTTPConnection("127.0.0.1", gateway.port, timeout=1)
+        headers = {
+            "Host": "shop.example",
+            "Authorization": f"{VOCABULARY.key_scheme} key-1",
+            VOCABULARY.request_id: f"probe-{time.monotonic()}",
+        }
+        try:
+            connection.request("GET", f"/v{version}/1", headers=headers)
+            return connection.getresponse().status not in (404, 503)
+        except (OSError, http.client.HTTPException):
+            return False
+        finally:
+            connection.close()
+
+    def close(self) -> None:
+        """Ends the callers, the gateways and everything that listens."""
+        self.stopping.set()
+        for thread in self.threads:
+            thread.join(TIME_LIMIT_S + 3)
+        for gateway in self.gateways:
+            gateway.end()
+        for link in self.store_links.values():
+            link.close()
+        for endpoint, proxy in self.endpoints.values():
+            proxy.close()
+            endpoint.close()
+        self.server.close()
--- a/src/lagoonrill/platform/__main__.py
+++ b/src/lagoonrill/platform/__main__.py
@@ -15,6 +15,7 @@
 from ._store import open_sources
 
 SETTINGS_VARIABLE = "LAGOONRILL_CONFIG"
+START_FAILED = 1
 
 
 def main() -> int:
@@ -34,7 +35,11 @@
         readiness_path=READINESS_PATH,
     )
     daemon.install_signal_handlers()
-    daemon.start()
+    try:
+        daemon.start()
+    except OSError as error:
+        print(f"lagoonrill: an address cannot be used: {error}", file=sys.stderr)
+        return START_FAILED
     return daemon.run()
 
 
--- a/standins/metadata_store.py
+++ b/standins/metadata_store.py
@@ -4,6 +4,7 @@
 are the platform's, so only this file and the adapter's tests may use them.
 """
 
+import sys
 import threading
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from urllib.parse import parse_qs, unquote, urlsplit
@@ -75,6 +76,16 @@
             return 200, {"events": events(), "StoreRevision": self.revision}
 
 
+class QuietServer(ThreadingHTTPServer):
+    """A server whose callers may leave before their answer."""
+
+    request_queue_size = 64
+
+    def handle_error(self, request, client_address) -> None:
+        if not isinstance(sys.exception(), ConnectionError):
+            super().handle_error(request, client_address)
+
+
 class MetadataStoreServer:
     """Serves a store on loopback."""
 
@@ -106,7 +117,7 @@
             def log_message(self, *_):
                 pass
 
-        self.server = ThreadingHTTPServer(("127.0.0.1", port), Handler)
+        self.server = QuietServer(("127.0.0.1", port), Handler)
         self.server.daemon_threads = True
         self.address = f"127.0.0.1:{self.server.server_port}"
         threading.Thread(target=self.server.serve_forever, daemon=True).start()
--- a/tests/gateway_kit.py
+++ b/tests/gateway_kit.py
@@ -1,7 +1,6 @@
 """A gateway's request path in this process, in front of scripted endpoints."""
 
 import http.client
-import socket
 import time
 
 from lagoonrill._internal.coordination.engine_admission import EngineAdmission
@@ -28,16 +27,12 @@
 from lagoonrill._internal.state.route_table import RoutingState
 from lagoonrill._internal.transport.endpoint_connection import ConnectionPool
 from lagoonrill._internal.transport.gateway_listener import GatewayListener
+from standins.ports import free_port
 
 HOST = "shop.example"
 KEY = "key-of-shop"
 
 
-def free_port() -> int:
-    with socket.create_server(("127.0.0.1", 0)) as sock:
-        return sock.getsockname()[1]
-
-
 def route(name: str, kind: RouteKind, **options) -> Route:
     defaults = {
         "host": HOST,
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -9,7 +9,7 @@
 from lagoonrill.platform._headers import VOCABULARY
 from lagoonrill.platform._store import decode_endpoint, open_sources
 from standins.metadata_store import MetadataStore, MetadataStoreServer
-from tests.platform.objects import configuration, server
+from standins.platform_objects import configuration, server
 
 
 def test_configuration_keeps_what_each_field_holds():
--- a/tests/platform/test_daemon_process.py
+++ b/tests/platform/test_daemon_process.py
@@ -13,9 +13,10 @@
 import pytest
 
 from standins.metadata_store import MetadataStore, MetadataStoreServer
+from standins.platform_objects import configuration, server
+from standins.ports import free_port
 from standins.scripted_endpoint import ScriptedEndpoint
-from tests.gateway_kit import free_port, wait_until
-from tests.platform.objects import configuration, server
+from tests.gateway_kit import wait_until
 
 START = Path(__file__).parents[2] / "deploy" / "start.py"
 PLATFORM_HEADERS = {
--- a/tests/test_platform_boundary.py
+++ b/tests/test_platform_boundary.py
@@ -41,6 +41,7 @@
     "tests/platform/",
     "tests/test_platform_boundary.py",
     "standins/metadata_store.py",
+    "standins/platform_objects.py",
     "standins/scripted_endpoint.py",
 )
 
