Keep accepting during a planned stop while the balancer sends callers

Ruled out: a slow restart; the listener closed 2.6 s after SIGTERM, the process ended later with its streams. Change: the listener closes when no connection came for 1 s, at 70% of the grace time at the latest; after 2 s only requests that can end in time are taken.

--- a/src/lagoonrill/_internal/gateway_daemon.py
+++ b/src/lagoonrill/_internal/gateway_daemon.py
@@ -31,8 +31,14 @@
 from .transport.peer_link import PeerLink
 
 # The balancer asks for readiness once a second and takes an instance out after two
-# refusals; until then it sends new connections.
+# refusals; until then it sends new connections. Where it has no other instance it goes
+# on, so the listener closes once no connection came for a while, or when a new request
+# could hardly end within the grace time.
 STOP_ACCEPTING_AFTER_S = 2.6
+QUIET_BEFORE_CLOSE_S = 1.0
+STOP_ACCEPTING_SHARE = 0.7
+# Requests that arrive so soon after the signal are served like all others.
+SERVE_ALL_S = 2.0
 # Share of the grace time after which a planned stop ends although requests run.
 LAST_MOMENT_SHARE = 0.93
 MAINTENANCE_INTERVAL_S = 0.5
@@ -318,8 +324,10 @@
         begun_at = time.monotonic()
         last_moment = begun_at + self.settings.bounds.grace_s * LAST_MOMENT_SHARE
         self.event_log.emit("stopping", connections=self.listener.connections)
-        self.listener.begin_stop()
-        time.sleep(STOP_ACCEPTING_AFTER_S)
+        self.listener.begin_stop(
+            selective_from=begun_at + SERVE_ALL_S, last_moment=last_moment
+        )
+        self._accept_until_quiet(begun_at)
         self.listener.close()
         while not self.listener.is_idle() and time.monotonic() < last_moment:
             time.sleep(0.05)
@@ -332,6 +340,14 @@
         self.event_log.stop()
         return 0
 
+    def _accept_until_quiet(self, begun_at: float) -> None:
+        latest = begun_at + self.settings.bounds.grace_s * STOP_ACCEPTING_SHARE
+        time.sleep(min(STOP_ACCEPTING_AFTER_S, latest - begun_at))
+        while time.monotonic() < latest:
+            if self.listener.quiet_s() >= QUIET_BEFORE_CLOSE_S:
+                return
+            time.sleep(0.1)
+
     def _close(self) -> None:
         steps: tuple[Callable[[], None], ...] = (
             self.config_follower.stop,
--- a/src/lagoonrill/_internal/transport/gateway_listener.py
+++ b/src/lagoonrill/_internal/transport/gateway_listener.py
@@ -1,6 +1,7 @@
 """The gateway's listener: one thread for each connection of a caller."""
 
 import contextlib
+import math
 import socket
 import threading
 import time
@@ -8,7 +9,7 @@
 import logbook
 
 from ..coordination.forwarding import CallerBreak, Forwarder
-from ..coordination.routed_request import RequestIntake
+from ..coordination.routed_request import RequestIntake, RoutedRequest
 from ..event_log import EventLog
 from ..protocol.headers import HeaderVocabulary, first_value
 from ..protocol.refusals import Refusal
@@ -59,6 +60,11 @@
         self.requests = 0
         self.stopping = threading.Event()
         self.closed = threading.Event()
+        # Steady clock, once a stop has begun: from when on a request is taken only if
+        # it ends by the last moment.
+        self.selective_from = math.inf
+        self.last_moment = math.inf
+        self.last_accepted_at = 0.0
 
     def start(self) -> None:
         """Opens the socket and accepts."""
@@ -69,10 +75,20 @@
         self.socket.listen(LISTEN_BACKLOG)
         threading.Thread(target=self._accept, name="accept", daemon=True).start()
 
-    def begin_stop(self) -> None:
-        """Ends each connection after its next answer."""
+    def begin_stop(self, *, selective_from: float, last_moment: float) -> None:
+        """Ends each connection after its next answer; more connections are accepted.
+
+        The balancer may have nowhere else to send callers. From `selective_from` on,
+        requests that might not end by `last_moment` are told to come back at once.
+        """
+        self.selective_from = selective_from
+        self.last_moment = last_moment
         self.stopping.set()
 
+    def quiet_s(self) -> float:
+        """Returns how long ago the last connection was accepted."""
+        return time.monotonic() - self.last_accepted_at
+
     def close(self) -> None:
         """Accepts no more connections and closes those that are idle."""
         self.closed.set()
@@ -95,6 +111,7 @@
                 log.warning("a connection was not accepted: {}", error)
                 time.sleep(0.05)
                 continue
+            self.last_accepted_at = time.monotonic()
             with self.lock:
                 full = self.connections >= self.max_connections
                 self.connections += not full
@@ -178,6 +195,7 @@
                 )
             request = self.intake.accept(incoming, table)
             route = request.route.name
+            self._check_time_left(request)
             self.event_log.emit(
                 "request_received",
                 request=request.id,
@@ -205,6 +223,16 @@
             with self.lock:
                 self.requests -= 1
 
+    def _check_time_left(self, request: RoutedRequest) -> None:
+        late = time.monotonic() > self.selective_from
+        if late and request.deadline > self.last_moment:
+            raise Refusal(
+                503,
+                "stopping",
+                remedy="Retry; another instance serves the request.",
+                retry_after_s=STOPPING_RETRY_S,
+            )
+
     def _log_end(self, event, request_id, route, incoming, **fields) -> None:
         elapsed_s = time.monotonic() - incoming.arrived_at
         self.event_log.emit(
--- a/tests/test_gateway_listener.py
+++ b/tests/test_gateway_listener.py
@@ -26,6 +26,13 @@
             endpoint.close()
 
 
+def stop(gateway, *, selective: bool = False, left_s: float = 5.0) -> None:
+    now = time.monotonic()
+    gateway.listener.begin_stop(
+        selective_from=now if selective else now + 5, last_moment=now + left_s
+    )
+
+
 def raw(gateway, data: bytes, timeout: float = 3) -> bytes:
     with socket.create_connection(("127.0.0.1", gateway.port), timeout) as sock:
         sock.sendall(data)
@@ -169,7 +176,7 @@
     thread = threading.Thread(target=ask)
     thread.start()
     assert wait_until(lambda: gateway.endpoints["app"][0].received)
-    gateway.listener.begin_stop()
+    stop(gateway)
     gateway.listener.close()
     thread.join()
     assert answers[0][0] == 200
@@ -181,6 +188,21 @@
     gateway.start()
     with socket.create_connection(("127.0.0.1", gateway.port), 3) as sock:
         time.sleep(0.05)
-        gateway.listener.begin_stop()
+        stop(gateway)
         gateway.listener.close()
         assert sock.recv(1) == b""
+
+
+def test_a_stopping_instance_serves_callers_that_have_nowhere_else_to_go(gateway):
+    # In a zone whose instances all stop, the balancer goes on sending to them; callers
+    # found no listener there for seconds.
+    gateway.start()
+    stop(gateway, selective=True, left_s=2.5)
+    response, _ = gateway.ask("/order/1", headers={"X-Deadline-Ms": "1000"})
+    assert response.status == 200
+    assert response.getheader("Connection") == "close"
+    # What may not end in time is refused before it runs, with a time to come back.
+    response, _ = gateway.ask("/order/2", headers={"X-Deadline-Ms": "2900"})
+    assert response.status == 503
+    assert float(response.getheader("Retry-After")) < 0.5
+    assert len(gateway.endpoints["app"][0].runs) == 1
