--- a/src/lagoonrill/_internal/coordination/store_follower.py
+++ b/src/lagoonrill/_internal/coordination/store_follower.py
@@ -20,7 +20,7 @@
 # ended by its keep-alive probes, not by this time.
 WATCH_WAIT_S = 25.0
 # Changes that follow each other within this time are fetched by one call.
-CHANGE_SPACING_S = 0.5
+CHANGE_SPACING_S = 0.8
 # Pauses after failed calls; each call is counted by the store.
 FIRST_PAUSE_S = 0.15
 MAX_PAUSE_S = 0.8
