--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -5,6 +5,7 @@
 import hashlib
 import shutil
 import tempfile
+import threading
 import time
 from pathlib import Path
 
@@ -164,6 +165,9 @@
         self.daemons: dict[str, DaemonProcess] = {}
         self.store: Process | None = None
         self.list: Process | None = None
+        # A timer that heals faults must start nothing once the fleet is stopped.
+        self.replacing = threading.Lock()
+        self.stopped = False
 
     def __enter__(self) -> "Fleet":
         try:
@@ -220,6 +224,11 @@
 
     def replace_ended_endpoints(self) -> None:
         """Starts endpoints that ended again, on the same ports."""
+        with self.replacing:
+            if not self.stopped:
+                self._replace_ended_endpoints()
+
+    def _replace_ended_endpoints(self) -> None:
         for name, engine in self.engines.items():
             if engine.popen.poll() is not None:
                 self.engines[name] = self._start_engine(name, engine.port)
@@ -370,6 +379,8 @@
 
     def stop(self) -> None:
         """Ends all processes."""
+        with self.replacing:
+            self.stopped = True
         for daemon in self.daemons.values():
             if daemon.process is not None:
                 daemon.process.kill()
