--- a/bench/soak/endpoints.py
+++ b/bench/soak/endpoints.py
@@ -11,6 +11,7 @@
 from bench.soak.history import LAST_EVENT, History, Run
 from lagoonrill.platform._headers import VOCABULARY
 from standins.scripted_endpoint import chunk, read_request
+from standins.threaded_listener import ThreadedListener
 
 EVENT_PAUSE_S = 0.03
 WORK_S = 0.02
@@ -25,22 +26,10 @@
         self.history = history
         self.chance = random.Random(seed)
         self.trouble = 0.0
-        self.socket = socket.create_server(("127.0.0.1", 0), backlog=128)
-        self.port = self.socket.getsockname()[1]
-        threading.Thread(target=self._accept, daemon=True).start()
+        self.listener = ThreadedListener(serve=self._serve)
 
     def close(self) -> None:
-        with contextlib.suppress(OSError):
-            self.socket.shutdown(socket.SHUT_RDWR)
-        self.socket.close()
-
-    def _accept(self) -> None:
-        while True:
-            try:
-                sock, _ = self.socket.accept()
-            except OSError:
-                return
-            threading.Thread(target=self._serve, args=(sock,), daemon=True).start()
+        self.listener.close()
 
     def _serve(self, sock: socket.socket) -> None:
         parser = h11.Connection(h11.SERVER)
@@ -106,11 +95,10 @@
     def __init__(self, *, target: tuple[str, int]):
         self.target = target
         self.mode = "pass"
-        self.socket = socket.create_server(("127.0.0.1", 0), backlog=128)
-        self.address = f"127.0.0.1:{self.socket.getsockname()[1]}"
         self.lock = threading.Lock()
         self.open: list[socket.socket] = []
-        threading.Thread(target=self._accept, daemon=True).start()
+        self.listener = ThreadedListener(serve=self._relay)
+        self.address = self.listener.address
 
     def set_mode(self, mode: str) -> None:
         """Changes how bytes are treated; `reset` also ends what is open."""
@@ -123,19 +111,9 @@
                     sock.shutdown(socket.SHUT_RDWR)
 
     def close(self) -> None:
-        with contextlib.suppress(OSError):
-            self.socket.shutdown(socket.SHUT_RDWR)
-        self.socket.close()
+        self.listener.close()
         self.set_mode("reset")
 
-    def _accept(self) -> None:
-        while True:
-            try:
-                sock, _ = self.socket.accept()
-            except OSError:
-                return
-            threading.Thread(target=self._relay, args=(sock,), daemon=True).start()
-
     def _relay(self, near: socket.socket) -> None:
         if self.mode == "reset":
             near.close()
--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -16,7 +16,7 @@
 from lagoonrill.platform.__main__ import SETTINGS_VARIABLE
 from lagoonrill.platform._headers import READINESS_PATH, VOCABULARY
 from standins.metadata_store import MetadataStore, MetadataStoreServer
-from standins.platform_objects import configuration, server
+from standins.platform_objects import server, versioned_configuration
 from standins.ports import free_port
 
 START = Path(__file__).parents[2] / "deploy" / "start.py"
@@ -148,23 +148,20 @@
             history=self.history,
             seed=self.seed * 1_000 + self.next_endpoint,
         )
-        proxy = Proxy(target=("127.0.0.1", endpoint.port))
+        proxy = Proxy(target=("127.0.0.1", endpoint.listener.port))
         self.endpoints[id] = (endpoint, proxy)
         self._register(id, "ready")
         return id
 
     def _register(self, id: str, state: str) -> None:
         endpoint, proxy = self.endpoints[id]
-        self.store.put(
-            "servers",
-            id,
-            server(
-                Service=endpoint.service,
-                Address=proxy.address,
-                Zone="ab"[len(id) % 2],
-                State=state,
-            ),
+        entry = server(
+            Service=endpoint.service,
+            Address=proxy.address,
+            Zone="ab"[len(id) % 2],
+            State=state,
         )
+        self.store.put("servers", id, entry)
 
     def drain_endpoint(self, id: str) -> None:
         """Reports an endpoint as leaving."""
@@ -174,17 +171,7 @@
     def put_configuration(self) -> None:
         """Writes the next version, which adds a route that only it has."""
         self.version += 1
-        base = configuration()
-        order, ask = base["Routes"][2], base["Routes"][0]
-        plan = {**ask, "Name": "plan", "PathPrefix": "/plan/"}
-        plan |= {"Attempts": 1, "StreamResume": False, "Priority": 1}
-        status = {**order, "Name": "status", "PathPrefix": "/status/"}
-        status |= {"Type": "safe", "Attempts": 2}
-        probe = {**status, "Name": "v", "PathPrefix": f"/v{self.version}/"}
-        routes = [ask, plan, order, status, probe]
-        self.store.put(
-            "config", "main", {**base, "Version": self.version, "Routes": routes}
-        )
+        self.store.put("config", "main", versioned_configuration(self.version))
 
     def _call(self, number: int) -> None:
         """One caller: keeps its connection until it ends, then takes another one."""
--- a/src/lagoonrill/_internal/transport/gateway_listener.py
+++ b/src/lagoonrill/_internal/transport/gateway_listener.py
@@ -8,8 +8,9 @@
 
 import logbook
 
-from ..coordination.forwarding import CallerBreak, Forwarder
+from ..coordination.forwarding import Forwarder
 from ..coordination.routed_request import RequestIntake, RoutedRequest
+from ..coordination.sending import CallerBreak
 from ..event_log import EventLog
 from ..protocol.headers import HeaderVocabulary, first_value
 from ..protocol.refusals import Refusal
--- a/standins/platform_objects.py
+++ b/standins/platform_objects.py
@@ -79,3 +79,26 @@
         "born": 1_700_000_000_000,
         **changes,
     }
+
+
+def versioned_configuration(version: int) -> dict:
+    """Returns four kinds of route, and one that only this version has."""
+    base = configuration()
+    order, ask = base["Routes"][2], base["Routes"][0]
+    plan = {
+        **ask,
+        "Name": "plan",
+        "PathPrefix": "/plan/",
+        "Attempts": 1,
+        "StreamResume": False,
+        "Priority": 1,
+    }
+    status = {
+        **order,
+        "Name": "status",
+        "PathPrefix": "/status/",
+        "Type": "safe",
+        "Attempts": 2,
+    }
+    probe = {**status, "Name": "v", "PathPrefix": f"/v{version}/"}
+    return {**base, "Version": version, "Routes": [ask, plan, order, status, probe]}
--- a/standins/scripted_endpoint.py
+++ b/standins/scripted_endpoint.py
@@ -12,6 +12,7 @@
 import h11
 
 from lagoonrill._internal.protocol.headers import first_value
+from standins.threaded_listener import ThreadedListener
 
 BEHAVIOURS = {}
 EVENTS = 4
@@ -46,26 +47,12 @@
         self.received: list[ReceivedRequest] = []
         self.runs: list[ReceivedRequest] = []
         self.cancelled = threading.Event()
-        self.connections = 0
         self.lock = threading.Lock()
-        self.socket = socket.create_server(("127.0.0.1", 0))
-        self.address = f"127.0.0.1:{self.socket.getsockname()[1]}"
-        threading.Thread(target=self._accept, daemon=True).start()
+        self.listener = ThreadedListener(serve=self._serve)
+        self.address = self.listener.address
 
     def close(self) -> None:
-        with contextlib.suppress(OSError):
-            # A close alone leaves the port open while a thread accepts on it.
-            self.socket.shutdown(socket.SHUT_RDWR)
-        self.socket.close()
-
-    def _accept(self) -> None:
-        while True:
-            try:
-                sock, _ = self.socket.accept()
-            except OSError:
-                return
-            self.connections += 1
-            threading.Thread(target=self._serve, args=(sock,), daemon=True).start()
+        self.listener.close()
 
     def _serve(self, sock: socket.socket) -> None:
         parser = h11.Connection(h11.SERVER)
--- a/tests/test_engine_admission.py
+++ b/tests/test_engine_admission.py
@@ -6,9 +6,9 @@
 
 from lagoonrill._internal.coordination.engine_admission import (
     EngineAdmission,
-    Fleet,
     Generation,
 )
+from lagoonrill._internal.coordination.engine_fleet import Fleet
 from lagoonrill._internal.coordination.policy.engine_placement import (
     SMALL_FLEET,
     EngineView,
--- a/tests/test_gateway_sends.py
+++ b/tests/test_gateway_sends.py
@@ -74,8 +74,9 @@
     gateway, (first, second) = gateway_for("app", ["silent"], ["answer"])
     response, _ = gateway.ask("/status/1")
     assert response.status == 200
-    answered = gateway.events("request_answered")[0]
-    assert answered["elapsed_ms"] < 400
+    # The line is written after the answer has left.
+    assert wait_until(lambda: gateway.events("request_answered"))
+    assert gateway.events("request_answered")[0]["elapsed_ms"] < 400
     # The endpoint that is left must be able to drop the request.
     assert first.cancelled.wait(1)
 
