--- a/src/lagoonrill/_internal/coordination/engine_admission.py
+++ b/src/lagoonrill/_internal/coordination/engine_admission.py
@@ -160,11 +160,20 @@
         self.means: dict[str, RouteMeans] = {}
         self.fleets: dict[str, Fleet] = {}
         self.config: RoutingConfig | None = None
+        # Tightest pause goal of each service's routes.
+        self.tightest_pauses: dict[str, float] = {}
         self.changed = threading.Event()
         self.stopping = threading.Event()
 
     def install(self, config: RoutingConfig) -> None:
         """Takes the services of a new configuration."""
+        pauses: dict[str, float] = {}
+        for route in config.routes:
+            for item in route.services:
+                if route.pause_goal_s > 0:
+                    before = pauses.get(item.service, route.pause_goal_s)
+                    pauses[item.service] = min(before, route.pause_goal_s)
+        self.tightest_pauses = pauses
         self.config = config
 
     def admit(
@@ -488,15 +497,7 @@
         return found.engine if found and found.engine else NO_PROFILE
 
     def _tightest_pause_s(self, service: str) -> float:
-        if self.config is None:
-            return 0.0
-        pauses = [
-            route.pause_goal_s
-            for route in self.config.routes
-            if route.pause_goal_s > 0
-            and any(item.service == service for item in route.services)
-        ]
-        return min(pauses, default=0.0)
+        return self.tightest_pauses.get(service, 0.0)
 
     def _is_heavy(self, generation: Generation) -> bool:
         """Returns whether the route's prompts are long enough to delay streams."""
--- a/src/lagoonrill/_internal/coordination/forwarding.py
+++ b/src/lagoonrill/_internal/coordination/forwarding.py
@@ -79,7 +79,6 @@
         self.instances = instances
         self.metrics = metrics
         self.event_log = event_log
-        self.outstanding: dict[str, int] = {}
 
     def serve(self, request: RoutedRequest, caller: CallerConnection) -> None:
         """Answers a request; raises `Refusal` or `CallerGone`."""
@@ -231,7 +230,7 @@
         views = [
             ServiceEndpointView(
                 record=record,
-                outstanding=self.outstanding.get(record.id, 0),
+                outstanding=self.registry.outstanding(record.id),
                 failure_share=self.registry.failure_share(record.id),
                 suspect=self.registry.is_suspect(record.id),
             )
@@ -242,11 +241,8 @@
         if record is None:
             self._give_up(sending)
             return None
-        self.outstanding[record.id] = self.outstanding.get(record.id, 0) + 1
-        try:
+        with self.registry.call(record.id):
             return self._exchange(sending, record, on_event=lambda: None)
-        finally:
-            self.outstanding[record.id] -= 1
 
     def _exchange(
         self, sending: Sending, record: EndpointRecord, on_event
--- a/src/lagoonrill/_internal/state/endpoint_registry.py
+++ b/src/lagoonrill/_internal/state/endpoint_registry.py
@@ -1,5 +1,6 @@
 """Discovered endpoints and what this instance believes about their health."""
 
+import contextlib
 import threading
 import time
 
@@ -18,11 +19,13 @@
 
 
 class EndpointHealth:
-    """Failures of one endpoint as this instance saw them."""
+    """Calls and failures of one endpoint as this instance saw them."""
 
-    __slots__ = ("failure_share", "failures_in_a_row", "suspect_until")
+    __slots__ = ("failure_share", "failures_in_a_row", "outstanding", "suspect_until")
 
     def __init__(self):
+        # Calls of this instance that have not ended.
+        self.outstanding = 0
         self.failures_in_a_row = 0
         self.failure_share = 0.0
         self.suspect_until = 0.0
@@ -94,6 +97,23 @@
         health = self.health.get(endpoint_id)
         return health.failure_share if health else 0.0
 
+    def outstanding(self, endpoint_id: str) -> int:
+        """Returns this instance's calls to a plain service that have not ended."""
+        health = self.health.get(endpoint_id)
+        return health.outstanding if health else 0
+
+    @contextlib.contextmanager
+    def call(self, endpoint_id: str):
+        """Counts a call while it lasts."""
+        with self.lock:
+            health = self.health.setdefault(endpoint_id, EndpointHealth())
+            health.outstanding += 1
+        try:
+            yield
+        finally:
+            with self.lock:
+                health.outstanding -= 1
+
     def note_success(self, endpoint_id: str) -> bool:
         """Counts an answer; returns whether the endpoint was suspect before."""
         with self.lock:
