Do not refuse a stream as not run after it has run elsewhere

Cause: found by reading. A resumable request whose engine broke off was refused with 503 when no other engine had room, although it had run. The new test fails without the change (503 and a broken connection).

--- a/src/lagoonrill/_internal/coordination/forwarding.py
+++ b/src/lagoonrill/_internal/coordination/forwarding.py
@@ -175,11 +175,19 @@
             arrived_at=request.arrived_at,
             deadline=request.deadline,
         )
-        admission = self.admission.admit(
-            generation,
-            excluded=frozenset(sending.tried),
-            caller_left=sending.caller.is_gone,
-        )
+        try:
+            admission = self.admission.admit(
+                generation,
+                excluded=frozenset(sending.tried),
+                caller_left=sending.caller.is_gone,
+            )
+        except Refusal as refusal:
+            if not (sending.may_have_run or sending.stream_started):
+                raise
+            # It has run elsewhere, so it must not be refused as not run.
+            sending.last_reason += f" ({refusal.reason})"
+            self._give_up(sending)
+            return None
         if admission is None:
             raise CallerGone
         self.metrics.observe("queue", admission.waited_s, route=request.route.name)
--- a/tests/test_gateway_sends.py
+++ b/tests/test_gateway_sends.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from lagoonrill._internal.protocol.refusals import Refusal
 from standins.scripted_endpoint import EVENTS, ScriptedEndpoint, event
 from tests.gateway_kit import Gateway, wait_until
 
@@ -196,3 +197,26 @@
     assert not response.whole
     assert not gateway.events("endpoint_suspect")
     assert not gateway.registry.is_suspect(endpoint.id)
+
+
+@pytest.mark.parametrize("name", ["stream_cut", "reset_before_answer"])
+def test_a_request_that_ran_is_not_refused_as_not_run_when_engines_are_busy(
+    gateway_for, name
+):
+    gateway, endpoints = gateway_for("models", [name], [name])
+    admit, calls = gateway.admission.admit, []
+
+    def busy_at_the_second_call(generation, **options):
+        calls.append(generation.id)
+        if len(calls) > 1:
+            raise Refusal(503, "engines_busy", retry_after_s=1.0)
+        return admit(generation, **options)
+
+    gateway.admission.admit = busy_at_the_second_call
+    response, body = gateway.ask("/ask/1")
+    assert len(calls) == 2
+    if name == "stream_cut":
+        assert response.status == 200
+        assert not response.whole
+    else:
+        assert response.status == 502
