--- a/src/lagoonrill/_internal/coordination/store_follower.py
+++ b/src/lagoonrill/_internal/coordination/store_follower.py
@@ -62,8 +62,8 @@
 class StoreFollower:
     """Keeps a copy of one kind of objects up to date, from one thread.
 
-    `apply` gets the whole copy after each change, and the names that were removed while
-    the store was out of reach or just after, which may come back.
+    `apply` gets the follower after each change; `objects` holds the whole copy, and
+    `regained_at` tells when the store was last reached again.
     """
 
     def __init__(
--- a/src/lagoonrill/_internal/transport/caller_connection.py
+++ b/src/lagoonrill/_internal/transport/caller_connection.py
@@ -79,7 +79,7 @@
             if self.parser.they_are_waiting_for_100_continue:
                 go_on = h11.InformationalResponse(status_code=100, headers=[])
                 self._send(self.parser.send(go_on))
-            body = self._read_body(arrived_at)
+            body = self._read_body()
         except h11.RemoteProtocolError as error:
             raise BadHead(
                 status=error.error_status_hint or 400, reason=str(error)
@@ -106,7 +106,7 @@
         if size > self.limits.max_header_bytes:
             raise BadHead(status=431, reason="the header fields are too large")
 
-    def _read_body(self, arrived_at: float) -> bytes | None:
+    def _read_body(self) -> bytes | None:
         body = bytearray()
         # The idle limit bounds the silence inside a body, as between requests.
         while True:
