Share the idle connections that endpoints accept, and survive a thread that cannot start

Cause: found by reading: 35 instances could keep 1,120 idle connections to an endpoint that takes 790, and a connection without a thread ended the thread that accepts. Both tests fail without the change.

--- a/src/lagoonrill/_internal/gateway_daemon.py
+++ b/src/lagoonrill/_internal/gateway_daemon.py
@@ -283,6 +283,7 @@
         ready = None
         while not self.stop_wanted.wait(MAINTENANCE_INTERVAL_S):
             self.registry.decay()
+            self._share_connections()
             ready = self._log_readiness(ready)
             if self.reload_wanted.is_set() or time.monotonic() >= next_check:
                 next_check = time.monotonic() + SETTINGS_CHECK_INTERVAL_S
@@ -294,6 +295,15 @@
                     self._reload()
         return self._stop()
 
+    def _share_connections(self) -> None:
+        """Divides the connections that endpoints accept among the instances."""
+        table = self.routing.table
+        if table is None:
+            return
+        limits = [item.max_connections for item in table.config.services.values()]
+        smallest = min((limit for limit in limits if limit), default=0)
+        self.pool.share_limit(smallest, self.peers.instances())
+
     def _log_readiness(self, before: str | None) -> str:
         reason = self.not_ready_reason()
         if reason != before:
--- a/src/lagoonrill/_internal/transport/endpoint_connection.py
+++ b/src/lagoonrill/_internal/transport/endpoint_connection.py
@@ -22,6 +22,9 @@
 CONNECT_TIMEOUT_S = 0.5
 MAX_HEAD_BYTES = 32_768
 MAX_IDLE_PER_ENDPOINT = 32
+# Share of the connections that an endpoint accepts which all instances together may
+# keep idle.
+MAX_IDLE_SHARE = 0.5
 # An endpoint that does not announce its idle time-out keeps connections for a while.
 DEFAULT_IDLE_S = 4.0
 # Whole seconds are announced, so the real time-out may be up to a second shorter.
@@ -236,6 +239,15 @@
         self.lock = threading.Lock()
         self.idle: dict[str, list[EndpointConnection]] = {}
         self.opened = 0
+        self.idle_limit = MAX_IDLE_PER_ENDPOINT
+
+    def share_limit(self, max_connections: int, instances: int) -> None:
+        """Keeps to this instance's part of what an endpoint accepts, 0 for no limit."""
+        limit = MAX_IDLE_PER_ENDPOINT
+        if max_connections:
+            part = int(max_connections * MAX_IDLE_SHARE / max(1, instances))
+            limit = max(1, min(limit, part))
+        self.idle_limit = limit
 
     def take(
         self, address: str, *, incarnation: int, max_idle_s: float
@@ -261,7 +273,7 @@
         """Keeps a connection whose `finish` returned True."""
         with self.lock:
             waiting = self.idle.setdefault(connection.address, [])
-            if len(waiting) < MAX_IDLE_PER_ENDPOINT:
+            if len(waiting) < self.idle_limit:
                 waiting.append(connection)
                 return
         connection.close()
--- a/src/lagoonrill/_internal/transport/gateway_listener.py
+++ b/src/lagoonrill/_internal/transport/gateway_listener.py
@@ -120,9 +120,22 @@
                 self.metrics.count("connections_refused")
                 sock.close()
                 continue
-            threading.Thread(
-                target=self._serve_socket, args=(sock,), name="caller", daemon=True
-            ).start()
+            self._begin(sock)
+
+    def _begin(self, sock: socket.socket) -> None:
+        """Serves a connection with a thread of its own, if there can be one more."""
+        thread = threading.Thread(
+            target=self._serve_socket, args=(sock,), name="caller", daemon=True
+        )
+        try:
+            thread.start()
+        except RuntimeError as error:
+            # Without memory for its stack; those that are served must not suffer.
+            log.warning("a connection was refused: {}", error)
+            self.metrics.count("connections_refused")
+            sock.close()
+            with self.lock:
+                self.connections -= 1
 
     def _serve_socket(self, sock: socket.socket) -> None:
         table = self.routing.table
--- a/tests/test_gateway_listener.py
+++ b/tests/test_gateway_listener.py
@@ -7,6 +7,7 @@
 import pytest
 
 from lagoonrill._internal.protocol.routing import CallerLimits
+from lagoonrill._internal.transport.endpoint_connection import ConnectionPool
 from standins.scripted_endpoint import ScriptedEndpoint
 from tests.gateway_kit import Gateway, config, wait_until
 
@@ -206,3 +207,31 @@
     assert response.status == 503
     assert float(response.getheader("Retry-After")) < 0.5
     assert len(gateway.endpoints["app"][0].runs) == 1
+
+
+def test_a_connection_without_a_thread_does_not_end_the_listener(gateway, monkeypatch):
+    # The thread that accepts ended with the first connection that got no thread.
+    gateway.start()
+
+    def no_thread(self):
+        raise RuntimeError("can't start new thread")
+
+    with monkeypatch.context() as patch:
+        patch.setattr(threading.Thread, "start", no_thread)
+        with socket.create_connection(("127.0.0.1", gateway.port), 3) as sock:
+            assert sock.recv(1) == b""
+    assert gateway.ask("/order/1")[0].status == 200
+    assert wait_until(gateway.listener.is_idle)
+
+
+def test_instances_share_the_connections_that_an_endpoint_accepts():
+    # 35 instances with 32 idle connections each exceed the 790 that an endpoint takes.
+    pool = ConnectionPool()
+    pool.share_limit(790, 35)
+    assert 1 <= pool.idle_limit * 35 <= 790 / 2
+    pool.share_limit(360, 4)
+    assert pool.idle_limit == 32
+    pool.share_limit(0, 4)
+    assert pool.idle_limit == 32
+    pool.share_limit(100, 400)
+    assert pool.idle_limit == 1
