--- a/standins/scripted_endpoint.py
+++ b/standins/scripted_endpoint.py
@@ -16,6 +16,8 @@
 
 BEHAVIOURS = {}
 EVENTS = 4
+# A silent endpoint ends the connection itself after this time.
+CANCEL_WAIT_S = 5
 
 
 def behaviour(function):
@@ -113,6 +115,15 @@
     return b"answer to " + (request.header("X-Request-Id") or "").encode()
 
 
+def wait_for_cancel(sock, endpoint) -> bool:
+    """Says nothing more and notes whether the other side closes the connection."""
+    with contextlib.suppress(OSError):
+        sock.settimeout(CANCEL_WAIT_S)
+        if not sock.recv(1):
+            endpoint.cancelled.set()
+    return False
+
+
 @behaviour
 def answer(sock, request, endpoint) -> bool:
     endpoint.ran(request)
@@ -172,11 +183,7 @@
 @behaviour
 def silent(sock, request, endpoint) -> bool:
     endpoint.ran(request)
-    with contextlib.suppress(OSError):
-        sock.settimeout(5)
-        if not sock.recv(1):
-            endpoint.cancelled.set()
-    return False
+    return wait_for_cancel(sock, endpoint)
 
 
 @behaviour
@@ -277,11 +284,7 @@
 def stream_stalls(sock, request, endpoint) -> bool:
     endpoint.ran(request)
     sock.sendall(head_of(request) + STREAM_HEAD + chunk(event(1)))
-    with contextlib.suppress(OSError):
-        sock.settimeout(5)
-        if not sock.recv(1):
-            endpoint.cancelled.set()
-    return False
+    return wait_for_cancel(sock, endpoint)
 
 
 @behaviour
