Wait for the kept connection before the next request of a test

A connection goes back to the pool a moment after the caller has its answer; a request that comes earlier opens a new connection, on which an answer of another id is rightly a failure. Ruled out: a change of the request path. With ConnectionPool.put delayed by 0.2 s the old test fails each time with the same assertion, on the unchanged code. Change: the test waits until the connection is idle, and also checks that only one was opened.

--- a/tests/test_gateway_sends.py
+++ b/tests/test_gateway_sends.py
@@ -121,7 +121,10 @@
     # The extra answer arrives after the next request was sent on the connection.
     gateway, (endpoint,) = gateway_for("app", ["answer", "other_then_own"])
     assert gateway.ask("/status/1", id="r1")[1] == b"answer to r1"
+    # The connection is kept a moment after the caller has the answer.
+    assert wait_until(lambda: gateway.pool.idle)
     assert gateway.ask("/status/1", id="r2")[1] == b"answer to r2"
+    assert gateway.pool.opened == 1
 
 
 def test_request_that_outlives_its_route_is_answered_at_the_timeout(gateway_for):
