Open the callers' socket before the instance says that it is ready

Four copies at a time showed why: the readiness answer came from threads that were started before the callers' socket listened, so the first caller was refused (Connection RefusedError). A balancer that trusts readiness sends callers there too. Ruled out: a clash of ports (the port answered a moment later) and a slow configuration (the failure is the first call after readiness). Change: the listener opens its socket first and accepts after everything else has started; connections made in between wait in the backlog.

--- a/src/lagoonrill/_internal/gateway_daemon.py
+++ b/src/lagoonrill/_internal/gateway_daemon.py
@@ -261,6 +261,8 @@
         self.event_log.emit(
             "started", zone=self.settings.zone, seeds=self.settings.seeds
         )
+        # An instance must not say that it is ready before callers can connect.
+        self.listener.open()
         self.pages.start()
         self.config_follower.start()
         self.endpoint_follower.start()
--- a/src/lagoonrill/_internal/transport/gateway_listener.py
+++ b/src/lagoonrill/_internal/transport/gateway_listener.py
@@ -67,13 +67,16 @@
         self.last_moment = math.inf
         self.last_accepted_at = 0.0
 
-    def start(self) -> None:
-        """Opens the socket and accepts."""
-        threading.stack_size(THREAD_STACK_BYTES)
+    def open(self) -> None:
+        """Opens the socket; connections wait until `start`."""
         self.socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self.socket.bind(parse_address(self.address))
         self.socket.listen(LISTEN_BACKLOG)
+
+    def start(self) -> None:
+        """Accepts connections."""
+        threading.stack_size(THREAD_STACK_BYTES)
         threading.Thread(target=self._accept, name="accept", daemon=True).start()
 
     def begin_stop(self, *, selective_from: float, last_moment: float) -> None:
--- a/tests/gateway_kit.py
+++ b/tests/gateway_kit.py
@@ -140,6 +140,7 @@
     def start(self, configuration: RoutingConfig | None = None) -> "Gateway":
         self.routing.install(configuration or config())
         self.admission.start()
+        self.listener.open()
         self.listener.start()
         return self
 
--- a/tests/test_gateway_listener.py
+++ b/tests/test_gateway_listener.py
@@ -1,11 +1,14 @@
 """Guards intake: routes, keys, framing, limits, and the planned stop."""
 
 import socket
+import sys
 import threading
 import time
+from unittest import mock
 
 import pytest
 
+from lagoonrill._internal import gateway_daemon
 from lagoonrill._internal.protocol.routing import CallerLimits
 from lagoonrill._internal.transport.endpoint_connection import ConnectionPool
 from standins.scripted_endpoint import ScriptedEndpoint
@@ -34,6 +37,33 @@
     )
 
 
+def test_callers_can_connect_before_the_instance_says_that_it_is_ready(monkeypatch):
+    # On a busy machine the readiness answer came before the callers' socket was open,
+    # so that the first callers found no listener.
+    daemon = mock.MagicMock()
+    daemon.settings.seeds = []
+    monkeypatch.setattr(gateway_daemon, "EventLogHandler", mock.MagicMock())
+    monkeypatch.setattr(gateway_daemon.gc, "freeze", lambda: None)
+    interval_s = sys.getswitchinterval()
+    try:
+        gateway_daemon.GatewayDaemon.start(daemon)
+    finally:
+        sys.setswitchinterval(interval_s)
+    steps = [name for name, _, _ in daemon.method_calls]
+    assert steps.index("listener.open") < steps.index("pages.start")
+    assert steps.index("listener.open") < steps.index("listener.start")
+
+
+def test_connections_made_before_the_start_are_served(gateway):
+    gateway.routing.install(config())
+    gateway.listener.open()
+    with socket.create_connection(("127.0.0.1", gateway.port), 3) as sock:
+        sock.sendall(b"GET /nowhere HTTP/1.1\r\nHost: shop.example\r\n\r\n")
+        gateway.listener.start()
+        sock.settimeout(3)
+        assert sock.recv(12) == b"HTTP/1.1 404"
+
+
 def raw(gateway, data: bytes, timeout: float = 3) -> bytes:
     with socket.create_connection(("127.0.0.1", gateway.port), timeout) as sock:
         sock.sendall(data)
@@ -44,6 +74,7 @@
 
 
 def test_without_configuration_callers_are_told_to_come_back(gateway):
+    gateway.listener.open()
     gateway.listener.start()
     response, _ = gateway.ask("/order/1")
     assert response.status == 503
