Judge endpoints by the calls of near peers too, and remember flapping ones

Cause: each of many instances calls an endpoint seldom, so each had to lose some calls to the same failing endpoint; and an endpoint that goes down and up by turns was trusted in full after its first good answer. Ruled out: taking a peer's word alone, since an endpoint may fail some callers only; own calls weigh more the more there are. Change: counts of calls and failures that fade within seconds, own ones and those that peers report; the time for which an unreachable endpoint is tried last doubles with recent failures, which fade by calls and time.

--- a/src/lagoonrill/_internal/protocol/messages.py
+++ b/src/lagoonrill/_internal/protocol/messages.py
@@ -154,6 +154,15 @@
     heavy: int = 0
 
 
+class EndpointCalls(msgspec.Struct, kw_only=True, array_like=True):
+    """Recent calls of the sender to one incarnation of an endpoint; counts fade."""
+
+    endpoint: str
+    incarnation: int
+    calls: float
+    failures: float
+
+
 class GatewayDigest(PeerMessage, omit_defaults=True):
     """What a gateway tells its peers about itself after each change.
 
@@ -174,9 +183,33 @@
     reads: list[tuple[str, list[PromptPart]]] = []
     # For each service, how many engines the sender keeps for interactive streams.
     stream_engines: dict[str, int] = {}
+    # Calls to endpoints that failed lately; None leaves what was said before in force.
+    doubtful: list[EndpointCalls] | None = None
     known_addresses: list[str] = []
 
 
+class PromptClaim(PeerMessage):
+    """Asks the owner of an engine whether a long prompt may be sent there now."""
+
+    instance: str
+    engine: str
+    # Prompt tokens that the engine would have to read for it.
+    tokens: int
+    # What the engine may have to read in all, so that the prompt is read in time.
+    most_tokens: int
+    # Long generations that the engine may have beside it, None for any number.
+    most_heavy: int | None = None
+
+
+class PromptVerdict(PeerMessage):
+    """The owner's answer; a prompt that may be sent is counted by the owner at once."""
+
+    granted: bool
+    # What the engine has to read, and its long generations, without this one.
+    pending_tokens: int
+    heavy: int
+
+
 class RoutingRequest(PeerMessage):
     """Asks a gateway for a configuration and endpoints newer than the sender's."""
 
@@ -203,6 +236,8 @@
     | StreamLocation
     | Leaving
     | GatewayDigest
+    | PromptClaim
+    | PromptVerdict
     | RoutingRequest
     | RoutingReply
 )
--- a/src/lagoonrill/_internal/state/endpoint_registry.py
+++ b/src/lagoonrill/_internal/state/endpoint_registry.py
@@ -1,4 +1,8 @@
-"""Discovered endpoints and what this instance believes about their health."""
+"""Discovered endpoints and what this instance believes about their health.
+
+In a large fleet an instance calls each endpoint seldom, so failures are judged together
+with the calls that near peers report.
+"""
 
 import contextlib
 import threading
@@ -6,31 +10,66 @@
 
 import msgspec
 
+from ..protocol.messages import EndpointCalls
 from ..protocol.routing import EndpointRecord
 
 # After a failed call an endpoint is tried last for a while; the time doubles with each
-# failure in a row, so that one that is down costs few requests.
+# recent failure, so that one that is down, or down and up by turns, costs few requests.
 FIRST_SUSPICION_S = 0.5
 MAX_SUSPICION_S = 4.0
-# Share of failed calls above which an endpoint that still answers is avoided, and the
-# weight of the newest call in that share.
+# What is left of the count of recent failures after a good call and after a `decay`.
+RECENT_KEPT_BY_CALL = 0.97
+RECENT_KEPT_BY_TIME = 0.95
+# Share of failed calls above which an endpoint that still answers is avoided.
 GREY_FAILURE_SHARE = 0.25
-FAILURE_WEIGHT = 0.15
+# Good calls that each endpoint is credited with, so that the first failure alone does
+# not make it avoided.
+CREDITED_CALLS = 3.0
+# All peers together count like so many calls at most, and like less the more calls this
+# instance made itself: an endpoint may fail some callers only.
+MAX_PEER_CALLS = 6.0
+# What is left of the counts of calls after each `decay`: they say nothing any more
+# after some seconds.
+COUNTS_KEPT = 0.8
+# Endpoints with fewer failures than this are not told to the peers.
+MIN_TOLD_FAILURES = 0.2
 
 
 class EndpointHealth:
     """Calls and failures of one endpoint as this instance saw them."""
 
-    __slots__ = ("failure_share", "failures_in_a_row", "outstanding", "suspect_until")
+    __slots__ = (
+        "calls",
+        "failures",
+        "outstanding",
+        "recent_failures",
+        "suspect_until",
+    )
 
     def __init__(self):
         # Calls of this instance that have not ended.
         self.outstanding = 0
-        self.failures_in_a_row = 0
-        self.failure_share = 0.0
+        # Calls that have ended and those among them that failed; both fade.
+        self.calls = 0.0
+        self.failures = 0.0
+        # Failures that lengthen the next suspicion.
+        self.recent_failures = 0.0
         self.suspect_until = 0.0
 
 
+class PeerCalls:
+    """Calls that peers reported for one incarnation of an endpoint."""
+
+    __slots__ = ("calls", "failures")
+
+    def __init__(self):
+        self.calls = 0.0
+        self.failures = 0.0
+
+
+NO_PEER_CALLS = PeerCalls()
+
+
 class EndpointDump(msgspec.Struct, kw_only=True):
     """State dump of one endpoint."""
 
@@ -47,6 +86,9 @@
         self.lock = threading.Lock()
         self.records: dict[str, EndpointRecord] = {}
         self.health: dict[str, EndpointHealth] = {}
+        # What each near peer reported last, and the sums by endpoint and incarnation.
+        self.peer_reports: dict[str, list[EndpointCalls]] = {}
+        self.peer_calls: dict[tuple[str, int], PeerCalls] = {}
         self.by_service: dict[str, tuple[EndpointRecord, ...]] = {}
         self.known = False
         self.updated_at = 0.0
@@ -90,12 +132,61 @@
             return False
         return (
             health.suspect_until > self.clock()
-            or health.failure_share > GREY_FAILURE_SHARE
+            or self.failure_share(endpoint_id) > GREY_FAILURE_SHARE
         )
 
     def failure_share(self, endpoint_id: str) -> float:
+        """Returns the share of recent calls that failed here and at near peers."""
         health = self.health.get(endpoint_id)
-        return health.failure_share if health else 0.0
+        record = self.records.get(endpoint_id)
+        if health is None or record is None:
+            return 0.0
+        peers = self._peers(record)
+        counted = min(peers.calls, MAX_PEER_CALLS / (1 + health.calls))
+        weight = counted / peers.calls if peers.calls else 0.0
+        calls = health.calls + counted + CREDITED_CALLS
+        return (health.failures + weight * peers.failures) / calls
+
+    def doubtful(self) -> list[EndpointCalls]:
+        """Returns this instance's calls to endpoints that failed here or at a peer."""
+        with self.lock:
+            return [
+                EndpointCalls(
+                    endpoint=name,
+                    incarnation=record.incarnation,
+                    calls=round(health.calls, 2),
+                    failures=round(health.failures, 2),
+                )
+                for name, record in self.records.items()
+                if (health := self.health[name]).calls > MIN_TOLD_FAILURES
+                and max(health.failures, self._peers(record).failures)
+                > MIN_TOLD_FAILURES
+            ]
+
+    def _peers(self, record: EndpointRecord) -> PeerCalls:
+        return self.peer_calls.get((record.id, record.incarnation), NO_PEER_CALLS)
+
+    def take_peer_calls(self, peer: str, reports: list[EndpointCalls]) -> None:
+        """Replaces what a near peer reported before."""
+        with self.lock:
+            self._add_reports(self.peer_reports.pop(peer, []), -1)
+            self._add_reports(reports, 1)
+            if reports:
+                self.peer_reports[peer] = reports
+
+    def drop_peer(self, peer: str) -> None:
+        """Forgets what a peer reported that has left or is silent."""
+        self.take_peer_calls(peer, [])
+
+    def _add_reports(self, reports: list[EndpointCalls], sign: int) -> None:
+        for report in reports:
+            key = (report.endpoint, report.incarnation)
+            total = self.peer_calls.setdefault(key, PeerCalls())
+            total.calls += sign * report.calls
+            total.failures += sign * report.failures
+            # Every report holds more calls than this, the rest is rounding.
+            if total.calls < MIN_TOLD_FAILURES / 2:
+                del self.peer_calls[key]
 
     def outstanding(self, endpoint_id: str) -> int:
         """Returns this instance's calls to a plain service that have not ended."""
@@ -121,9 +212,9 @@
             if health is None:
                 return False
             was_suspect = health.suspect_until > self.clock()
-            health.failures_in_a_row = 0
+            health.calls += 1
+            health.recent_failures *= RECENT_KEPT_BY_CALL
             health.suspect_until = 0.0
-            health.failure_share *= 1 - FAILURE_WEIGHT
             return was_suspect
 
     def note_failure(self, endpoint_id: str, *, unreachable: bool) -> bool:
@@ -138,20 +229,23 @@
                 return False
             now = self.clock()
             was_suspect = health.suspect_until > now
-            health.failure_share += FAILURE_WEIGHT * (1 - health.failure_share)
+            health.calls += 1
+            health.failures += 1
             if not unreachable:
                 return False
-            health.failures_in_a_row += 1
-            doublings = min(health.failures_in_a_row - 1, 10)
+            doublings = min(health.recent_failures, 10.0)
+            health.recent_failures += 1
             suspicion_s = min(MAX_SUSPICION_S, FIRST_SUSPICION_S * 2**doublings)
             health.suspect_until = now + suspicion_s
             return not was_suspect
 
     def decay(self) -> None:
-        """Lets endpoints that are avoided for their errors be tried again in time."""
+        """Lets the counts fade, so that avoided endpoints are tried again."""
         with self.lock:
             for health in self.health.values():
-                health.failure_share *= 0.9
+                health.calls *= COUNTS_KEPT
+                health.failures *= COUNTS_KEPT
+                health.recent_failures *= RECENT_KEPT_BY_TIME
 
     def dump(self) -> list[EndpointDump]:
         now = self.clock()
@@ -160,7 +254,7 @@
                 EndpointDump(
                     record=record,
                     suspect_for_s=max(0.0, self.health[name].suspect_until - now),
-                    failure_share=self.health[name].failure_share,
+                    failure_share=self.failure_share(name),
                 )
                 for name, record in self.records.items()
             ]
