Let a stalled stream go back to an engine that it left before

On a busy machine the first token came late, so the stream moved; when the second engine stalled, the first one counted as excluded, no engine seemed free, and the stream waited for the general stall limit of 10 s. Change: a stalled stream may take any other engine, also one that it left before; the engine that was left last comes after all others.

--- a/src/lagoonrill/_internal/coordination/streams.py
+++ b/src/lagoonrill/_internal/coordination/streams.py
@@ -4,6 +4,7 @@
 from the same engine after a gap, and continued on another when the first is gone.
 """
 
+import contextlib
 import threading
 import time
 from collections.abc import Callable, Iterator
@@ -216,6 +217,7 @@
         "hedge_at",
         "hedged",
         "keyed",
+        "left_last",
         "once",
         "sent",
         "stream_id",
@@ -246,6 +248,7 @@
         self.whole = whole  # the deadline applies to the last token, not the first
         self.once = once  # the work may not start on a second engine
         self.sent = False  # an engine may have begun the work
+        self.left_last: str | None = None  # endpoint that failed or was left last
         self.assembler = TokenAssembler(max_pending=limits.max_pending_events)
         self.attempt = 0
         self.engines = 0
@@ -419,8 +422,13 @@
         except NoEndpoint:
             if not job.ticket.excluded or not job.sent:
                 raise
-        job.ticket.excluded.clear()
         time.sleep(self.limits.retry_pause_s * job.engines)
+        if job.left_last is not None:
+            # The engine that was left just now comes after all others.
+            job.ticket.excluded = {job.left_last}
+            with contextlib.suppress(NoEndpoint):
+                return job.flight.acquire(self.scheduler, job.ticket)
+        job.ticket.excluded.clear()
         return job.flight.acquire(self.scheduler, job.ticket)
 
     def _follow(self, job: StreamJob, endpoint: Endpoint) -> Iterator[bytes]:
@@ -549,7 +557,10 @@
         return job.ticket.request_class.latency.token_gap_ms is not None
 
     def _must_stay(self, job: StreamJob, meter: SpeedMeter) -> bool:
-        """Tells whether a silent stream waits on, because no other engine is free."""
+        """Tells whether a silent stream waits on, because no other engine is free.
+
+        An engine that was left before, for a late first token, may be taken again.
+        """
         now = time.monotonic()
         if meter.first_at is None or not self._moves_early(job):
             return False
@@ -557,10 +568,9 @@
             return False
         if job.preempted or (job.whole and now >= job.call_deadline):
             return False
-        return not self._has_free_engine(job)
+        return not self._has_free_engine(job, left={job.grant.endpoint.id})
 
-    def _has_free_engine(self, job: StreamJob) -> bool:
-        left = {job.grant.endpoint.id, *job.ticket.excluded}
+    def _has_free_engine(self, job: StreamJob, *, left: set[str]) -> bool:
         return any(
             not view.trial and view.running + view.waiting < view.slots
             for view in self.candidates(job.ticket.target)
@@ -634,6 +644,7 @@
     def _decide(self, job: StreamJob, endpoint: Endpoint, error: EndpointError) -> None:
         """Prepares for the next engine or raises why there is none."""
         job.ticket.excluded.add(endpoint.id)
+        job.left_last = endpoint.id
         if isinstance(error, EndpointNotReached):
             self.endpoint_table.mark_down(endpoint.id, str(error))
             return
@@ -733,7 +744,8 @@
             return False
         if now >= job.ticket.deadline:
             return False  # the scheduler would refuse it
-        if not self._has_free_engine(job):
+        left = {job.grant.endpoint.id, *job.ticket.excluded}
+        if not self._has_free_engine(job, left=left):
             return False
         if not self.retry_budget.allow_hedge(job.ticket.request_class):
             job.hedge_at = None
--- a/tests/test_hedges.py
+++ b/tests/test_hedges.py
@@ -3,6 +3,7 @@
 import contextlib
 import time
 import uuid
+from concurrent.futures import ThreadPoolExecutor
 
 import msgspec
 import pytest
@@ -141,20 +142,34 @@
 
 
 def stalled_stream(engines, router):
-    """Freezes the engine of a running stream; returns its text and longest gap."""
+    """Freezes the engine of a running stream; returns its text and longest gap.
+
+    A thread of its own reads the stream, so that a gap begins when the last bytes came
+    and not when the request for the freeze was answered.
+    """
     # 500 tokens take 2 s, so the freeze comes before the end on a busy machine too.
     fields = chat_fields(f"question {uuid.uuid4()}", max_tokens=500)
     connection = raw_chat(router, fields, Connection="close")
+    connection.settimeout(15)
     received = connection.recv(100)
     busy = router.scheduler.running[0].endpoint.id
-    set_faults(engines[int(busy[-1])], freeze=True)
-    connection.settimeout(15)
+    with ThreadPoolExecutor(max_workers=1) as readers:
+        reading = readers.submit(read_with_longest_gap, connection)
+        set_faults(engines[int(busy[-1])], freeze=True)
+        rest, longest_s = reading.result()
+    set_faults(engines[int(busy[-1])], freeze=False)
+    return received + rest, longest_s
+
+
+def read_with_longest_gap(connection):
+    """Reads to the end; returns the bytes and the longest gap before any of them."""
+    received = b""
     longest_s, last_at = 0.0, time.monotonic()
     while part := connection.recv(65_536):
-        longest_s = max(longest_s, time.monotonic() - last_at)
-        last_at = time.monotonic()
+        now = time.monotonic()
+        longest_s = max(longest_s, now - last_at)
+        last_at = now
         received += part
-    set_faults(engines[int(busy[-1])], freeze=False)
     return received, longest_s
 
 
@@ -171,6 +186,27 @@
         assert router.scheduler.running == []
 
 
+def test_stalled_stream_goes_back_to_an_engine_whose_first_token_was_late(engines):
+    # On a busy machine the first engine's first token came late, the stream moved, and
+    # when the second engine stalled no engine was thought to be left: it waited 10 s.
+    with hedging_router(engines) as router:
+        set_faults(engines[0], straggler=500.0)
+        fields = chat_fields(f"question {uuid.uuid4()}", max_tokens=500)
+        connection = raw_chat(router, fields, Connection="close")
+        connection.settimeout(15)
+        received = connection.recv(100)
+        set_faults(engines[0], straggler=1.0)
+        assert router.scheduler.running[0].endpoint.id[-1] == "1"
+        with ThreadPoolExecutor(max_workers=1) as readers:
+            reading = readers.submit(read_with_longest_gap, connection)
+            set_faults(engines[1], freeze=True)
+            rest, longest_s = reading.result()
+        assert b"data: [DONE]" in rest
+        assert (received + rest).count(b'"content":"') in (499, 500)
+        assert 0.9 < longest_s < 2.0
+        wait_until(lambda: not router.scheduler.running)
+
+
 def test_stalled_stream_stays_when_the_other_engines_are_full(engines):
     with hedging_router(engines, running=8) as router:
         router.relay.limits.stall_timeout_s = 3.0
