Log how far an answer had come when its caller left or it broke off

Ruled out: a line for each event, which would multiply the volume. Change: request_cancelled and stream_broken_off carry the first event's time, the longest pause and the number of events, request_answered the number of events. Before: two tests fail by the missing keys. After: 73 tests of sends, listener and explain pass.

--- a/src/lagoonrill/_internal/coordination/forwarding.py
+++ b/src/lagoonrill/_internal/coordination/forwarding.py
@@ -83,6 +83,13 @@
     def serve(self, request: RoutedRequest, caller: CallerConnection) -> None:
         """Answers a request; raises `Refusal` or `CallerGone`."""
         sending = Sending(request=request, caller=caller)
+        try:
+            self._send_until_answered(sending)
+        except (CallerGone, CallerBreak) as error:
+            error.progress = sending.timing()
+            raise
+
+    def _send_until_answered(self, sending: Sending) -> None:
         while True:
             outcome = self._send_once(sending)
             if outcome is None:
--- a/src/lagoonrill/_internal/coordination/sending.py
+++ b/src/lagoonrill/_internal/coordination/sending.py
@@ -73,15 +73,19 @@
         return (self.last_event_at - self.first_event_at) / tokens
 
     def timing(self) -> dict[str, int]:
-        """Returns when the first event came and the longest pause, for the log."""
+        """Returns the first event's time, the longest pause and the events so far."""
         if not self.first_event_at:
             return {}
         first_s = self.first_event_at - self.request.arrived_at
         return {
             "first_event_ms": round(first_s * 1000),
             "longest_pause_ms": round(self.longest_pause_s * 1000),
+            "events": self.events,
         }
 
 
 class CallerBreak(Exception):
     """A stream that has begun cannot be completed; its connection is broken off."""
+
+    # How far the answer had come, for the log.
+    progress: dict[str, int] = {}
--- a/src/lagoonrill/_internal/transport/gateway_listener.py
+++ b/src/lagoonrill/_internal/transport/gateway_listener.py
@@ -226,13 +226,20 @@
             self.forwarder.serve(request, connection)
         except Refusal as refusal:
             self._refuse(connection, incoming, refusal, route)
-        except CallerGone:
-            self._log_end("request_cancelled", request_id, route, incoming)
+        except CallerGone as error:
+            self._log_end(
+                "request_cancelled", request_id, route, incoming, **error.progress
+            )
             self.metrics.count("requests", route=route, outcome="cancelled")
             raise
         except CallerBreak as error:
             self._log_end(
-                "stream_broken_off", request_id, route, incoming, reason=str(error)
+                "stream_broken_off",
+                request_id,
+                route,
+                incoming,
+                reason=str(error),
+                **error.progress,
             )
             self.metrics.count("requests", route=route, outcome="broken_off")
             raise
--- a/src/lagoonrill/_internal/transport/sockets.py
+++ b/src/lagoonrill/_internal/transport/sockets.py
@@ -27,6 +27,9 @@
 class CallerGone(Exception):
     """The caller closed its connection before it had its answer."""
 
+    # How far the answer had come, for the log.
+    progress: dict[str, int] = {}
+
 
 def set_options(sock: socket.socket) -> None:
     """Sends small writes at once and ends connections whose peer has fallen silent."""
--- a/tests/test_gateway_sends.py
+++ b/tests/test_gateway_sends.py
@@ -160,6 +160,11 @@
     response, body = gateway.ask("/plan/1")
     assert not response.whole
     assert len(endpoint.runs) == 1
+    # The line says how far the answer had come.
+    assert wait_until(lambda: gateway.events("stream_broken_off"))
+    (line,) = gateway.events("stream_broken_off")
+    assert line["events"] > 0
+    assert line["first_event_ms"] >= 0
 
 
 def test_stalled_resumable_stream_moves_before_its_caller_gives_up(gateway_for):
@@ -190,6 +195,7 @@
     # The endpoint has half a second to stop its work.
     assert endpoint.cancelled.wait(0.4)
     assert wait_until(lambda: gateway.events("request_cancelled"))
+    assert gateway.events("request_cancelled")[0]["events"] == 1
 
 
 def test_an_answer_cut_at_its_time_limit_is_not_held_against_the_endpoint(gateway_for):
