Bound the share of time that long lines of generations take

Cause: the new bench/placement_cost.py shows that a look through the line costs 1 ms at 1,000 and 5 to 6 ms at 4,000 waiting requests; with one look per 20 ms that is up to a quarter of the processor. Ruled out: the cost of joining the line, 11 to 19 us at any length. Change: the pause after a look is at least nine times as long as the look. Before: 25 looks of 20 ms in a second (the new test fails); after: at most 6.

--- /dev/null
+++ b/bench/placement_cost.py
@@ -0,0 +1,153 @@
+"""Measures what placing a generation costs: `python -m bench.placement_cost`.
+
+One line for each size of the fleet and of the line: microseconds for a question and for
+a long prompt that are placed at once, for a long prompt that joins the line, and for
+one look through the line. All engines but one have enough to read, so that a look
+through the line finds no room.
+"""
+
+import statistics
+import time
+
+import typer
+
+from lagoonrill._internal.coordination.engine_admission import (
+    EngineAdmission,
+    Generation,
+    Waiter,
+)
+from lagoonrill._internal.event_log import EventLog
+from lagoonrill._internal.protocol.routing import (
+    EndpointRecord,
+    EngineProfile,
+    PromptPart,
+    Route,
+    RouteKind,
+    RoutingConfig,
+    Service,
+    WeightedService,
+)
+from lagoonrill._internal.state.endpoint_registry import EndpointRegistry
+from lagoonrill._internal.state.engine_board import EngineBoard
+
+FLEETS = (10, 60, 200, 600)
+LINES = (0, 10, 100, 1_000, 4_000)
+SERVICE = "models"
+BUSY_TOKENS = 60_000
+LONG_TOKENS = 9_000
+SHORT_TOKENS = 800
+TIME_LIMIT_S = 600.0
+
+
+def build_route(name: str, goal_s: float) -> Route:
+    return Route(
+        name=name,
+        host="h",
+        path_prefix=f"/{name}/",
+        kind=RouteKind.STREAM,
+        services=(WeightedService(service=SERVICE),),
+        uses_engine=True,
+        timeout_s=TIME_LIMIT_S,
+        goal_s=goal_s,
+        pause_goal_s=0.3,
+        priority=1,
+    )
+
+
+QUESTION = build_route("question", 0.4)
+PLAN = build_route("plan", TIME_LIMIT_S / 2)
+
+
+def build_admission(engines: int) -> EngineAdmission:
+    registry = EndpointRegistry()
+    records = [
+        EndpointRecord(
+            id=f"e{number}",
+            service=SERVICE,
+            address="127.0.0.1:1",
+            zone=f"z{number % 3}",
+            slots=64,
+        )
+        for number in range(engines)
+    ]
+    registry.replace({record.id: record for record in records})
+    board = EngineBoard()
+    admission = EngineAdmission(
+        instance="i", zone="z0", registry=registry, board=board, event_log=EventLog()
+    )
+    profile = EngineProfile(slots=64, cache_tokens=300_000)
+    service = Service(name=SERVICE, engine=profile)
+    admission.install(
+        RoutingConfig(version=1, routes=(QUESTION, PLAN), services={SERVICE: service})
+    )
+    return admission
+
+
+def generation(number: int, route: Route, tokens: int) -> Generation:
+    now = time.monotonic()
+    shared = PromptPart(id=f"shared-{number % 50}", tokens=tokens * 2 // 3)
+    own = PromptPart(id=f"own-{number}", tokens=tokens - shared.tokens)
+    return Generation(
+        id=f"r{number}",
+        route=route,
+        service=SERVICE,
+        priority=1,
+        parts=(shared, own),
+        prompt_tokens=tokens,
+        arrived_at=now,
+        deadline=now + TIME_LIMIT_S,
+    )
+
+
+def joined(admission: EngineAdmission, item: Generation) -> Waiter:
+    admission._note_prompt(item)
+    waiter = Waiter(generation=item, view=admission._view(item), excluded=frozenset())
+    admission._place_at_once(waiter)
+    return waiter
+
+
+def timed(action, rounds: int) -> float:
+    """Returns the median time of an action in microseconds."""
+    times = []
+    for number in range(rounds):
+        began = time.perf_counter()
+        action(number)
+        times.append(time.perf_counter() - began)
+    return statistics.median(times) * 1e6
+
+
+def place(admission: EngineAdmission, route: Route, tokens: int, number: int) -> None:
+    waiter = joined(admission, generation(number, route, tokens))
+    if waiter.admission is not None:
+        admission.board.end(waiter.admission.job)
+
+
+def main(rounds: int = 200) -> None:
+    """Prints a table."""
+    print("engines waiting  question us  plan at once us  plan waits us  line us")
+    for engines in FLEETS:
+        for waiting in LINES:
+            admission = build_admission(engines)
+            question = timed(
+                lambda n, a=admission: place(a, QUESTION, SHORT_TOKENS, n), rounds
+            )
+            plan = timed(lambda n, a=admission: place(a, PLAN, LONG_TOKENS, n), rounds)
+            for number in range(engines):
+                admission.board.begin(
+                    engine=f"e{number}", tokens=BUSY_TOKENS * 1_000, heavy=True
+                )
+            for number in range(waiting):
+                joined(admission, generation(number, PLAN, LONG_TOKENS))
+            review = timed(lambda n, a=admission: a.review(SERVICE), rounds // 10)
+            waits = timed(
+                lambda n, a=admission: joined(a, generation(n, PLAN, LONG_TOKENS)),
+                rounds // 10,
+            )
+            print(
+                f"{engines:7} {waiting:7} {question:12.0f} {plan:16.0f} "
+                f"{waits:14.0f} {review:8.0f}"
+            )
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- a/src/lagoonrill/_internal/coordination/engine_admission.py
+++ b/src/lagoonrill/_internal/coordination/engine_admission.py
@@ -43,6 +43,9 @@
 # without changes after the second.
 REVIEW_SPACING_S = 0.02
 REVIEW_INTERVAL_S = 0.1
+# Share of the time that may go into looking through long lines: 4,000 waiting requests
+# take about 6 ms (`bench/placement_cost.py`).
+MAX_REVIEW_SHARE = 0.1
 # Weight of the newest request in the means that are kept by route.
 MEAN_WEIGHT = 0.1
 # Time of a first event beyond the reading of the prompt: network and a few steps.
@@ -64,6 +67,15 @@
 NO_ENGINE_RETRY_S = 0.5
 
 
+def review_pause_s(took_s: float) -> float:
+    """Returns the pause after a look through the lines that took so long.
+
+    >>> review_pause_s(0.0001), review_pause_s(0.01)
+    (0.02, 0.09)
+    """
+    return max(REVIEW_SPACING_S, took_s / MAX_REVIEW_SHARE - took_s)
+
+
 class Generation(msgspec.Struct, kw_only=True):
     """A request for an engine."""
 
@@ -341,8 +353,9 @@
         while not self.stopping.is_set():
             self.changed.wait(REVIEW_INTERVAL_S)
             self.changed.clear()
+            began = time.monotonic()
             self.review_all()
-            self.stopping.wait(REVIEW_SPACING_S)
+            self.stopping.wait(review_pause_s(time.monotonic() - began))
 
     def review(self, service: str) -> None:
         """Places and refuses those that wait for a service."""
--- a/tests/test_engine_admission.py
+++ b/tests/test_engine_admission.py
@@ -1,6 +1,7 @@
 """Guards ranks, kinds of prompt and owners of engines under overload and growth."""
 
 import threading
+import time
 
 import msgspec
 import pytest
@@ -349,6 +350,26 @@
     assert placed(built, "plan", 9_000, 1)
 
 
+def test_long_lines_leave_time_for_the_requests(monkeypatch):
+    # A look through 4,000 waiting requests takes 6 ms; every 20 ms that is a quarter of
+    # the processor.
+    built = admission(1)
+    looks = []
+
+    def slow_look():
+        looks.append(time.monotonic())
+        time.sleep(0.02)
+
+    monkeypatch.setattr(built, "review_all", slow_look)
+    built.start()
+    end = time.monotonic() + 1.0
+    while time.monotonic() < end:
+        built.changed.set()
+        time.sleep(0.005)
+    built.stop()
+    assert 2 <= len(looks) <= 6
+
+
 def test_a_zone_of_a_large_fleet_uses_its_own_engines_first():
     # News from other zones are old; all instances together overfilled engines that
     # each of them saw idle.
