Move what a generation carries out of the admission

Cause: engine_admission.py had grown to 649 lines and held both the data of a request on its way and the decisions on it. Ruled out: a change of behaviour; the classes are moved as they are. Change: Generation, Admission, Engine and Waiter stand in engine_requests.py.

--- a/bench/placement_cost.py
+++ b/bench/placement_cost.py
@@ -11,11 +11,8 @@
 
 import typer
 
-from lagoonrill._internal.coordination.engine_admission import (
-    EngineAdmission,
-    Generation,
-    Waiter,
-)
+from lagoonrill._internal.coordination.engine_admission import EngineAdmission
+from lagoonrill._internal.coordination.engine_requests import Generation, Waiter
 from lagoonrill._internal.event_log import EventLog
 from lagoonrill._internal.protocol.routing import (
     EndpointRecord,
--- /dev/null
+++ b/src/lagoonrill/_internal/coordination/engine_requests.py
@@ -0,0 +1,102 @@
+"""A generation on its way to an engine: the request, its wait, and its place."""
+
+import threading
+
+import msgspec
+
+from ..protocol.headers import parse_positive_int, parse_token_usage
+from ..protocol.messages import EngineWork
+from ..protocol.routing import EndpointRecord, PromptPart, Route
+from ..state.engine_board import CachedParts, EngineJob
+from .policy.engine_placement import Placement
+from .policy.waiting_order import WaitingJob
+
+
+class Generation(msgspec.Struct, kw_only=True):
+    """A request for an engine."""
+
+    id: str
+    route: Route
+    service: str
+    priority: int
+    parts: tuple[PromptPart, ...]
+    prompt_tokens: int
+    arrived_at: float
+    deadline: float
+    # Estimated tokens of the answer, 0 if unknown.
+    output_tokens: int = 0
+
+    @classmethod
+    def from_headers(
+        cls, *, usage: str | None, output_estimate: str | None, **fields
+    ) -> "Generation":
+        prompt, most_output = parse_token_usage(usage)
+        estimate = parse_positive_int(output_estimate)
+        if estimate is None or (most_output and estimate > most_output):
+            estimate = most_output
+        return cls(prompt_tokens=prompt, output_tokens=estimate, **fields)
+
+
+class Admission(msgspec.Struct, kw_only=True):
+    """An engine for a generation, counted on the board until `job` ends."""
+
+    engine: str
+    zone: str
+    job: EngineJob
+    placement: Placement
+    # Address of an engine from which the cached part of the prompt is copied.
+    copy_from: str | None
+    waited_s: float
+    # Estimated time to the end of the answer, from being sent.
+    run_s: float
+
+
+class Engine:
+    """An engine while a request is placed."""
+
+    __slots__ = ("cache", "load", "record", "suspect")
+
+    def __init__(
+        self,
+        *,
+        record: EndpointRecord,
+        load: EngineWork,
+        cache: CachedParts,
+        suspect: bool,
+    ):
+        self.record = record
+        self.load = load
+        self.cache = cache
+        self.suspect = suspect
+
+
+class Waiter:
+    """A request that waits for a decision."""
+
+    __slots__ = (
+        "admission",
+        "decided",
+        "denials",
+        "excluded",
+        "generation",
+        "refused",
+        "view",
+    )
+
+    def __init__(
+        self, *, generation: Generation, view: WaitingJob, excluded: frozenset[str]
+    ):
+        self.generation = generation
+        self.view = view
+        self.excluded = excluded
+        self.decided = threading.Event()
+        self.admission: Admission | None = None
+        self.refused = False
+        # Engines that their owners denied.
+        self.denials = 0
+
+    def take_back(self) -> None:
+        """Undoes a decision that the engine's owner did not agree with."""
+        self.admission = None
+        self.denials += 1
+        self.decided.clear()
--- a/src/lagoonrill/_internal/coordination/forwarding.py
+++ b/src/lagoonrill/_internal/coordination/forwarding.py
@@ -27,7 +27,8 @@
     EndpointFailure,
 )
 from ..transport.sockets import CallerGone
-from .engine_admission import Admission, EngineAdmission, Generation
+from .engine_admission import EngineAdmission
+from .engine_requests import Admission, Generation
 from .policy.service_placement import LeastLoadedEndpoint, ServiceEndpointView
 from .policy.shared_retry_budget import SharedRetryBudget
 from .routed_request import RoutedRequest
--- a/tests/test_engine_admission.py
+++ b/tests/test_engine_admission.py
@@ -6,11 +6,9 @@
 import msgspec
 import pytest
 
-from lagoonrill._internal.coordination.engine_admission import (
-    EngineAdmission,
-    Generation,
-)
+from lagoonrill._internal.coordination.engine_admission import EngineAdmission
 from lagoonrill._internal.coordination.engine_fleet import Fleet
+from lagoonrill._internal.coordination.engine_requests import Generation
 from lagoonrill._internal.coordination.policy.engine_placement import (
     SMALL_FLEET,
     EngineView,
