Name the messages between an engine's owner and others like the rest

Cause: "claim" is the word for durable records of unsafe calls in this project; a reader who is new took PromptClaim for one of them. Ruled out: a change of behaviour; names only. Change: PromptRequest and PromptReply, as with RoutingRequest and RoutingReply; answer_prompt and note_owner_reply on the board. Before and after: the tests of peers, admission, messages and registry pass.

--- a/src/lagoonrill/_internal/coordination/engine_admission.py
+++ b/src/lagoonrill/_internal/coordination/engine_admission.py
@@ -9,7 +9,7 @@
 import zlib
 
 from ..event_log import EventLog
-from ..protocol.messages import PromptClaim
+from ..protocol.messages import PromptRequest
 from ..protocol.refusals import Refusal
 from ..protocol.routing import (
     EndpointRecord,
@@ -155,30 +155,30 @@
         if not job.heavy:
             return True
         placement = admission.placement
-        claim = PromptClaim(
+        request = PromptRequest(
             instance=self.instance,
             engine=admission.engine,
             tokens=job.tokens,
             most_tokens=placement.most_tokens,
             most_heavy=placement.most_heavy,
         )
-        verdict = self.peers.ask_owner(admission.zone, claim)
-        if verdict is None:
+        reply = self.peers.ask_owner(admission.zone, request)
+        if reply is None:
             return True
-        self.board.note_verdict(job, verdict.pending_tokens)
-        if not verdict.granted:
+        self.board.note_owner_reply(job, reply.pending_tokens)
+        if not reply.granted:
             self.board.end(job)
             self.event_log.emit(
                 "engine_denied",
                 request=waiter.generation.id,
                 endpoint=admission.engine,
                 unread_tokens=job.tokens,
-                ahead_tokens=verdict.pending_tokens,
+                ahead_tokens=reply.pending_tokens,
                 most_tokens=placement.most_tokens,
-                heavy=verdict.heavy,
+                heavy=reply.heavy,
                 most_heavy=placement.most_heavy,
             )
-        return verdict.granted
+        return reply.granted
 
     def _place_at_once(self, waiter: Waiter) -> bool:
         """Places a request that nobody waits before; else it joins the line."""
--- a/src/lagoonrill/_internal/coordination/engine_fleet.py
+++ b/src/lagoonrill/_internal/coordination/engine_fleet.py
@@ -2,7 +2,7 @@
 
 from typing import Protocol
 
-from ..protocol.messages import PromptClaim, PromptVerdict
+from ..protocol.messages import PromptReply, PromptRequest
 from ..protocol.routing import EndpointRecord
 from .policy.engine_placement import interactive_order
 
@@ -23,7 +23,7 @@
 
     def most_stream_engines(self, service: str, *, far: bool = False) -> int: ...
 
-    def ask_owner(self, zone: str, claim: PromptClaim) -> PromptVerdict | None: ...
+    def ask_owner(self, zone: str, request: PromptRequest) -> PromptReply | None: ...
 
 
 class NoPeers:
@@ -41,7 +41,7 @@
     def most_stream_engines(self, service: str, *, far: bool = False) -> int:
         return 0
 
-    def ask_owner(self, zone: str, claim: PromptClaim) -> PromptVerdict | None:
+    def ask_owner(self, zone: str, request: PromptRequest) -> PromptReply | None:
         return None
 
 
--- a/src/lagoonrill/_internal/coordination/gateway_peers.py
+++ b/src/lagoonrill/_internal/coordination/gateway_peers.py
@@ -17,8 +17,8 @@
 from ..protocol.messages import (
     EndpointCalls,
     GatewayDigest,
-    PromptClaim,
-    PromptVerdict,
+    PromptReply,
+    PromptRequest,
     RoutingReply,
     RoutingRequest,
 )
@@ -119,7 +119,7 @@
         self.far_reads: deque = deque(maxlen=MAX_FAR_READS)
         link.register_handler(GatewayDigest, self._take_digest, inline=True)
         link.register_handler(RoutingRequest, self._answer_routing)
-        link.register_handler(PromptClaim, self.board.judge, inline=True)
+        link.register_handler(PromptRequest, self.board.answer_prompt, inline=True)
 
     def start(self) -> None:
         """Connects to the seeds and begins to send."""
@@ -172,7 +172,7 @@
                 default=0,
             )
 
-    def ask_owner(self, zone: str, claim: PromptClaim) -> PromptVerdict | None:
+    def ask_owner(self, zone: str, request: PromptRequest) -> PromptReply | None:
         """Asks the owner of an engine in `zone` whether a prompt may be sent there.
 
         Returns None if this instance owns it, if the fleet is small enough to know all
@@ -189,15 +189,15 @@
         names = [*views, self.instance] if zone == self.zone else [*views]
         if not names:
             return None
-        owner = owner_of(claim.engine, names)
+        owner = owner_of(request.engine, names)
         if owner == self.instance or views[owner].not_asked_until > self.clock():
             return None
         address = views[owner].digest.address
-        result = self.link.request(address, claim, OWNER_TIMEOUT_S)
-        verdict = result.value_or(None)
-        if isinstance(verdict, PromptVerdict):
-            return verdict
-        self._note_silent_owner(owner, claim.engine, result)
+        result = self.link.request(address, request, OWNER_TIMEOUT_S)
+        reply = result.value_or(None)
+        if isinstance(reply, PromptReply):
+            return reply
+        self._note_silent_owner(owner, request.engine, result)
         return None
 
     def _note_silent_owner(self, owner: str, engine: str, result) -> None:
--- a/src/lagoonrill/_internal/protocol/messages.py
+++ b/src/lagoonrill/_internal/protocol/messages.py
@@ -188,7 +188,7 @@
     known_addresses: list[str] = []
 
 
-class PromptClaim(PeerMessage):
+class PromptRequest(PeerMessage):
     """Asks the owner of an engine whether a long prompt may be sent there now."""
 
     instance: str
@@ -201,7 +201,7 @@
     most_heavy: int | None = None
 
 
-class PromptVerdict(PeerMessage):
+class PromptReply(PeerMessage):
     """The owner's answer; a prompt that may be sent is counted by the owner at once."""
 
     granted: bool
@@ -236,8 +236,8 @@
     | StreamLocation
     | Leaving
     | GatewayDigest
-    | PromptClaim
-    | PromptVerdict
+    | PromptRequest
+    | PromptReply
     | RoutingRequest
     | RoutingReply
 )
--- a/src/lagoonrill/_internal/state/engine_board.py
+++ b/src/lagoonrill/_internal/state/engine_board.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from ..protocol.messages import EngineWork, PromptClaim, PromptVerdict
+from ..protocol.messages import EngineWork, PromptReply, PromptRequest
 from ..protocol.routing import PromptPart
 
 # Share of an engine's memory that the known parts are believed to keep. Peers report
@@ -38,7 +38,7 @@
 # longer than a message takes within a zone.
 GRANT_CROSSING_S = 0.02
 # What an owner said of an engine holds so long; by then a digest tells the same.
-VERDICT_LIFETIME_S = 0.15
+REPLY_LIFETIME_S = 0.15
 # Smaller samples measure the network and the first token rather than the prompt.
 MIN_SAMPLE_TOKENS = 2_000
 
@@ -255,20 +255,20 @@
                 del self.told[engine]
         return work
 
-    def judge(self, claim: PromptClaim) -> PromptVerdict:
+    def answer_prompt(self, request: PromptRequest) -> PromptReply:
         """Decides, as the owner of an engine, whether a peer may send it a prompt."""
         now = self.clock()
         with self.lock:
-            work = self._load(claim.engine)
+            work = self._load(request.engine)
             pending = work.pending_tokens
-            granted = pending == 0 or pending + claim.tokens <= claim.most_tokens
-            if claim.most_heavy is not None and work.heavy > claim.most_heavy:
+            granted = pending == 0 or pending + request.tokens <= request.most_tokens
+            if request.most_heavy is not None and work.heavy > request.most_heavy:
                 granted = False
             if granted:
-                grant = Grant(engine=claim.engine, tokens=claim.tokens, at=now)
-                self.grants.setdefault(claim.instance, []).append(grant)
-                self._add(claim.engine, tokens=claim.tokens, light=0, heavy=1)
-        return PromptVerdict(granted=granted, pending_tokens=pending, heavy=work.heavy)
+                grant = Grant(engine=request.engine, tokens=request.tokens, at=now)
+                self.grants.setdefault(request.instance, []).append(grant)
+                self._add(request.engine, tokens=request.tokens, light=0, heavy=1)
+        return PromptReply(granted=granted, pending_tokens=pending, heavy=work.heavy)
 
     def _end_grants(self, instance: str, before: float) -> None:
         """Drops the grants that a peer's own digest counts by now."""
@@ -281,13 +281,13 @@
         if kept:
             self.grants[instance] = kept
 
-    def note_verdict(self, job: EngineJob, pending_tokens: int) -> None:
+    def note_owner_reply(self, job: EngineJob, pending_tokens: int) -> None:
         """Takes what an engine's owner knows of its work besides a job."""
         job.ahead_tokens = pending_tokens
         with self.lock:
             self.told.pop(job.engine, None)
             known = self._load(job.engine).pending_tokens - job.tokens
-            until = self.clock() + VERDICT_LIFETIME_S
+            until = self.clock() + REPLY_LIFETIME_S
             self.told[job.engine] = (pending_tokens - known, until)
 
     def light_streams(self, engines: Iterable[str]) -> int:
--- a/tests/test_engine_admission.py
+++ b/tests/test_engine_admission.py
@@ -17,7 +17,7 @@
     owned_by,
 )
 from lagoonrill._internal.event_log import EventLog
-from lagoonrill._internal.protocol.messages import EngineWork, PromptClaim
+from lagoonrill._internal.protocol.messages import EngineWork, PromptRequest
 from lagoonrill._internal.protocol.refusals import Refusal
 from lagoonrill._internal.protocol.routing import (
     EndpointRecord,
@@ -173,10 +173,12 @@
     def most_stream_engines(self, service, *, far=False):
         return self.stream_engines
 
-    def ask_owner(self, zone, claim):
+    def ask_owner(self, zone, request):
         if self.owner is None:
             return None
-        return self.owner.judge(msgspec.structs.replace(claim, instance=self.name))
+        return self.owner.answer_prompt(
+            msgspec.structs.replace(request, instance=self.name)
+        )
 
 
 def placed(built, name: str, tokens: int, number: int) -> str:
@@ -284,9 +286,9 @@
 def test_an_owner_counts_what_it_granted_until_the_peer_reports_it():
     now = [0.0]
     owner = EngineBoard(clock=lambda: now[0])
-    claim = PromptClaim(instance="p", engine="e", tokens=5_000, most_tokens=8_000)
-    assert owner.judge(claim).granted
-    denied = owner.judge(claim)
+    request = PromptRequest(instance="p", engine="e", tokens=5_000, most_tokens=8_000)
+    assert owner.answer_prompt(request).granted
+    denied = owner.answer_prompt(request)
     assert (denied.granted, denied.pending_tokens) == (False, 5_000)
     # A digest that crossed the grant does not hold the prompt yet.
     now[0] = 0.005
@@ -297,7 +299,7 @@
     assert owner.load("e").pending_tokens == 5_000
     owner.take_peer("p", [])
     assert owner.load("e").pending_tokens == 0
-    assert owner.judge(claim).granted
+    assert owner.answer_prompt(request).granted
     owner.drop_peer("p")
     assert owner.load("e").pending_tokens == 0
     assert not owner.totals
@@ -328,8 +330,8 @@
     placement = PackedPlacement(zone="a").choose(job, [busy], [view], 30_000.0)
     assert placement.reason == "paced_beside_streams"
     granted = [
-        owner.judge(
-            PromptClaim(
+        owner.answer_prompt(
+            PromptRequest(
                 instance=f"i{number}",
                 engine=placement.engine,
                 tokens=placement.uncached_tokens,
--- a/tests/test_gateway_peers.py
+++ b/tests/test_gateway_peers.py
@@ -14,13 +14,13 @@
 from lagoonrill._internal.protocol.messages import (
     EndpointCalls,
     GatewayDigest,
-    PromptClaim,
-    PromptVerdict,
+    PromptReply,
+    PromptRequest,
 )
 from lagoonrill._internal.state.endpoint_registry import EndpointRegistry
 from lagoonrill._internal.state.engine_board import EngineBoard
 
-VERDICT = PromptVerdict(granted=True, pending_tokens=7, heavy=1)
+REPLY = PromptReply(granted=True, pending_tokens=7, heavy=1)
 
 
 class Link:
@@ -29,7 +29,7 @@
     address = "127.0.0.1:1"
 
     def __init__(self):
-        self.result = Success(VERDICT)
+        self.result = Success(REPLY)
         self.asked = []
         self.sent = []
         self.sent_by_address = {}
@@ -89,9 +89,9 @@
         )
         self.peers._take_digest(digest)
 
-    def ask(self, engine: str, zone: str = "a") -> PromptVerdict | None:
-        claim = PromptClaim(instance="me", engine=engine, tokens=1, most_tokens=1)
-        return self.peers.ask_owner(zone, claim)
+    def ask(self, engine: str, zone: str = "a") -> PromptReply | None:
+        request = PromptRequest(instance="me", engine=engine, tokens=1, most_tokens=1)
+        return self.peers.ask_owner(zone, request)
 
     def engine_of(self, owner: str, zone: str = "a") -> str:
         names = [f"p{n}" for n in range(SMALL_FLEET + 2) if "ab"[n % 2] == zone]
@@ -109,8 +109,8 @@
 
 
 def test_the_owner_in_the_engines_zone_is_asked(world):
-    assert world.ask(world.engine_of("p2")) == VERDICT
-    assert world.ask(world.engine_of("p3", "b"), "b") == VERDICT
+    assert world.ask(world.engine_of("p2")) == REPLY
+    assert world.ask(world.engine_of("p3", "b"), "b") == REPLY
     assert world.link.asked == ["127.0.0.1:1002", "127.0.0.1:1003"]
 
 
@@ -130,8 +130,8 @@
     assert world.ask(engine) is None
     assert len(world.link.asked) == 1
     world.now += OWNER_PAUSE_S + 0.01
-    world.link.result = Success(VERDICT)
-    assert world.ask(engine) == VERDICT
+    world.link.result = Success(REPLY)
+    assert world.ask(engine) == REPLY
 
 
 def test_a_lost_owner_is_replaced(world):
