Name the reason of a paced placement once

Cause: the same literal stood in two places of the placement, one of which decides by it. Ruled out: another name in the log; the value is unchanged. Change: PACED_REASON. Before and after: 34 tests of admission, placement and boundary pass.

--- a/src/lagoonrill/_internal/coordination/policy/engine_placement.py
+++ b/src/lagoonrill/_internal/coordination/policy/engine_placement.py
@@ -47,6 +47,8 @@
 # Cost of a long prompt on an engine with interactive streams, in tokens read: the other
 # engines may have that much more to read before it goes there.
 BESIDE_STREAMS_TOKENS = 6_000
+# Reason of a placement on an engine with interactive streams, as it stands in the log.
+PACED_REASON = "paced_beside_streams"
 # Long generations that may run on an engine with interactive streams.
 MAX_HEAVY_BESIDE_STREAMS = 1
 # An engine with so many interactive streams takes long prompts as if it were kept for
@@ -277,7 +279,7 @@
                 cost(engine) + BESIDE_STREAMS_TOKENS,
                 engine.id,
                 engine,
-                "paced_beside_streams",
+                PACED_REASON,
             )
             for engine in paced
             if not engine.suspect
@@ -288,7 +290,7 @@
         if not free:
             return Placement(engine=None, reason="engines_have_enough_to_read")
         _, _, best, reason = min(free)
-        if reason == "paced_beside_streams":
+        if reason == PACED_REASON:
             return self._placed(best, reason, most_heavy=MAX_HEAVY_BESIDE_STREAMS - 1)
         return self._placed(best, reason, most_tokens=int(budget))
 
