Give the wait of a generation a method of its own

Cause: reading the change: EngineAdmission.admit held a loop in a loop and left the inner one by break in one case and by return in another. Ruled out: a change of behaviour; the same calls in the same order. Change: _is_left_while_waiting. Before and after: 88 tests of admission, sends and listener pass.

--- a/src/lagoonrill/_internal/coordination/engine_admission.py
+++ b/src/lagoonrill/_internal/coordination/engine_admission.py
@@ -132,13 +132,9 @@
             generation=generation, view=self._view(generation), excluded=excluded
         )
         while True:
-            if not self._place_at_once(waiter):
-                self.changed.set()
-                while not waiter.decided.wait(CHECK_INTERVAL_S):
-                    if caller_left():
-                        if self._withdraw(waiter):
-                            return None
-                        break
+            placed = self._place_at_once(waiter)
+            if not placed and self._is_left_while_waiting(waiter, caller_left):
+                return None
             if waiter.refused:
                 raise self._refusal(generation)
             if self._owner_agrees(waiter):
@@ -148,6 +144,14 @@
         waiter.admission.waited_s = self.clock() - started_at
         return waiter.admission
 
+    def _is_left_while_waiting(self, waiter: Waiter, caller_left) -> bool:
+        """Waits for a decision; returns whether the caller left before it."""
+        self.changed.set()
+        while not waiter.decided.wait(CHECK_INTERVAL_S):
+            if caller_left():
+                return self._withdraw(waiter)
+        return False
+
     def _owner_agrees(self, waiter: Waiter) -> bool:
         """Asks the instance that knows an engine's work, for a long prompt."""
         admission = waiter.admission
