Log holds, lists from peers and the age of the list of each send

The logs couldn't tell the hypotheses of the DRAIN incident apart: an endpoint that is held looked like one that stands in the store, a list from a peer like one from the store, and an old list like a fresh one.

No decision is changed.

--- a/src/lagoonrill/_internal/cli.py
+++ b/src/lagoonrill/_internal/cli.py
@@ -61,13 +61,23 @@
     summary: Annotated[
         bool, typer.Option("--summary", help="Count outcomes and causes instead.")
     ] = False,
+    departures: Annotated[
+        bool,
+        typer.Option(
+            "--departures",
+            help="Show who sent to endpoints after they were known to leave.",
+        ),
+    ] = False,
     as_json: Json = False,
 ) -> None:
     """Tells from the logs of gateways what happened to a request, and why."""
+    from .commands.departures import DeparturesCommand
     from .commands.explain import ExplainCommand
 
-    if bool(request) == summary:
-        raise typer.BadParameter("give either --request or --summary")
+    if [bool(request), summary, departures].count(True) != 1:
+        raise typer.BadParameter("give one of --request, --summary and --departures")
+    if departures:
+        finish(DeparturesCommand(paths=logs, as_json=as_json))
     finish(
         ExplainCommand(request=request, paths=logs, summary=summary, as_json=as_json)
     )
--- /dev/null
+++ b/src/lagoonrill/_internal/commands/departures.py
@@ -0,0 +1,126 @@
+"""From the logs of gateways: who learned when that an endpoint leaves, and sent on."""
+
+from collections import defaultdict
+
+import msgspec
+
+from .exit_status import ExitStatus
+from .log_lines import Line, read_lines, texts_of
+from .output import print_json
+
+# The first line of these on any instance is when the departure was known to the fleet.
+DEPARTURE_EVENTS = frozenset(("endpoint_leaving", "endpoint_held", "endpoint_gone"))
+# After these an instance sends no new work.
+LEARNED_EVENTS = frozenset(("endpoint_leaving", "endpoint_gone"))
+
+
+class LateSend(msgspec.Struct, kw_only=True):
+    """The last request that was sent after the departure was known."""
+
+    after_s: float
+    instance: str
+    request: str
+    # Age of the sender's list of endpoints, None in older logs.
+    list_age_ms: int | None
+
+
+class Departure(msgspec.Struct, kw_only=True):
+    """One departure of an endpoint; times are seconds after the first sign of it."""
+
+    endpoint: str
+    time: float
+    learned_s: dict[str, float]
+    held_by: list[str]
+    last_send: LateSend | None = None
+
+
+def departures(lines: list[Line]) -> list[Departure]:
+    """Returns the departures, those with the latest sends first.
+
+    The instances' clocks are compared, so offsets are as good as the clocks are.
+    """
+    by_endpoint: dict[str, list[Line]] = defaultdict(list)
+    for line in lines:
+        if endpoint := line.fields.get("endpoint"):
+            by_endpoint[endpoint].append(line)
+    found = []
+    for endpoint, own in by_endpoint.items():
+        found.extend(_departures_of(endpoint, own))
+    found.sort(key=lambda item: -(item.last_send.after_s if item.last_send else 0.0))
+    return found
+
+
+def _departures_of(endpoint: str, lines: list[Line]) -> list[Departure]:
+    found: list[Departure] = []
+    current: Departure | None = None
+    back_at: set[str] = set()
+    for line in lines:
+        if line.event == "endpoint_found" and not line.fields.get("leaving"):
+            # The endpoint came back under its id; what follows is another life of it.
+            back_at.add(line.instance)
+            continue
+        if line.event in DEPARTURE_EVENTS:
+            if current is None or line.instance in back_at:
+                current = Departure(
+                    endpoint=endpoint, time=line.time, learned_s={}, held_by=[]
+                )
+                found.append(current)
+                back_at.clear()
+            _note(current, line)
+        elif (
+            line.event == "request_sent"
+            and current is not None
+            and line.instance not in back_at
+        ):
+            current.last_send = LateSend(
+                after_s=round(line.time - current.time, 3),
+                instance=line.instance,
+                request=line.fields.get("request", ""),
+                list_age_ms=line.fields.get("list_age_ms"),
+            )
+    return found
+
+
+def _note(departure: Departure, line: Line) -> None:
+    if line.event == "endpoint_held":
+        departure.held_by.append(line.instance)
+    if line.event in LEARNED_EVENTS:
+        after_s = round(line.time - departure.time, 3)
+        departure.learned_s.setdefault(line.instance, after_s)
+
+
+def describe(departure: Departure) -> str:
+    """Returns one line for a departure."""
+    send = departure.last_send
+    sent = "nothing sent after"
+    if send is not None:
+        age = "" if send.list_age_ms is None else f", list {send.list_age_ms} ms old"
+        sent = (
+            f"last sent {send.after_s:.3f} s after by {send.instance} "
+            f"({send.request}{age})"
+        )
+    parts = [f"{departure.time:.3f} {departure.endpoint}: {sent}"]
+    if departure.learned_s:
+        instance, after_s = max(departure.learned_s.items(), key=lambda item: item[1])
+        parts.append(f"learned last by {instance} after {after_s:.3f} s")
+    if departure.held_by:
+        parts.append(f"held by {', '.join(departure.held_by)}")
+    return "; ".join(parts)
+
+
+class DeparturesCommand:
+    """Lists the departures of endpoints, those with the latest sends first."""
+
+    def __init__(self, *, paths: list[str], as_json: bool):
+        self.paths = paths
+        self.as_json = as_json
+
+    def run(self) -> ExitStatus:
+        """Returns OK, or USAGE if the logs tell of no departure."""
+        found = departures(read_lines(texts_of(self.paths)))
+        if self.as_json:
+            print_json(found)
+        else:
+            for departure in found:
+                print(describe(departure))
+        return ExitStatus.OK if found else ExitStatus.USAGE
--- a/src/lagoonrill/_internal/commands/explain.py
+++ b/src/lagoonrill/_internal/commands/explain.py
@@ -1,11 +1,11 @@
 """`lagoonrill explain`: from a request's id, or a whole log, to what went wrong."""
 
 from collections import Counter, defaultdict
-from collections.abc import Iterable
 
 import msgspec
 
 from .exit_status import ExitStatus
+from .log_lines import Line, read_lines, texts_of
 from .output import print_error, print_json
 
 # Lines about an endpoint, the store or a configuration that far before the end of a
@@ -29,15 +29,6 @@
 )
 
 
-class Line(msgspec.Struct, kw_only=True):
-    """One line of the log; `fields` are those that its event adds."""
-
-    time: float
-    event: str
-    instance: str
-    fields: dict
-
-
 class Story(msgspec.Struct, kw_only=True):
     """What happened to one request and why."""
 
@@ -48,32 +39,6 @@
     context: list[str] = []
 
 
-def read_lines(texts: Iterable[str]) -> list[Line]:
-    """Returns the lines of several logs in the order of their times.
-
-    Whatever stands before the JSON object, for example a name that a collector adds,
-    is left out, and so are lines without one.
-    """
-    lines = []
-    for text in texts:
-        start = text.find('{"time"')
-        if start < 0:
-            continue
-        try:
-            found = msgspec.json.decode(text[start:])
-        except msgspec.DecodeError:
-            continue
-        lines.append(
-            Line(
-                time=found.pop("time"),
-                event=found.pop("event", ""),
-                instance=found.pop("instance", ""),
-                fields=found,
-            )
-        )
-    return sorted(lines, key=lambda line: line.time)
-
-
 def by_request(lines: list[Line]) -> dict[str, list[Line]]:
     """Groups the lines of each request."""
     found = defaultdict(list)
@@ -164,7 +129,7 @@
 
     def run(self) -> ExitStatus:
         """Returns OK, or USAGE if no line was found."""
-        lines = read_lines(self._texts())
+        lines = read_lines(texts_of(self.paths))
         requests = by_request(lines)
         if self.summary:
             return self._summarize(requests)
@@ -183,11 +148,6 @@
             print("\n".join(story.context))
         return ExitStatus.OK
 
-    def _texts(self) -> Iterable[str]:
-        for path in self.paths:
-            with open(path, encoding="utf-8", errors="replace") as file:
-                yield from file
-
     def _summarize(self, requests: dict[str, list[Line]]) -> ExitStatus:
         counts: Counter[tuple[str, str]] = Counter()
         samples: dict[tuple[str, str], str] = {}
--- /dev/null
+++ b/src/lagoonrill/_internal/commands/log_lines.py
@@ -0,0 +1,47 @@
+"""Reads the log lines of gateways."""
+
+from collections.abc import Iterable
+
+import msgspec
+
+
+class Line(msgspec.Struct, kw_only=True):
+    """One line of the log; `fields` are those that its event adds."""
+
+    time: float
+    event: str
+    instance: str
+    fields: dict
+
+
+def read_lines(texts: Iterable[str]) -> list[Line]:
+    """Returns the lines of several logs in the order of their times.
+
+    Whatever stands before the JSON object, for example a name that a collector adds,
+    is left out, and so are lines without one.
+    """
+    lines = []
+    for text in texts:
+        start = text.find('{"time"')
+        if start < 0:
+            continue
+        try:
+            found = msgspec.json.decode(text[start:])
+        except msgspec.DecodeError:
+            continue
+        lines.append(
+            Line(
+                time=found.pop("time"),
+                event=found.pop("event", ""),
+                instance=found.pop("instance", ""),
+                fields=found,
+            )
+        )
+    return sorted(lines, key=lambda line: line.time)
+
+
+def texts_of(paths: list[str]) -> Iterable[str]:
+    """Yields the lines of all files."""
+    for path in paths:
+        with open(path, encoding="utf-8", errors="replace") as file:
+            yield from file
--- a/src/lagoonrill/_internal/coordination/endpoint_discovery.py
+++ b/src/lagoonrill/_internal/coordination/endpoint_discovery.py
@@ -76,6 +76,13 @@
             if hold_until is None:
                 return False
             self.held_until[record.id] = hold_until
+            self.event_log.emit(
+                "endpoint_held",
+                endpoint=record.id,
+                service=record.service,
+                hold_s=round(hold_until - self.clock(), 3),
+                revision=self.revision,
+            )
         return self.clock() < self.held_until[record.id]
 
     def end_holds(self) -> None:
@@ -90,7 +97,7 @@
             for name in ended:
                 del self.held_until[name]
             self.registry.replace(after)
-        self._log_changes(before, after, self.revision)
+        self._log_changes(before, after, self.revision, gone="hold_ended")
         self.changed()
 
     def _log_changes(
@@ -98,10 +105,15 @@
         before: dict[str, EndpointRecord],
         after: dict[str, EndpointRecord],
         revision: int,
+        *,
+        gone: str = "removed",
     ) -> None:
         for endpoint_id in before.keys() - after.keys():
             self.event_log.emit(
-                "endpoint_gone", endpoint=endpoint_id, revision=revision
+                "endpoint_gone",
+                endpoint=endpoint_id,
+                reason=gone,
+                revision=revision,
             )
         for endpoint_id, record in after.items():
             known = before.get(endpoint_id)
--- a/src/lagoonrill/_internal/coordination/forwarding.py
+++ b/src/lagoonrill/_internal/coordination/forwarding.py
@@ -6,6 +6,7 @@
 
 import contextlib
 import time
+from collections.abc import Callable
 
 from ..event_log import EventLog
 from ..protocol.headers import (
@@ -68,6 +69,7 @@
         zone: str,
         budget: SharedRetryBudget,
         instances,
+        list_age_s: Callable[[], float],
         metrics: GatewayMetrics,
         event_log: EventLog,
     ):
@@ -78,6 +80,8 @@
         self.service_placement = LeastLoadedEndpoint(zone=zone)
         self.budget = budget
         self.instances = instances
+        # Time since the store last confirmed the list of endpoints.
+        self.list_age_s = list_age_s
         self.metrics = metrics
         self.event_log = event_log
 
@@ -344,6 +348,7 @@
             reused=connection.served > 0,
             resume_after=sending.last_event,
             config=request.config_version,
+            list_age_ms=round(self.list_age_s() * 1000),
         )
         connection.send(
             method=request.incoming.method,
--- a/src/lagoonrill/_internal/coordination/gateway_peers.py
+++ b/src/lagoonrill/_internal/coordination/gateway_peers.py
@@ -442,6 +442,13 @@
                 peer=ahead.instance,
             )
         if reply.endpoints is not None and not self.store_in_touch():
+            self.event_log.emit(
+                "endpoints_from_peer",
+                peer=ahead.instance,
+                endpoints=len(reply.endpoints),
+                revision=reply.endpoint_revision,
+                known=self.discovery.revision,
+            )
             self.discovery.take(
                 reply.endpoints, revision=reply.endpoint_revision, hold_until=None
             )
--- a/src/lagoonrill/_internal/coordination/store_follower.py
+++ b/src/lagoonrill/_internal/coordination/store_follower.py
@@ -88,6 +88,7 @@
         self.in_touch = False
         self.lost_at: float | None = None
         self.regained_at: float | None = None
+        self.heard_at = clock()
         self.failures = 0
         self.list_wanted = threading.Event()
         self.stopping = threading.Event()
@@ -145,8 +146,13 @@
         pause_s = min(MAX_PAUSE_S, FIRST_PAUSE_S * 2 ** min(self.failures, 8))
         return pause_s * random.uniform(0.5, 1.0)
 
+    def age_s(self) -> float:
+        """Returns the time since the store last answered."""
+        return self.clock() - self.heard_at
+
     def _reached(self) -> None:
         self.failures = 0
+        self.heard_at = self.clock()
         if self.in_touch:
             return
         self.in_touch = True
@@ -194,4 +200,5 @@
             "objects": len(self.objects),
             "in_touch": self.in_touch,
             "failures_in_a_row": self.failures,
+            "age_s": round(self.age_s(), 3),
         }
--- a/src/lagoonrill/_internal/gateway_daemon.py
+++ b/src/lagoonrill/_internal/gateway_daemon.py
@@ -159,6 +159,7 @@
             zone=settings.zone,
             budget=self.budget,
             instances=self.peers.instances,
+            list_age_s=self.endpoint_follower.age_s,
             metrics=self.metrics,
             event_log=self.event_log,
         )
@@ -182,6 +183,12 @@
         self.metrics.register_gauge(
             "store_in_touch", lambda: int(self._store_in_touch())
         )
+        self.metrics.register_gauge(
+            "store_silent_seconds", lambda: round(self.endpoint_follower.age_s(), 3)
+        )
+        self.metrics.register_gauge(
+            "endpoints_held", lambda: len(self.discovery.held_until)
+        )
         self.metrics.register_gauge(
             "connections_opened_total", lambda: self.pool.opened
         )
--- a/tests/gateway_kit.py
+++ b/tests/gateway_kit.py
@@ -113,6 +113,7 @@
             zone="a",
             budget=SharedRetryBudget(ratio=0.2, window_s=10, fixed=retry_fixed),
             instances=lambda: 1,
+            list_age_s=lambda: 0.0,
             metrics=self.metrics,
             event_log=self.event_log,
         )
