--- a/src/lagoonrill/_internal/coordination/gateway_peers.py
+++ b/src/lagoonrill/_internal/coordination/gateway_peers.py
@@ -366,15 +366,19 @@
 
     def _watch(self) -> None:
         while not self.stopping.wait(ASK_AFTER_S / 2):
-            self._note_lost()
-            self.discovery.end_holds()
-            ahead = self._ahead()
-            if ahead is None:
-                self.behind_since = None
-            elif self.behind_since is None:
-                self.behind_since = self.clock()
-            elif self.clock() - self.behind_since >= ASK_AFTER_S:
-                self._catch_up(ahead)
+            self.keep_up()
+
+    def keep_up(self) -> None:
+        """Notes lost peers and asks one that has been ahead for a while."""
+        self._note_lost()
+        self.discovery.end_holds()
+        ahead = self._ahead()
+        if ahead is None:
+            self.behind_since = None
+        elif self.behind_since is None:
+            self.behind_since = self.clock()
+        elif self.clock() - self.behind_since >= ASK_AFTER_S:
+            self._catch_up(ahead)
 
     def _note_lost(self) -> None:
         now = self.clock()
