--- /dev/null
+++ b/tests/test_departures_reach_placement.py
@@ -0,0 +1,278 @@
+"""Guards that an endpoint gets nothing once its departure is old enough to count.
+
+The store here keeps time itself: a watch answers when something changes, or when its
+wait is over, as the platform's store does.
+"""
+
+import pytest
+from returns.result import Failure, Success
+
+from lagoonrill._internal.coordination.endpoint_discovery import EndpointDiscovery
+from lagoonrill._internal.coordination.gateway_peers import ASK_AFTER_S, GatewayPeers
+from lagoonrill._internal.coordination.store_follower import (
+    MAX_PAUSE_S,
+    ObjectChanges,
+    ObjectList,
+    StoreFollower,
+    StoreObject,
+)
+from lagoonrill._internal.event_log import EventLog
+from lagoonrill._internal.protocol.errors import StoreInDoubt, StoreUnavailable
+from lagoonrill._internal.protocol.messages import GatewayDigest, RoutingRequest
+from lagoonrill._internal.protocol.routing import EndpointRecord
+from lagoonrill._internal.state.endpoint_registry import EndpointRegistry
+from lagoonrill._internal.state.engine_board import EngineBoard
+
+# How long an endpoint without an entry may still get requests.
+DRAIN_S = 2.0
+# A machine whose connections were disturbed is judged again after this time.
+CONTACT_S = 3.0
+CUT = Failure(StoreInDoubt(message="the watch was cut"))
+UNREACHABLE = Failure(StoreUnavailable(message="connect timed out"))
+CONNECT_TIMEOUT_S = 0.7
+
+
+def entry(id: str, revision: int, **options) -> StoreObject:
+    defaults = {"service": "s", "address": "10.0.0.1:80", "zone": "a", "slots": 1}
+    content = EndpointRecord(id=id, **(defaults | options))
+    return StoreObject(name=id, revision=revision, content=content)
+
+
+class TimedStore:
+    """Objects that change at set times, a watch that waits, and outages."""
+
+    def __init__(self, world, names):
+        self.world = world
+        self.revision = 1
+        self.objects = {name: entry(name, 1) for name in names}
+        # (time, name, new object or None for a removal), in order.
+        self.coming: list[tuple[float, str, StoreObject | None]] = []
+        self.done: list[tuple[int, str, StoreObject | None]] = []
+        # When a waiting watch is cut.
+        self.cut_at: float | None = None
+        # Calls that begin before this time find nothing.
+        self.away_until = 0.0
+
+    def remove(self, name: str, at: float) -> None:
+        self.coming.append((at, name, None))
+        self.coming.sort(key=lambda item: item[0])
+
+    def change_something_else(self, at: float) -> None:
+        """Lets a watch end at a time without news of these endpoints."""
+        self.coming.append((at, "other", entry("other", 1, service="other")))
+        self.coming.sort(key=lambda item: item[0])
+
+    def _happen(self, until: float) -> None:
+        while self.coming and self.coming[0][0] <= until:
+            _, name, item = self.coming.pop(0)
+            self.revision += 1
+            if item is None:
+                del self.objects[name]
+            else:
+                self.objects[name] = item
+            self.done.append((self.revision, name, item))
+
+    def _unreachable(self):
+        self.world.now += CONNECT_TIMEOUT_S
+        return UNREACHABLE
+
+    def list(self):
+        if self.world.now < self.away_until:
+            return self._unreachable()
+        self._happen(self.world.now)
+        objects = list(self.objects.values())
+        return Success(ObjectList(objects=objects, revision=self.revision))
+
+    def changes(self, *, since, wait_s):
+        if self.world.now < self.away_until:
+            return self._unreachable()
+        self._happen(self.world.now)
+        if self.revision <= since:
+            over_at = self.world.now + wait_s
+            if self.cut_at is not None and self.cut_at <= over_at:
+                self.world.now, self.cut_at = self.cut_at, None
+                return CUT
+            next_at = self.coming[0][0] if self.coming else over_at
+            self.world.now = min(over_at, next_at)
+            self._happen(self.world.now)
+        news = [item for item in self.done if item[0] > since]
+        changed = [item for _, _, item in news if item is not None]
+        removed = [name for _, name, item in news if item is None]
+        return Success(
+            ObjectChanges(changed=changed, removed=removed, revision=self.revision)
+        )
+
+
+class OtherPeer:
+    """A link to one other instance, which answers from its own state."""
+
+    def __init__(self, address):
+        self.address = address
+        self.other: GatewayPeers | None = None
+
+    def register_handler(self, message_type, handler, *, inline=False):
+        pass
+
+    def connect(self, address):
+        pass
+
+    def request(self, address, message, timeout_s):
+        assert isinstance(message, RoutingRequest)
+        return Success(self.other._answer_routing(message))
+
+
+class Routing:
+    version = 1
+    table = None
+
+
+class World:
+    """One instance behind a timed store; other instances may join."""
+
+    def __init__(self, names=("a", "b")):
+        self.now = 100.0
+        self.store = TimedStore(self, names)
+        self.here = Instance(self, "here")
+
+    def ready(self):
+        return self.here.ready()
+
+
+class Instance:
+    def __init__(self, world: World, name: str):
+        self.name = name
+        log = EventLog()
+        clock = self.clock = lambda: world.now
+        self.world = world
+        self.reached = True
+        self.registry = EndpointRegistry(clock=clock)
+        self.discovery = EndpointDiscovery(
+            registry=self.registry, event_log=log, changed=lambda: None, clock=clock
+        )
+        self.follower = StoreFollower(
+            kind="endpoints",
+            source=world.store,
+            apply=self.discovery.apply,
+            event_log=log,
+            clock=clock,
+        )
+        self.peers = GatewayPeers(
+            instance=name,
+            zone="a",
+            link=OtherPeer(f"127.0.0.1:{1 + len(name)}"),
+            seeds=[],
+            expected_instances=1,
+            routing=Routing(),
+            discovery=self.discovery,
+            registry=self.registry,
+            board=EngineBoard(),
+            store_in_touch=lambda: self.reached and self.follower.in_touch,
+            work_changed=lambda: None,
+            stream_engines=dict,
+            event_log=log,
+            clock=clock,
+        )
+
+    def ready(self):
+        return [record.id for record in self.registry.ready("s")]
+
+    def follow(self, until: float) -> None:
+        """Makes calls with their pauses until a time, as the follower's thread does."""
+        self.world.store.change_something_else(until)
+        while self.world.now < until:
+            pause_s = self.follower.step()
+            self.world.now = max(self.world.now, min(until, self.world.now + pause_s))
+
+    def come_back(self) -> None:
+        """Makes calls until the store answers again."""
+        self.follower.step()
+        while not self.follower.in_touch:
+            self.world.now += self.follower.step()
+
+    def hear(self, other: "Instance", for_s: float = 2 * ASK_AFTER_S) -> None:
+        """Gets digests of another instance for a while and keeps up with it."""
+        self.peers.link.other = other.peers
+        digest = GatewayDigest(
+            instance=other.name,
+            zone="a",
+            address=other.peers.link.address,
+            config_version=1,
+            endpoint_revision=other.discovery.revision,
+            store_in_touch=True,
+        )
+        until = self.world.now + for_s
+        while self.world.now < until:
+            self.peers._take_digest(digest)
+            self.peers.keep_up()
+            self.world.now += ASK_AFTER_S / 2
+
+
+@pytest.fixture
+def world():
+    built = World()
+    built.here.follow(101.0)
+    return built
+
+
+def test_a_removal_long_after_a_cut_watch_is_not_taken_for_a_lapse(world):
+    # All instances whose watches had been cut went on sending for two seconds.
+    world.store.cut_at = 103.0
+    world.store.remove("a", 112.0)
+    world.here.follow(112.5)
+    assert world.ready() == ["b"]
+
+
+def test_a_removal_beside_a_cut_watch_is_not_taken_for_a_lapse(world):
+    world.store.cut_at = 103.0
+    world.store.remove("a", 103.1)
+    world.here.follow(103.6)
+    assert world.ready() == ["b"]
+
+
+def test_an_entry_is_not_used_beyond_its_hold_whoever_ends_it(world):
+    # The thread that ends holds may be waiting for a peer.
+    world.store.away_until = 107.0
+    world.store.remove("a", 105.0)
+    world.here.come_back()
+    assert world.ready() == ["a", "b"]
+    world.now += DRAIN_S
+    assert world.ready() == ["b"]
+
+
+def test_an_entry_removed_while_the_instance_was_cut_off_is_dropped_before_contact(
+    world,
+):
+    # The hold began when the return was noticed, up to 1.5 s after it.
+    world.store.away_until = cut_ended_at = 109.3
+    world.here.follow(109.2)
+    world.now = 109.29
+    assert world.here.follower.step() > 0
+    world.store.remove("a", 109.5)
+    world.now += MAX_PAUSE_S
+    world.here.follower.step()
+    world.now = cut_ended_at + CONTACT_S
+    assert world.ready() == ["b"]
+
+
+def test_a_held_entry_that_a_peer_passes_on_keeps_the_end_of_its_hold(world):
+    # The receiver took it for an entry of the store and kept it without a limit.
+    there = Instance(world, "there")
+    there.reached = False
+    world.store.away_until = 107.0
+    world.store.remove("a", 105.0)
+    world.here.come_back()
+    learned_at = world.now
+    there.hear(world.here)
+    assert there.ready() == ["a", "b"]
+    world.now = learned_at + DRAIN_S
+    assert there.ready() == ["b"]
+
+
+def test_a_peer_that_is_ahead_for_long_replaces_a_dead_watch(world):
+    # A watch whose answer was lost stays open, and the store counts as reached.
+    there = Instance(world, "there")
+    there.follow(102.0)
+    world.store.remove("a", 102.0)
+    there.follow(102.1)
+    world.here.hear(there, for_s=DRAIN_S - 0.5)
+    assert world.ready() == ["b"]
