End a hold at its time, not when a thread comes round to it

Callers' requests went to held endpoints for up to 0.1 s after the end of the hold, or 0.6 s longer while the thread that ends holds waited for a peer; on a site whose drain time equals the hold that is too late.

The registry now knows the ends and leaves such endpoints out itself; the thread only clears them away. The discovery keeps no second table of holds. Test: an_entry_is_not_used_beyond_its_hold_whoever_ends_it, failed before.

--- a/src/lagoonrill/_internal/coordination/endpoint_discovery.py
+++ b/src/lagoonrill/_internal/coordination/endpoint_discovery.py
@@ -35,7 +35,6 @@
         self.clock = clock
         self.lock = threading.Lock()
         self.revision = 0
-        self.held_until: dict[str, float] = {}
 
     def apply(self, follower: StoreFollower) -> None:
         """Takes the entries of the store."""
@@ -59,44 +58,52 @@
             self.revision = revision
             before = self.registry.records
             after = {record.id: record for record in records}
-            for endpoint_id, record in before.items():
-                if endpoint_id not in after and self._is_held(record, hold_until):
-                    after[endpoint_id] = record
-            for endpoint_id in set(self.held_until) & {item.id for item in records}:
-                del self.held_until[endpoint_id]
-            self.registry.replace(after)
+            held = self._held(before, after, hold_until)
+            after |= {endpoint_id: before[endpoint_id] for endpoint_id in held}
+            self.registry.replace(after, held_until=held)
         self._log_changes(before, after, revision)
         self.changed()
         return True
 
-    def _is_held(self, record: EndpointRecord, hold_until: float | None) -> bool:
-        if record.leaving:
-            return False
-        if record.id not in self.held_until:
-            if hold_until is None:
-                return False
-            self.held_until[record.id] = hold_until
-            self.event_log.emit(
-                "endpoint_held",
-                endpoint=record.id,
-                service=record.service,
-                hold_s=round(hold_until - self.clock(), 3),
-                revision=self.revision,
-            )
-        return self.clock() < self.held_until[record.id]
+    def _held(
+        self,
+        before: dict[str, EndpointRecord],
+        after: dict[str, EndpointRecord],
+        hold_until: float | None,
+    ) -> dict[str, float]:
+        """Returns until when each endpoint is held whose entry has disappeared."""
+        known = self.registry.held_until
+        now = self.clock()
+        held = {}
+        for endpoint_id, record in before.items():
+            if endpoint_id in after or record.leaving:
+                continue
+            until = known.get(endpoint_id, hold_until)
+            if until is None or until <= now:
+                continue
+            held[endpoint_id] = until
+            if endpoint_id not in known:
+                self.event_log.emit(
+                    "endpoint_held",
+                    endpoint=endpoint_id,
+                    service=record.service,
+                    hold_s=round(until - now, 3),
+                    revision=self.revision,
+                )
+        return held
 
     def end_holds(self) -> None:
         """Takes out the endpoints whose entries did not come back in time."""
         with self.lock:
             now = self.clock()
-            ended = [name for name, until in self.held_until.items() if until <= now]
-            if not ended:
+            known = self.registry.held_until
+            held = {name: until for name, until in known.items() if until > now}
+            if len(held) == len(known):
                 return
             before = self.registry.records
+            ended = known.keys() - held.keys()
             after = {n: record for n, record in before.items() if n not in ended}
-            for name in ended:
-                del self.held_until[name]
-            self.registry.replace(after)
+            self.registry.replace(after, held_until=held)
         self._log_changes(before, after, self.revision, gone="hold_ended")
         self.changed()
 
--- a/src/lagoonrill/_internal/gateway_daemon.py
+++ b/src/lagoonrill/_internal/gateway_daemon.py
@@ -187,7 +187,7 @@
             "store_silent_seconds", lambda: round(self.endpoint_follower.age_s(), 3)
         )
         self.metrics.register_gauge(
-            "endpoints_held", lambda: len(self.discovery.held_until)
+            "endpoints_held", lambda: len(self.registry.held_until)
         )
         self.metrics.register_gauge(
             "connections_opened_total", lambda: self.pool.opened
--- a/src/lagoonrill/_internal/state/endpoint_registry.py
+++ b/src/lagoonrill/_internal/state/endpoint_registry.py
@@ -88,6 +88,8 @@
         self.clock = clock
         self.lock = threading.Lock()
         self.records: dict[str, EndpointRecord] = {}
+        # Until when endpoints without an entry are offered, on the steady clock.
+        self.held_until: dict[str, float] = {}
         self.health: dict[str, EndpointHealth] = {}
         # What each near peer reported last, and the sums by endpoint and incarnation.
         self.peer_reports: dict[str, list[EndpointCalls]] = {}
@@ -98,8 +100,13 @@
         # Counts the installations, for those who keep what they derive from a list.
         self.edition = 0
 
-    def replace(self, records: dict[str, EndpointRecord]) -> None:
-        """Installs the endpoints that exist now."""
+    def replace(
+        self,
+        records: dict[str, EndpointRecord],
+        *,
+        held_until: dict[str, float] | None = None,
+    ) -> None:
+        """Installs the endpoints that exist now, some of them for a time only."""
         by_service: dict[str, list[EndpointRecord]] = {}
         for record in records.values():
             if not record.leaving:
@@ -112,6 +119,7 @@
             for endpoint_id in set(self.health) - set(records):
                 del self.health[endpoint_id]
             self.records = dict(records)
+            self.held_until = dict(held_until or {})
             self.by_service = {
                 name: tuple(sorted(found, key=lambda item: item.id))
                 for name, found in by_service.items()
@@ -122,11 +130,14 @@
 
     def ready(self, service: str) -> tuple[EndpointRecord, ...]:
         """Returns the endpoints of a service that take new work."""
-        return self.by_service.get(service, ())
-
-    def is_ready(self, endpoint_id: str) -> bool:
-        record = self.records.get(endpoint_id)
-        return record is not None and not record.leaving
+        found = self.by_service.get(service, ())
+        if not self.held_until:
+            return found
+        return tuple(record for record in found if not self._is_hold_over(record.id))
+
+    def _is_hold_over(self, endpoint_id: str) -> bool:
+        until = self.held_until.get(endpoint_id)
+        return until is not None and until <= self.clock()
 
     def is_suspect(self, endpoint_id: str) -> bool:
         """Returns whether the endpoint failed lately and should be tried last."""
