Ask again right before a send whether the endpoint still takes work

Between the choice of an endpoint and the first byte lie the owner's answer, a connect of up to 0.5 s and the reading of a new list. A request that was placed before its endpoint left was sent all the same.

The check compares address and incarnation too, so an endpoint that started again under its id meanwhile gets nothing that was placed for the one before. Test: an_endpoint_that_leaves_while_it_is_connected_gets_nothing, for plain services and engines; both failed before.

--- a/src/lagoonrill/_internal/coordination/forwarding.py
+++ b/src/lagoonrill/_internal/coordination/forwarding.py
@@ -204,7 +204,7 @@
             raise CallerGone
         self.metrics.observe("queue", admission.waited_s, route=request.route.name)
         record = self.registry.records.get(admission.engine)
-        outcome = Outcome(reason="engine_gone", may_have_run=False)
+        outcome = Outcome(reason="endpoint_left", may_have_run=False)
         complete = False
         broken = False
         try:
@@ -275,6 +275,8 @@
         connection = None
         try:
             connection = self._connect(sending, record)
+            if not self.registry.takes_work(record):
+                return Outcome(reason="endpoint_left", may_have_run=False)
             if sending.sends == 0:
                 self.budget.note_request(request.service)
             sending.sends += 1
--- a/src/lagoonrill/_internal/state/endpoint_registry.py
+++ b/src/lagoonrill/_internal/state/endpoint_registry.py
@@ -135,6 +135,17 @@
             return found
         return tuple(record for record in found if not self._is_hold_over(record.id))
 
+    def takes_work(self, record: EndpointRecord) -> bool:
+        """Returns whether an endpoint that was chosen before still takes new work."""
+        current = self.records.get(record.id)
+        return (
+            current is not None
+            and not current.leaving
+            and current.address == record.address
+            and current.incarnation == record.incarnation
+            and not self._is_hold_over(record.id)
+        )
+
     def _is_hold_over(self, endpoint_id: str) -> bool:
         until = self.held_until.get(endpoint_id)
         return until is not None and until <= self.clock()
--- a/tests/test_gateway_sends.py
+++ b/tests/test_gateway_sends.py
@@ -106,6 +106,25 @@
     assert len(second.runs) == 1
 
 
+@pytest.mark.parametrize(
+    ("service", "path"), [("app", "/order/1"), ("models", "/ask/1")]
+)
+def test_an_endpoint_that_leaves_while_it_is_connected_gets_nothing(
+    gateway_for, service, path
+):
+    gateway, (first, _) = gateway_for(service, ["answer"], ["answer"])
+    connect = gateway.pool.new
+
+    def leave_then_connect(address, **options):
+        gateway.set_endpoints({})
+        return connect(address, **options)
+
+    gateway.pool.new = leave_then_connect
+    response, _ = gateway.ask(path)
+    assert response.status == 503
+    assert not first.received
+
+
 def test_no_endpoint_is_refused_with_a_time_to_come_back(gateway_for):
     gateway, _ = gateway_for("app")
     response, _ = gateway.ask("/order/1")
