Pass holds on to peers with their ends

Cause: an instance that asks a peer for its list got held endpoints among those that stand in the store, forgot its own hold and kept them until the next change. Class of fault: a belief was passed on without its limit.

The reply now names the held endpoints with the time that is left; the receiver keeps the earlier of both ends, drops what the peer knows to have left, and does not take back what it has seen leaving itself.

--- a/src/lagoonrill/_internal/coordination/endpoint_discovery.py
+++ b/src/lagoonrill/_internal/coordination/endpoint_discovery.py
@@ -5,6 +5,7 @@
 `lapsed_entries` limits; an endpoint that said it is leaving never is.
 """
 
+import math
 import threading
 import time
 from collections.abc import Callable
@@ -44,20 +45,56 @@
             if isinstance(item.content, EndpointRecord)
         ]
         hold_until = self.lapsed_entries.held_until(follower.absence)
-        self.take(records, revision=follower.revision, hold_until=hold_until)
 
-    def take(
-        self, records: list[EndpointRecord], *, revision: int, hold_until: float | None
+        def limit(endpoint_id: str) -> float | None:
+            return self.registry.held_until.get(endpoint_id, hold_until)
+
+        self._install(records, revision=follower.revision, limit=limit)
+
+    def take_from_peer(
+        self,
+        records: list[EndpointRecord],
+        *,
+        revision: int,
+        held_for_s: dict[str, float],
+    ) -> bool:
+        """Takes a peer's list; returns False if it is not newer than what is known.
+
+        `records` holds those of `held_for_s` too: endpoints without an entry, each with
+        the time for which the peer still offers it. They end here no later than there,
+        and no later than this instance's own holds.
+        """
+        now = self.clock()
+
+        def limit(endpoint_id: str) -> float | None:
+            if endpoint_id not in held_for_s:
+                return None
+            own = self.registry.held_until.get(endpoint_id, math.inf)
+            return min(own, now + held_for_s[endpoint_id])
+
+        standing = [record for record in records if record.id not in held_for_s]
+        # A first list has nothing to compare with; later on, an endpoint that is not
+        # known here any more has left.
+        fresh = {} if self.registry.known else {record.id: record for record in records}
+        return self._install(standing, revision=revision, limit=limit, fresh=fresh)
+
+    def _install(
+        self,
+        records: list[EndpointRecord],
+        *,
+        revision: int,
+        limit: Callable[[str], float | None],
+        fresh: dict[str, EndpointRecord] | None = None,
     ) -> bool:
-        """Installs records as of a revision; returns False if they are not newer."""
         with self.lock:
             if revision < self.revision:
                 return False
             self.revision = revision
             before = self.registry.records
             after = {record.id: record for record in records}
-            held = self._held(before, after, hold_until)
-            after |= {endpoint_id: before[endpoint_id] for endpoint_id in held}
+            candidates = before | (fresh or {})
+            held = self._held(candidates, after, limit)
+            after |= {endpoint_id: candidates[endpoint_id] for endpoint_id in held}
             self.registry.replace(after, held_until=held)
         self._log_changes(before, after, revision)
         self.changed()
@@ -65,18 +102,18 @@
 
     def _held(
         self,
-        before: dict[str, EndpointRecord],
+        candidates: dict[str, EndpointRecord],
         after: dict[str, EndpointRecord],
-        hold_until: float | None,
+        limit: Callable[[str], float | None],
     ) -> dict[str, float]:
         """Returns until when each endpoint is held whose entry has disappeared."""
         known = self.registry.held_until
         now = self.clock()
         held = {}
-        for endpoint_id, record in before.items():
+        for endpoint_id, record in candidates.items():
             if endpoint_id in after or record.leaving:
                 continue
-            until = known.get(endpoint_id, hold_until)
+            until = limit(endpoint_id)
             if until is None or until <= now:
                 continue
             held[endpoint_id] = until
--- a/src/lagoonrill/_internal/coordination/gateway_peers.py
+++ b/src/lagoonrill/_internal/coordination/gateway_peers.py
@@ -450,11 +450,14 @@
                 "endpoints_from_peer",
                 peer=ahead.instance,
                 endpoints=len(reply.endpoints),
+                held=len(reply.held_for_s),
                 revision=reply.endpoint_revision,
                 known=self.discovery.revision,
             )
-            self.discovery.take(
-                reply.endpoints, revision=reply.endpoint_revision, hold_until=None
+            self.discovery.take_from_peer(
+                reply.endpoints,
+                revision=reply.endpoint_revision,
+                held_for_s=reply.held_for_s,
             )
         self.behind_since = None
 
@@ -463,13 +466,17 @@
         config = table.config if table else None
         if config is not None and config.version <= request.config_version:
             config = None
-        endpoints = None
-        if self.discovery.revision > request.endpoint_revision:
-            endpoints = list(self.registry.records.values())
+        if self.discovery.revision <= request.endpoint_revision:
+            return RoutingReply(
+                config=config,
+                endpoint_revision=self.discovery.revision,
+                endpoints=None,
+            )
         return RoutingReply(
             config=config,
             endpoint_revision=self.discovery.revision,
-            endpoints=endpoints,
+            endpoints=list(self.registry.records.values()),
+            held_for_s=self.registry.held_for_s(),
         )
 
     def dump(self) -> dict:
--- a/src/lagoonrill/_internal/protocol/messages.py
+++ b/src/lagoonrill/_internal/protocol/messages.py
@@ -223,6 +223,8 @@
     config: RoutingConfig | None
     endpoint_revision: int
     endpoints: list[EndpointRecord] | None
+    # Seconds for which endpoints that no longer have an entry are still offered.
+    held_for_s: dict[str, float] = {}
 
 
 AnyMessage = (
--- a/src/lagoonrill/_internal/state/endpoint_registry.py
+++ b/src/lagoonrill/_internal/state/endpoint_registry.py
@@ -146,6 +146,11 @@
             and not self._is_hold_over(record.id)
         )
 
+    def held_for_s(self) -> dict[str, float]:
+        """Returns for how long endpoints without an entry are still offered."""
+        now = self.clock()
+        return {name: until - now for name, until in self.held_until.items()}
+
     def _is_hold_over(self, endpoint_id: str) -> bool:
         until = self.held_until.get(endpoint_id)
         return until is not None and until <= self.clock()
--- a/tests/test_endpoint_discovery.py
+++ b/tests/test_endpoint_discovery.py
@@ -150,7 +150,7 @@
 def test_a_peer_list_that_is_older_is_not_taken(world):
     world.play(listed(entry("a", leaving=True), revision=9))
     old = entry("a").content
-    assert not world.discovery.take([old], revision=8, hold_until=None)
+    assert not world.discovery.take_from_peer([old], revision=8, held_for_s={})
     assert world.ready() == []
 
 
@@ -160,3 +160,30 @@
     assert world.registry.is_suspect("a")
     world.play(changes(entry("a", incarnation=2)))
     assert not world.registry.is_suspect("a")
+
+
+def test_a_first_list_from_a_peer_has_the_entries_that_the_peer_holds(world):
+    records = [entry("a").content, entry("b").content]
+    world.discovery.take_from_peer(records, revision=5, held_for_s={"b": 1.0})
+    assert world.ready() == ["a", "b"]
+    world.now += 1.0
+    assert world.ready() == ["a"]
+
+
+def test_a_peers_hold_does_not_bring_back_what_has_left(world):
+    world.play(listed(entry("a"), entry("b"), entry("c", leaving=True), revision=3))
+    world.play(changes(removed=["b"], revision=4))
+    records = [entry("a").content, entry("b").content, entry("c").content]
+    held = {"b": 1.0, "c": 1.0}
+    world.discovery.take_from_peer(records, revision=5, held_for_s=held)
+    assert world.ready() == ["a"]
+
+
+def test_what_a_peer_knows_to_have_left_is_not_held_any_longer(world):
+    world.play(listed(entry("a"), entry("b")), DOWN)
+    world.now += 2.0
+    world.play(DOWN)
+    world.play(changes(removed=["b"], revision=4))
+    assert world.ready() == ["a", "b"]
+    world.discovery.take_from_peer([entry("a").content], revision=5, held_for_s={})
+    assert world.ready() == ["a"]
