Answer peers with a list and the revision that it belongs to

The revision was set before the list was installed, and a peer's question between the two got the old list under the new revision; the asker would have kept an endpoint that had left until the next change.

Both are now read under the lock under which they change. Test: an_old_list_is_not_passed_on_under_a_new_revision, failed before.

--- a/src/lagoonrill/_internal/coordination/endpoint_discovery.py
+++ b/src/lagoonrill/_internal/coordination/endpoint_discovery.py
@@ -78,6 +78,12 @@
         fresh = {} if self.registry.known else {record.id: record for record in records}
         return self._install(standing, revision=revision, limit=limit, fresh=fresh)
 
+    def snapshot(self) -> tuple[int, list[EndpointRecord], dict[str, float]]:
+        """Returns a revision, the endpoints as of it and the holds among them."""
+        with self.lock:
+            records = list(self.registry.records.values())
+            return self.revision, records, self.registry.held_for_s()
+
     def _install(
         self,
         records: list[EndpointRecord],
--- a/src/lagoonrill/_internal/coordination/gateway_peers.py
+++ b/src/lagoonrill/_internal/coordination/gateway_peers.py
@@ -466,17 +466,13 @@
         config = table.config if table else None
         if config is not None and config.version <= request.config_version:
             config = None
-        if self.discovery.revision <= request.endpoint_revision:
-            return RoutingReply(
-                config=config,
-                endpoint_revision=self.discovery.revision,
-                endpoints=None,
-            )
+        revision, endpoints, held_for_s = self.discovery.snapshot()
+        newer = revision > request.endpoint_revision
         return RoutingReply(
             config=config,
-            endpoint_revision=self.discovery.revision,
-            endpoints=list(self.registry.records.values()),
-            held_for_s=self.registry.held_for_s(),
+            endpoint_revision=revision,
+            endpoints=endpoints if newer else None,
+            held_for_s=held_for_s if newer else {},
         )
 
     def dump(self) -> dict:
--- a/tests/test_departures_reach_placement.py
+++ b/tests/test_departures_reach_placement.py
@@ -4,6 +4,8 @@
 wait is over, as the platform's store does.
 """
 
+import threading
+
 import pytest
 from returns.result import Failure, Success
 
@@ -23,6 +25,7 @@
 from lagoonrill._internal.protocol.routing import EndpointRecord
 from lagoonrill._internal.state.endpoint_registry import EndpointRegistry
 from lagoonrill._internal.state.engine_board import EngineBoard
+from tests.gateway_kit import wait_until
 
 # How long an endpoint without an entry may still get requests.
 DRAIN_S = 2.0
@@ -281,3 +284,27 @@
     there.follow(102.1)
     world.here.hear(there, for_s=DRAIN_S - 0.5)
     assert world.ready() == ["b"]
+
+
+def test_an_old_list_is_not_passed_on_under_a_new_revision(world):
+    # The receiver would keep an endpoint that has left until the next change.
+    replies = []
+    install = world.here.registry.replace
+
+    def answer_meanwhile(records, **options):
+        request = RoutingRequest(config_version=1, endpoint_revision=0)
+        peer = threading.Thread(
+            target=lambda: replies.append(world.here.peers._answer_routing(request))
+        )
+        peer.start()
+        peer.join(0.1)
+        install(records, **options)
+
+    world.here.registry.replace = answer_meanwhile
+    world.store.remove("a", 102.0)
+    world.here.follow(102.1)
+    assert wait_until(lambda: replies)
+    names = [record.id for record in replies[0].endpoints]
+    assert (
+        replies[0].endpoint_revision < world.here.discovery.revision or "a" not in names
+    )
