Take a peer's list when the own watch is dead

A watch whose answer was lost stays open without a sign, and the store counts as reached: an instance would have sent to endpoints that left for up to 27 s while its peers knew.

Digests now carry a checksum of the endpoints that have an entry. An instance whose list stands still for a second beside a peer's newer and different one asks that peer, as it does when the store is away. The checksum keeps quiet fleets from asking for a list whenever another kind of object changes. Among several peers the one with the newest list is asked.

--- a/src/lagoonrill/_internal/coordination/gateway_peers.py
+++ b/src/lagoonrill/_internal/coordination/gateway_peers.py
@@ -52,6 +52,9 @@
 LOST_AFTER_DIGESTS = 4
 # The store usually delivers a change itself within this time.
 ASK_AFTER_S = 0.2
+# Changes of endpoints are fetched every 0.8 s while there are any. An instance whose
+# list stands still for longer beside a peer's newer one has a watch that is dead.
+DEAD_WATCH_S = 1.0
 REQUEST_TIMEOUT_S = 0.6
 # An owner answers from memory; a prompt waits for it no longer than this.
 OWNER_TIMEOUT_S = 0.05
@@ -110,6 +113,8 @@
         self.stopping = threading.Event()
         self.leaving = False
         self.behind_since: float | None = None
+        # Since when a peer's list is newer than the own one, and the own revision then.
+        self.list_behind: tuple[int, float] | None = None
         self.addresses_sent_at = 0.0
         # Addresses of new peers that have not been told of the others yet.
         self.newcomers: set[str] = set()
@@ -302,6 +307,7 @@
             address=self.link.address,
             config_version=self.routing.version,
             endpoint_revision=self.discovery.revision,
+            endpoint_checksum=self.registry.checksum,
             store_in_touch=self.store_in_touch(),
             leaving=self.leaving,
             work=[] if self.leaving else self.board.own_work(),
@@ -405,21 +411,43 @@
 
     def _ahead(self) -> GatewayDigest | None:
         """Returns the peer that knows most beyond this instance, if any."""
-        reached = self.store_in_touch()
+        asks_for_list = not self.store_in_touch() or self._has_dead_watch()
         version = self.routing.version
         revision = self.discovery.revision
-        best = None
         with self.lock:
-            for view in self.views.values():
-                digest = view.digest
-                newer = digest.config_version > version or (
-                    not reached and digest.endpoint_revision > revision
+            ahead = [
+                view.digest
+                for view in self.views.values()
+                if not view.lost
+                and (
+                    view.digest.config_version > version
+                    or (asks_for_list and view.digest.endpoint_revision > revision)
                 )
-                if view.lost or not newer:
-                    continue
-                if best is None or digest.config_version > best.config_version:
-                    best = digest
-        return best
+            ]
+        return max(
+            ahead,
+            key=lambda digest: (digest.config_version, digest.endpoint_revision),
+            default=None,
+        )
+
+    def _has_dead_watch(self) -> bool:
+        """Returns whether the own list stands still beside a peer's newer one."""
+        revision = self.discovery.revision
+        checksum = self.registry.checksum
+        with self.lock:
+            behind = any(
+                view.digest.endpoint_revision > revision
+                and view.digest.endpoint_checksum not in (0, checksum)
+                for view in self.views.values()
+                if not view.lost
+            )
+        if not behind:
+            self.list_behind = None
+            return False
+        now = self.clock()
+        if self.list_behind is None or self.list_behind[0] != revision:
+            self.list_behind = (revision, now)
+        return now - self.list_behind[1] >= DEAD_WATCH_S
 
     def _catch_up(self, ahead: GatewayDigest) -> None:
         result = self.link.request(
@@ -445,7 +473,9 @@
                 source="peer",
                 peer=ahead.instance,
             )
-        if reply.endpoints is not None and not self.store_in_touch():
+        if reply.endpoints is not None and (
+            not self.store_in_touch() or self._has_dead_watch()
+        ):
             self.event_log.emit(
                 "endpoints_from_peer",
                 peer=ahead.instance,
--- a/src/lagoonrill/_internal/protocol/messages.py
+++ b/src/lagoonrill/_internal/protocol/messages.py
@@ -175,6 +175,8 @@
     address: str
     config_version: int = 0
     endpoint_revision: int = 0
+    # Of the endpoints that stand in the store as of that revision; 0 if unknown.
+    endpoint_checksum: int = 0
     store_in_touch: bool = False
     leaving: bool = False
     work: list[EngineWork] = []
--- a/src/lagoonrill/_internal/state/endpoint_registry.py
+++ b/src/lagoonrill/_internal/state/endpoint_registry.py
@@ -7,6 +7,8 @@
 import contextlib
 import threading
 import time
+import zlib
+from collections.abc import Iterable
 
 import msgspec
 
@@ -81,6 +83,17 @@
     failure_share: float
 
 
+def checksum_of(records: Iterable[EndpointRecord]) -> int:
+    """Returns a number that differs between lists with different endpoints or states.
+
+    >>> a = EndpointRecord(id="a", service="s", address="x:1", zone="z", slots=1)
+    >>> checksum_of([a]) == checksum_of([msgspec.structs.replace(a, leaving=True)])
+    False
+    """
+    lines = sorted(f"{item.id} {item.incarnation} {item.leaving}" for item in records)
+    return zlib.crc32("\n".join(lines).encode())
+
+
 class EndpointRegistry:
     """Endpoints by service; leaving and unreadable ones are never offered."""
 
@@ -97,6 +110,8 @@
         self.by_service: dict[str, tuple[EndpointRecord, ...]] = {}
         self.known = False
         self.updated_at = 0.0
+        # Of the endpoints that have an entry, to compare with other instances.
+        self.checksum = 0
         # Counts the installations, for those who keep what they derive from a list.
         self.edition = 0
 
@@ -124,6 +139,11 @@
                 name: tuple(sorted(found, key=lambda item: item.id))
                 for name, found in by_service.items()
             }
+            self.checksum = checksum_of(
+                record
+                for name, record in records.items()
+                if name not in self.held_until
+            )
             self.known = True
             self.edition += 1
             self.updated_at = self.clock()
--- a/tests/test_departures_reach_placement.py
+++ b/tests/test_departures_reach_placement.py
@@ -206,6 +206,7 @@
             address=other.peers.link.address,
             config_version=1,
             endpoint_revision=other.discovery.revision,
+            endpoint_checksum=other.registry.checksum,
             store_in_touch=True,
         )
         until = self.world.now + for_s
@@ -286,6 +287,16 @@
     assert world.ready() == ["b"]
 
 
+def test_a_quiet_list_is_not_asked_for_when_only_its_revision_is_old(world):
+    # Other objects change the store's revision; asking each time would cost a list.
+    there = Instance(world, "there")
+    there.follow(102.0)
+    world.here.discovery.revision = there.discovery.revision - 1
+    world.here.registry.replace(there.registry.records)
+    world.here.peers.link.request = None
+    world.here.hear(there, for_s=10.0)
+
+
 def test_an_old_list_is_not_passed_on_under_a_new_revision(world):
     # The receiver would keep an endpoint that has left until the next change.
     replies = []
