Notice a silent store before the instance is bound again

When connections fall silent without a reset, the list of endpoints was known again 3.2 to 3.35 s later; the machines are bound again after 3 s, so marks of leaving made meanwhile would be acted on up to 0.35 s too late, and 1 s later still when the silence met a call in a pause between changes.

Connections to the store get one keep-alive probe instead of two and 1.5 s for unacknowledged bytes. One lost probe then ends a watch, which costs a call. Other connections keep their times. Test: tests/test_store_silence.py, failed with the old times.

--- a/src/lagoonrill/_internal/transport/sockets.py
+++ b/src/lagoonrill/_internal/transport/sockets.py
@@ -5,21 +5,40 @@
 import time
 
 RECEIVE_BYTES = 65_536
-# A peer that is cut off without a reset is noticed after about three seconds, the time
-# for which a request can wait for a route around it.
+# Whole seconds are the finest that the socket options allow.
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
+# A peer that is cut off without a reset is noticed after three seconds, the time for
+# which a request can wait for a route around it.
 KEEPALIVE_PROBES = 2
 UNACKNOWLEDGED_MS = 3_000
-
-KEEPALIVE_OPTIONS = [
-    (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
-    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
-    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS),
-]
+# The store is asked anew after two, and after less by a call that is under way: three
+# seconds after a disturbance an instance must know again what the store has
+# acknowledged meanwhile.
+STORE_KEEPALIVE_PROBES = 1
+STORE_UNACKNOWLEDGED_MS = 1_500
+
+
+def keepalive_options(
+    *, probes: int, unacknowledged_ms: int
+) -> list[tuple[int, int, int]]:
+    """Returns the options that end a connection whose other side has fallen silent."""
+    return [
+        (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
+        (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, probes),
+        (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, unacknowledged_ms),
+    ]
+
+
+KEEPALIVE_OPTIONS = keepalive_options(
+    probes=KEEPALIVE_PROBES, unacknowledged_ms=UNACKNOWLEDGED_MS
+)
+STORE_KEEPALIVE_OPTIONS = keepalive_options(
+    probes=STORE_KEEPALIVE_PROBES, unacknowledged_ms=STORE_UNACKNOWLEDGED_MS
+)
 
 GONE = select.POLLRDHUP | select.POLLHUP | select.POLLERR | select.POLLNVAL
 
--- a/src/lagoonrill/_internal/transport/store_client.py
+++ b/src/lagoonrill/_internal/transport/store_client.py
@@ -14,7 +14,7 @@
     StoreRejected,
     StoreUnavailable,
 )
-from .sockets import KEEPALIVE_OPTIONS
+from .sockets import STORE_KEEPALIVE_OPTIONS
 
 POOL_CONNECTIONS = 32
 # Request line and the headers that http.client adds: Host, Accept-Encoding, lengths.
@@ -57,7 +57,10 @@
         self.connect_timeout_s = connect_timeout_s or call_timeout_s
         self.headers = headers or {}
         self.pool = urllib3.connection_from_url(
-            url, maxsize=connections, retries=False, socket_options=KEEPALIVE_OPTIONS
+            url,
+            maxsize=connections,
+            retries=False,
+            socket_options=STORE_KEEPALIVE_OPTIONS,
         )
         self.lock = threading.Lock()
         self.calls: dict[str, int] = {}
--- /dev/null
+++ b/tests/test_store_silence.py
@@ -0,0 +1,31 @@
+"""Guards that an instance knows the list again before it is bound by it again.
+
+Connections to the store may fall silent without a reset while new ones work. Three
+seconds later a request to an endpoint that left meanwhile counts against the instance.
+"""
+
+from lagoonrill._internal.coordination.store_follower import (
+    CHANGE_SPACING_S,
+    FIRST_PAUSE_S,
+)
+from lagoonrill._internal.protocol.gateway_settings import GatewayBounds
+from lagoonrill._internal.transport import sockets
+
+CONTACT_S = GatewayBounds().contact_ms / 1000
+# Connect, answer and installation with a busy processor.
+ASK_AGAIN_S = 0.3
+# The longest pause after a first failure.
+PAUSE_S = 2 * FIRST_PAUSE_S
+
+
+def test_a_silent_watch_is_replaced_in_time():
+    noticed_s = (
+        sockets.KEEPALIVE_IDLE_S
+        + sockets.KEEPALIVE_INTERVAL_S * sockets.STORE_KEEPALIVE_PROBES
+    )
+    assert noticed_s + PAUSE_S + ASK_AGAIN_S < CONTACT_S
+
+
+def test_a_call_on_a_connection_that_fell_silent_before_is_repeated_in_time():
+    noticed_s = CHANGE_SPACING_S + sockets.STORE_UNACKNOWLEDGED_MS / 1000
+    assert noticed_s + PAUSE_S + ASK_AGAIN_S < CONTACT_S
