Let no entry's bytes hide another entry's departure

Entries come from many writers. A lone surrogate, a control character or NaN in one made the whole answer of a watch fail, and the follower asked again from the same revision: no departure was learned while that event was in the history. Bytes that are no UTF-8, or a metadata field of another type, made the change and even the removal be left out, so the entry before stayed in force. A value nested 1,000 deep raised RecursionError and ended the follower's thread for good. Class of fault: a belief that stays in force because the news that ends it cannot be read.

An answer that a strict parser refuses is read again with replacements, of an object only its name is needed, a change without a name leads to a list, and no failure ends the follower. An entry that has become unreadable is not held as a lapsed one either. Tests: tests/platform/test_adapter.py (six kinds of bytes, metadata, no name), tests/test_endpoint_discovery.py; all failed before (the seven first by leaving out i-gone, by DecodeError or RecursionError).

--- a/src/lagoonrill/_internal/coordination/endpoint_discovery.py
+++ b/src/lagoonrill/_internal/coordination/endpoint_discovery.py
@@ -47,6 +47,9 @@
         hold_until = self.lapsed_entries.held_until(follower.absence)
 
         def limit(endpoint_id: str) -> float | None:
+            if endpoint_id in follower.objects:
+                # Its entry stands and cannot be read, so it names no endpoint.
+                return None
             return self.registry.held_until.get(endpoint_id, hold_until)
 
         self._install(records, revision=follower.revision, limit=limit)
--- a/src/lagoonrill/_internal/coordination/store_follower.py
+++ b/src/lagoonrill/_internal/coordination/store_follower.py
@@ -33,7 +33,6 @@
     """An object of the store; `content` is its decoded form, None if unreadable."""
 
     name: str
-    revision: int
     content: object | None
 
 
@@ -45,11 +44,15 @@
 
 
 class ObjectChanges(msgspec.Struct, kw_only=True):
-    """Changes of a kind up to a revision; a removed object has `removed` set."""
+    """Changes of a kind up to a revision.
+
+    `complete` is False if a change cannot be told to which object it belongs.
+    """
 
     changed: list[StoreObject]
     removed: list[str]
     revision: int
+    complete: bool = True
 
 
 class ObjectSource(Protocol):
@@ -103,7 +106,7 @@
     def start(self) -> None:
         """Starts the thread."""
         self.thread = threading.Thread(
-            target=self._run, name=f"follow-{self.kind}", daemon=True
+            target=self.run, name=f"follow-{self.kind}", daemon=True
         )
         self.thread.start()
 
@@ -111,9 +114,17 @@
         """Lets the thread end after its present call."""
         self.stopping.set()
 
-    def _run(self) -> None:
+    def run(self) -> None:
+        """Makes calls until it is stopped; no failure ends it."""
         while not self.stopping.is_set():
-            pause_s = self.step()
+            try:
+                pause_s = self.step()
+            except Exception as error:
+                # Without this thread the copy would stay as it is for good.
+                self.event_log.emit(
+                    "store_call_failed", kind=self.kind, error=repr(error)[:200]
+                )
+                pause_s = MAX_PAUSE_S
             if pause_s:
                 self.stopping.wait(pause_s)
 
@@ -215,6 +226,9 @@
         self.revision = max(self.revision, answer.revision)
         if answer.changed or answer.removed:
             self.apply(self)
+        if not answer.complete:
+            # A list shows which objects stand, whatever the change was.
+            self.listed = False
 
     def dump(self) -> dict:
         return {
--- a/src/lagoonrill/platform/_store.py
+++ b/src/lagoonrill/platform/_store.py
@@ -11,6 +11,7 @@
     ObjectList,
     StoreObject,
 )
+from .._internal.protocol import loose_json
 from .._internal.protocol.errors import StoreError
 from .._internal.protocol.routing import EndpointRecord
 from .._internal.transport.sockets import parse_address
@@ -38,10 +39,9 @@
 
 
 class WireMetadata(msgspec.Struct, rename="pascal"):
-    """Identity of an object; `revision` is that of its last change."""
+    """Identity of an object."""
 
     name: str
-    revision: int = 0
 
 
 class WireObject(msgspec.Struct, rename="pascal"):
@@ -54,7 +54,7 @@
 class WireList(msgspec.Struct, rename="pascal"):
     """One page of objects; `more` asks for another call."""
 
-    items: list[msgspec.Raw] = []
+    items: list[object] = []
     more: bool = False
     store_revision: int = 0
 
@@ -62,7 +62,7 @@
 class WireEvent(msgspec.Struct):
     """A change; a removed object is given as it last was."""
 
-    object: msgspec.Raw = msgspec.field(name="Object")
+    subject: object = msgspec.field(name="Object")
     removed: bool = msgspec.field(name="Removed", default=False)
 
 
@@ -88,6 +88,18 @@
     born: int = msgspec.field(name="born", default=0)
 
 
+def read_answer(data: bytes, kind: type):
+    """Decodes an answer; unreadable bytes of one entry leave the others readable.
+
+    Raises `ValueError` if not even the structure can be read.
+    """
+    try:
+        return msgspec.json.decode(data, type=kind)
+    except (msgspec.DecodeError, RecursionError) as error:
+        log.warning("an answer of the store is read with replacements: {}", error)
+        return msgspec.convert(loose_json.loads(data), kind)
+
+
 def decode_endpoint(name: str, spec: object) -> EndpointRecord:
     """Returns the endpoint of an entry; raises `ValueError` if it names none."""
     wire = msgspec.convert(spec, WireServer)
@@ -156,16 +168,18 @@
         result = self.client.call(label, "GET", path, read_timeout_s=timeout_s)
         return result.bind(
             lambda answer: self.client.decoded(
-                label, lambda: msgspec.json.decode(answer.data, type=kind)
+                label, lambda: read_answer(answer.data, kind)
             )
         )
 
     def _changes(self, wire: WireChanges) -> ObjectChanges:
         changed: dict[str, StoreObject] = {}
         removed: dict[str, None] = {}
+        nameless = False
         for event in wire.events:
-            item = self._object(event.object)
+            item = self._object(event.subject)
             if item is None:
+                nameless = True
                 continue
             if event.removed:
                 changed.pop(item.name, None)
@@ -177,14 +191,15 @@
             changed=list(changed.values()),
             removed=list(removed),
             revision=wire.store_revision,
+            complete=not nameless,
         )
 
-    def _object(self, raw: msgspec.Raw) -> StoreObject | None:
+    def _object(self, found: object) -> StoreObject | None:
         """Decodes an object; one without readable content keeps its name."""
         try:
-            wire = msgspec.json.decode(raw, type=WireObject)
-        except msgspec.DecodeError as error:
-            log.warning("an object of kind {} is unreadable: {}", self.kind, error)
+            wire = msgspec.convert(found, WireObject)
+        except msgspec.ValidationError as error:
+            log.warning("an object of kind {} has no name: {}", self.kind, error)
             return None
         content = None
         try:
@@ -194,9 +209,7 @@
             log.warning(
                 "{} {} is not used: {}", self.kind, quote(wire.metadata.name), error
             )
-        return StoreObject(
-            name=wire.metadata.name, revision=wire.metadata.revision, content=content
-        )
+        return StoreObject(name=wire.metadata.name, content=content)
 
 
 def open_sources(address: str) -> tuple[KindSource, KindSource]:
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -1,13 +1,19 @@
 """Guards the decoding of the platform's objects into the product's types."""
 
+import msgspec
 import pytest
-from returns.result import Failure
+from returns.result import Failure, Success
 
 from lagoonrill._internal.protocol.errors import StoreHistoryGone
 from lagoonrill._internal.protocol.routing import RouteKind
 from lagoonrill.platform._configuration import decode_configuration
 from lagoonrill.platform._headers import VOCABULARY
-from lagoonrill.platform._store import decode_endpoint, open_sources
+from lagoonrill.platform._store import (
+    KindSource,
+    decode_endpoint,
+    open_sources,
+    read_answer,
+)
 from standins.metadata_store import MetadataStore, MetadataStoreServer
 from standins.platform_objects import configuration, server
 
@@ -141,3 +147,74 @@
     found = {item.name: item.content for item in configs.list().unwrap().objects}
     assert found["old"] is None
     assert found["main"].version == 8
+
+
+# What another writer may put into its own entry, as bytes of a watch's answer.
+UNREADABLE_SPECS = {
+    "lone_surrogate": b'{"Service": "\\ud800"}',
+    "not_utf8": b'{"Service": "\xff\xfe"}',
+    "control_character": b'{"Service": "\x01"}',
+    "no_number": b'{"Slots": NaN}',
+    "huge_number": b'{"Slots": ' + b"9" * 5_000 + b"}",
+    "deep": b"[" * 3_000 + b"]" * 3_000,
+}
+
+
+class CannedStore:
+    """Answers every call with the same bytes."""
+
+    def __init__(self, data: bytes):
+        self.data = data
+
+    def call(self, *_, **options):
+        return Success(self)
+
+    def decoded(self, label, decode):
+        return Success(decode())
+
+
+def changes_in(*events: bytes):
+    data = b'{"events": [%s], "StoreRevision": 9}' % b", ".join(events)
+    source = KindSource(
+        client=CannedStore(data), kind="servers", decode=decode_endpoint
+    )
+    return source.changes(since=1, wait_s=0).unwrap()
+
+
+def wire_event(name: str, spec: bytes, removed: bytes = b"false") -> bytes:
+    metadata = b'{"Name": "%s", "Revision": 5}' % name.encode()
+    parts = (b'"Metadata": ' + metadata, b'"Spec": ' + spec)
+    return b'{"Object": {%s}, "Removed": %s}' % (b", ".join(parts), removed)
+
+
+@pytest.mark.parametrize("spec", UNREADABLE_SPECS.values(), ids=UNREADABLE_SPECS)
+def test_unreadable_bytes_of_one_entry_hide_no_departure(spec):
+    # The whole answer failed, or the change was left out and the old entry stayed.
+    leaving = msgspec.json.encode(server(State="draining"))
+    found = changes_in(
+        wire_event("i-bad", spec),
+        wire_event("i-gone", spec, b"true"),
+        wire_event("i-leaving", leaving),
+    )
+    contents = {item.name: item.content for item in found.changed}
+    assert contents["i-bad"] is None
+    assert contents["i-leaving"].leaving
+    assert found.removed == ["i-gone"]
+    assert found.complete
+
+
+def test_metadata_of_another_type_does_not_hide_a_removal():
+    event = (
+        b'{"Object": {"Metadata": {"Name": "i-1", "Revision": "x"}}, "Removed": true}'
+    )
+    assert changes_in(event).removed == ["i-1"]
+
+
+def test_a_change_without_a_name_is_told():
+    event = b'{"Object": {"Metadata": {"Name": 7}}, "Removed": true}'
+    assert not changes_in(event).complete
+
+
+def test_an_answer_without_structure_is_an_error():
+    with pytest.raises(ValueError):
+        read_answer(b'{"events": [', object)
--- a/tests/test_departures_reach_placement.py
+++ b/tests/test_departures_reach_placement.py
@@ -36,10 +36,10 @@
 CONNECT_TIMEOUT_S = 0.7
 
 
-def entry(id: str, revision: int, **options) -> StoreObject:
+def entry(id: str, **options) -> StoreObject:
     defaults = {"service": "s", "address": "10.0.0.1:80", "zone": "a", "slots": 1}
     content = EndpointRecord(id=id, **(defaults | options))
-    return StoreObject(name=id, revision=revision, content=content)
+    return StoreObject(name=id, content=content)
 
 
 class TimedStore:
@@ -48,7 +48,7 @@
     def __init__(self, world, names):
         self.world = world
         self.revision = 1
-        self.objects = {name: entry(name, 1) for name in names}
+        self.objects = {name: entry(name) for name in names}
         # (time, name, new object or None for a removal), in order.
         self.coming: list[tuple[float, str, StoreObject | None]] = []
         self.done: list[tuple[int, str, StoreObject | None]] = []
@@ -63,7 +63,7 @@
 
     def change_something_else(self, at: float) -> None:
         """Lets a watch end at a time without news of these endpoints."""
-        self.coming.append((at, "other", entry("other", 1, service="other")))
+        self.coming.append((at, "other", entry("other", service="other")))
         self.coming.sort(key=lambda item: item[0])
 
     def _happen(self, until: float) -> None:
--- a/tests/test_endpoint_discovery.py
+++ b/tests/test_endpoint_discovery.py
@@ -23,10 +23,10 @@
 GONE = Failure(StoreHistoryGone(message="gone"))
 
 
-def entry(id: str, revision: int = 1, **options) -> StoreObject:
+def entry(id: str, **options) -> StoreObject:
     defaults = {"service": "s", "address": "10.0.0.1:80", "zone": "a", "slots": 1}
     content = EndpointRecord(id=id, **(defaults | options))
-    return StoreObject(name=id, revision=revision, content=content)
+    return StoreObject(name=id, content=content)
 
 
 def listed(*objects, revision=1):
@@ -48,11 +48,17 @@
 
     def list(self):
         self.calls.append("list")
-        return self.script.pop(0)
+        return self._next()
 
     def changes(self, *, since, wait_s):
         self.calls.append(since)
-        return self.script.pop(0)
+        return self._next()
+
+    def _next(self):
+        result = self.script.pop(0)
+        if isinstance(result, Exception):
+            raise result
+        return result
 
 
 class World:
@@ -97,7 +103,7 @@
 
 
 def test_an_unreadable_entry_names_no_endpoint_and_leaves_the_others(world):
-    bad = StoreObject(name="x", revision=1, content=None)
+    bad = StoreObject(name="x", content=None)
     world.play(listed(entry("a"), bad))
     assert world.ready() == ["a"]
 
@@ -115,7 +121,7 @@
     world.now += 0.5
     world.play(changes(removed=["a", "b"]))
     assert world.ready() == ["a", "b"]
-    world.play(changes(entry("a", revision=9), revision=9))
+    world.play(changes(entry("a"), revision=9))
     world.now += RETURN_S
     world.discovery.end_holds()
     # What is missing after that time is gone.
@@ -187,3 +193,30 @@
     assert world.ready() == ["a", "b"]
     world.discovery.take_from_peer([entry("a").content], revision=5, held_for_s={})
     assert world.ready() == ["a"]
+
+
+def test_an_entry_that_became_unreadable_names_no_endpoint_even_after_an_absence(world):
+    world.play(listed(entry("a"), entry("b")), DOWN)
+    world.now += 2.0
+    bad = StoreObject(name="a", content=None)
+    world.play(DOWN, changes(bad, removed=["b"]))
+    assert world.ready() == ["b"]
+
+
+def test_a_change_of_an_unknown_object_leads_to_a_list(world):
+    # The entry might be that of an endpoint that is leaving.
+    world.play(listed(entry("a"), entry("b")))
+    unknown = Success(ObjectChanges(changed=[], removed=[], revision=3, complete=False))
+    world.play(unknown, listed(entry("b"), revision=3))
+    assert world.ready() == ["b"]
+
+
+def test_a_source_that_fails_in_an_unknown_way_does_not_end_the_follower(world):
+    # The thread would have ended, and the list stayed as it was for good.
+    world.play(listed(entry("a"), entry("b")))
+    world.source.script = [RecursionError("deep"), changes(removed=["a"])]
+    world.follower.stopping.wait = lambda _: (
+        world.source.script or world.follower.stop()
+    )
+    world.follower.run()
+    assert world.ready() == ["b"]
