Bound what is read of an answer of the store or of a manifest's endpoint

The other two clients read a body to its end, however large and slow: bytes without end filled the memory and held the calling thread, for the store's client the one that follows the list of endpoints. One reader for both now ends at a size and a time; the connection is closed and the call counts as lost, or the endpoint as broken. Tests: tests/test_endless_answers.py, eight cases with fast and trickled bytes. Open: a store that sends interim answers (100) without end, which http.client reads for ever.

--- a/src/lagoonrill/_internal/transport/endpoint_client.py
+++ b/src/lagoonrill/_internal/transport/endpoint_client.py
@@ -30,6 +30,7 @@
     EndpointRefused,
 )
 from ..protocol.manifest import Endpoint
+from .bounded_body import read_body
 
 T = TypeVar("T")
 
@@ -40,6 +41,9 @@
 CONNECT_TIMEOUT_S = 1.0
 CONTROL_TIMEOUT_S = 2.0
 DRAIN_TIMEOUT_S = 0.05
+# The largest whole answer, and the largest body of a refusal that is passed on.
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
+MAX_REFUSAL_BYTES = 1024 * 1024
 # The kernel takes 0 as no time-out.
 MIN_TIMEOUT_S = 0.001
 NEVER_SENT = (ConnectTimeoutError, NameResolutionError, NewConnectionError)
@@ -328,7 +332,12 @@
             return sent
         response = sent.unwrap()
         try:
-            content = response.read(decode_content=False)
+            content = read_body(
+                response,
+                max_bytes=MAX_ANSWER_BYTES,
+                timeout_s=timeout_s,
+                decode_content=False,
+            )
         except (HTTPError, OSError) as error:
             response.close()
             message = f"{endpoint.id} broke off its answer: {error}"
@@ -461,8 +470,14 @@
 
     def _refusal(self, endpoint, response, handle) -> EndpointRefused:
         try:
-            content = response.read(decode_content=False)
+            content = read_body(
+                response,
+                max_bytes=MAX_REFUSAL_BYTES,
+                timeout_s=CONTROL_TIMEOUT_S,
+                decode_content=False,
+            )
         except (HTTPError, OSError):
+            # The status alone says what the refusal means.
             content = b""
         handle.detach()
         response.release_conn()
--- a/src/lagoonrill/_internal/transport/store_client.py
+++ b/src/lagoonrill/_internal/transport/store_client.py
@@ -14,9 +14,12 @@
     StoreRejected,
     StoreUnavailable,
 )
+from .bounded_body import read_body
 from .sockets import STORE_KEEPALIVE_OPTIONS
 
 POOL_CONNECTIONS = 32
+# A page of objects has about 1 MB; a watch may have a whole history of changes.
+MAX_ANSWER_BYTES = 32 * 1024 * 1024
 # Request line and the headers that http.client adds: Host, Accept-Encoding, lengths.
 REQUEST_OVERHEAD_BYTES = 110
 STATUS_LINE_BYTES = 17
@@ -27,6 +30,14 @@
 HISTORY_GONE_STATUS = 410
 
 
+class StoreAnswer(msgspec.Struct, kw_only=True):
+    """A whole answer of the store."""
+
+    status: int
+    headers: urllib3.HTTPHeaderDict
+    data: bytes
+
+
 class StoreClientDump(msgspec.Struct, kw_only=True):
     """Counters since the start; bytes include an estimate of the headers."""
 
@@ -100,15 +111,30 @@
         headers: dict[str, str] | None = None,
         body: bytes | None = None,
         read_timeout_s: float | None = None,
-    ) -> Result[urllib3.BaseHTTPResponse, StoreError]:
+    ) -> Result[StoreAnswer, StoreError]:
         sent = self.headers | (headers or {})
         self._count_sent(kind, path, sent, body)
         timeout = urllib3.Timeout(
             connect=self.connect_timeout_s, read=read_timeout_s or self.call_timeout_s
         )
         try:
-            answer = self.pool.urlopen(
-                method, path, body=body, headers=sent, timeout=timeout, redirect=False
+            response = self.pool.urlopen(
+                method,
+                path,
+                body=body,
+                headers=sent,
+                timeout=timeout,
+                redirect=False,
+                preload_content=False,
+            )
+            answer = StoreAnswer(
+                status=response.status,
+                headers=response.headers,
+                data=read_body(
+                    response,
+                    max_bytes=MAX_ANSWER_BYTES,
+                    timeout_s=self.call_timeout_s,
+                ),
             )
         except (
             urllib3.exceptions.NewConnectionError,
@@ -127,7 +153,7 @@
             self.calls[kind] = self.calls.get(kind, 0) + 1
             self.sent_bytes += size + len(body or b"")
 
-    def _count_received(self, answer: urllib3.BaseHTTPResponse) -> None:
+    def _count_received(self, answer: StoreAnswer) -> None:
         size = STATUS_LINE_BYTES + header_bytes(answer.headers) + len(answer.data)
         with self.lock:
             self.received_bytes += size
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -1,10 +1,18 @@
 """Guards callers and memory against endpoints whose bytes have no end."""
 
+import contextlib
+import threading
 import time
 
 import pytest
+from returns.result import Failure
 
+from lagoonrill._internal.protocol.endpoint_errors import EndpointError
+from lagoonrill._internal.protocol.errors import StoreInDoubt
+from lagoonrill._internal.protocol.manifest import Endpoint
+from lagoonrill._internal.transport import endpoint_client, store_client
 from standins.scripted_endpoint import EVENTS, ScriptedEndpoint, event
+from standins.threaded_listener import ThreadedListener
 from tests.gateway_kit import HOST, KEY, Gateway, wait_until
 
 WHOLE_ANSWERS = (
@@ -119,3 +127,62 @@
     assert wait_until(lambda: endpoint.runs)
     connection.close()
     assert endpoint.cancelled.wait(0.5)
+
+
+class EndlessServer:
+    """Sends a head, then the same bytes until the other side closes."""
+
+    def __init__(self, head: bytes, pause_s: float):
+        self.head = head
+        self.pause_s = pause_s
+        self.left = threading.Event()
+        self.listener = ThreadedListener(serve=self.serve)
+        self.url = f"http://{self.listener.address}"
+
+    def serve(self, sock) -> None:
+        sock.settimeout(5)
+        with contextlib.suppress(OSError), sock:
+            sock.recv(65_536)
+            sock.sendall(self.head)
+            while True:
+                sock.sendall(b"more" if self.pause_s else b"more" * 16_384)
+                time.sleep(self.pause_s)
+        self.left.set()
+
+
+@pytest.fixture(params=[0.0, 0.01], ids=["fast", "trickled"])
+def endless_server(request):
+    servers = []
+
+    def build(status: bytes) -> EndlessServer:
+        server = EndlessServer(b"HTTP/1.1 " + status + b"\r\n\r\n", request.param)
+        servers.append(server)
+        return server
+
+    yield build
+    for server in servers:
+        server.listener.close()
+
+
+@pytest.mark.parametrize("status", [b"200 OK", b"503 Service Unavailable"])
+def test_store_that_never_ends_its_answer_counts_as_lost(endless_server, status):
+    # The whole answer was kept, and its end waited for, without a bound.
+    server = endless_server(status)
+    client = store_client.StoreClient(url=server.url, call_timeout_s=0.5)
+    result = client.call("list", "GET", "/v1/objects/servers", read_timeout_s=20)
+    assert isinstance(result, Failure)
+    assert isinstance(result.failure(), StoreInDoubt)
+    assert server.left.wait(2)
+
+
+@pytest.mark.parametrize("status", [b"200 OK", b"503 Service Unavailable"])
+def test_endpoint_of_the_manifest_that_never_ends_its_answer_is_left(
+    endless_server, status
+):
+    server = endless_server(status)
+    client = endpoint_client.EndpointClient(instance="test", connect_timeout_s=0.3)
+    endpoint = Endpoint(id="e", url=server.url, zone="z", slots=1)
+    result = client.call(endpoint, method="POST", path="/x", body=b"{}", timeout_s=0.5)
+    assert isinstance(result, Failure)
+    assert isinstance(result.failure(), EndpointError)
+    assert server.left.wait(2)
