--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -169,7 +169,7 @@
     # The whole answer was kept, and its end waited for, without a bound.
     server = endless_server(status)
     client = store_client.StoreClient(url=server.url, call_timeout_s=0.5)
-    result = client.call("list", "GET", "/v1/objects/servers", read_timeout_s=20)
+    result = client.call("list", "GET", "/objects/endpoints", read_timeout_s=20)
     assert isinstance(result, Failure)
     assert isinstance(result.failure(), StoreInDoubt)
     assert server.left.wait(2)
