Keep an endpoint leaving for the rest of its life

An entry that no longer said it was leaving made the endpoint ready again. A heartbeat that the store executes late may say so; the endpoint exits all the same.

The mark stays as long as the entry bears the same start of the endpoint; a restart under the id, with another start, is a new endpoint. Test: a_late_heartbeat_does_not_take_back_that_an_endpoint_is_leaving, failed before.

--- a/src/lagoonrill/_internal/coordination/endpoint_discovery.py
+++ b/src/lagoonrill/_internal/coordination/endpoint_discovery.py
@@ -10,6 +10,8 @@
 import time
 from collections.abc import Callable
 
+import msgspec
+
 from ..event_log import EventLog
 from ..protocol.routing import EndpointRecord
 from ..state.endpoint_registry import EndpointRegistry
@@ -100,7 +102,10 @@
                 return False
             self.revision = revision
             before = self.registry.records
-            after = {record.id: record for record in records}
+            after = {
+                record.id: self._still_leaving(record, before.get(record.id))
+                for record in records
+            }
             candidates = before | (fresh or {})
             held = self._held(candidates, after, limit)
             after |= {endpoint_id: candidates[endpoint_id] for endpoint_id in held}
@@ -109,6 +114,25 @@
         self.changed()
         return True
 
+    def _still_leaving(
+        self, record: EndpointRecord, known: EndpointRecord | None
+    ) -> EndpointRecord:
+        """Returns the record, as leaving if the endpoint said so earlier in this life.
+
+        A write of the endpoint may reach the store late and replace a newer one.
+        """
+        if (
+            known is None
+            or not known.leaving
+            or record.leaving
+            or record.incarnation != known.incarnation
+        ):
+            return record
+        self.event_log.emit(
+            "endpoint_stays_leaving", endpoint=record.id, revision=self.revision
+        )
+        return msgspec.structs.replace(record, leaving=True)
+
     def _held(
         self,
         candidates: dict[str, EndpointRecord],
--- a/tests/test_endpoint_discovery.py
+++ b/tests/test_endpoint_discovery.py
@@ -220,3 +220,12 @@
     )
     world.follower.run()
     assert world.ready() == ["b"]
+
+
+def test_a_late_heartbeat_does_not_take_back_that_an_endpoint_is_leaving(world):
+    world.play(listed(entry("a", incarnation=7), entry("b")))
+    world.play(changes(entry("a", incarnation=7, leaving=True), revision=2))
+    world.play(changes(entry("a", incarnation=7), revision=3))
+    assert world.ready() == ["b"]
+    world.play(changes(entry("a", incarnation=8), revision=4))
+    assert world.ready() == ["a", "b"]
