Move the catching up with peers to a module of its own

What asks peers for newer configurations and endpoints, and answers them, stands in routing_catch_up; the exchange of digests stays. No behaviour is changed; the tests call the parts by their new names.

--- a/src/lagoonrill/_internal/coordination/gateway_peers.py
+++ b/src/lagoonrill/_internal/coordination/gateway_peers.py
@@ -1,8 +1,8 @@
-"""What gateways tell each other: their work on the engines, and newer routing state.
+"""What gateways tell each other: their work on the engines, and what they know.
 
 Load pattern: each instance sees a part of the load only, and engines report late. A
-digest after each change lets all of them place by the same load. An instance that the
-store turns away learns configurations and endpoints from a peer that reaches it.
+digest after each change lets all of them place by the same load. `routing_catch_up`
+asks peers whose digests show newer configurations or endpoints.
 """
 
 import threading
@@ -19,7 +19,6 @@
     GatewayDigest,
     PromptReply,
     PromptRequest,
-    RoutingReply,
     RoutingRequest,
 )
 from ..state.endpoint_registry import EndpointRegistry
@@ -28,6 +27,7 @@
 from ..transport.peer_link import PeerLink
 from .endpoint_discovery import EndpointDiscovery
 from .policy.engine_placement import owner_of
+from .routing_catch_up import REVIEW_INTERVAL_S, RoutingCatchUp
 
 # Changes that follow each other within this time leave in one digest.
 DIGEST_SPACING_S = 0.02
@@ -50,12 +50,6 @@
 LOST_AFTER_S = 1.5
 # A far peer is lost after so many of its digests stayed away.
 LOST_AFTER_DIGESTS = 4
-# The store usually delivers a change itself within this time.
-ASK_AFTER_S = 0.2
-# Changes of endpoints are fetched every 0.8 s while there are any. An instance whose
-# list stands still for longer beside a peer's newer one has a watch that is dead.
-DEAD_WATCH_S = 1.0
-REQUEST_TIMEOUT_S = 0.6
 # An owner answers from memory; a prompt waits for it no longer than this.
 OWNER_TIMEOUT_S = 0.05
 # An owner that did not answer in time is not asked again for a while.
@@ -112,9 +106,16 @@
         self.changed = threading.Event()
         self.stopping = threading.Event()
         self.leaving = False
-        self.behind_since: float | None = None
-        # Since when a peer's list is newer than the own one, and the own revision then.
-        self.list_behind: tuple[int, float] | None = None
+        self.catch_up = RoutingCatchUp(
+            link=link,
+            routing=routing,
+            discovery=discovery,
+            registry=registry,
+            digests=self.live_digests,
+            store_in_touch=store_in_touch,
+            event_log=event_log,
+            clock=clock,
+        )
         self.addresses_sent_at = 0.0
         # Addresses of new peers that have not been told of the others yet.
         self.newcomers: set[str] = set()
@@ -123,7 +124,7 @@
         self.far_sent_at = 0.0
         self.far_reads: deque = deque(maxlen=MAX_FAR_READS)
         link.register_handler(GatewayDigest, self._take_digest, inline=True)
-        link.register_handler(RoutingRequest, self._answer_routing)
+        link.register_handler(RoutingRequest, self.catch_up.answer)
         link.register_handler(PromptRequest, self.board.answer_prompt, inline=True)
 
     def start(self) -> None:
@@ -371,20 +372,14 @@
         self.registry.drop_peer(name)
 
     def _watch(self) -> None:
-        while not self.stopping.wait(ASK_AFTER_S / 2):
+        while not self.stopping.wait(REVIEW_INTERVAL_S):
             self.keep_up()
 
     def keep_up(self) -> None:
         """Notes lost peers and asks one that has been ahead for a while."""
         self._note_lost()
         self.discovery.end_holds()
-        ahead = self._ahead()
-        if ahead is None:
-            self.behind_since = None
-        elif self.behind_since is None:
-            self.behind_since = self.clock()
-        elif self.clock() - self.behind_since >= ASK_AFTER_S:
-            self._catch_up(ahead)
+        self.catch_up.review()
 
     def _note_lost(self) -> None:
         now = self.clock()
@@ -409,101 +404,10 @@
             if address not in self.seeds:
                 self.link.disconnect(address)
 
-    def _ahead(self) -> GatewayDigest | None:
-        """Returns the peer that knows most beyond this instance, if any."""
-        asks_for_list = not self.store_in_touch() or self._has_dead_watch()
-        version = self.routing.version
-        revision = self.discovery.revision
+    def live_digests(self) -> list[GatewayDigest]:
+        """Returns what each peer said last that is not lost."""
         with self.lock:
-            ahead = [
-                view.digest
-                for view in self.views.values()
-                if not view.lost
-                and (
-                    view.digest.config_version > version
-                    or (asks_for_list and view.digest.endpoint_revision > revision)
-                )
-            ]
-        return max(
-            ahead,
-            key=lambda digest: (digest.config_version, digest.endpoint_revision),
-            default=None,
-        )
-
-    def _has_dead_watch(self) -> bool:
-        """Returns whether the own list stands still beside a peer's newer one."""
-        revision = self.discovery.revision
-        checksum = self.registry.checksum
-        with self.lock:
-            behind = any(
-                view.digest.endpoint_revision > revision
-                and view.digest.endpoint_checksum not in (0, checksum)
-                for view in self.views.values()
-                if not view.lost
-            )
-        if not behind:
-            self.list_behind = None
-            return False
-        now = self.clock()
-        if self.list_behind is None or self.list_behind[0] != revision:
-            self.list_behind = (revision, now)
-        return now - self.list_behind[1] >= DEAD_WATCH_S
-
-    def _catch_up(self, ahead: GatewayDigest) -> None:
-        result = self.link.request(
-            ahead.address,
-            RoutingRequest(
-                config_version=self.routing.version,
-                endpoint_revision=self.discovery.revision,
-            ),
-            REQUEST_TIMEOUT_S,
-        )
-        if isinstance(result, Failure):
-            self.event_log.emit(
-                "peer_did_not_answer", peer=ahead.instance, reason=str(result.failure())
-            )
-            return
-        reply = result.unwrap()
-        if not isinstance(reply, RoutingReply):
-            return
-        if reply.config is not None and self.routing.install(reply.config):
-            self.event_log.emit(
-                "config_installed",
-                version=reply.config.version,
-                source="peer",
-                peer=ahead.instance,
-            )
-        if reply.endpoints is not None and (
-            not self.store_in_touch() or self._has_dead_watch()
-        ):
-            self.event_log.emit(
-                "endpoints_from_peer",
-                peer=ahead.instance,
-                endpoints=len(reply.endpoints),
-                held=len(reply.held_for_s),
-                revision=reply.endpoint_revision,
-                known=self.discovery.revision,
-            )
-            self.discovery.take_from_peer(
-                reply.endpoints,
-                revision=reply.endpoint_revision,
-                held_for_s=reply.held_for_s,
-            )
-        self.behind_since = None
-
-    def _answer_routing(self, request: RoutingRequest) -> RoutingReply:
-        table = self.routing.table
-        config = table.config if table else None
-        if config is not None and config.version <= request.config_version:
-            config = None
-        revision, endpoints, held_for_s = self.discovery.snapshot()
-        newer = revision > request.endpoint_revision
-        return RoutingReply(
-            config=config,
-            endpoint_revision=revision,
-            endpoints=endpoints if newer else None,
-            held_for_s=held_for_s if newer else {},
-        )
+            return [view.digest for view in self.views.values() if not view.lost]
 
     def dump(self) -> dict:
         now = self.clock()
--- /dev/null
+++ b/src/lagoonrill/_internal/coordination/routing_catch_up.py
@@ -0,0 +1,162 @@
+"""Learns newer configurations and endpoints from peers, and answers peers that ask.
+
+Load pattern: the store turns one instance away, or its watch is dead, while others
+reach the store. Asking the store more often is priced and does not help then.
+"""
+
+import time
+from collections.abc import Callable
+
+from returns.result import Failure
+
+from ..event_log import EventLog
+from ..protocol.messages import GatewayDigest, RoutingReply, RoutingRequest
+from ..state.endpoint_registry import EndpointRegistry
+from ..state.route_table import RoutingState
+from ..transport.peer_link import PeerLink
+from .endpoint_discovery import EndpointDiscovery
+
+# How often the peers' digests are looked through.
+REVIEW_INTERVAL_S = 0.1
+# The store usually delivers a change itself within this time.
+ASK_AFTER_S = 0.2
+# Changes of endpoints are fetched every 0.8 s while there are any. An instance whose
+# list stands still for longer beside a peer's newer one has a watch that is dead.
+DEAD_WATCH_S = 1.0
+REQUEST_TIMEOUT_S = 0.6
+
+
+class RoutingCatchUp:
+    """Asks one peer that is ahead, after it has been so for a while.
+
+    `digests` returns what each live peer said last. Configurations are taken from any
+    peer that has a newer one; endpoints only while the own way to the store is gone.
+    """
+
+    def __init__(
+        self,
+        *,
+        link: PeerLink,
+        routing: RoutingState,
+        discovery: EndpointDiscovery,
+        registry: EndpointRegistry,
+        digests: Callable[[], list[GatewayDigest]],
+        store_in_touch: Callable[[], bool],
+        event_log: EventLog,
+        clock=time.monotonic,
+    ):
+        self.link = link
+        self.routing = routing
+        self.discovery = discovery
+        self.registry = registry
+        self.digests = digests
+        self.store_in_touch = store_in_touch
+        self.event_log = event_log
+        self.clock = clock
+        self.behind_since: float | None = None
+        # Since when a peer's list is newer than the own one, and the own revision then.
+        self.list_behind: tuple[int, float] | None = None
+
+    def review(self) -> None:
+        """Looks through the digests and asks a peer if it is time."""
+        ahead = self._ahead()
+        if ahead is None:
+            self.behind_since = None
+        elif self.behind_since is None:
+            self.behind_since = self.clock()
+        elif self.clock() - self.behind_since >= ASK_AFTER_S:
+            self._ask(ahead)
+
+    def _ahead(self) -> GatewayDigest | None:
+        """Returns the peer that knows most beyond this instance, if any."""
+        needs_list = self._needs_list()
+        version = self.routing.version
+        revision = self.discovery.revision
+        ahead = [
+            digest
+            for digest in self.digests()
+            if digest.config_version > version
+            or (needs_list and digest.endpoint_revision > revision)
+        ]
+        return max(
+            ahead,
+            key=lambda digest: (digest.config_version, digest.endpoint_revision),
+            default=None,
+        )
+
+    def _needs_list(self) -> bool:
+        return not self.store_in_touch() or self._has_dead_watch()
+
+    def _has_dead_watch(self) -> bool:
+        """Returns whether the own list stands still beside a peer's newer one."""
+        revision = self.discovery.revision
+        known = (0, self.registry.checksum)
+        behind = any(
+            digest.endpoint_revision > revision
+            and digest.endpoint_checksum not in known
+            for digest in self.digests()
+        )
+        if not behind:
+            self.list_behind = None
+            return False
+        now = self.clock()
+        if self.list_behind is None or self.list_behind[0] != revision:
+            self.list_behind = (revision, now)
+        return now - self.list_behind[1] >= DEAD_WATCH_S
+
+    def _ask(self, ahead: GatewayDigest) -> None:
+        result = self.link.request(
+            ahead.address,
+            RoutingRequest(
+                config_version=self.routing.version,
+                endpoint_revision=self.discovery.revision,
+            ),
+            REQUEST_TIMEOUT_S,
+        )
+        if isinstance(result, Failure):
+            self.event_log.emit(
+                "peer_did_not_answer", peer=ahead.instance, reason=str(result.failure())
+            )
+            return
+        reply = result.unwrap()
+        if isinstance(reply, RoutingReply):
+            self._take(reply, ahead.instance)
+
+    def _take(self, reply: RoutingReply, peer: str) -> None:
+        if reply.config is not None and self.routing.install(reply.config):
+            self.event_log.emit(
+                "config_installed",
+                version=reply.config.version,
+                source="peer",
+                peer=peer,
+            )
+        if reply.endpoints is not None and self._needs_list():
+            self.event_log.emit(
+                "endpoints_from_peer",
+                peer=peer,
+                endpoints=len(reply.endpoints),
+                held=len(reply.held_for_s),
+                revision=reply.endpoint_revision,
+                known=self.discovery.revision,
+            )
+            self.discovery.take_from_peer(
+                reply.endpoints,
+                revision=reply.endpoint_revision,
+                held_for_s=reply.held_for_s,
+            )
+        self.behind_since = None
+
+    def answer(self, request: RoutingRequest) -> RoutingReply:
+        """Returns what this instance has that is newer than what the asker knows."""
+        table = self.routing.table
+        config = table.config if table else None
+        if config is not None and config.version <= request.config_version:
+            config = None
+        revision, endpoints, held_for_s = self.discovery.snapshot()
+        newer = revision > request.endpoint_revision
+        return RoutingReply(
+            config=config,
+            endpoint_revision=revision,
+            endpoints=endpoints if newer else None,
+            held_for_s=held_for_s if newer else {},
+        )
--- a/tests/test_departures_reach_placement.py
+++ b/tests/test_departures_reach_placement.py
@@ -10,8 +10,12 @@
 from returns.result import Failure, Success
 
 from lagoonrill._internal.coordination.endpoint_discovery import EndpointDiscovery
-from lagoonrill._internal.coordination.gateway_peers import ASK_AFTER_S, GatewayPeers
+from lagoonrill._internal.coordination.gateway_peers import GatewayPeers
 from lagoonrill._internal.coordination.policy.lapsed_entries import LapsedEntries
+from lagoonrill._internal.coordination.routing_catch_up import (
+    ASK_AFTER_S,
+    REVIEW_INTERVAL_S,
+)
 from lagoonrill._internal.coordination.store_follower import (
     MAX_PAUSE_S,
     ObjectChanges,
@@ -122,7 +126,7 @@
 
     def request(self, address, message, timeout_s):
         assert isinstance(message, RoutingRequest)
-        return Success(self.other._answer_routing(message))
+        return Success(self.other.catch_up.answer(message))
 
 
 class Routing:
@@ -213,7 +217,7 @@
         while self.world.now < until:
             self.peers._take_digest(digest)
             self.peers.keep_up()
-            self.world.now += ASK_AFTER_S / 2
+            self.world.now += REVIEW_INTERVAL_S
 
 
 @pytest.fixture
@@ -305,7 +309,7 @@
     def answer_meanwhile(records, **options):
         request = RoutingRequest(config_version=1, endpoint_revision=0)
         peer = threading.Thread(
-            target=lambda: replies.append(world.here.peers._answer_routing(request))
+            target=lambda: replies.append(world.here.peers.catch_up.answer(request))
         )
         peer.start()
         peer.join(0.1)
