--- a/standins/scripted_endpoint.py
+++ b/standins/scripted_endpoint.py
@@ -123,7 +123,12 @@
     """Says nothing more and notes whether the other side closes the connection."""
     with contextlib.suppress(OSError):
         sock.settimeout(CANCEL_WAIT_S)
-        if not sock.recv(1):
+        try:
+            closed = not sock.recv(1)
+        except ConnectionResetError:
+            # The other side closed with bytes that it had not read.
+            closed = True
+        if closed:
             endpoint.cancelled.set()
     return False
 
