--- /dev/null
+++ b/tests/test_ports.py
@@ -0,0 +1,9 @@
+"""Guards that processes of runs beside each other get ports of their own."""
+
+from standins import ports
+
+
+def test_no_port_is_drawn_twice(monkeypatch):
+    monkeypatch.setattr(ports, "FIRST_PORT", 31_500)
+    monkeypatch.setattr(ports, "LAST_PORT", 31_503)
+    assert sorted(ports.free_port() for _ in range(3)) == [31_500, 31_501, 31_502]
