Count idle threads as room for new connections

Cause: connections that arrive before idle threads have run were refused once 32 were queued, although the threads were about to take some of them. On a busy machine the 33rd and 34th connection of test_busy_threads_refuse_at_once were refused, the threads then took two, and the expected 32 queued connections were never reached. Ruled out: a wrong count of requests in flight (open requests and queue are both read after the fact and do not change in this test). Change: the limit of the queue is raised by the number of idle threads.

--- a/src/lagoonrill/_internal/transport/caller_server.py
+++ b/src/lagoonrill/_internal/transport/caller_server.py
@@ -261,7 +261,8 @@
     def process_conn(self, conn) -> None:
         """Queues a connection for a thread, or rejects it if the queue is full."""
         waiting = self.requests._queue.qsize()
-        if waiting < MAX_WAITING_CONNECTIONS or waiting < self.requests.idle:
+        # Idle threads have yet to take as many connections off the queue.
+        if waiting < MAX_WAITING_CONNECTIONS + self.requests.idle:
             super().process_conn(conn)
             return
         error = Overloaded(
--- a/tests/test_caller_limits.py
+++ b/tests/test_caller_limits.py
@@ -1,10 +1,17 @@
 """Guards against callers that use more resources than their limits allow."""
 
 import json
+import queue
+import socket
 import time
+from types import SimpleNamespace
 
 import pytest
 
+from lagoonrill._internal.transport.caller_server import (
+    MAX_WAITING_CONNECTIONS,
+    CallerServer,
+)
 from tests.request_path import (
     AUTH,
     HTTP,
@@ -190,3 +197,34 @@
         assert time.monotonic() - started_at < 1
         for connection in idle:
             connection.close()
+
+
+class IdleThreads:
+    """Thread pool whose idle threads have not run since the connections came."""
+
+    def __init__(self, *, waiting: int, idle: int):
+        self.idle = idle
+        self._queue = queue.Queue()
+        for _ in range(waiting):
+            self._queue.put(None)
+
+    def put(self, connection):
+        self._queue.put(connection)
+
+
+@pytest.mark.parametrize("idle", [0, 2])
+def test_connections_that_idle_threads_will_take_are_not_refused(idle):
+    # On a busy machine, connections arrive before idle threads run. If those that the
+    # threads will take count as queued, callers are refused although there is room.
+    server = object.__new__(CallerServer)
+    room = MAX_WAITING_CONNECTIONS + idle
+    server.requests = IdleThreads(waiting=room - 1, idle=idle)
+    pairs = [socket.socketpair() for _ in range(2)]
+    for _, ours in pairs:
+        connection = SimpleNamespace(socket=ours, close=ours.close)
+        server.process_conn(connection)
+    assert server.requests._queue.qsize() == room
+    assert pairs[1][0].recv(4_096).startswith(b"HTTP/1.1 503 ")
+    for pair in pairs:
+        for end in pair:
+            end.close()
