Decide each request for an engine once, under one lock

Cause: a placed request's thread was woken while the review that placed it still read its flags; a denial then cleared the flag, so the request stayed in the queue and joined it again. Besides, a review placed a request before it looked at its time limit, and forgot denials after 0.15 s: a request that owners kept denying went round the same engines, also after its limit. These are the red case of test_instances_that_see_the_same_idle_engines_do_not_fill_one_of_them. Ruled out: the lock around the denial alone; the endless round remains. Change: a waiter has named states with checked transitions, all under the admission's lock; an engine whose owner denied a request is skipped until the others were tried; a queued or denied request that cannot finish is refused before it is tried again; the job of a placement ends on every path, also if the owner cannot be asked.

--- a/bench/placement_cost.py
+++ b/bench/placement_cost.py
@@ -103,7 +103,7 @@
 def submit(admission: EngineAdmission, item: Generation) -> Waiter:
     admission._note_prompt(item)
     waiter = Waiter(generation=item, view=admission._view(item), excluded=frozenset())
-    admission._place_or_queue(waiter)
+    admission.submit(waiter)
     return waiter
 
 
--- a/src/lagoonrill/_internal/coordination/engine_admission.py
+++ b/src/lagoonrill/_internal/coordination/engine_admission.py
@@ -19,7 +19,7 @@
 from ..state.endpoint_registry import EndpointRegistry
 from ..state.engine_load_table import EngineLoadTable
 from .engine_fleet import Fleet, NoPeers, PeerInfo, RouteMeans
-from .engine_requests import Admission, Engine, Generation, Waiter
+from .engine_requests import Admission, Engine, Generation, Waiter, WaiterState
 from .policy.engine_placement import (
     HEAVY_TOKENS_PER_PAUSE_S,
     RANDOM_CHOICES,
@@ -134,35 +134,34 @@
             generation=generation, view=self._view(generation), excluded=excluded
         )
         while True:
-            placed = self._place_or_queue(waiter)
-            if not placed and self._caller_disconnected_while_queued(
-                waiter, caller_disconnected
-            ):
+            self.submit(waiter)
+            if not self._await_decision(waiter, caller_disconnected):
                 return None
-            if waiter.refused:
+            if waiter.state is WaiterState.REFUSED:
                 raise self._refusal(generation)
             if self._owner_grants(waiter):
                 break
-            waiter.undo_placement()
         self.load_table.note_sent(waiter.admission.engine, generation.parts)
         waiter.admission.waited_s = self.clock() - started_at
         return waiter.admission
 
-    def _caller_disconnected_while_queued(
-        self, waiter: Waiter, caller_disconnected
-    ) -> bool:
-        """Waits for a decision; returns whether the caller disconnected before it."""
+    def _await_decision(self, waiter: Waiter, caller_disconnected) -> bool:
+        """Waits for a decision; returns False if the caller disconnected before it."""
+        if waiter.decided.is_set():
+            return True
         self.changed.set()
         while not waiter.decided.wait(CHECK_INTERVAL_S):
             if caller_disconnected():
-                return self._withdraw(waiter)
-        return False
+                self.withdraw(waiter)
+                return False
+        return True
 
     def _owner_grants(self, waiter: Waiter) -> bool:
         """Asks the owner of the engine whether it grants a long prompt."""
         admission = waiter.admission
         job = admission.job
         if not job.heavy:
+            self.grant(waiter)
             return True
         placement = admission.placement
         request = PromptRequest(
@@ -172,42 +171,55 @@
             most_tokens=placement.most_tokens,
             most_heavy=placement.most_heavy,
         )
-        reply = self.peers.ask_owner(admission.zone, request)
-        if reply is None:
+        try:
+            reply = self.peers.ask_owner(admission.zone, request)
+        except BaseException:
+            self.withdraw(waiter)
+            raise
+        if reply is not None:
+            self.load_table.note_owner_reply(job, reply.pending_tokens)
+        if reply is None or reply.granted:
+            self.grant(waiter)
             return True
-        self.load_table.note_owner_reply(job, reply.pending_tokens)
-        if not reply.granted:
-            self.load_table.end(job)
-            self.event_log.emit(
-                "engine_denied",
-                request=waiter.generation.id,
-                endpoint=admission.engine,
-                unread_tokens=job.tokens,
-                ahead_tokens=reply.pending_tokens,
-                most_tokens=placement.most_tokens,
-                heavy=reply.heavy,
-                most_heavy=placement.most_heavy,
-            )
-        return reply.granted
+        self.deny(waiter)
+        self.event_log.emit(
+            "engine_denied",
+            request=waiter.generation.id,
+            endpoint=admission.engine,
+            unread_tokens=job.tokens,
+            ahead_tokens=reply.pending_tokens,
+            most_tokens=placement.most_tokens,
+            heavy=reply.heavy,
+            most_heavy=placement.most_heavy,
+        )
+        return False
 
-    def _place_or_queue(self, waiter: Waiter) -> bool:
-        """Places a request if none is queued ahead of it; otherwise queues it."""
+    def submit(self, waiter: Waiter) -> None:
+        """Places a request if none is queued ahead of it; otherwise queues it.
+
+        A request that would have to queue, or that an owner has denied, is refused
+        instead if it can no longer finish in time.
+        """
         generation = waiter.generation
         service = generation.service
         now = self.clock()
         with self.lock:
             line = self.waiting.setdefault(service, [])
+            hopeless = not waiter.view.can_finish(now)
+            if hopeless and waiter.denials:
+                waiter.move_to(WaiterState.REFUSED)
+                return
             ahead = any(other.view.on_time(now) for other in line)
             heavy = self._is_heavy(generation)
             denied = waiter.denials > MAX_DENIALS
             if not (ahead and heavy) and not denied:
                 fleet = self._fleet(service)
                 if self._try_place(waiter, fleet, now):
-                    return True
-            if line and not waiter.view.can_finish(now):
-                waiter.refused = True
-                waiter.decided.set()
-                return True
+                    return
+            if line and hopeless:
+                waiter.move_to(WaiterState.REFUSED)
+                return
+            waiter.move_to(WaiterState.WAITING)
             line.append(waiter)
             length = len(line)
         self.event_log.emit(
@@ -217,18 +229,28 @@
             line=length,
             time_left_s=round(generation.deadline - now, 3),
         )
-        return False
 
-    def _withdraw(self, waiter: Waiter) -> bool:
+    def grant(self, waiter: Waiter) -> None:
+        """Makes a placement final."""
+        with self.lock:
+            waiter.move_to(WaiterState.GRANTED)
+
+    def deny(self, waiter: Waiter) -> None:
+        """Undoes a placement that the owner of the engine denied."""
         with self.lock:
-            line = self.waiting.get(waiter.generation.service, [])
-            if waiter in line:
-                line.remove(waiter)
-                return True
-        if waiter.admission is not None:
             self.load_table.end(waiter.admission.job)
-            return True
-        return False
+            waiter.note_denial(waiter.admission.engine)
+
+    def withdraw(self, waiter: Waiter) -> None:
+        """Ends a request whose caller disconnected, whatever has been decided."""
+        with self.lock:
+            if waiter.state is WaiterState.REFUSED:
+                return
+            if waiter.state is WaiterState.WAITING:
+                self.waiting[waiter.generation.service].remove(waiter)
+            if waiter.state is WaiterState.PLACED:
+                self.load_table.end(waiter.admission.job)
+            waiter.move_to(WaiterState.WITHDRAWN)
 
     def _refusal(self, generation: Generation) -> Refusal:
         service = generation.service
@@ -286,14 +308,16 @@
             for view in self.order.order([item.view for item in line], now):
                 if failed_placements >= MAX_FAILED_PLACEMENTS:
                     break
+                if not view.can_finish(now):
+                    waiters[view.id].move_to(WaiterState.REFUSED)
+                    continue
                 placed = self._try_place(waiters[view.id], engines, now)
                 failed_placements += not placed
-            left = [waiter.view for waiter in line if not waiter.decided.is_set()]
+            left = [item.view for item in line if item.state is WaiterState.WAITING]
             rate = self._tokens_per_s(service)
             for view in self.order.jobs_to_reject(left, now, rate):
-                waiters[view.id].refused = True
-                waiters[view.id].decided.set()
-            line[:] = [waiter for waiter in line if not waiter.decided.is_set()]
+                waiters[view.id].move_to(WaiterState.REFUSED)
+            line[:] = [item for item in line if item.state is WaiterState.WAITING]
 
     def review_all(self) -> None:
         """Reviews the queues of all services."""
@@ -380,7 +404,9 @@
             count = min(
                 max(count, most), self.placement.max_stream_engines(len(ordered))
             )
-        listed = self.placement.shortlist(job, ordered, count, self._owned(fleet))
+        listed = self.placement.shortlist(
+            job, ordered, count, self._owned(fleet), skipped=waiter.denied_by
+        )
         holder = self._holder(generation, fleet)
         ratio = self.load_table.delay_ratio(service)
         placement = self._choose(job, generation, fleet, holder, listed, ratio)
@@ -390,6 +416,7 @@
             ratio *= FAR_DELAY_FACTOR
             placement = self._choose(job, generation, fleet, holder, far, ratio)
         if placement.engine is None:
+            waiter.denied_by = frozenset()
             return False
         engine_job = self.load_table.begin(
             engine=placement.engine, tokens=placement.uncached_tokens, heavy=job.heavy
@@ -404,7 +431,7 @@
             waited_s=0.0,
             run_s=waiter.view.run_s,
         )
-        waiter.decided.set()
+        waiter.move_to(WaiterState.PLACED)
         return True
 
     def _choose(
@@ -438,7 +465,8 @@
             name
             for ordered in fleet.far
             for name in ordered[count:]
-            if name not in waiter.excluded and not self.registry.is_suspect(name)
+            if name not in waiter.excluded | waiter.denied_by
+            and not self.registry.is_suspect(name)
         ]
         return Shortlist(main=highest_ranked(job.id, names, RANDOM_CHOICES), paced=[])
 
--- a/src/lagoonrill/_internal/coordination/engine_requests.py
+++ b/src/lagoonrill/_internal/coordination/engine_requests.py
@@ -1,5 +1,6 @@
 """Data types for a generation on its way to an engine: request, queue entry, result."""
 
+import enum
 import threading
 
 import msgspec
@@ -70,16 +71,51 @@
         self.suspect = suspect
 
 
+class WaiterState(enum.Enum):
+    """State of a request that asks for an engine."""
+
+    NEW = enum.auto()
+    WAITING = enum.auto()
+    # Placed; the owner of the engine has not agreed yet.
+    PLACED = enum.auto()
+    GRANTED = enum.auto()
+    REFUSED = enum.auto()
+    WITHDRAWN = enum.auto()
+
+
+TRANSITIONS = {
+    WaiterState.NEW: {
+        WaiterState.WAITING,
+        WaiterState.PLACED,
+        WaiterState.REFUSED,
+    },
+    WaiterState.WAITING: {
+        WaiterState.PLACED,
+        WaiterState.REFUSED,
+        WaiterState.WITHDRAWN,
+    },
+    WaiterState.PLACED: {
+        WaiterState.NEW,
+        WaiterState.GRANTED,
+        WaiterState.WITHDRAWN,
+    },
+    WaiterState.GRANTED: set(),
+    WaiterState.REFUSED: set(),
+    WaiterState.WITHDRAWN: set(),
+}
+
+
 class Waiter:
-    """Request that waits for an admission decision."""
+    """Request that asks for an engine; `EngineAdmission.lock` protects its state."""
 
     __slots__ = (
         "admission",
         "decided",
         "denials",
+        "denied_by",
         "excluded",
         "generation",
-        "refused",
+        "state",
         "view",
     )
 
@@ -89,14 +125,31 @@
         self.generation = generation
         self.view = view
         self.excluded = excluded
+        self.state = WaiterState.NEW
+        # Wakes the request's thread once it no longer waits.
         self.decided = threading.Event()
         self.admission: Admission | None = None
-        self.refused = False
         # Number of denials by engine owners.
         self.denials = 0
-
-    def undo_placement(self) -> None:
-        """Undoes a placement that the owner of the engine denied."""
+        # Engines that are skipped until all others have been tried.
+        self.denied_by: frozenset[str] = frozenset()
+
+    def move_to(self, state: WaiterState) -> None:
+        """Changes the state; raises `RuntimeError` for a decision taken twice."""
+        if state not in TRANSITIONS[self.state]:
+            raise RuntimeError(
+                f"request {self.generation.id} cannot change from "
+                f"{self.state.name} to {state.name}; report this as a bug"
+            )
+        self.state = state
+        if state in (WaiterState.NEW, WaiterState.WAITING):
+            self.decided.clear()
+        else:
+            self.decided.set()
+
+    def note_denial(self, engine: str) -> None:
+        """Records that the owner of an engine denied the placement."""
         self.admission = None
         self.denials += 1
-        self.decided.clear()
+        self.denied_by |= {engine}
+        self.move_to(WaiterState.NEW)
--- a/src/lagoonrill/_internal/coordination/forwarding.py
+++ b/src/lagoonrill/_internal/coordination/forwarding.py
@@ -209,12 +209,12 @@
             return None
         if admission is None:
             raise CallerGone
-        self.metrics.observe("queue", admission.waited_s, route=request.route.name)
-        record = self.registry.records.get(admission.engine)
         outcome = Outcome(reason="endpoint_left", may_have_run=False)
         complete = False
         broken = False
         try:
+            self.metrics.observe("queue", admission.waited_s, route=request.route.name)
+            record = self.registry.records.get(admission.engine)
             if record is not None and not record.leaving:
                 self._log_placed(request, admission, record)
                 sending.copy_from = admission.copy_from
--- a/src/lagoonrill/_internal/coordination/policy/engine_placement.py
+++ b/src/lagoonrill/_internal/coordination/policy/engine_placement.py
@@ -183,14 +183,25 @@
         return max(1, int(engines * (1 - MIN_HEAVY_SHARE)))
 
     def shortlist(
-        self, job: PromptJob, ordered: list[str], count: int, owned: frozenset[str]
+        self,
+        job: PromptJob,
+        ordered: list[str],
+        count: int,
+        owned: frozenset[str],
+        *,
+        skipped: frozenset[str] = frozenset(),
     ) -> Shortlist:
         """Returns the engines to consider; the first `count` are reserved for streams.
 
+        `skipped` engines are left out, but count as members of their group.
+
         In a large fleet, only the owner of an engine gives it requests that need an
         engine without a prefill backlog: other instances learn of its load too late.
         """
-        light, heavy = ordered[:count], ordered[count:] or ordered
+        light = [engine for engine in ordered[:count] if engine not in skipped]
+        heavy = [
+            engine for engine in ordered[count:] or ordered if engine not in skipped
+        ]
         large = len(ordered) > SMALL_FLEET
         if not job.heavy:
             main = highest_ranked(job.id, light, RANDOM_CHOICES) if large else light
