Answer requests in the backlog at a stop, and wait for slow first events

Planned stop. Cause: closing the listening socket reset connections that the system had accepted and the listener not yet. Change: they are accepted before the socket closes, and their requests are refused as not run, with a time to come back. Slow streams. Cause: a resumable stream had to send its first event within five pause goals (1.2 s at least), whatever the goal of its first event. With a goal of 2.5 s it was cut in time and its prompt read again elsewhere. Change: two goals of the first event, if that is longer; the caller waits for four. Ruled out: streams that cannot be resumed (they have no such limit), kept connections at a stop (covered before).

--- a/src/lagoonrill/_internal/coordination/forwarding.py
+++ b/src/lagoonrill/_internal/coordination/forwarding.py
@@ -55,6 +55,9 @@
 # endpoint; the caller times out after eight pause goals.
 STALLED_PAUSE_GOALS = 5.0
 MIN_STALL_S = 1.2
+# A resumable stream without its first event is sent to another endpoint after this many
+# goals; the caller times out after four.
+STALLED_FIRST_EVENT_GOALS = 2.0
 RETRY_AFTER_S = 0.3
 # An endpoint stops at the time limit that it was given. An answer cut off within this
 # time before the limit does not count as an endpoint failure.
@@ -375,7 +378,11 @@
         if not can_repeat or not self._has_untried_endpoint(sending):
             return None
         if route.kind is RouteKind.STREAM:
-            return max(MIN_STALL_S, STALLED_PAUSE_GOALS * route.pause_goal_s)
+            limit_s = max(MIN_STALL_S, STALLED_PAUSE_GOALS * route.pause_goal_s)
+            if sending.last_event is None:
+                # Before the first event, the caller waits for several of its goals.
+                limit_s = max(limit_s, STALLED_FIRST_EVENT_GOALS * route.goal_s)
+            return limit_s
         return max(MIN_SILENT_S, SILENT_SHARE_OF_GOAL * route.goal_s)
 
     @contextlib.contextmanager
--- a/src/lagoonrill/_internal/transport/gateway_listener.py
+++ b/src/lagoonrill/_internal/transport/gateway_listener.py
@@ -96,7 +96,10 @@
 
     def close(self) -> None:
         """Stops accepting connections and closes idle ones."""
+        if self.closed.is_set():
+            return
         self.closed.set()
+        self._accept_backlog()
         with contextlib.suppress(OSError):
             self.socket.shutdown(socket.SHUT_RDWR)
         self.socket.close()
@@ -126,6 +129,24 @@
                 continue
             self._start_serving(sock)
 
+    def _accept_backlog(self) -> None:
+        """Accepts the connections in the backlog, which `close` would reset.
+
+        Their requests are refused with an answer that says that they have not run.
+        """
+        self.socket.setblocking(False)
+        while True:
+            try:
+                sock, _ = self.socket.accept()
+            except OSError as error:
+                if not isinstance(error, BlockingIOError):
+                    log.warning("failed to accept the last connections: {}", error)
+                return
+            sock.setblocking(True)
+            with self.lock:
+                self.connections += 1
+            self._start_serving(sock)
+
     def _start_serving(self, sock: socket.socket) -> None:
         """Serves a connection in a new thread, or closes it if none can be started."""
         thread = threading.Thread(
--- a/standins/scripted_endpoint.py
+++ b/standins/scripted_endpoint.py
@@ -166,6 +166,18 @@
     return True
 
 
+@behaviour
+def stream_late(sock, request, endpoint) -> bool:
+    """Sends the first event after 1.8 s and the others at once."""
+    endpoint.record_run(request)
+    sock.sendall(encode_response_head(request) + STREAM_HEAD)
+    time.sleep(1.8)
+    events = b"".join(chunk(event(n)) for n in range(1, STREAM_EVENT_COUNT + 1))
+    with contextlib.suppress(OSError):
+        sock.sendall(events + b"0\r\n\r\n")
+    return True
+
+
 @behaviour
 def error_500(sock, request, endpoint) -> bool:
     endpoint.record_run(request)
--- a/tests/test_gateway_listener.py
+++ b/tests/test_gateway_listener.py
@@ -11,6 +11,8 @@
 from lagoonrill._internal import gateway_daemon
 from lagoonrill._internal.protocol.routing import CallerLimits
 from lagoonrill._internal.transport.endpoint_connection import ConnectionPool
+from lagoonrill._internal.transport.gateway_listener import GatewayListener
+from standins.ports import free_port
 from standins.scripted_endpoint import ScriptedEndpoint
 from tests.gateway_kit import Gateway, config, wait_until
 
@@ -270,3 +272,27 @@
     assert pool.idle_limit == 32
     pool.set_idle_limit(100, 400)
     assert pool.idle_limit == 1
+
+
+def test_requests_in_the_backlog_of_a_closing_listener_are_answered(gateway):
+    # A connection that the system has accepted, but the listener not yet, was reset
+    # with its request when the stop closed the socket.
+    gateway.start()
+    quiet = GatewayListener(
+        address=f"127.0.0.1:{free_port()}",
+        max_connections=4,
+        header_names=gateway.listener.header_names,
+        routing=gateway.routing,
+        forwarder=gateway.listener.forwarder,
+        metrics=gateway.metrics,
+        event_log=gateway.event_log,
+    )
+    quiet.open()
+    callers = [socket.create_connection(quiet.socket.getsockname()) for _ in range(3)]
+    for caller in callers:
+        caller.sendall(b"GET /status/1 HTTP/1.1\r\nHost: x\r\n\r\n")
+    quiet.close()
+    for caller in callers:
+        caller.settimeout(2)
+        assert caller.recv(4_096).startswith(b"HTTP/1.1 503 ")
+        caller.close()
--- a/tests/test_gateway_sends.py
+++ b/tests/test_gateway_sends.py
@@ -9,7 +9,7 @@
 
 from lagoonrill._internal.protocol.refusals import Refusal
 from standins.scripted_endpoint import STREAM_EVENT_COUNT, event
-from tests.gateway_kit import wait_until
+from tests.gateway_kit import config, engine_route, wait_until
 
 # Maps each endpoint behaviour to the status of a request that must not be repeated and
 # to whether the request ran.
@@ -270,3 +270,14 @@
         assert not response.whole
     else:
         assert response.status == 502
+
+
+def test_a_slow_stream_is_not_cut_before_its_first_event_is_due(gateway_for):
+    # The limit came from the pause goal alone: a stream with a pause goal of 0.2 s and
+    # 2.5 s for its first event was cut after 1.2 s and its prompt read again.
+    gateway, endpoints = gateway_for("models", ["stream_late"], ["stream_late"])
+    slow = engine_route("slow", resumable=True, max_endpoints=2, goal_s=2.5)
+    gateway.routing.install(config(2, routes=(slow,)))
+    response, _ = gateway.ask("/slow/1", headers={"X-Deadline-Ms": "4000"})
+    assert response.whole
+    assert sum(len(endpoint.received) for endpoint in endpoints) == 1
