--- a/src/lagoonrill/_internal/coordination/policy/engine_placement.py
+++ b/src/lagoonrill/_internal/coordination/policy/engine_placement.py
@@ -27,7 +27,7 @@
 # interactive streams, which delays the events of those streams.
 STREAM_READ_FRACTION = 0.25
 # Minimum fraction of the engines that remains available to long prompts.
-MIN_HEAVY_SHARE = 0.4
+MIN_HEAVY_SHARE = 0.125
 # Minimum fraction of the engines reserved for streams even if there are few streams:
 # interactive requests can arrive before the load updates that report them.
 MIN_LIGHT_SHARE = 0.12
@@ -54,7 +54,7 @@
 # An engine with interactive streams in at least this fraction of its slots is treated
 # as reserved for streams even after the number of reserved engines has dropped: its
 # streams end within seconds.
-RESERVED_SLOT_FRACTION = 0.05
+RESERVED_SLOT_FRACTION = 0.1
 # Weight of an engine's prefill backlog when an interactive stream is placed.
 PENDING_WEIGHT = 3
 # Makes a suspect engine the last resort.
