--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON := $(VENV)/bin/python
 STAMP := $(VENV)/.installed
 
-.PHONY: setup format lint test demo soak faults promises capacity measure measure-quick clean
+.PHONY: setup format lint test demo grid soak faults promises capacity measure measure-quick clean
 
 setup: $(STAMP)
 
@@ -33,6 +33,11 @@
 soak: setup
 	$(PYTHON) -m bench.soak --seed $(SEED) --seconds $(SECONDS)
 
+# Placement on random deployments; `make grid SEED=100 POINTS=20`.
+POINTS := 40
+grid: setup
+	$(PYTHON) -m bench.placement_grid --points $(POINTS) --seed $(SEED)
+
 demo: setup
 	$(PYTHON) -m bench.demo
 
