Share the placement from ten instances between two test files

Cause: the same nine lines stood in two test files. Ruled out: a fixture, as both need the owner. Change: one function. Measured: both files pass; nothing else changed.

--- a/tests/test_admission_races.py
+++ b/tests/test_admission_races.py
@@ -8,7 +8,13 @@
 from lagoonrill._internal.coordination import engine_requests
 from lagoonrill._internal.protocol.refusals import Refusal
 from lagoonrill._internal.state.engine_load_table import EngineLoadTable
-from tests.test_engine_admission import Peers, admission, generation, placed
+from tests.test_engine_admission import (
+    Peers,
+    admission,
+    generation,
+    place_from_ten_instances,
+    placed,
+)
 
 # Long enough for a woken thread to run before the thread that woke it goes on.
 WAKE_PAUSE_S = 0.02
@@ -33,14 +39,7 @@
     # The woken thread is denied by the owner while the review that placed it still
     # runs: the request stays in the queue and joins it again, or waits without end.
     owner = EngineLoadTable()
-    engines = set()
-    for number in range(10):
-        built = admission(14)
-        built.peers = Peers(count=9, zone_local=True, owner=owner, name=f"i{number}")
-        built.start()
-        engines.add(placed(built, "plan", 9_000, 1))
-        built.stop()
-    assert len(engines) == 10
+    assert len(place_from_ten_instances(owner)) == 10
 
 
 class SlowOwner(Peers):
--- a/tests/test_engine_admission.py
+++ b/tests/test_engine_admission.py
@@ -242,10 +242,8 @@
     assert policy.choose(job, [busy], [], 30_000.0, delay_ratio=ratio).engine is None
 
 
-def test_instances_that_see_the_same_idle_engines_do_not_fill_one_of_them():
-    # With load reports 0.1 s old, ten instances see the same idle engine and each sends
-    # it a long prompt, so that the last one waits two seconds for its first event.
-    owner = EngineLoadTable()
+def place_from_ten_instances(owner: EngineLoadTable) -> set[str]:
+    """Places a long prompt from each instance; returns the engines."""
     engines = set()
     for number in range(10):
         built = admission(14)
@@ -253,6 +251,14 @@
         built.start()
         engines.add(placed(built, "plan", 9_000, 1))
         built.stop()
+    return engines
+
+
+def test_instances_that_see_the_same_idle_engines_do_not_fill_one_of_them():
+    # With load reports 0.1 s old, ten instances see the same idle engine and each sends
+    # it a long prompt, so that the last one waits two seconds for its first event.
+    owner = EngineLoadTable()
+    engines = place_from_ten_instances(owner)
     assert len(engines) == 10
     for engine in engines:
         assert owner.load(engine).pending_tokens == 9_000
