Keep reviewing queued generations after an error, or without routes

Ruled out: requests that are placed at once (they read the same map). Change: a service without routes is allowed, and errors of a review are logged.

--- a/src/lagoonrill/_internal/coordination/engine_admission.py
+++ b/src/lagoonrill/_internal/coordination/engine_admission.py
@@ -9,6 +9,8 @@
 import zlib
 from collections import Counter
 
+import logbook
+
 from ..event_log import EventLog
 from ..protocol.messages import LAST_RANK, PromptRequest
 from ..protocol.refusals import Refusal
@@ -35,6 +37,8 @@
 from .policy.prompt_kinds import PromptRoute, long_prompt_routes
 from .policy.waiting_order import GoalFirstOrder, WaitingJob
 
+log = logbook.Logger("admission")
+
 # Interval at which a queued request checks whether its caller has disconnected.
 CHECK_INTERVAL_S = 0.2
 # Queues are reviewed after changes with at least the first pause between reviews, and
@@ -305,7 +309,11 @@
             self.changed.wait(REVIEW_INTERVAL_S)
             self.changed.clear()
             began = time.monotonic()
-            self.review_all()
+            try:
+                self.review_all()
+            except Exception:
+                # If this thread ended, queued requests would wait until their limit.
+                log.exception("review of queued generations failed")
             self.stopping.wait(review_pause_s(time.monotonic() - began))
 
     def review(self, service: str) -> None:
@@ -421,10 +429,11 @@
             count = min(
                 max(count, most), self.placement.max_stream_engines(len(ordered))
             )
-        if not self.long_routes.get(service):
+        long = self.long_routes.get(service, frozenset())
+        if not long:
             # There are no prompts that streams have to be kept apart from.
             count = len(ordered)
-        elif len(self.long_routes[service]) == len(self.engine_routes[service]):
+        elif all(route.name in long for route in self.engine_routes.get(service, ())):
             count = 0
         listed = self.placement.shortlist(
             job, ordered, count, self._owned(fleet), skipped=waiter.denied_by
--- a/tests/test_engine_admission.py
+++ b/tests/test_engine_admission.py
@@ -463,3 +463,48 @@
     assert tokens("100,80", "400") == 80
     assert tokens("100,80", None) == 80
     assert tokens(None, "x") == 0
+
+
+def test_requests_of_a_service_without_routes_do_not_end_the_review():
+    # A configuration removed the service while a request was queued. An error in the
+    # review thread would leave all queued requests waiting until their limit.
+    built = admission(2)
+    for name in ("ask", "plan"):
+        built._note_prompt(generation(name, 800 if name == "ask" else 9_000))
+    for engine in ("e0", "e1"):
+        built.load_table.begin(engine=engine, tokens=60_000, heavy=True)
+    engines = []
+    thread = threading.Thread(
+        target=lambda: engines.append(placed(built, "plan", 9_000, 1)), daemon=True
+    )
+    thread.start()
+    assert wait_until(lambda: built.waiting.get("models"))
+    built.install(config(routes=()))
+    built.start()
+    built.registry.replace(
+        {
+            "new": msgspec.structs.replace(
+                built.registry.records["e0"], id="new", address="127.0.0.1:2"
+            )
+        }
+    )
+    built.note_change()
+    thread.join(5)
+    built.stop()
+    assert engines == ["new"]
+
+
+def test_an_error_in_a_review_does_not_end_the_reviews(monkeypatch):
+    built = admission(2)
+    failures = iter([RuntimeError("once")])
+    reviews = []
+
+    def review_all():
+        reviews.append(1)
+        for failure in failures:
+            raise failure
+
+    monkeypatch.setattr(built, "review_all", review_all)
+    built.start()
+    assert wait_until(lambda: len(reviews) > 1)
+    built.stop()
