Log the age of the configuration in refusals

A refusal named neither the version that decided it nor how long ago the store last answered about the configuration, so logs could not tell a quiet store from a watch that delivers nothing. Both are fields of request_refused now, and a gauge per kind of object replaces store_silent_seconds, which covered endpoints only. No decision changes.

--- a/src/lagoonrill/_internal/gateway_daemon.py
+++ b/src/lagoonrill/_internal/gateway_daemon.py
@@ -177,6 +177,7 @@
             max_connections=max(16, descriptors // DESCRIPTORS_PER_CALLER),
             header_names=header_names,
             routing=self.routing,
+            config_age_s=self.config_follower.age_s,
             forwarder=self.forwarder,
             metrics=self.metrics,
             event_log=self.event_log,
@@ -191,9 +192,11 @@
         self.metrics.register_gauge(
             "store_in_touch", lambda: int(self._store_in_touch())
         )
-        self.metrics.register_gauge(
-            "store_silent_seconds", lambda: round(self.endpoint_follower.age_s(), 3)
-        )
+        for follower in (self.config_follower, self.endpoint_follower):
+            self.metrics.register_gauge(
+                f"{follower.kind}_unconfirmed_seconds",
+                lambda age_s=follower.age_s: round(age_s(), 3),
+            )
         self.metrics.register_gauge(
             "endpoints_held", lambda: len(self.registry.held_until)
         )
--- a/src/lagoonrill/_internal/transport/gateway_listener.py
+++ b/src/lagoonrill/_internal/transport/gateway_listener.py
@@ -5,6 +5,7 @@
 import socket
 import threading
 import time
+from collections.abc import Callable
 
 import logbook
 
@@ -43,6 +44,7 @@
         max_connections: int,
         header_names: HeaderNames,
         routing: RoutingState,
+        config_age_s: Callable[[], float],
         forwarder: Forwarder,
         metrics: GatewayMetrics,
         event_log: EventLog,
@@ -52,6 +54,8 @@
         self.header_names = header_names
         self.intake = RequestResolver(header_names=header_names)
         self.routing = routing
+        # Time since the store last confirmed the configuration.
+        self.config_age_s = config_age_s
         self.forwarder = forwarder
         self.metrics = metrics
         self.event_log = event_log
@@ -309,6 +313,8 @@
                 status=refusal.status,
                 reason=refusal.reason,
                 retry_after_s=refusal.retry_after_s,
+                config=self.routing.version,
+                config_age_ms=round(self.config_age_s() * 1000),
             )
         self.metrics.count("refusals", route=route, reason=refusal.reason[:40])
         headers = refusal.headers()
--- a/tests/gateway_kit.py
+++ b/tests/gateway_kit.py
@@ -123,6 +123,7 @@
             max_connections=64,
             header_names=header_names,
             routing=self.routing,
+            config_age_s=lambda: 0.0,
             forwarder=forwarder,
             metrics=self.metrics,
             event_log=self.event_log,
--- a/tests/test_gateway_listener.py
+++ b/tests/test_gateway_listener.py
@@ -283,6 +283,7 @@
         max_connections=4,
         header_names=gateway.listener.header_names,
         routing=gateway.routing,
+        config_age_s=lambda: 0.0,
         forwarder=gateway.listener.forwarder,
         metrics=gateway.metrics,
         event_log=gateway.event_log,
