--- a/standins/metadata_store.py
+++ b/standins/metadata_store.py
@@ -1,8 +1,8 @@
 """Simulates the platform's metadata store: objects by kind, lists and watches.
 
-It can refuse all calls, discard its change history and paginate lists. The names on
-the wire are the platform's, so only this file and the tests of the adapter may use
-them.
+It can refuse all calls, fall silent, discard its change history and paginate lists. The
+names on the wire are the platform's, so only this file and the tests of the adapter may
+use them.
 """
 
 import sys
@@ -25,6 +25,10 @@
         self.compacted_revision = 0
         # HTTP status with which all calls are refused; 0 to serve them.
         self.refusal_status = 0
+        # While set, no call is answered: connections stay open, and one on which an
+        # answer was lost delivers nothing afterwards.
+        self.silent = False
+        self.closed = threading.Event()
         self.calls = 0
 
     def put(self, kind: str, name: str, spec: object) -> None:
@@ -111,6 +115,9 @@
                     )
                 elif not status:
                     status, answer = 200, store.list(kind, query.get("After", ""))
+                if store.silent:
+                    store.closed.wait()
+                    return
                 body = msgspec.json.encode(answer)
                 self.send_response(status)
                 self.send_header("Content-Type", "application/json")
@@ -127,5 +134,6 @@
         threading.Thread(target=self.server.serve_forever, daemon=True).start()
 
     def close(self) -> None:
+        self.store.closed.set()
         self.server.shutdown()
         self.server.server_close()
