Bound the age of the configuration and endpoints an instance acts on

Cause: an open watch that stays quiet was taken for evidence that nothing has changed. When an object changes while the store is silent, the answers to the watches of all instances are lost on connections that stay open and acknowledge TCP, so nothing was heard until the read timeout of 25 s + 2 s. Peers were equally behind. Ruled out: objects that cannot be decoded or lists that are older (no warning lines), and a version known but not used (no config_installed line before 35 s).

Change: each copy has evidence that it is current: an answer of the store, or an answer that a peer with an equal copy received itself (the age travels in the digests; evidence of peers is not passed on). The first instance of a group of near peers that reaches the store uses watches of 0.4 of the bound, so that the calls don't grow with the fleet; each other instance ends its watch and asks once its evidence is older than 0.6 to 0.75 of the bound, or when a peer has newer content that its watch should have delivered. The bound is the smallest of the times in which a configuration, a departure and a regained contact have to take effect. Watches have connections of their own, which can be ended from another thread; an ended watch is no outage.

Why it works: whatever silences a watch, either a peer's answer shows that the copy is current or the store is asked within 1.5 s of the 2 s.

--- a/src/lagoonrill/_internal/coordination/forwarding.py
+++ b/src/lagoonrill/_internal/coordination/forwarding.py
@@ -90,7 +90,7 @@
         self.service_placement = LeastLoadedEndpoint(zone=zone)
         self.budget = budget
         self.instances = instances
-        # Time since the store last confirmed the endpoint list.
+        # Age of the evidence that the endpoint list is current.
         self.list_age_s = list_age_s
         self.metrics = metrics
         self.event_log = event_log
--- a/src/lagoonrill/_internal/coordination/gateway_peers.py
+++ b/src/lagoonrill/_internal/coordination/gateway_peers.py
@@ -28,6 +28,7 @@
 from .endpoint_discovery import EndpointDiscovery
 from .policy.engine_placement import owner_of
 from .routing_catch_up import REVIEW_INTERVAL_S, RoutingCatchUp
+from .store_freshness import StoreFreshness
 
 # Changes within this time are batched into one digest.
 DIGEST_SPACING_S = 0.02
@@ -82,7 +83,7 @@
         discovery: EndpointDiscovery,
         registry: EndpointRegistry,
         load_table: EngineLoadTable,
-        store_in_touch: Callable[[], bool],
+        freshness: StoreFreshness,
         work_changed: Callable[[], None],
         stream_engines: Callable[[], dict[str, int]],
         event_log: EventLog,
@@ -97,7 +98,8 @@
         self.discovery = discovery
         self.registry = registry
         self.load_table = load_table
-        self.store_in_touch = store_in_touch
+        self.freshness = freshness
+        freshness.rank = self.store_rank
         self.work_changed = work_changed
         self.stream_engines = stream_engines
         self.event_log = event_log
@@ -111,9 +113,8 @@
             link=link,
             routing=routing,
             discovery=discovery,
-            registry=registry,
             digests=self.live_digests,
-            store_in_touch=store_in_touch,
+            freshness=freshness,
             event_log=event_log,
             clock=clock,
         )
@@ -231,6 +232,15 @@
             ]
         return sorted([self.instance, *near])
 
+    def store_rank(self) -> int:
+        """Returns how many near peers reach the store and precede this instance."""
+        with self.lock:
+            return sum(
+                name < self.instance
+                for name, view in self.views.items()
+                if view.digest.store_in_touch and not view.lost and self._is_near(view)
+            )
+
     def _send_digests(self) -> None:
         while not self.stopping.is_set():
             self.changed.wait(DIGEST_INTERVAL_S)
@@ -311,7 +321,9 @@
             config_version=self.routing.version,
             endpoint_revision=self.discovery.revision,
             endpoint_checksum=self.registry.checksum,
-            store_in_touch=self.store_in_touch(),
+            store_in_touch=self.freshness.in_touch(),
+            config_age_ms=self.freshness.configuration.age_ms(),
+            endpoints_age_ms=self.freshness.endpoints.age_ms(),
             leaving=self.leaving,
             work=[] if self.leaving else self.load_table.own_work(),
             reads=reads,
@@ -367,6 +379,7 @@
             self.load_table.record_peer_reads(digest.reads)
         if digest.doubtful is not None:
             self.registry.update_peer_calls(digest.instance, digest.doubtful)
+        self.freshness.note_digest(digest)
         self.work_changed()
 
     def _drop_peer(self, name: str) -> None:
@@ -378,9 +391,11 @@
             self.run_maintenance()
 
     def run_maintenance(self) -> None:
-        """Marks lost peers, ends expired holds and catches up from a peer if behind."""
+        """Marks lost peers, ends expired holds and dead watches, and catches up."""
         self._mark_lost_peers()
         self.discovery.expire_holds()
+        # Before `catch_up`, which may wait for a peer.
+        self.freshness.review(self.live_digests())
         self.catch_up.review()
 
     def _mark_lost_peers(self) -> None:
--- a/src/lagoonrill/_internal/coordination/routing_catch_up.py
+++ b/src/lagoonrill/_internal/coordination/routing_catch_up.py
@@ -1,8 +1,8 @@
 """Fetches newer configurations and endpoints from peers, and serves them to peers.
 
-Load pattern: the store rejects the calls of one instance, or its watch is dead, while
-other instances reach the store. More frequent store calls are expensive and would not
-help.
+Load pattern: the store rejects the calls of one instance, or delivers nothing to it,
+while other instances reach the store. More frequent store calls are expensive and would
+not help.
 """
 
 import time
@@ -12,17 +12,17 @@
 
 from ..event_log import EventLog
 from ..protocol.messages import GatewayDigest, RoutingReply, RoutingRequest
-from ..state.endpoint_registry import EndpointRegistry
 from ..state.route_table import RoutingState
 from ..transport.peer_link import PeerLink
 from .endpoint_discovery import EndpointDiscovery
+from .store_freshness import StoreFreshness
 
 # Interval between checks of the peer digests.
 REVIEW_INTERVAL_S = 0.1
 # The store usually delivers a change within this time, without help from a peer.
 ASK_AFTER_S = 0.2
 # Endpoint changes are fetched at least 0.8 s apart. If the list of this instance does
-# not change for longer although a peer has a newer list, the watch is considered dead.
+# not change for longer although a peer has a newer list, the store does not deliver.
 DEAD_WATCH_S = 1.0
 REQUEST_TIMEOUT_S = 0.6
 
@@ -32,7 +32,7 @@
 
     `digests` returns the latest digest of each live peer. Newer configurations are
     accepted from any peer; endpoints only while this instance cannot reach the store or
-    its watch is dead.
+    receives nothing from it.
     """
 
     def __init__(
@@ -41,23 +41,19 @@
         link: PeerLink,
         routing: RoutingState,
         discovery: EndpointDiscovery,
-        registry: EndpointRegistry,
         digests: Callable[[], list[GatewayDigest]],
-        store_in_touch: Callable[[], bool],
+        freshness: StoreFreshness,
         event_log: EventLog,
         clock=time.monotonic,
     ):
         self.link = link
         self.routing = routing
         self.discovery = discovery
-        self.registry = registry
         self.digests = digests
-        self.store_in_touch = store_in_touch
+        self.freshness = freshness
         self.event_log = event_log
         self.clock = clock
         self.behind_since: float | None = None
-        # Local revision, and the time since which a peer has a newer list.
-        self.stale_list: tuple[int, float] | None = None
 
     def review(self) -> None:
         """Checks the digests and queries a peer that has been ahead for long enough."""
@@ -87,24 +83,9 @@
         )
 
     def _needs_list(self) -> bool:
-        return not self.store_in_touch() or self._has_dead_watch()
-
-    def _has_dead_watch(self) -> bool:
-        """Returns whether the local list has stopped changing but a peer's has not."""
-        revision = self.discovery.revision
-        known = (0, self.registry.checksum)
-        behind = any(
-            digest.endpoint_revision > revision
-            and digest.endpoint_checksum not in known
-            for digest in self.digests()
-        )
-        if not behind:
-            self.stale_list = None
-            return False
-        now = self.clock()
-        if self.stale_list is None or self.stale_list[0] != revision:
-            self.stale_list = (revision, now)
-        return now - self.stale_list[1] >= DEAD_WATCH_S
+        if not self.freshness.in_touch():
+            return True
+        return self.freshness.endpoints.peer_ahead_s(self.digests()) >= DEAD_WATCH_S
 
     def _ask(self, ahead: GatewayDigest) -> None:
         result = self.link.request(
--- a/src/lagoonrill/_internal/coordination/store_follower.py
+++ b/src/lagoonrill/_internal/coordination/store_follower.py
@@ -2,9 +2,10 @@
 
 Load pattern: the store is slow, unavailable, reachable for some instances only, or has
 truncated its history. The last known state stays in use; after a truncated history the
-objects are listed again. After a failure, the first call does not wait for changes, so
-that its answer shows that the store has recovered; a watch on a store without changes
-would detect this much later.
+objects are listed again. After a failure or an interrupted watch, the first call does
+not wait for changes, so that its answer shows that the store has recovered; a watch on
+a store without changes would detect this much later. `store_freshness` decides how long
+watches wait and when they are interrupted.
 """
 
 import random
@@ -17,17 +18,22 @@
 from returns.result import Failure, Result
 
 from ..event_log import EventLog
-from ..protocol.errors import StoreError, StoreHistoryGone, StoreRejected
+from ..protocol.errors import (
+    StoreCallInterrupted,
+    StoreError,
+    StoreHistoryGone,
+    StoreRejected,
+)
 from .policy.expired_entries import StoreOutage
+from .policy.store_renewal import LONG_WATCH_S
 
-# Long watches need few calls. A dead connection is detected by TCP keep-alive, not by
-# this timeout.
-WATCH_WAIT_S = 25.0
 # Changes within this time are fetched by one call.
 CHANGE_SPACING_S = 0.8
 # Backoff after failed calls; the store counts every call.
 FIRST_PAUSE_S = 0.15
 MAX_PAUSE_S = 0.8
+# Source of the evidence that a copy is current: the store, else the name of a peer.
+STORE = "store"
 
 
 class StoreObject(msgspec.Struct, kw_only=True):
@@ -65,12 +71,15 @@
         self, *, since: int, wait_s: float
     ) -> Result[ObjectChanges, StoreError]: ...
 
+    def interrupt(self) -> bool: ...
+
 
 class StoreFollower:
     """Keeps a copy of one kind of objects up to date, from one thread.
 
     `apply` is called with the follower after each change. `objects` is the complete
-    copy, and `outage` is the last store outage.
+    copy, and `outage` is the last store outage. `watch_wait_s` returns how long the
+    next watch waits, given the age of the evidence that the copy is current.
     """
 
     def __init__(
@@ -98,7 +107,16 @@
         self.outage_noticed_at: float | None = None
         self.last_failure_at = 0.0
         self.outage: StoreOutage | None = None
-        self.heard_at = clock()
+        self.watch_wait_s: Callable[[float], float] = lambda age_s: LONG_WATCH_S
+        # Time at which the copy was current by the latest evidence, and its source.
+        self.confirmed_at = clock()
+        self.confirmed_by = ""
+        # The same, by answers of the store only; None before the first one.
+        self.answered_at: float | None = None
+        self.confirmed: Callable[[], None] = lambda: None
+        # Start of the pending watch.
+        self.waiting_since: float | None = None
+        self.interrupted = False
         self.failures = 0
         self.list_wanted = threading.Event()
         self.stopping = threading.Event()
@@ -132,27 +150,71 @@
     def step(self) -> float:
         """Makes one call; returns the pause before the next call in seconds."""
         began_at = self.clock()
-        waits = self.in_touch
+        wait_s = 0.0
         if self.listed:
-            wait_s = WATCH_WAIT_S if waits else 0.0
-            result = self.source.changes(since=self.revision, wait_s=wait_s)
+            if self.in_touch and not self.interrupted:
+                wait_s = self.watch_wait_s(self.age_s())
+            self.interrupted = False
+            result = self._changes(wait_s)
         else:
             result = self.source.list()
         if isinstance(result, Failure):
             return self._failed(result.failure(), began_at)
         self._note_reached()
         answer = result.unwrap()
+        if answer.revision < self.revision:
+            return self._refuse_stale(answer)
         if isinstance(answer, ObjectList):
-            return self._apply_list(answer)
-        self._apply_changes(answer)
-        if not waits:
+            self._apply_list(answer)
+            pause_s = 0.0
+        else:
+            self._apply_changes(answer)
+            pause_s = self._pause_after(answer, began_at=began_at, wait_s=wait_s)
+        # The answer to a call without a wait is at least as recent as the call.
+        self._confirm_by_store(self.clock() if wait_s else began_at)
+        return pause_s
+
+    def _refuse_stale(self, answer: ObjectList | ObjectChanges) -> float:
+        """Ignores an answer that would revert changes."""
+        self.event_log.emit(
+            "store_answer_stale",
+            kind=self.kind,
+            revision=answer.revision,
+            known=self.revision,
+        )
+        return FIRST_PAUSE_S
+
+    def _confirm_by_store(self, answered_at: float) -> None:
+        self.answered_at = answered_at
+        self.confirm(age_s=self.clock() - answered_at, confirmed_by=STORE)
+        self.confirmed()
+
+    def _changes(self, wait_s: float) -> Result[ObjectChanges, StoreError]:
+        self.waiting_since = self.clock() if wait_s else None
+        try:
+            return self.source.changes(since=self.revision, wait_s=wait_s)
+        finally:
+            self.waiting_since = None
+
+    def _pause_after(
+        self, answer: ObjectChanges, *, began_at: float, wait_s: float
+    ) -> float:
+        """Returns the pause after an answer; further changes are then batched."""
+        if not wait_s:
             return 0.0
         # Only a successful watch resets the backoff: calls without a wait may succeed
         # while watches keep failing.
         self.failures = 0
-        return self.spacing_s
+        if answer.changed or answer.removed:
+            return self.spacing_s
+        # A store that answers watches before their time must not be asked at once.
+        waited = self.clock() - began_at >= wait_s / 2
+        return 0.0 if waited else self.spacing_s
 
     def _failed(self, error: StoreError, began_at: float) -> float:
+        if isinstance(error, StoreCallInterrupted):
+            self.interrupted = True
+            return 0.0
         if isinstance(error, StoreHistoryGone):
             self.listed = False
             self.event_log.emit(
@@ -178,16 +240,32 @@
         return pause_s * random.uniform(0.5, 1.0)
 
     def age_s(self) -> float:
-        """Returns the time since the store last answered."""
-        return self.clock() - self.heard_at
+        """Returns the age of the evidence that the copy is current."""
+        return self.clock() - self.confirmed_at
+
+    def confirm(self, *, age_s: float, confirmed_by: str) -> None:
+        """Records that the copy was current `age_s` ago."""
+        confirmed_at = self.clock() - age_s
+        if confirmed_at >= self.confirmed_at:
+            self.confirmed_at = confirmed_at
+            self.confirmed_by = confirmed_by
+
+    def waited_s(self) -> float | None:
+        """Returns how long the pending watch has been waiting, or None."""
+        waiting_since = self.waiting_since
+        return None if waiting_since is None else self.clock() - waiting_since
+
+    def interrupt_watch(self) -> bool:
+        """Ends the pending watch, so that the store is asked at once."""
+        return self.waiting_since is not None and self.source.interrupt()
 
     def _note_reached(self) -> None:
-        self.heard_at = self.clock()
+        reached_at = self.clock()
         if self.outage_noticed_at is not None:
             self.outage = StoreOutage(
                 noticed_at=self.outage_noticed_at,
                 last_failure_at=self.last_failure_at,
-                recovered_at=self.heard_at,
+                recovered_at=reached_at,
             )
             self.outage_noticed_at = None
         if self.in_touch:
@@ -195,19 +273,10 @@
         self.in_touch = True
         away_s = 0.0
         if self.lost_at is not None:
-            away_s = self.heard_at - self.lost_at
+            away_s = reached_at - self.lost_at
         self.event_log.emit("store_reached", kind=self.kind, away_s=round(away_s, 3))
 
-    def _apply_list(self, answer: ObjectList) -> float:
-        if answer.revision < self.revision:
-            # A list older than the known revision would revert changes.
-            self.event_log.emit(
-                "store_list_stale",
-                kind=self.kind,
-                revision=answer.revision,
-                known=self.revision,
-            )
-            return FIRST_PAUSE_S
+    def _apply_list(self, answer: ObjectList) -> None:
         self.objects = {item.name: item for item in answer.objects}
         self.revision = answer.revision
         self.listed = True
@@ -218,14 +287,13 @@
             revision=self.revision,
         )
         self.apply(self)
-        return 0.0
 
     def _apply_changes(self, answer: ObjectChanges) -> None:
         for item in answer.changed:
             self.objects[item.name] = item
         for name in answer.removed:
             self.objects.pop(name, None)
-        self.revision = max(self.revision, answer.revision)
+        self.revision = answer.revision
         if answer.changed or answer.removed:
             self.apply(self)
         if not answer.complete:
@@ -240,4 +308,5 @@
             "in_touch": self.in_touch,
             "failures_in_a_row": self.failures,
             "age_s": round(self.age_s(), 3),
+            "confirmed_by": self.confirmed_by,
         }
--- a/src/lagoonrill/_internal/gateway_daemon.py
+++ b/src/lagoonrill/_internal/gateway_daemon.py
@@ -17,7 +17,9 @@
 from .coordination.gateway_peers import GatewayPeers
 from .coordination.policy.expired_entries import ExpiredEntries
 from .coordination.policy.shared_retry_budget import SharedRetryBudget
+from .coordination.policy.store_renewal import StoreRenewal
 from .coordination.store_follower import ObjectSource, StoreFollower
+from .coordination.store_freshness import StoreFreshness
 from .event_log import EventLog, EventLogHandler
 from .protocol.errors import SettingsError
 from .protocol.gateway_settings import (
@@ -133,6 +135,15 @@
         )
 
     def _build_peers(self) -> None:
+        self.freshness = StoreFreshness(
+            renewal=StoreRenewal(bound_s=store_copy_bound_s(self.settings.bounds)),
+            config_follower=self.config_follower,
+            endpoint_follower=self.endpoint_follower,
+            routing=self.routing,
+            discovery=self.discovery,
+            registry=self.registry,
+            event_log=self.event_log,
+        )
         host, _, port = self.settings.peer_address.rpartition(":")
         self.peers = GatewayPeers(
             instance=self.settings.instance,
@@ -144,12 +155,14 @@
             discovery=self.discovery,
             registry=self.registry,
             load_table=self.load_table,
-            store_in_touch=self._store_in_touch,
+            freshness=self.freshness,
             work_changed=self.admission.note_change,
             stream_engines=self.admission.stream_engines,
             event_log=self.event_log,
         )
         self.load_table.changed = self.peers.note_change
+        for follower in (self.config_follower, self.endpoint_follower):
+            follower.confirmed = self.peers.note_change
         self.admission.peers = self.peers
 
     def _build_request_path(self, header_names: HeaderNames) -> None:
@@ -190,7 +203,7 @@
             lambda: round(time.monotonic() - self.registry.updated_at, 3),
         )
         self.metrics.register_gauge(
-            "store_in_touch", lambda: int(self._store_in_touch())
+            "store_in_touch", lambda: int(self.freshness.in_touch())
         )
         for follower in (self.config_follower, self.endpoint_follower):
             self.metrics.register_gauge(
@@ -212,9 +225,6 @@
             },
         )
 
-    def _store_in_touch(self) -> bool:
-        return self.endpoint_follower.in_touch and self.config_follower.in_touch
-
     def _apply_config(self, follower: StoreFollower) -> None:
         configs = [
             item.content
@@ -348,6 +358,7 @@
         self.budget.ratio = bounds.retry_ratio
         self.budget.fixed = bounds.retry_fixed
         self.discovery.expired_entries = expired_entries(bounds)
+        self.freshness.renewal.bound_s = store_copy_bound_s(bounds)
         self.settings = msgspec.structs.replace(self.settings, bounds=bounds)
         self.event_log.emit("settings_reloaded")
 
@@ -395,6 +406,16 @@
                 step()
 
 
+def store_copy_bound_s(bounds: GatewayBounds) -> float:
+    """Returns the age up to which copies of store objects may be used.
+
+    >>> store_copy_bound_s(GatewayBounds(config_apply_ms=4_000, drain_ms=2_500))
+    2.5
+    """
+    bound_ms = min(bounds.config_apply_ms, bounds.drain_ms, bounds.contact_ms)
+    return bound_ms / 1000
+
+
 def expired_entries(bounds: GatewayBounds) -> ExpiredEntries:
     """Returns the policy for disappeared store entries, with the configured times."""
     return ExpiredEntries(
--- a/src/lagoonrill/_internal/protocol/errors.py
+++ b/src/lagoonrill/_internal/protocol/errors.py
@@ -85,6 +85,12 @@
     default_remedy = "Read back before deciding; repeat only an identical write"
 
 
+class StoreCallInterrupted(StoreError):
+    """The caller ended a pending call itself; it says nothing about the store."""
+
+    default_remedy = "Ask again on a new connection"
+
+
 class StoreHistoryGone(StoreRejected):
     """The store no longer holds the changes since the requested revision."""
 
--- a/src/lagoonrill/_internal/protocol/gateway_settings.py
+++ b/src/lagoonrill/_internal/protocol/gateway_settings.py
@@ -20,6 +20,8 @@
     retry_fixed: float = 10.0
     # Time for which a draining endpoint may still receive requests.
     drain_ms: Milliseconds = 2_000
+    # Time after which a confirmed configuration must be in force.
+    config_apply_ms: Milliseconds = 2_000
     # Time after an instance regains contact with the store until all time limits apply
     # to it again.
     contact_ms: Milliseconds = 3_000
--- a/src/lagoonrill/_internal/protocol/messages.py
+++ b/src/lagoonrill/_internal/protocol/messages.py
@@ -195,6 +195,9 @@
     # Checksum of the endpoints in the store at `endpoint_revision`; 0 if unknown.
     endpoint_checksum: int = 0
     store_in_touch: bool = False
+    # Time since the store confirmed the sender's copies to it; None if it has not.
+    config_age_ms: int | None = None
+    endpoints_age_ms: int | None = None
     leaving: bool = False
     work: list[EngineWork] = []
     # For each engine, the shared prompt parts that it has processed for the sender
--- a/src/lagoonrill/_internal/transport/gateway_listener.py
+++ b/src/lagoonrill/_internal/transport/gateway_listener.py
@@ -54,7 +54,7 @@
         self.header_names = header_names
         self.intake = RequestResolver(header_names=header_names)
         self.routing = routing
-        # Time since the store last confirmed the configuration.
+        # Age of the evidence that the configuration is the newest.
         self.config_age_s = config_age_s
         self.forwarder = forwarder
         self.metrics = metrics
--- a/src/lagoonrill/_internal/transport/store_client.py
+++ b/src/lagoonrill/_internal/transport/store_client.py
@@ -1,5 +1,6 @@
 """HTTP client for a store; the error type tells whether a write took effect."""
 
+import http.client
 import threading
 
 import msgspec
@@ -7,6 +8,7 @@
 from returns.result import Failure, Result, Success
 
 from ..protocol.errors import (
+    StoreCallInterrupted,
     StoreConflict,
     StoreError,
     StoreHistoryGone,
@@ -16,6 +18,7 @@
 )
 from .bounded_body import read_body
 from .sockets import STORE_KEEPALIVE_OPTIONS
+from .store_connection import StoreConnection
 
 POOL_CONNECTIONS = 32
 # A page of objects has about 1 MB; a watch may return the whole history of changes.
@@ -51,7 +54,9 @@
     """Calls the store over a connection pool.
 
     There are no retries: each call is one HTTP request, and a waiting watch occupies
-    one connection. TCP keep-alive probes close a connection whose peer is unresponsive.
+    one connection. TCP keep-alive probes close a connection whose peer is unresponsive;
+    a peer that acknowledges and never answers is only detected by the read timeout.
+    Calls that have to end earlier are made on a `StoreConnection`.
     """
 
     def __init__(
@@ -82,6 +87,10 @@
         """Closes the idle connections."""
         self.pool.close()
 
+    def open_connection(self) -> StoreConnection:
+        """Returns a connection of its own, whose calls can be interrupted."""
+        return StoreConnection(host=self.pool.host, port=self.pool.port)
+
     def dump(self) -> StoreClientDump:
         """Returns the counters."""
         with self.lock:
@@ -110,42 +119,60 @@
         headers: dict[str, str] | None = None,
         body: bytes | None = None,
         read_timeout_s: float | None = None,
+        connection: StoreConnection | None = None,
     ) -> Result[StoreResponse, StoreError]:
+        """Makes one call; without `connection`, on a connection of the pool."""
         sent = self.headers | (headers or {})
         self._count_sent(kind, path, sent, body)
         timeout = urllib3.Timeout(
             connect=self.connect_timeout_s, read=read_timeout_s or self.call_timeout_s
         )
+        answer = None
         try:
-            response = self.pool.urlopen(
-                method,
-                path,
-                body=body,
-                headers=sent,
-                timeout=timeout,
-                redirect=False,
-                preload_content=False,
-            )
-            answer = StoreResponse(
-                status=response.status,
-                headers=response.headers,
-                data=read_body(
-                    response,
-                    max_bytes=MAX_RESPONSE_BYTES,
-                    timeout_s=self.call_timeout_s,
-                ),
-            )
+            if connection is None:
+                response = self.pool.urlopen(
+                    method,
+                    path,
+                    body=body,
+                    headers=sent,
+                    timeout=timeout,
+                    redirect=False,
+                    preload_content=False,
+                )
+            else:
+                response = connection.send(method, path, headers=sent, timeout=timeout)
+            answer = self._read_answer(response)
+            error = status_error(kind, answer)
         except (
             urllib3.exceptions.NewConnectionError,
             urllib3.exceptions.ConnectTimeoutError,
-        ) as error:
-            return self.failed(kind, StoreUnavailable(message=f"{kind}: {error}"))
-        except (urllib3.exceptions.HTTPError, OSError) as error:
-            return self.failed(kind, StoreInDoubt(message=f"{kind}: {error}"))
-        self._count_received(answer)
-        error = status_error(kind, answer)
+        ) as failure:
+            error = StoreUnavailable(message=f"{kind}: {failure}")
+        except (
+            urllib3.exceptions.HTTPError,
+            http.client.HTTPException,
+            OSError,
+        ) as failure:
+            error = StoreInDoubt(message=f"{kind}: {failure}")
+        answered = answer is not None
+        interrupted = connection and connection.finish(reusable=answered)
+        if interrupted and not answered:
+            error = StoreCallInterrupted(message=f"{kind}: interrupted")
         return self.failed(kind, error) if error else Success(answer)
 
+    def _read_answer(self, response: urllib3.HTTPResponse) -> StoreResponse:
+        answer = StoreResponse(
+            status=response.status,
+            headers=response.headers,
+            data=read_body(
+                response,
+                max_bytes=MAX_RESPONSE_BYTES,
+                timeout_s=self.call_timeout_s,
+            ),
+        )
+        self._count_received(answer)
+        return answer
+
     def _count_sent(self, kind, path, headers, body) -> None:
         size = REQUEST_OVERHEAD_BYTES + len(path) + header_bytes(headers)
         with self.lock:
--- a/src/lagoonrill/platform/_store.py
+++ b/src/lagoonrill/platform/_store.py
@@ -16,6 +16,7 @@
 from .._internal.protocol.routing import EndpointRecord
 from .._internal.transport.sockets import parse_address
 from .._internal.transport.store_client import StoreClient
+from .._internal.transport.store_connection import StoreConnection
 from ._configuration import decode_configuration
 
 log = logbook.Logger("platform")
@@ -30,10 +31,12 @@
 CALL_TIMEOUT_S = 2.0
 # Short, so that the recovery of an unreachable store is detected quickly.
 CONNECT_TIMEOUT_S = 0.7
-# Added to the wait of a watch to get its read timeout.
-WATCH_MARGIN_S = 2.0
-# A watch and a concurrent list call for each of the two kinds.
-CONNECTIONS = 4
+# Added to the wait of a watch to get its read timeout. A call without a wait that is
+# lost at the end of an outage is repeated early enough for the instance to know all
+# changes three seconds after the outage.
+WATCH_MARGIN_S = 1.5
+# A list call for each of the two kinds; their watches have connections of their own.
+CONNECTIONS = 2
 
 LEAVING_BY_STATE = {"ready": False, "draining": True}
 
@@ -126,8 +129,16 @@
 class StoreObjectSource:
     """Lists and watches the objects of one kind for a `StoreFollower`."""
 
-    def __init__(self, *, client: StoreClient, kind: str, decode):
+    def __init__(
+        self,
+        *,
+        client: StoreClient,
+        kind: str,
+        decode,
+        watch_connection: StoreConnection,
+    ):
         self.client = client
+        self.watch_connection = watch_connection
         self.path = OBJECTS_PATH + kind
         self.kind = kind
         self.decode = decode
@@ -159,13 +170,21 @@
         """Waits for changes after revision `since` for up to `wait_s` seconds."""
         query = urlencode({"Watch": since, "WaitMs": int(wait_s * 1000)})
         result = self._get(
-            "watch", f"{self.path}?{query}", WireChanges, wait_s + WATCH_MARGIN_S
+            "watch",
+            f"{self.path}?{query}",
+            WireChanges,
+            read_timeout_s=wait_s + WATCH_MARGIN_S,
+            connection=self.watch_connection,
         )
         return result.map(self._changes)
 
-    def _get(self, call: str, path: str, kind: type, timeout_s: float | None = None):
+    def interrupt(self) -> bool:
+        """Ends the pending call of `changes`; returns False if none is pending."""
+        return self.watch_connection.interrupt()
+
+    def _get(self, call: str, path: str, kind: type, **options):
         label = f"{call} {self.kind}"
-        result = self.client.call(label, "GET", path, read_timeout_s=timeout_s)
+        result = self.client.call(label, "GET", path, **options)
         return result.bind(
             lambda response: self.client.decoded(
                 label, lambda: decode_response(response.data, kind)
@@ -225,7 +244,15 @@
         connect_timeout_s=CONNECT_TIMEOUT_S,
         connections=CONNECTIONS,
     )
-    return (
-        StoreObjectSource(client=client, kind=CONFIG_KIND, decode=decode_config_object),
-        StoreObjectSource(client=client, kind=ENDPOINT_KIND, decode=decode_endpoint),
+    return tuple(
+        StoreObjectSource(
+            client=client,
+            kind=kind,
+            decode=decode,
+            watch_connection=client.open_connection(),
+        )
+        for kind, decode in (
+            (CONFIG_KIND, decode_config_object),
+            (ENDPOINT_KIND, decode_endpoint),
+        )
     )
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -1,10 +1,15 @@
 """Guards the decoding of the platform's objects into the router's types."""
 
+import threading
+
 import msgspec
 import pytest
 from returns.result import Failure, Success
 
-from lagoonrill._internal.protocol.errors import StoreHistoryGone
+from lagoonrill._internal.protocol.errors import (
+    StoreCallInterrupted,
+    StoreHistoryGone,
+)
 from lagoonrill._internal.protocol.routing import RouteKind
 from lagoonrill.platform._configuration import decode_configuration
 from lagoonrill.platform._headers import VOCABULARY
@@ -16,6 +21,7 @@
 )
 from standins.metadata_store import MetadataStore, MetadataStoreServer
 from standins.platform_objects import configuration, server
+from tests.gateway_kit import wait_until
 
 
 def test_configuration_keeps_what_each_field_holds():
@@ -140,6 +146,24 @@
     assert not isinstance(configs.list().failure(), StoreHistoryGone)
 
 
+def test_a_pending_watch_ends_when_it_is_interrupted(store):
+    # Otherwise a watch whose response was lost is pending until its read timeout.
+    store.put("config", "main", configuration())
+    configs, _ = open_sources(store.server.address)
+    results = []
+    watch = threading.Thread(
+        target=lambda: results.append(configs.changes(since=store.revision, wait_s=20)),
+        daemon=True,
+    )
+    watch.start()
+    assert wait_until(configs.interrupt)
+    watch.join(2)
+    assert isinstance(results[0].failure(), StoreCallInterrupted)
+    # The next call works, on a new connection.
+    assert configs.changes(since=1, wait_s=0).unwrap().changed
+    assert not configs.interrupt()
+
+
 def test_other_objects_of_the_configuration_kind_are_not_the_configuration(store):
     store.put("config", "old", configuration())
     store.put("config", "main", configuration(Version=8))
@@ -176,7 +200,10 @@
 def changes_in(*events: bytes):
     data = b'{"events": [%s], "StoreRevision": 9}' % b", ".join(events)
     source = StoreObjectSource(
-        client=CannedStore(data), kind="servers", decode=decode_endpoint
+        client=CannedStore(data),
+        kind="servers",
+        decode=decode_endpoint,
+        watch_connection=None,
     )
     return source.changes(since=1, wait_s=0).unwrap()
 
--- a/tests/test_departures_reach_placement.py
+++ b/tests/test_departures_reach_placement.py
@@ -12,6 +12,10 @@
 from lagoonrill._internal.coordination.endpoint_discovery import EndpointDiscovery
 from lagoonrill._internal.coordination.gateway_peers import GatewayPeers
 from lagoonrill._internal.coordination.policy.expired_entries import ExpiredEntries
+from lagoonrill._internal.coordination.policy.store_renewal import (
+    LONG_WATCH_S,
+    StoreRenewal,
+)
 from lagoonrill._internal.coordination.routing_catch_up import (
     ASK_AFTER_S,
     REVIEW_INTERVAL_S,
@@ -23,6 +27,7 @@
     StoreFollower,
     StoreObject,
 )
+from lagoonrill._internal.coordination.store_freshness import StoreFreshness
 from lagoonrill._internal.event_log import EventLog
 from lagoonrill._internal.protocol.errors import StoreInDoubt, StoreUnavailable
 from lagoonrill._internal.protocol.messages import GatewayDigest, RoutingRequest
@@ -152,7 +157,6 @@
         log = EventLog()
         clock = self.clock = lambda: simulation.now
         self.simulation = simulation
-        self.reached = True
         self.registry = EndpointRegistry(clock=clock)
         self.discovery = EndpointDiscovery(
             registry=self.registry,
@@ -168,6 +172,23 @@
             event_log=log,
             clock=clock,
         )
+        # Only says whether the store is reached.
+        self.config_follower = StoreFollower(
+            kind="configuration", source=None, apply=None, event_log=log, clock=clock
+        )
+        self.config_follower.in_touch = True
+        freshness = StoreFreshness(
+            renewal=StoreRenewal(bound_s=DRAIN_S),
+            config_follower=self.config_follower,
+            endpoint_follower=self.follower,
+            routing=RoutingStub(),
+            discovery=self.discovery,
+            registry=self.registry,
+            event_log=log,
+            clock=clock,
+        )
+        # Long watches, so that a watch fails or ends at the time that the test sets.
+        self.follower.watch_wait_s = lambda age_s: LONG_WATCH_S
         self.peers = GatewayPeers(
             instance=name,
             zone="a",
@@ -178,7 +199,7 @@
             discovery=self.discovery,
             registry=self.registry,
             load_table=EngineLoadTable(),
-            store_in_touch=lambda: self.reached and self.follower.in_touch,
+            freshness=freshness,
             work_changed=lambda: None,
             stream_engines=dict,
             event_log=log,
@@ -275,7 +296,7 @@
 def test_a_held_entry_that_a_peer_passes_on_keeps_the_end_of_its_hold(simulation):
     # A receiver that treats it as an entry of the store keeps it without a limit.
     there = Instance(simulation, "there")
-    there.reached = False
+    there.config_follower.in_touch = False
     simulation.store.unreachable_until = 107.0
     simulation.store.remove("a", 105.0)
     simulation.here.reconnect()
--- a/tests/test_gateway_peers.py
+++ b/tests/test_gateway_peers.py
@@ -53,6 +53,18 @@
         return self.result
 
 
+class FreshnessStub:
+    """Copies of store objects that are always current."""
+
+    configuration = endpoints = type("Copy", (), {"age_ms": lambda: 0})
+
+    def in_touch(self):
+        return True
+
+    def note_digest(self, digest):
+        pass
+
+
 class PeersKit:
     """An instance in zone a with `count` peers that alternate between zones a and b."""
 
@@ -71,7 +83,7 @@
             discovery=type("Discovery", (), {"revision": 1})(),
             registry=self.registry,
             load_table=EngineLoadTable(),
-            store_in_touch=lambda: True,
+            freshness=FreshnessStub(),
             work_changed=lambda: None,
             stream_engines=dict,
             event_log=self.lines,
