Silence the store at all gateways in the soak, and check configurations

The soak silenced the link of one gateway at a time, so that peers knew more, and ended a silence by a reset, which mends a dead watch. StoreSilence affects all gateways, changes the configuration meanwhile and ends by itself. A new check requires that each gateway serves the newest configuration 2 s after its acknowledgement.

--- a/bench/soak/environment.py
+++ b/bench/soak/environment.py
@@ -12,7 +12,7 @@
 from pathlib import Path
 
 from bench.soak.endpoints import Proxy, SoakEndpoint
-from bench.soak.history import History, Outcome, Probe
+from bench.soak.history import Denial, History, Outcome, Probe
 from lagoonrill.platform.__main__ import SETTINGS_VARIABLE
 from lagoonrill.platform._headers import READINESS_PATH, VOCABULARY
 from standins.metadata_store import MetadataStore, MetadataStoreServer
@@ -177,6 +177,7 @@
         """Writes the next configuration, which has a route of its own."""
         self.version += 1
         self.store.put("config", "main", versioned_configuration(self.version))
+        self.history.acknowledged[self.version] = time.monotonic()
 
     def _run_caller(self, number: int) -> None:
         """Runs a caller, which reuses its connection until a failure or a 503."""
@@ -244,17 +245,29 @@
         """
         while not self.stopping.wait(0.1):
             for gateway in self.gateways:
-                lifetime = f"{gateway.name}/{gateway.start_count}"
-                for version in (self.version, self.version - 1):
-                    if self._has_version(gateway, version):
-                        if lifetime == f"{gateway.name}/{gateway.start_count}":
-                            now = time.monotonic()
-                            self.history.add(
-                                Probe(lifetime=lifetime, version=version, at=now)
-                            )
-                        break
+                self._probe(gateway)
 
-    def _has_version(self, gateway: Gateway, version: int) -> bool:
+    def _probe(self, gateway: Gateway) -> None:
+        lifetime = f"{gateway.name}/{gateway.start_count}"
+        newest = self.version
+        for version in (newest, newest - 1):
+            began_at = time.monotonic()
+            status = self._route_status(gateway, version)
+            if lifetime != f"{gateway.name}/{gateway.start_count}":
+                return
+            if status not in (0, 404, 503):
+                now = time.monotonic()
+                self.history.add(Probe(lifetime=lifetime, version=version, at=now))
+                return
+            # A newer version may have removed the route.
+            is_newest = version == self.version
+            if status == 404 and is_newest and version in self.history.acknowledged:
+                self.history.add(
+                    Denial(instance=gateway.name, version=version, at=began_at)
+                )
+
+    def _route_status(self, gateway: Gateway, version: int) -> int:
+        """Returns the status of a request on the route of a version; 0 without one."""
         connection = http.client.HTTPConnection("127.0.0.1", gateway.port, timeout=1)
         headers = {
             "Host": "shop.example",
@@ -263,9 +276,9 @@
         }
         try:
             connection.request("GET", f"/v{version}/1", headers=headers)
-            return connection.getresponse().status not in (404, 503)
+            return connection.getresponse().status
         except (OSError, http.client.HTTPException):
-            return False
+            return 0
         finally:
             connection.close()
 
--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -140,6 +140,21 @@
         environment.store.refusal_status = 0
 
 
+@FAULTS.register("store_silence")
+class StoreSilence(WholeStoreFault):
+    """The store answers nothing while objects change, and recovers by itself.
+
+    Connections stay open; one on which an answer was lost delivers nothing afterwards.
+    """
+
+    def inject(self, environment: SoakEnvironment, target, seconds: float) -> None:
+        environment.store.silent = True
+        time.sleep(seconds / 2)
+        environment.put_configuration()
+        time.sleep(seconds / 2)
+        environment.store.silent = False
+
+
 @FAULTS.register("history")
 class HistoryDropped(WholeStoreFault):
     """The store discards its change history."""
--- a/bench/soak/history.py
+++ b/bench/soak/history.py
@@ -47,8 +47,16 @@
     at: float
 
 
+class Denial(msgspec.Struct, kw_only=True):
+    """An instance did not know a route of the newest configuration version."""
+
+    instance: str
+    version: int
+    at: float
+
+
 class History:
-    """Thread-safe record of runs, outcomes, faults and probes."""
+    """Thread-safe record of runs, outcomes, faults, probes and denials."""
 
     def __init__(self):
         self.lock = threading.Lock()
@@ -56,16 +64,20 @@
         self.outcomes: list[Outcome] = []
         self.faults: list[Fault] = []
         self.probes: list[Probe] = []
+        self.denials: list[Denial] = []
+        # Time at which the store acknowledged each configuration version.
+        self.acknowledged: dict[int, float] = {}
         # Time at which the store acknowledged the departure of an endpoint.
         self.leaving: dict[str, float] = {}
 
     def add(self, item) -> None:
-        """Adds a run, an outcome, a fault or a probe."""
+        """Adds a run, an outcome, a fault, a probe or a denial."""
         lists = {
             Run: self.runs,
             Outcome: self.outcomes,
             Fault: self.faults,
             Probe: self.probes,
+            Denial: self.denials,
         }
         with self.lock:
             lists[type(item)].append(item)
@@ -73,9 +85,11 @@
 
 ONCE_KINDS = frozenset(("order", "plan"))
 STREAM_KINDS = frozenset(("ask", "plan"))
-# Documented limits: a leaving endpoint gets no requests after DRAIN_S, and service is
+# Documented limits: a leaving endpoint gets no requests after DRAIN_S, service is
 # restored within RECOVERY_S after the last fault.
 DRAIN_S = 2.0
+# A configuration is in force everywhere within this time of its acknowledgement.
+APPLY_S = 2.0
 RECOVERY_S = 12.0
 # A fault of the store or of an instance excuses violations for this long after its end.
 EXCUSE_WINDOW_S = 3.0
@@ -103,6 +117,7 @@
         *check_answers(history),
         *check_leaving(history),
         *check_versions(history),
+        *check_in_force(history),
         *check_planned_stops(history),
         *check_recovery(history, ended_at=ended_at),
     ]
@@ -220,6 +235,29 @@
     return violations
 
 
+def check_in_force(history: History) -> list[str]:
+    """Checks that each instance serves the newest configuration within `APPLY_S`."""
+    violations = []
+    for item in history.denials:
+        age_s = item.at - history.acknowledged[item.version]
+        if age_s > APPLY_S and not may_be_outdated(history, item.instance, item.at):
+            violations.append(
+                f"{item.instance} denied version {item.version} {age_s:.2f} s after "
+                f"its acknowledgement"
+            )
+    return violations
+
+
+def may_be_outdated(history: History, instance: str, at: float) -> bool:
+    """Returns whether a fault of the store or of the instance excuses an old copy."""
+    return any(
+        fault.target in (STORE, instance)
+        and fault.began_at <= at <= (fault.ended_at or at) + EXCUSE_WINDOW_S
+        for fault in history.faults
+        if fault.what not in NON_EXCUSING_FAULTS
+    )
+
+
 def check_planned_stops(history: History) -> list[str]:
     """Checks that planned faults interrupt no requests in flight."""
     violations = []
--- a/tests/test_soak_checkers.py
+++ b/tests/test_soak_checkers.py
@@ -4,6 +4,7 @@
 
 from bench.soak.history import (
     LAST_EVENT,
+    Denial,
     Fault,
     History,
     Outcome,
@@ -126,3 +127,31 @@
 )
 def test_a_fault_shortly_before_excuses_late_work(fault):
     assert check(history_with_late_request(fault), ended_at=30.0) == []
+
+
+def history_with_denial(*faults: Fault) -> History:
+    """Returns a history in which a configuration is not in force after 2.5 s."""
+    history = history_of([Denial(instance="g0", version=7, at=22.5), *faults])
+    history.acknowledged[7] = 20.0
+    return history
+
+
+@pytest.mark.parametrize(
+    "faults",
+    [
+        [],
+        [fault("g1", 19.0, 22.4)],
+        [fault("store", 10.0, 19.4, "StoreSilence")],
+        [fault("g0", 19.0, 22.4, "WatchCut")],
+    ],
+)
+def test_a_configuration_that_is_not_in_force_in_time_is_reported(faults):
+    (line,) = check(history_with_denial(*faults), ended_at=30.0)
+    assert line.startswith("g0 denied version 7 2.50 s")
+
+
+@pytest.mark.parametrize(
+    "fault", [fault("g0", 19.0, 19.6), fault("store", 18.0, 19.6, "StoreSilence")]
+)
+def test_a_fault_shortly_before_excuses_an_old_configuration(fault):
+    assert check(history_with_denial(fault), ended_at=30.0) == []
