--- a/src/lagoonrill/_internal/coordination/policy/store_renewal.py
+++ b/src/lagoonrill/_internal/coordination/policy/store_renewal.py
@@ -3,15 +3,17 @@
 Load pattern: an object changes while the store does not respond, and the answers to the
 watches of all instances are lost on connections that stay open. A pending watch is
 therefore no evidence that nothing has changed. One instance of each group of peers uses
-short watches, and the others take its answers as evidence for equal copies, so that the
-calls to the store don't grow with the fleet. Without such evidence, each instance asks
-for itself.
+short watches of one kind of objects, and the others take its answers as evidence for
+equal copies, so that the calls to the store don't grow with the fleet. Without such
+evidence, each instance asks for itself.
 """
 
 # The bound is the age at which a copy may no longer be used while the store responds.
-# Shares of it: the interval of the short watches, and the age at which an instance
-# replaces its own watch. What remains is for the call that follows.
+# Shares of it: the interval of the short watches, and the age at which the first
+# instance and the others replace a pending watch. What remains is for the call that
+# follows.
 RENEWAL_SHARE = 0.4
+FIRST_DOUBT_SHARE = 0.5
 DOUBT_SHARE = 0.6
 # Instances replace their watches one after the other, because the answer to the first
 # one is evidence for the others.
@@ -53,6 +55,8 @@
 
     def doubt_after_s(self, *, rank: int) -> float:
         """Returns the age of a copy at which its pending watch is replaced."""
+        if rank == 0:
+            return FIRST_DOUBT_SHARE * self.bound_s
         share = min(MAX_DOUBT_SHARE, DOUBT_SHARE + DOUBT_STEP_SHARE * rank)
         return share * self.bound_s
 
--- a/src/lagoonrill/_internal/coordination/store_follower.py
+++ b/src/lagoonrill/_internal/coordination/store_follower.py
@@ -113,7 +113,8 @@
         self.confirmed_by = ""
         # The same, by answers of the store only; None before the first one.
         self.answered_at: float | None = None
-        self.confirmed: Callable[[], None] = lambda: None
+        # Called with the time of each answer of the store.
+        self.answered: Callable[[float], None] = lambda answered_at: None
         # Start of the pending watch.
         self.waiting_since: float | None = None
         self.interrupted = False
@@ -171,7 +172,9 @@
             self._apply_changes(answer)
             pause_s = self._pause_after(answer, began_at=began_at, wait_s=wait_s)
         # The answer to a call without a wait is at least as recent as the call.
-        self._confirm_by_store(self.clock() if wait_s else began_at)
+        answered_at = self.clock() if wait_s else began_at
+        self.confirm_by_store(answered_at)
+        self.answered(answered_at)
         return pause_s
 
     def _refuse_stale(self, answer: ObjectList | ObjectChanges) -> float:
@@ -184,10 +187,10 @@
         )
         return FIRST_PAUSE_S
 
-    def _confirm_by_store(self, answered_at: float) -> None:
-        self.answered_at = answered_at
+    def confirm_by_store(self, answered_at: float) -> None:
+        """Records that the store showed at that time that the copy is current."""
+        self.answered_at = max(answered_at, self.answered_at or answered_at)
         self.confirm(age_s=self.clock() - answered_at, confirmed_by=STORE)
-        self.confirmed()
 
     def _changes(self, wait_s: float) -> Result[ObjectChanges, StoreError]:
         self.waiting_since = self.clock() if wait_s else None
--- a/src/lagoonrill/_internal/coordination/store_freshness.py
+++ b/src/lagoonrill/_internal/coordination/store_freshness.py
@@ -127,12 +127,28 @@
             clock=clock,
         )
         self.copies = (self.configuration, self.endpoints)
-        for copy in self.copies:
-            copy.follower.watch_wait_s = self._watch_wait_s
+        # Called after each answer of the store, so that peers learn of it.
+        self.changed: Callable[[], None] = lambda: None
+        config_follower.watch_wait_s = self._watch_wait_s
+        config_follower.answered = self._note_answer
+        endpoint_follower.answered = self._note_answer
 
     def _watch_wait_s(self, age_s: float) -> float:
         return self.renewal.watch_wait_s(rank=self.rank(), age_s=age_s)
 
+    def _note_answer(self, answered_at: float) -> None:
+        """Confirms the copies that include all changes up to the store's revision.
+
+        All kinds share one revision, so that one short watch confirms both copies as
+        long as neither changes.
+        """
+        followers = [copy.follower for copy in self.copies]
+        newest = max(follower.revision for follower in followers)
+        for follower in followers:
+            if follower.listed and follower.revision == newest:
+                follower.confirm_by_store(answered_at)
+        self.changed()
+
     def in_touch(self) -> bool:
         """Returns whether the last calls for all copies were answered."""
         return all(copy.follower.in_touch for copy in self.copies)
--- a/src/lagoonrill/_internal/gateway_daemon.py
+++ b/src/lagoonrill/_internal/gateway_daemon.py
@@ -161,8 +161,7 @@
             event_log=self.event_log,
         )
         self.load_table.changed = self.peers.note_change
-        for follower in (self.config_follower, self.endpoint_follower):
-            follower.confirmed = self.peers.note_change
+        self.freshness.changed = self.peers.note_change
         self.admission.peers = self.peers
 
     def _build_request_path(self, header_names: HeaderNames) -> None:
--- a/tests/test_store_freshness.py
+++ b/tests/test_store_freshness.py
@@ -213,3 +213,20 @@
     doubts = [renewal.doubt_after_s(rank=rank) for rank in range(instances)]
     assert min(doubts) > renewal.interval_s
     assert max(doubts) < BOUND_S
+
+
+def test_an_answer_for_one_kind_confirms_the_other_at_the_same_revision(simulation):
+    simulation.endpoints.step()
+    simulation.now += 1.0
+    simulation.config.step()
+    assert simulation.endpoints.age_s() == 0.0
+
+
+def test_an_answer_with_a_newer_revision_does_not_confirm_the_other_kind(simulation):
+    # The newer revision may be a departure that the watch of the endpoints lost.
+    simulation.endpoints.step()
+    simulation.now += 1.0
+    simulation.source.revision = 2
+    simulation.config.step()
+    assert simulation.config.age_s() == 0.0
+    assert simulation.endpoints.age_s() == 1.0
