Repeat lists lost at the end of an outage in time

An instance that starts while the store is silent lists the objects. A list sent just before the end of the silence timed out after 2.0 s, and the pause after repeated failures is up to 0.8 s, so that the instance could learn the configuration later than 3 s after the silence. The timeout is 1.5 s as for watches; the test on the constants failed before (3.1 s).

--- a/src/lagoonrill/platform/_store.py
+++ b/src/lagoonrill/platform/_store.py
@@ -27,14 +27,14 @@
 CONFIG_NAME = "main"
 ENDPOINT_KIND = "servers"
 # Timeout of a list call, after which it is retried. The store responds within a few
-# milliseconds, and within some hundred when it is slow.
-CALL_TIMEOUT_S = 2.0
+# milliseconds, and within some hundred when it is slow. A call that is lost at the end
+# of an outage is repeated early enough for the instance to know all changes three
+# seconds after the outage.
+CALL_TIMEOUT_S = 1.5
 # Short, so that the recovery of an unreachable store is detected quickly.
 CONNECT_TIMEOUT_S = 0.7
-# Added to the wait of a watch to get its read timeout. A call without a wait that is
-# lost at the end of an outage is repeated early enough for the instance to know all
-# changes three seconds after the outage.
-WATCH_MARGIN_S = 1.5
+# Added to the wait of a watch to get its read timeout; the same as of a list.
+WATCH_MARGIN_S = CALL_TIMEOUT_S
 # A list call for each of the two kinds; their watches have connections of their own.
 CONNECTIONS = 2
 
--- a/tests/platform/test_silent_store.py
+++ b/tests/platform/test_silent_store.py
@@ -9,7 +9,9 @@
 
 import pytest
 
+from lagoonrill._internal.coordination.store_follower import MAX_PAUSE_S
 from lagoonrill._internal.protocol.gateway_settings import GatewayBounds
+from lagoonrill.platform import _store
 from standins.metadata_store import MetadataStore, MetadataStoreServer
 from standins.platform_objects import configuration, server
 from standins.scripted_endpoint import ScriptedEndpoint
@@ -19,6 +21,8 @@
 SILENCE_S = 1.2
 CONTACT_S = GatewayBounds().contact_ms / 1000
 DRAIN_S = GatewayBounds().drain_ms / 1000
+# Time to connect, receive and apply an answer on a busy processor.
+REFRESH_S = 0.3
 
 
 class Fleet:
@@ -93,3 +97,8 @@
         lambda: fleet.all_meet(lambda one: leaves.id not in known_endpoints(one)),
         DRAIN_S,
     )
+
+
+@pytest.mark.parametrize("timeout_s", [_store.CALL_TIMEOUT_S, _store.WATCH_MARGIN_S])
+def test_a_call_that_is_lost_at_the_end_of_a_silence_is_repeated_in_time(timeout_s):
+    assert timeout_s + MAX_PAUSE_S + REFRESH_S < CONTACT_S
