Show objects of the store that cannot be decoded in metrics and state

A configuration that cannot be decoded is skipped and the version before stays in force; only a warning line said so. A gauge per kind counts such objects and the state dump names them.

--- a/src/lagoonrill/_internal/coordination/store_follower.py
+++ b/src/lagoonrill/_internal/coordination/store_follower.py
@@ -32,6 +32,8 @@
 # Backoff after failed calls; the store counts every call.
 FIRST_PAUSE_S = 0.15
 MAX_PAUSE_S = 0.8
+# Maximum number of names of unreadable objects in the state dump.
+DUMPED_NAMES = 20
 # Source of the evidence that a copy is current: the store, else the name of a peer.
 STORE = "store"
 
@@ -303,11 +305,17 @@
             # List again, because the incomplete change cannot be applied.
             self.listed = False
 
+    def unreadable(self) -> list[str]:
+        """Returns the names of the objects whose content cannot be decoded."""
+        objects = list(self.objects.values())
+        return [item.name for item in objects if item.content is None]
+
     def dump(self) -> dict:
         return {
             "kind": self.kind,
             "revision": self.revision,
             "objects": len(self.objects),
+            "unreadable": self.unreadable()[:DUMPED_NAMES],
             "in_touch": self.in_touch,
             "failures_in_a_row": self.failures,
             "age_s": round(self.age_s(), 3),
--- a/src/lagoonrill/_internal/gateway_daemon.py
+++ b/src/lagoonrill/_internal/gateway_daemon.py
@@ -209,6 +209,10 @@
                 f"{follower.kind}_unconfirmed_seconds",
                 lambda age_s=follower.age_s: round(age_s(), 3),
             )
+            self.metrics.register_gauge(
+                f"{follower.kind}_unreadable",
+                lambda unreadable=follower.unreadable: len(unreadable()),
+            )
         self.metrics.register_gauge(
             "endpoints_held", lambda: len(self.registry.held_until)
         )
--- a/tests/platform/test_daemon_process.py
+++ b/tests/platform/test_daemon_process.py
@@ -147,6 +147,12 @@
     store.put("config", "main", {"Version": 11, "Routes": "none"})
     store.put("servers", "i-2", {"Service": 5})
     assert wait_until(lambda: len(instance.events("warning")) >= 2, 3)
+    # Operators see that the newest configuration is not the one in force.
+    metrics = instance.get("/metrics")[1]
+    assert "lagoonrill_configuration_unreadable 1" in metrics
+    assert "lagoonrill_endpoints_unreadable 1" in metrics
+    followers = {item["kind"]: item for item in instance.state()["followers"]}
+    assert followers["configuration"]["unreadable"] == ["main"]
     assert instance.ask("/order/1") == 200
 
 
