Ask the store for evidence once in the fleet instead of once in each zone

Instances now have one order; the first of the fleet uses short watches and sends each answer as evidence to one instance of each other zone, which passes it on to its near peers. Ruled out: evidence by the regular digests between zones, which are 2 s apart at 78 instances.

--- a/src/lagoonrill/_internal/coordination/gateway_peers.py
+++ b/src/lagoonrill/_internal/coordination/gateway_peers.py
@@ -100,6 +100,8 @@
         self.load_table = load_table
         self.freshness = freshness
         freshness.rank = self.store_rank
+        freshness.changed = self._note_evidence
+        self.has_new_evidence = threading.Event()
         self.work_changed = work_changed
         self.stream_engines = stream_engines
         self.event_log = event_log
@@ -233,13 +235,24 @@
         return sorted([self.instance, *near])
 
     def store_rank(self) -> int:
-        """Returns how many near peers reach the store and precede this instance."""
+        """Returns the position in the order in which instances ask the store.
+
+        It is 0 for the first instance by name, 1 for the first one of another zone, and
+        larger for the others of a zone. Instances that cannot reach the store are left
+        out.
+        """
         with self.lock:
-            return sum(
-                name < self.instance
+            preceding = [
+                view
                 for name, view in self.views.items()
-                if view.digest.store_in_touch and not view.lost and self._is_near(view)
-            )
+                if view.digest.store_in_touch and not view.lost and name < self.instance
+            ]
+            near = sum(self._is_near(view) for view in preceding)
+        return near + 1 if preceding else 0
+
+    def _note_evidence(self) -> None:
+        self.has_new_evidence.set()
+        self.note_change()
 
     def _send_digests(self) -> None:
         while not self.stopping.is_set():
@@ -267,6 +280,7 @@
             self._digest(
                 reads,
                 now,
+                near=True,
                 doubtful=self._doubtful(now),
                 addresses=self._addresses_due(now),
             ),
@@ -274,6 +288,7 @@
         self._send_addresses_to_new_peers(now)
         if not far:
             return
+        self._send_evidence(now)
         self.far_reads.extend(reads)
         if self.leaving or now - self.far_sent_at >= self._far_spacing_s():
             self.far_sent_at = now
@@ -298,6 +313,19 @@
         self.addresses_sent_at = now
         return self._live_addresses()
 
+    def _send_evidence(self, now: float) -> None:
+        """Sends new evidence that copies are current to one instance of each zone."""
+        if not self.has_new_evidence.is_set() or self.store_rank() > 0:
+            return
+        self.has_new_evidence.clear()
+        first_of_zone: dict[str, GatewayDigest] = {}
+        with self.lock:
+            for _, view in sorted(self.views.items()):
+                if not view.lost and not self._is_near(view):
+                    first_of_zone.setdefault(view.digest.zone, view.digest)
+        addresses = {digest.address for digest in first_of_zone.values()}
+        self.link.send_to(addresses, self._digest([], now))
+
     def _send_addresses_to_new_peers(self, now: float) -> None:
         """Sends all peer addresses to new peers: their zone may have no seed."""
         with self.lock:
@@ -311,6 +339,7 @@
         reads: list,
         now: float,
         *,
+        near: bool = False,
         doubtful: list[EndpointCalls] | None = None,
         addresses: list[str] | None = None,
     ) -> GatewayDigest:
@@ -322,8 +351,8 @@
             endpoint_revision=self.discovery.revision,
             endpoint_checksum=self.registry.checksum,
             store_in_touch=self.freshness.in_touch(),
-            config_age_ms=self.freshness.configuration.age_ms(),
-            endpoints_age_ms=self.freshness.endpoints.age_ms(),
+            config_age_ms=self.freshness.configuration.age_ms(near=near),
+            endpoints_age_ms=self.freshness.endpoints.age_ms(near=near),
             leaving=self.leaving,
             work=[] if self.leaving else self.load_table.own_work(),
             reads=reads,
@@ -379,9 +408,14 @@
             self.load_table.record_peer_reads(digest.reads)
         if digest.doubtful is not None:
             self.registry.update_peer_calls(digest.instance, digest.doubtful)
-        self.freshness.note_digest(digest)
+        self._note_peer_evidence(digest)
         self.work_changed()
 
+    def _note_peer_evidence(self, digest: GatewayDigest) -> None:
+        near = not self.is_zone_local() or digest.zone == self.zone
+        if self.freshness.note_digest(digest, near=near):
+            self.note_change()
+
     def _drop_peer(self, name: str) -> None:
         self.load_table.drop_peer(name)
         self.registry.drop_peer(name)
--- a/src/lagoonrill/_internal/coordination/policy/store_renewal.py
+++ b/src/lagoonrill/_internal/coordination/policy/store_renewal.py
@@ -2,10 +2,10 @@
 
 Load pattern: an object changes while the store does not respond, and the answers to the
 watches of all instances are lost on connections that stay open. A pending watch is
-therefore no evidence that nothing has changed. One instance of each group of peers uses
-short watches of one kind of objects, and the others take its answers as evidence for
-equal copies, so that the calls to the store don't grow with the fleet. Without such
-evidence, each instance asks for itself.
+therefore no evidence that nothing has changed. One instance of the fleet uses short
+watches of one kind of objects, and the others take its answers as evidence for equal
+copies, so that the calls to the store don't grow with the fleet. Without such evidence,
+one instance of each zone asks, and finally each instance for itself.
 """
 
 # The bound is the age at which a copy may no longer be used while the store responds.
@@ -28,7 +28,9 @@
 class StoreRenewal:
     """Times of watches, derived from the largest allowed age of a copy.
 
-    `rank` is the position of this instance among its peers that can reach the store.
+    `rank` is the position of an instance among those that can reach the store: 0 for
+    the first one of the fleet, 1 for the first ones of the other zones, then up in each
+    zone.
 
     >>> renewal = StoreRenewal(bound_s=2.0)
     >>> renewal.watch_wait_s(rank=0, age_s=0.3)
--- a/src/lagoonrill/_internal/coordination/store_follower.py
+++ b/src/lagoonrill/_internal/coordination/store_follower.py
@@ -8,6 +8,7 @@
 watches wait and when they are interrupted.
 """
 
+import math
 import random
 import threading
 import time
@@ -115,6 +116,8 @@
         self.confirmed_by = ""
         # The same, by answers of the store only; None before the first one.
         self.answered_at: float | None = None
+        # The same, also by answers that peers of other zones received.
+        self.relayed_at: float | None = None
         # Called with the time of each answer of the store.
         self.answered: Callable[[float], None] = lambda answered_at: None
         # Start of the pending watch.
@@ -192,7 +195,7 @@
     def confirm_by_store(self, answered_at: float) -> None:
         """Records that the store showed at that time that the copy is current."""
         self.answered_at = max(answered_at, self.answered_at or answered_at)
-        self.confirm(age_s=self.clock() - answered_at, confirmed_by=STORE)
+        self.confirm(age_s=self.clock() - answered_at, confirmed_by=STORE, relayed=True)
 
     def _changes(self, wait_s: float) -> Result[ObjectChanges, StoreError]:
         self.waiting_since = self.clock() if wait_s else None
@@ -248,12 +251,22 @@
         """Returns the age of the evidence that the copy is current."""
         return self.clock() - self.confirmed_at
 
-    def confirm(self, *, age_s: float, confirmed_by: str) -> None:
-        """Records that the copy was current `age_s` ago."""
+    def confirm(
+        self, *, age_s: float, confirmed_by: str, relayed: bool = False
+    ) -> bool:
+        """Records that the copy was current `age_s` ago.
+
+        `relayed` evidence is passed on to near peers. Returns whether there is newer
+        evidence to pass on.
+        """
         confirmed_at = self.clock() - age_s
         if confirmed_at >= self.confirmed_at:
             self.confirmed_at = confirmed_at
             self.confirmed_by = confirmed_by
+        if not relayed or confirmed_at <= (self.relayed_at or -math.inf):
+            return False
+        self.relayed_at = confirmed_at
+        return True
 
     def waited_s(self) -> float | None:
         """Returns how long the pending watch has been waiting, or None."""
--- a/src/lagoonrill/_internal/coordination/store_freshness.py
+++ b/src/lagoonrill/_internal/coordination/store_freshness.py
@@ -1,7 +1,11 @@
 """Bounds the age of the copies of store objects that an instance acts on.
 
 The evidence that a copy is current is an answer of the store, or an answer that a peer
-with an equal copy received. See the policy `store_renewal` for the times.
+with an equal copy received. See the policy `store_renewal` for the times. Evidence
+takes at most two hops: from an instance that received an answer to its near peers and
+to one instance of each other zone, and from that one to its near peers. Unlimited
+hops would let instances confirm each other forever, because a message takes time that
+the age in it does not include.
 """
 
 import time
@@ -25,9 +29,7 @@
     content: int
     # Larger for newer content.
     order: int
-    # Time since the store itself confirmed the copy to the instance; None if it has
-    # not. Evidence from peers is not passed on: each hop would make it look younger by
-    # the time that the message takes.
+    # Age of the evidence that the instance passes on; None if it has none.
     age_ms: int | None = None
 
 
@@ -52,22 +54,27 @@
         # Local content, and the time since which a peer has newer content.
         self.outdated: tuple[int, float] | None = None
 
-    def age_ms(self) -> int | None:
-        """Returns the time since the store confirmed the copy; None if it has not."""
-        answered_at = self.follower.answered_at
-        if answered_at is None:
+    def age_ms(self, *, near: bool) -> int | None:
+        """Returns the age of the evidence for near peers, or for others."""
+        follower = self.follower
+        confirmed_at = follower.relayed_at if near else follower.answered_at
+        if confirmed_at is None:
             return None
-        return round((self.clock() - answered_at) * 1000)
+        return round((self.clock() - confirmed_at) * 1000)
 
-    def note_digest(self, digest: GatewayDigest) -> None:
-        """Takes the evidence of a peer whose copy is equal."""
+    def note_digest(self, digest: GatewayDigest, *, near: bool) -> bool:
+        """Takes the evidence of a peer whose copy is equal.
+
+        Returns whether it is evidence to pass on.
+        """
         peer = self.of_peer(digest)
         if peer.age_ms is None or not peer.content:
-            return
-        if peer.content == self.own().content:
-            self.follower.confirm(
-                age_s=peer.age_ms / 1000, confirmed_by=digest.instance
-            )
+            return False
+        if peer.content != self.own().content:
+            return False
+        return self.follower.confirm(
+            age_s=peer.age_ms / 1000, confirmed_by=digest.instance, relayed=not near
+        )
 
     def peer_ahead_s(self, digests: list[GatewayDigest]) -> float:
         """Returns for how long peers have had newer content than this instance."""
@@ -87,8 +94,8 @@
 class StoreFreshness:
     """Replaces watches that may be dead, and renews the evidence for a group of peers.
 
-    `rank` returns the position of this instance among the peers of its group that can
-    reach the store.
+    `rank` returns the position of this instance in the order in which instances ask the
+    store, as in `StoreRenewal`.
     """
 
     def __init__(
@@ -153,10 +160,13 @@
         """Returns whether the last calls for all copies were answered."""
         return all(copy.follower.in_touch for copy in self.copies)
 
-    def note_digest(self, digest: GatewayDigest) -> None:
-        """Takes the evidence in the digest of a peer."""
-        for copy in self.copies:
-            copy.note_digest(digest)
+    def note_digest(self, digest: GatewayDigest, *, near: bool) -> bool:
+        """Takes the evidence in the digest of a near peer, or of another zone.
+
+        Returns whether it is evidence to pass on.
+        """
+        passed_on = [copy.note_digest(digest, near=near) for copy in self.copies]
+        return any(passed_on)
 
     def review(self, digests: list[GatewayDigest]) -> None:
         """Replaces each watch whose copy has no recent evidence or is outdated."""
--- a/src/lagoonrill/_internal/gateway_daemon.py
+++ b/src/lagoonrill/_internal/gateway_daemon.py
@@ -161,7 +161,6 @@
             event_log=self.event_log,
         )
         self.load_table.changed = self.peers.note_change
-        self.freshness.changed = self.peers.note_change
         self.admission.peers = self.peers
 
     def _build_request_path(self, header_names: HeaderNames) -> None:
--- a/tests/test_gateway_peers.py
+++ b/tests/test_gateway_peers.py
@@ -56,13 +56,13 @@
 class FreshnessStub:
     """Copies of store objects that are always current."""
 
-    configuration = endpoints = type("Copy", (), {"age_ms": lambda: 0})
+    configuration = endpoints = type("Copy", (), {"age_ms": lambda near: 7})
 
     def in_touch(self):
         return True
 
-    def note_digest(self, digest):
-        pass
+    def note_digest(self, digest, near):
+        return False
 
 
 class PeersKit:
@@ -210,3 +210,31 @@
     kit.now += 1.0
     kit.peers._send_digest()
     assert kit.link.sent[-1].doubtful is None
+
+
+def test_instances_ask_the_store_in_an_order_that_all_know(kit):
+    # If each zone had its own, the calls to the store would grow with the zones.
+    assert kit.peers.store_rank() == 0
+    kit.receive_digest(0, store_in_touch=False)
+    kit.peers.instance = "p2"
+    kit.peers.views["me"] = kit.peers.views.pop("p2")
+    assert kit.peers.store_rank() == 0
+    kit.receive_digest(1, store_in_touch=True)
+    # p1 is in another zone, so p2 is the first one of its own.
+    assert kit.peers.store_rank() == 1
+    kit.receive_digest(0, store_in_touch=True)
+    assert kit.peers.store_rank() == 2
+
+
+def test_new_evidence_reaches_one_instance_of_each_other_zone(kit):
+    kit.peers._send_digest()
+    kit.now += 0.1
+    kit.link.sent_by_address.clear()
+    kit.peers._send_digest()
+    assert "127.0.0.1:1001" not in kit.link.sent_by_address
+    kit.peers.freshness.changed()
+    kit.peers._send_digest()
+    kit.peers._send_digest()
+    (digest,) = kit.link.sent_by_address["127.0.0.1:1001"]
+    assert digest.config_age_ms == 7
+    assert "127.0.0.1:1003" not in kit.link.sent_by_address
--- a/tests/test_store_freshness.py
+++ b/tests/test_store_freshness.py
@@ -131,10 +131,12 @@
 
 
 def test_answers_of_a_peer_with_an_equal_copy_keep_the_watch(simulation):
+    equal = digest(config_version=5, config_age_ms=0)
+
     def advance():
         for _ in range(100):
             simulation.advance(0.2)
-            simulation.freshness.note_digest(digest(config_version=5, config_age_ms=0))
+            simulation.freshness.note_digest(equal, near=True)
 
         assert simulation.config.confirmed_by == "peer"
 
@@ -151,17 +153,26 @@
 def test_other_digests_are_no_evidence(simulation, fields):
     confirmed_at = simulation.config.confirmed_at
     simulation.now += 1.0
-    simulation.freshness.note_digest(digest(**fields))
+    simulation.freshness.note_digest(digest(**fields), near=True)
     assert simulation.config.confirmed_at == confirmed_at
 
 
-def test_evidence_of_a_peer_is_not_passed_on(simulation):
+def test_evidence_of_a_near_peer_is_not_passed_on(simulation):
     # Instances that pass it on to each other would never find it old, because a
     # message takes time that its age doesn't include.
     simulation.now += 1.0
-    simulation.freshness.note_digest(digest(config_version=5, config_age_ms=0))
+    equal = digest(config_version=5, config_age_ms=0)
+    assert not simulation.freshness.note_digest(equal, near=True)
     assert simulation.config.age_s() == 0.0
-    assert simulation.freshness.configuration.age_ms() == 1_000
+    assert simulation.freshness.configuration.age_ms(near=True) == 1_000
+
+
+def test_evidence_of_another_zone_is_passed_on_to_near_peers_only(simulation):
+    simulation.now += 1.0
+    equal = digest(config_version=5, config_age_ms=200)
+    assert simulation.freshness.note_digest(equal, near=False)
+    assert simulation.freshness.configuration.age_ms(near=True) == 200
+    assert simulation.freshness.configuration.age_ms(near=False) == 1_000
 
 
 def test_a_watch_that_does_not_deliver_what_a_peer_has_is_replaced(simulation):
