--- a/src/lagoonrill/_internal/coordination/forwarding.py
+++ b/src/lagoonrill/_internal/coordination/forwarding.py
@@ -123,6 +123,9 @@
             "send_failed",
             request=sending.request.id,
             route=sending.request.route.name,
+            endpoint=sending.endpoint,
+            begun=sending.begun,
+            parts=sending.shared_parts,
             reason=outcome.reason,
             may_have_run=outcome.may_have_run,
             sends=sending.sends,
@@ -197,6 +200,7 @@
             arrived_at=request.arrived_at,
             deadline=request.deadline,
         )
+        sending.shared_parts = [part.id for part in generation.parts[:-1]]
         try:
             admission = self.admission.admit(
                 generation,
@@ -282,6 +286,8 @@
         """Sends to `record` and relays its answer if it is valid."""
         request = sending.request
         sending.tried.add(record.id)
+        sending.endpoint = record.id
+        sending.begun = False
         connection = None
         try:
             connection = self._connect(sending, record)
@@ -533,6 +539,7 @@
             if not sending.stream_started:
                 self._start_stream(sending, head)
             on_event()
+            sending.begun = True
             sending.note_event()
             sending.events += len(new_events)
             sending.caller.send_data(b"".join(new_events))
--- a/src/lagoonrill/_internal/coordination/sending.py
+++ b/src/lagoonrill/_internal/coordination/sending.py
@@ -40,6 +40,11 @@
         self.request = request
         self.caller = caller
         self.tried: set[str] = set()
+        # Endpoint of the latest send, and whether it has sent an event.
+        self.endpoint = ""
+        self.begun = False
+        # Ids of the prompt parts that other requests may have too.
+        self.shared_parts: list[str] = []
         self.sends = 0
         self.connect_failures = 0
         self.may_have_run = False
