Keep findings about prompts that crash engines in the platform's store

Cause: what was known of a part lived in the instances only. Ruled out: peers pass it on to each instance that starts while another one runs.

Change: one object for each finding, of an own kind, written once by the instance that made it; listed at a start, and after a crash that leads to no finding, which covers zones that are cut off from their peers. One thread makes the calls, so that no request waits for the store. Findings end after ten minutes or with an answer that disproves them. One call to the store for each start and finding.

--- a/src/lagoonrill/_internal/coordination/crash_reports.py
+++ b/src/lagoonrill/_internal/coordination/crash_reports.py
@@ -13,6 +13,7 @@
 from ..protocol.routing import EndpointRecord, PromptPart
 from ..state.endpoint_registry import EndpointRegistry
 from ..transport.peer_link import PeerLink
+from .poison_findings import PoisonFindings
 from .policy.poison_parts import PoisonParts
 
 
@@ -26,12 +27,14 @@
         registry: EndpointRegistry,
         event_log: EventLog,
         link: PeerLink | None = None,
+        findings: PoisonFindings | None = None,
         clock: Callable[[], float] = time.monotonic,
     ):
         self.parts = parts
         self.registry = registry
         self.event_log = event_log
         self.link = link
+        self.findings = findings
         self.clock = clock
         if link is not None:
             link.register_handler(CrashReport, self.handle, inline=True)
@@ -54,9 +57,23 @@
             service=record.service,
             suspects=suspects,
         )
-        self._record(report)
+        refused = self._record(report)
         if self.link is not None:
             self.link.send_to(self.link.addresses(), report)
+        if self.findings is None:
+            return
+        if refused is not None:
+            self.findings.add(record.service, refused)
+        else:
+            # An instance that is cut off from this one may know the cause.
+            self.findings.refresh()
+
+    def note_begun(self, service: str, parts: Iterable[str]) -> None:
+        """Records the parts with which an answer has begun at this instance."""
+        cleared = self.parts.note_begun(service, parts)
+        if self.findings is not None:
+            for group in cleared:
+                self.findings.remove(service, group)
 
     def handle(self, report: CrashReport) -> None:
         """Records a crash that a peer reports, and avoids the engine."""
@@ -75,7 +92,7 @@
             )
         self._record(report)
 
-    def _record(self, report: CrashReport) -> None:
+    def _record(self, report: CrashReport) -> list[str] | None:
         refused = self.parts.note_crash(
             report.service,
             f"{report.endpoint}/{report.incarnation}",
@@ -85,8 +102,12 @@
         )
         if refused is not None:
             self.event_log.emit(
-                "prompt_parts_refused", service=report.service, parts=refused
+                "prompt_parts_refused",
+                service=report.service,
+                parts=refused,
+                source="crash",
             )
+        return refused
 
     def send_all(self, addresses: set[str]) -> None:
         """Sends all known crashes to peers."""
--- a/src/lagoonrill/_internal/coordination/forwarding.py
+++ b/src/lagoonrill/_internal/coordination/forwarding.py
@@ -266,7 +266,7 @@
         self, sending: Sending, admission: Admission, generation: Generation
     ) -> None:
         if not sending.begun:
-            self.poison_parts.note_begun(generation.service, sending.shared_parts)
+            self.crash_reports.note_begun(generation.service, sending.shared_parts)
         self.admission.started(admission, generation)
 
     def _log_placed(
--- a/src/lagoonrill/_internal/coordination/policy/poison_parts.py
+++ b/src/lagoonrill/_internal/coordination/policy/poison_parts.py
@@ -51,6 +51,7 @@
     >>> parts = PoisonParts(clock=lambda: 10.0)
     >>> parts.note_crash("s", "e1", request="r1", suspects=["a", "b"], at=1.0)
     >>> parts.note_begun("s", ["a"])
+    []
     >>> parts.note_crash("s", "e2", request="r2", suspects=["a", "b"], at=2.0)
     ['b']
     >>> parts.refused_parts("s", ["a", "b", "c"])
@@ -66,17 +67,33 @@
         # Time since which prompts are refused that have all parts of a group.
         self.refused: dict[tuple[str, frozenset[str]], float] = {}
 
-    def note_begun(self, service: str, parts: Iterable[str]) -> None:
-        """Records that an answer to a request with these parts has begun."""
+    def note_begun(self, service: str, parts: Iterable[str]) -> list[list[str]]:
+        """Records that an answer to a request with these parts has begun.
+
+        Returns the groups of parts that are no longer refused.
+        """
+        cleared = []
         with self.lock:
             for part in parts:
                 key = (service, part)
                 if key not in self.sound:
-                    self._clear(service, part)
+                    cleared += self._clear(service, part)
                 self.sound[key] = None
                 self.sound.move_to_end(key)
             while len(self.sound) > MAX_SOUND_PARTS:
                 self.sound.popitem(last=False)
+        return cleared
+
+    def restore(self, service: str, parts: Iterable[str], *, age_s: float) -> bool:
+        """Refuses parts that were found before; returns False if they are known."""
+        with self.lock:
+            group = frozenset(
+                part for part in parts if (service, part) not in self.sound
+            )
+            if not group or self._refuses(service, group):
+                return False
+            self._refuse(service, group, self.clock() - age_s)
+            return True
 
     def suspects(self, service: str, parts: Iterable[str]) -> list[str]:
         """Returns the parts that are not known to be sound."""
@@ -172,7 +189,9 @@
                 del self.refused[other, known]
         self.refused[service, group] = since
 
-    def _clear(self, service: str, part: str) -> None:
+    def _clear(self, service: str, part: str) -> list[list[str]]:
+        """Forgets what speaks against a part; returns the groups that had it."""
+        cleared = []
         for crash in self.crashes.values():
             if crash.service == service:
                 crash.suspects.pop(part, None)
@@ -180,9 +199,11 @@
             if other != service or part not in group:
                 continue
             del self.refused[other, group]
+            cleared.append(sorted(group))
             rest = group - {part}
             if rest and not self._refuses(service, rest):
                 self._refuse(service, rest, since)
+        return cleared
 
     def _expire(self) -> None:
         oldest = self.clock() - EVIDENCE_LIFETIME_S
--- a/src/lagoonrill/_internal/gateway_daemon.py
+++ b/src/lagoonrill/_internal/gateway_daemon.py
@@ -16,6 +16,7 @@
 from .coordination.engine_admission import EngineAdmission
 from .coordination.forwarding import Forwarder
 from .coordination.gateway_peers import GatewayPeers
+from .coordination.poison_findings import FindingStore, PoisonFindings
 from .coordination.policy.expired_entries import ExpiredEntries
 from .coordination.policy.poison_parts import PoisonParts
 from .coordination.policy.shared_retry_budget import SharedRetryBudget
@@ -75,6 +76,7 @@
     configs: ObjectSource
     # The content of its objects is an `EndpointRecord`.
     endpoints: ObjectSource
+    findings: FindingStore
 
 
 class GatewayDaemon:
@@ -101,7 +103,7 @@
         self.reload_requested = threading.Event()
         self._build_admission()
         self._build_followers(source)
-        self._build_peers()
+        self._build_peers(source.findings)
         self._build_request_path(header_names)
         self._build_pages(readiness_path)
 
@@ -136,7 +138,7 @@
             event_log=self.event_log,
         )
 
-    def _build_peers(self) -> None:
+    def _build_peers(self, finding_store: FindingStore) -> None:
         self.freshness = StoreFreshness(
             renewal=StoreRenewal(bound_s=store_copy_bound_s(self.settings.bounds)),
             config_follower=self.config_follower,
@@ -148,11 +150,16 @@
         )
         host, _, port = self.settings.peer_address.rpartition(":")
         link = PeerLink(host=host, port=int(port), handler_threads=1)
+        parts = PoisonParts()
+        self.findings = PoisonFindings(
+            store=finding_store, parts=parts, event_log=self.event_log
+        )
         self.crash_reports = CrashReports(
-            parts=PoisonParts(),
+            parts=parts,
             registry=self.registry,
             event_log=self.event_log,
             link=link,
+            findings=self.findings,
         )
         self.peers = GatewayPeers(
             instance=self.settings.instance,
@@ -311,6 +318,7 @@
         self.pages.start()
         self.config_follower.start()
         self.endpoint_follower.start()
+        self.findings.start()
         self.peers.start()
         self.admission.start()
         self.listener.start()
@@ -414,6 +422,7 @@
         steps: tuple[Callable[[], None], ...] = (
             self.config_follower.stop,
             self.endpoint_follower.stop,
+            self.findings.stop,
             self.peers.stop,
             self.admission.stop,
             self.pages.close,
--- a/src/lagoonrill/platform/__main__.py
+++ b/src/lagoonrill/platform/__main__.py
@@ -26,12 +26,12 @@
     except (SettingsError, OSError) as error:
         print(f"lagoonrill: {path}: {error}", file=sys.stderr)
         return EXIT_INVALID_SETTINGS
-    configs, endpoints = open_sources(settings.store_address)
+    configs, endpoints, findings = open_sources(settings.store_address)
     daemon = GatewayDaemon(
         settings=settings,
         settings_path=path,
         header_names=VOCABULARY,
-        source=RoutingSource(configs=configs, endpoints=endpoints),
+        source=RoutingSource(configs=configs, endpoints=endpoints, findings=findings),
         readiness_path=READINESS_PATH,
     )
     daemon.install_signal_handlers()
--- a/src/lagoonrill/platform/_store.py
+++ b/src/lagoonrill/platform/_store.py
@@ -1,18 +1,20 @@
-"""Sources of configuration and endpoints in the platform's metadata store."""
+"""Configuration, endpoints and findings in the platform's metadata store."""
 
+import hashlib
 from urllib.parse import quote, urlencode
 
 import logbook
 import msgspec
-from returns.result import Result, Success
+from returns.result import Failure, Result, Success
 
+from .._internal.coordination.poison_findings import PoisonFinding
 from .._internal.coordination.store_follower import (
     ObjectChanges,
     ObjectList,
     StoreObject,
 )
 from .._internal.protocol import lenient_json
-from .._internal.protocol.errors import StoreError
+from .._internal.protocol.errors import StoreConflict, StoreError
 from .._internal.protocol.routing import EndpointRecord
 from .._internal.transport.sockets import parse_address
 from .._internal.transport.store_client import StoreClient
@@ -26,6 +28,8 @@
 # Name of the only configuration object.
 CONFIG_NAME = "main"
 ENDPOINT_KIND = "servers"
+# Objects of the router itself: parts of prompts that crash engines.
+FINDING_KIND = "poison-parts"
 # Timeout of a list call, after which it is retried. The store responds within a few
 # milliseconds, and within some hundred when it is slow. A call that is lost at the end
 # of an outage is repeated early enough for the instance to know all changes three
@@ -35,8 +39,8 @@
 CONNECT_TIMEOUT_S = 0.7
 # Added to the wait of a watch to get its read timeout; the same as of a list.
 WATCH_MARGIN_S = CALL_TIMEOUT_S
-# A list call for each of the two kinds; their watches have connections of their own.
-CONNECTIONS = 2
+# A call for each of the three kinds; watches have connections of their own.
+CONNECTIONS = 3
 
 LEAVING_BY_STATE = {"ready": False, "draining": True}
 
@@ -91,6 +95,15 @@
     born: int = msgspec.field(name="born", default=0)
 
 
+class WireFinding(msgspec.Struct, rename="pascal"):
+    """Parts of prompts that crash the engines of a service."""
+
+    service: str
+    parts: list[str]
+    # Unix time in milliseconds.
+    found_ms: int
+
+
 def decode_response(data: bytes, kind: type):
     """Decodes a response; invalid bytes in one entry do not affect the others.
 
@@ -236,15 +249,83 @@
         return StoreObject(name=wire.metadata.name, content=content)
 
 
-def open_sources(address: str) -> tuple[StoreObjectSource, StoreObjectSource]:
-    """Returns the sources of the configuration and of the endpoints."""
+def decode_finding(name: str, spec: object) -> PoisonFinding:
+    """Returns the finding in an object; raises `ValueError` if it is invalid."""
+    wire = msgspec.convert(spec, WireFinding)
+    return PoisonFinding(
+        service=wire.service,
+        parts=tuple(sorted(wire.parts)),
+        found_at=wire.found_ms / 1000,
+    )
+
+
+class StoreFindings:
+    """Parts of prompts that crash engines, one object for each finding."""
+
+    def __init__(self, *, client: StoreClient):
+        self.client = client
+        self.path = OBJECTS_PATH + FINDING_KIND
+        self.source = StoreObjectSource(
+            client=client,
+            kind=FINDING_KIND,
+            decode=decode_finding,
+            watch_connection=None,
+        )
+
+    def list(self) -> Result[list[PoisonFinding], StoreError]:
+        """Returns the findings; objects that cannot be decoded are left out."""
+        return self.source.list().map(
+            lambda found: [
+                item.content for item in found.objects if item.content is not None
+            ]
+        )
+
+    def add(self, finding: PoisonFinding) -> Result[object, StoreError]:
+        """Writes a finding, unless the store has it."""
+        wire = WireFinding(
+            service=finding.service,
+            parts=list(finding.parts),
+            found_ms=round(finding.found_at * 1000),
+        )
+        body = {"Metadata": {"Name": finding_name(finding)}, "Spec": wire}
+        result = self.client.call(
+            f"create {FINDING_KIND}",
+            "POST",
+            self.path,
+            headers={"Content-Type": "application/json"},
+            body=msgspec.json.encode(body),
+        )
+        if isinstance(result, Failure) and isinstance(result.failure(), StoreConflict):
+            return Success(None)
+        return result
+
+    def remove(self, finding: PoisonFinding) -> Result[object, StoreError]:
+        """Removes a finding; it is no error if the store does not have it."""
+        path = f"{self.path}/{finding_name(finding)}"
+        return self.client.call(f"delete {FINDING_KIND}", "DELETE", path)
+
+
+def finding_name(finding: PoisonFinding) -> str:
+    """Returns the name of a finding's object, the same at all instances.
+
+    >>> len(finding_name(PoisonFinding(service="s", parts=("a", "b"), found_at=0.0)))
+    32
+    """
+    text = "\n".join((finding.service, *finding.parts))
+    return hashlib.sha256(text.encode()).hexdigest()[:32]
+
+
+def open_sources(
+    address: str,
+) -> tuple[StoreObjectSource, StoreObjectSource, StoreFindings]:
+    """Returns the sources of the configuration and the endpoints, and the findings."""
     client = StoreClient(
         url=f"http://{address}",
         call_timeout_s=CALL_TIMEOUT_S,
         connect_timeout_s=CONNECT_TIMEOUT_S,
         connections=CONNECTIONS,
     )
-    return tuple(
+    configs, endpoints = (
         StoreObjectSource(
             client=client,
             kind=kind,
@@ -256,3 +337,4 @@
             (ENDPOINT_KIND, decode_endpoint),
         )
     )
+    return configs, endpoints, StoreFindings(client=client)
--- a/standins/metadata_store.py
+++ b/standins/metadata_store.py
@@ -103,6 +103,26 @@
         class Handler(BaseHTTPRequestHandler):
             protocol_version = "HTTP/1.1"
 
+            def do_POST(self):
+                length = int(self.headers["Content-Length"])
+                found = msgspec.json.decode(self.rfile.read(length))
+                kind, name = self.kind_and_name(found["Metadata"]["Name"])
+                exists = name in store.kinds.get(kind, {})
+                if not (exists or store.refusal_status):
+                    store.put(kind, name, found["Spec"])
+                self.send(store.refusal_status or (409 if exists else 201), {})
+
+            def do_DELETE(self):
+                kind, name = self.kind_and_name()
+                exists = name in store.kinds.get(kind, {})
+                if exists and not store.refusal_status:
+                    store.delete(kind, name)
+                self.send(store.refusal_status or (200 if exists else 404), {})
+
+            def kind_and_name(self, name: str = "") -> tuple[str, str]:
+                names = [unquote(part) for part in self.path.split("/")[3:]]
+                return names[0], name or names[1]
+
             def do_GET(self):
                 store.calls += 1
                 parts = urlsplit(self.path)
@@ -115,6 +135,9 @@
                     )
                 elif not status:
                     status, answer = 200, store.list(kind, query.get("After", ""))
+                self.send(status, answer)
+
+            def send(self, status: int, answer: dict) -> None:
                 if store.silent:
                     store.closed.wait()
                     return
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -6,6 +6,7 @@
 import pytest
 from returns.result import Failure, Success
 
+from lagoonrill._internal.coordination.poison_findings import PoisonFinding
 from lagoonrill._internal.protocol.errors import (
     StoreCallInterrupted,
     StoreHistoryGone,
@@ -109,7 +110,7 @@
     for number in range(5):
         store.put("servers", f"i-{number}", server())
     store.put("servers", "i-9", {"Service": 1})
-    _, endpoints = open_sources(store.server.address)
+    _, endpoints, _ = open_sources(store.server.address)
     found = endpoints.list().unwrap()
     assert [item.name for item in found.objects] == [
         "i-0",
@@ -125,7 +126,7 @@
 
 def test_changes_since_a_revision(store):
     store.put("servers", "i-0", server())
-    _, endpoints = open_sources(store.server.address)
+    _, endpoints, _ = open_sources(store.server.address)
     revision = endpoints.list().unwrap().revision
     store.put("servers", "i-1", server())
     store.delete("servers", "i-0")
@@ -137,7 +138,7 @@
 
 def test_dropped_history_is_distinguished_from_other_failures(store):
     store.put("config", "main", configuration())
-    configs, _ = open_sources(store.server.address)
+    configs, _, _ = open_sources(store.server.address)
     store.drop_history()
     gone = configs.changes(since=0, wait_s=1)
     assert isinstance(gone, Failure)
@@ -149,7 +150,7 @@
 def test_a_pending_watch_ends_when_it_is_interrupted(store):
     # Otherwise a watch whose response was lost is pending until its read timeout.
     store.put("config", "main", configuration())
-    configs, _ = open_sources(store.server.address)
+    configs, _, _ = open_sources(store.server.address)
     results = []
     watch = threading.Thread(
         target=lambda: results.append(configs.changes(since=store.revision, wait_s=20)),
@@ -164,10 +165,23 @@
     assert not configs.interrupt()
 
 
+def test_findings_are_written_once_and_can_be_removed(store):
+    *_, findings = open_sources(store.server.address)
+    found = PoisonFinding(service="models", parts=("a", "b"), found_at=1_700_000_000.0)
+    later = msgspec.structs.replace(found, found_at=1_700_000_009.0)
+    for finding in (found, later):
+        assert isinstance(findings.add(finding), Success)
+    store.put("poison-parts", "unreadable", {"Parts": 5})
+    assert findings.list().unwrap() == [found]
+    for _ in range(2):
+        assert isinstance(findings.remove(later), Success)
+    assert findings.list().unwrap() == []
+
+
 def test_other_objects_of_the_configuration_kind_are_not_the_configuration(store):
     store.put("config", "old", configuration())
     store.put("config", "main", configuration(Version=8))
-    configs, _ = open_sources(store.server.address)
+    configs, _, _ = open_sources(store.server.address)
     found = {item.name: item.content for item in configs.list().unwrap().objects}
     assert found["old"] is None
     assert found["main"].version == 8
--- a/tests/test_poison_prompts.py
+++ b/tests/test_poison_prompts.py
@@ -19,12 +19,14 @@
     PoisonParts,
 )
 from lagoonrill._internal.event_log import EventLog
+from lagoonrill._internal.protocol.headers import HeaderNames
 from lagoonrill._internal.protocol.messages import CrashReport
 from lagoonrill._internal.protocol.routing import PromptPart
 from lagoonrill._internal.state.endpoint_registry import EndpointRegistry
 from tests.gateway_kit import record
 
 SERVICE = "models"
+NAMES = HeaderNames()
 
 
 class Evidence:
@@ -149,7 +151,7 @@
     parts = f"base:800,{part}:400,own-{number}:90"
     return {
         "id": f"r{number}",
-        "headers": {"X-Token-Usage": "1290,20", "X-Prompt-Parts": parts},
+        "headers": {NAMES.token_usage: "1290,20", NAMES.prompt_parts: parts},
     }
 
 
@@ -171,7 +173,7 @@
 
 
 def _crashed(engine) -> bool:
-    return any("poison" in run.header("X-Prompt-Parts") for run in engine.runs)
+    return any("poison" in run.header(NAMES.prompt_parts) for run in engine.runs)
 
 
 def test_a_connection_that_fails_while_the_engine_runs_is_no_crash(gateway_for):
