--- a/src/lagoonrill/_internal/coordination/forwarding.py
+++ b/src/lagoonrill/_internal/coordination/forwarding.py
@@ -39,6 +39,7 @@
 from .engine_requests import Admission, Generation
 from .policy.service_placement import LeastLoadedEndpoint, ServiceEndpointView
 from .policy.shared_retry_budget import SharedRetryBudget
+from .prompt_guard import PromptGuard
 from .routed_request import RoutedRequest
 from .sending import Answer, CallerBreak, Outcome, Sending, Silent
 
@@ -60,9 +61,6 @@
 # goals; the caller times out after four.
 STALLED_FIRST_EVENT_GOALS = 2.0
 RETRY_AFTER_S = 0.3
-# An engine on a reachable machine accepts or refuses a connection within this time.
-CRASH_CHECK_S = 0.1
-CONNECTION_REFUSED = f"connect: {ConnectionRefusedError.__name__}"
 # An endpoint stops at the time limit that it was given. An answer cut off within this
 # time before the limit does not count as an endpoint failure.
 TIME_LIMIT_SLACK_S = 0.5
@@ -92,8 +90,7 @@
         self.registry = registry
         self.pool = pool
         self.admission = admission
-        self.crash_reports = crash_reports
-        self.poison_parts = crash_reports.parts
+        self.prompt_guard = PromptGuard(crash_reports=crash_reports, pool=pool)
         self.service_placement = LeastLoadedEndpoint(zone=zone)
         self.budget = budget
         self.instances = instances
@@ -209,7 +206,7 @@
         )
         sending.shared_parts = [part.id for part in generation.parts[:-1]]
         try:
-            self._check_parts(sending)
+            self.prompt_guard.check(sending)
             admission = self.admission.admit(
                 generation,
                 excluded=frozenset(sending.tried),
@@ -251,22 +248,11 @@
                 token_s=sending.token_s(self.admission.tokens_per_event(generation)),
             )
 
-    def _check_parts(self, sending: Sending) -> None:
-        """Refuses a prompt that has parts that crash engines."""
-        request = sending.request
-        refused = self.poison_parts.refused_parts(request.service, sending.shared_parts)
-        if refused is not None:
-            raise Refusal(
-                400,
-                "prompt_crashes_engines",
-                remedy=f"Send it without the parts {', '.join(refused)}.",
-            )
-
     def _begun(
         self, sending: Sending, admission: Admission, generation: Generation
     ) -> None:
         if not sending.begun:
-            self.crash_reports.note_begun(generation.service, sending.shared_parts)
+            self.prompt_guard.note_begun(sending)
         self.admission.started(admission, generation)
 
     def _log_placed(
@@ -320,7 +306,7 @@
             if not self.registry.takes_work(record):
                 return Outcome(reason="endpoint_left", may_have_run=False)
             # The request may have waited while its prompt was found to crash engines.
-            if self.poison_parts.refused_parts(request.service, sending.shared_parts):
+            if self.prompt_guard.is_refused(sending):
                 return Outcome(reason="prompt_crashes_engines", may_have_run=False)
             if sending.sends == 0:
                 self.budget.note_request(request.service)
@@ -328,7 +314,7 @@
             self._transmit(sending, record, connection)
             return self._receive(sending, record, connection, on_event)
         except EndpointFailure as failure:
-            self._report_crash(sending, record, failure)
+            self.prompt_guard.note_failure(sending, record, failure)
             return self._failed(sending, record, failure)
         except Silent:
             failure = EndpointFailure("silent", may_have_run=True)
@@ -339,33 +325,6 @@
             if connection is not None and connection.finish():
                 self.pool.put(connection)
 
-    def _report_crash(
-        self, sending: Sending, record: EndpointRecord, failure: EndpointFailure
-    ) -> None:
-        """Reports that an engine crashed before it began to answer a request."""
-        if not failure.may_have_run or sending.begun:
-            return
-        suspects = self.poison_parts.suspects(record.service, sending.shared_parts)
-        if suspects and self._refuses_connections(record):
-            self.crash_reports.report(
-                record, request=sending.request.id, suspects=suspects
-            )
-
-    def _refuses_connections(self, record: EndpointRecord) -> bool:
-        """Returns whether no process listens at an endpoint.
-
-        A connection may also fail while the endpoint keeps running.
-        """
-        connection = self.pool.new(record.address, incarnation=record.incarnation)
-        try:
-            connection.connect(time.monotonic() + CRASH_CHECK_S, None)
-        except EndpointFailure as failure:
-            return failure.reason == CONNECTION_REFUSED
-        except TimeoutError:
-            return False
-        connection.close()
-        return False
-
     def _failed(
         self, sending: Sending, record: EndpointRecord, failure: EndpointFailure
     ) -> Outcome:
--- a/src/lagoonrill/_internal/coordination/store_follower.py
+++ b/src/lagoonrill/_internal/coordination/store_follower.py
@@ -116,15 +116,15 @@
         self.confirmed_by = ""
         # The same, by answers of the store only; None before the first one.
         self.answered_at: float | None = None
-        # The same, also by answers that peers of other zones received.
-        self.relayed_at: float | None = None
+        # The same, by evidence that is passed on to near peers: answers of the store,
+        # and answers that peers of other zones received.
+        self.shared_at: float | None = None
         # Called with the time of each answer of the store.
         self.answered: Callable[[float], None] = lambda answered_at: None
         # Start of the pending watch.
         self.waiting_since: float | None = None
         self.interrupted = False
         self.failures = 0
-        self.list_wanted = threading.Event()
         self.stopping = threading.Event()
         self.thread: threading.Thread | None = None
 
@@ -195,7 +195,7 @@
     def confirm_by_store(self, answered_at: float) -> None:
         """Records that the store showed at that time that the copy is current."""
         self.answered_at = max(answered_at, self.answered_at or answered_at)
-        self.confirm(age_s=self.clock() - answered_at, confirmed_by=STORE, relayed=True)
+        self.confirm(age_s=self.clock() - answered_at, confirmed_by=STORE, share=True)
 
     def _changes(self, wait_s: float) -> Result[ObjectChanges, StoreError]:
         self.waiting_since = self.clock() if wait_s else None
@@ -251,21 +251,19 @@
         """Returns the age of the evidence that the copy is current."""
         return self.clock() - self.confirmed_at
 
-    def confirm(
-        self, *, age_s: float, confirmed_by: str, relayed: bool = False
-    ) -> bool:
+    def confirm(self, *, age_s: float, confirmed_by: str, share: bool = False) -> bool:
         """Records that the copy was current `age_s` ago.
 
-        `relayed` evidence is passed on to near peers. Returns whether there is newer
+        Evidence to `share` is passed on to near peers. Returns whether there is newer
         evidence to pass on.
         """
         confirmed_at = self.clock() - age_s
         if confirmed_at >= self.confirmed_at:
             self.confirmed_at = confirmed_at
             self.confirmed_by = confirmed_by
-        if not relayed or confirmed_at <= (self.relayed_at or -math.inf):
+        if not share or confirmed_at <= (self.shared_at or -math.inf):
             return False
-        self.relayed_at = confirmed_at
+        self.shared_at = confirmed_at
         return True
 
     def waited_s(self) -> float | None:
--- a/src/lagoonrill/_internal/coordination/store_freshness.py
+++ b/src/lagoonrill/_internal/coordination/store_freshness.py
@@ -57,7 +57,7 @@
     def age_ms(self, *, near: bool) -> int | None:
         """Returns the age of the evidence for near peers, or for others."""
         follower = self.follower
-        confirmed_at = follower.relayed_at if near else follower.answered_at
+        confirmed_at = follower.shared_at if near else follower.answered_at
         if confirmed_at is None:
             return None
         return round((self.clock() - confirmed_at) * 1000)
@@ -73,7 +73,7 @@
         if peer.content != self.own().content:
             return False
         return self.follower.confirm(
-            age_s=peer.age_ms / 1000, confirmed_by=digest.instance, relayed=not near
+            age_s=peer.age_ms / 1000, confirmed_by=digest.instance, share=not near
         )
 
     def peer_ahead_s(self, digests: list[GatewayDigest]) -> float:
--- a/src/lagoonrill/_internal/protocol/messages.py
+++ b/src/lagoonrill/_internal/protocol/messages.py
@@ -195,7 +195,7 @@
     # Checksum of the endpoints in the store at `endpoint_revision`; 0 if unknown.
     endpoint_checksum: int = 0
     store_in_touch: bool = False
-    # Time since the store confirmed the sender's copies to it; None if it has not.
+    # Age of the evidence that the sender's copies are current; None if it has none.
     config_age_ms: int | None = None
     endpoints_age_ms: int | None = None
     leaving: bool = False
