Interrupt a watch whose connection belongs to its response

Found by reading: http.client gives the socket to a response that announces the end of the connection, so that the attribute is None while the body is read. An interrupt in that moment raised AttributeError in the thread that replaces dead watches, which would have ended.

--- a/src/lagoonrill/_internal/transport/store_connection.py
+++ b/src/lagoonrill/_internal/transport/store_connection.py
@@ -64,7 +64,10 @@
             if not self.pending:
                 return False
             self.interrupted = True
-            # The socket may have been closed by its peer in this moment.
-            with contextlib.suppress(OSError):
-                self.connection.sock.shutdown(socket.SHUT_RDWR)
+            sock = self.connection.sock
+            # http.client gives the socket to a response that closes the connection.
+            if sock is not None:
+                # The peer may have closed it in this moment.
+                with contextlib.suppress(OSError):
+                    sock.shutdown(socket.SHUT_RDWR)
         return True
