Log the source of the endpoint list at each send, and keep reviewing peers

An error in the review of peers would have ended the thread that replaces dead watches; it is logged and the review goes on. The test of that failed before with ZeroDivisionError.

--- a/src/lagoonrill/_internal/coordination/forwarding.py
+++ b/src/lagoonrill/_internal/coordination/forwarding.py
@@ -83,6 +83,7 @@
         budget: SharedRetryBudget,
         instances,
         list_age_s: Callable[[], float],
+        list_confirmed_by: Callable[[], str],
         metrics: GatewayMetrics,
         event_log: EventLog,
     ):
@@ -94,8 +95,9 @@
         self.service_placement = LeastLoadedEndpoint(zone=zone)
         self.budget = budget
         self.instances = instances
-        # Age of the evidence that the endpoint list is current.
+        # Age and source of the evidence that the endpoint list is current.
         self.list_age_s = list_age_s
+        self.list_confirmed_by = list_confirmed_by
         self.metrics = metrics
         self.event_log = event_log
 
@@ -383,6 +385,7 @@
             resume_after=sending.last_event,
             config=request.config_version,
             list_age_ms=round(self.list_age_s() * 1000),
+            list_confirmed_by=self.list_confirmed_by(),
         )
         connection.send(
             method=request.incoming.method,
--- a/src/lagoonrill/_internal/coordination/gateway_peers.py
+++ b/src/lagoonrill/_internal/coordination/gateway_peers.py
@@ -427,7 +427,11 @@
 
     def _watch(self) -> None:
         while not self.stopping.wait(REVIEW_INTERVAL_S):
-            self.run_maintenance()
+            try:
+                self.run_maintenance()
+            except Exception as error:
+                # If this thread ended, no dead watch would be replaced any more.
+                self.event_log.emit("maintenance_failed", error=repr(error)[:200])
 
     def run_maintenance(self) -> None:
         """Marks lost peers, ends expired holds and dead watches, and catches up."""
--- a/src/lagoonrill/_internal/gateway_daemon.py
+++ b/src/lagoonrill/_internal/gateway_daemon.py
@@ -197,6 +197,7 @@
             budget=self.budget,
             instances=self.peers.instances,
             list_age_s=self.endpoint_follower.age_s,
+            list_confirmed_by=lambda: self.endpoint_follower.confirmed_by,
             metrics=self.metrics,
             event_log=self.event_log,
         )
--- a/tests/gateway_kit.py
+++ b/tests/gateway_kit.py
@@ -120,6 +120,7 @@
             budget=SharedRetryBudget(ratio=0.2, window_s=10, fixed=retry_fixed),
             instances=lambda: 1,
             list_age_s=lambda: 0.0,
+            list_confirmed_by=lambda: "store",
             metrics=self.metrics,
             event_log=self.event_log,
         )
--- a/tests/test_gateway_peers.py
+++ b/tests/test_gateway_peers.py
@@ -243,3 +243,12 @@
     (digest,) = kit.link.sent_by_address["127.0.0.1:1001"]
     assert digest.config_age_ms == 7
     assert "127.0.0.1:1003" not in kit.link.sent_by_address
+
+
+def test_an_error_in_the_review_of_peers_does_not_end_it(kit):
+    kit.peers.discovery.expire_holds = lambda: 1 / 0
+    waits = iter([False, False, True])
+    kit.peers.stopping.wait = lambda _: next(waits)
+    kit.peers._watch()
+    events = [event for _, event, _ in kit.lines.waiting]
+    assert events.count("maintenance_failed") == 2
