Test streams that end with their connection, and list findings

The users' new line: an answer, a stream too, may have neither a length nor chunks and end with its connection; one that ends inside an event has been broken off. The router does so already: three behaviours of the scripted endpoint and their tests pass without a change under src/.

--- a/standins/scripted_endpoint.py
+++ b/standins/scripted_endpoint.py
@@ -7,6 +7,7 @@
 
 import contextlib
 import socket
+import struct
 import threading
 import time
 
@@ -19,6 +20,8 @@
 STREAM_EVENT_COUNT = 4
 # Idle time after which `forgets_idle` resets a connection.
 IDLE_RESET_S = 0.3
+# Value of SO_LINGER with which a close resets the connection.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 # Longest wait for the client to close the connection.
 CLOSE_TIMEOUT_S = 5
 
@@ -152,7 +155,7 @@
     except TimeoutError:
         sock.settimeout(CLOSE_TIMEOUT_S)
         sock.recv(1, socket.MSG_PEEK)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
         return False
     sock.settimeout(None)
     return True
@@ -209,7 +212,7 @@
 @behaviour
 def reset_before_answer(sock, request, endpoint) -> bool:
     endpoint.record_run(request)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
     return False
 
 
@@ -467,6 +470,40 @@
     return True
 
 
+def send_unframed(sock, request, endpoint, *events: bytes) -> None:
+    """Sends a stream that has neither a length nor chunks."""
+    endpoint.record_run(request)
+    head = b"Content-Type: text/event-stream\r\nConnection: close\r\n\r\n"
+    sock.sendall(encode_response_head(request) + head)
+    for data in events:
+        sock.sendall(data)
+        time.sleep(0.01)
+
+
+@behaviour
+def stream_unframed(sock, request, endpoint) -> bool:
+    """Ends a complete stream with the connection."""
+    first = first_event_number(request)
+    numbers = range(first, STREAM_EVENT_COUNT + 1)
+    send_unframed(sock, request, endpoint, *map(event, numbers))
+    return False
+
+
+@behaviour
+def stream_unframed_ends_inside_event(sock, request, endpoint) -> bool:
+    """Closes the connection after an incomplete event."""
+    send_unframed(sock, request, endpoint, event(1), event(2)[:9])
+    return False
+
+
+@behaviour
+def stream_unframed_reset(sock, request, endpoint) -> bool:
+    """Resets the connection after a complete event."""
+    send_unframed(sock, request, endpoint, event(1))
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+    return False
+
+
 @behaviour
 def other_then_own(sock, request, endpoint) -> bool:
     """Sends a response with another request id, then the correct one."""
--- a/tests/test_gateway_sends.py
+++ b/tests/test_gateway_sends.py
@@ -165,8 +165,9 @@
     assert gateway.events("request_refused")[0]["elapsed_ms"] < 300
 
 
-def test_stream_arrives_whole(gateway_for):
-    gateway, (endpoint,) = gateway_for("models", ["stream"])
+@pytest.mark.parametrize("name", ["stream", "stream_unframed"])
+def test_stream_arrives_whole(gateway_for, name):
+    gateway, (endpoint,) = gateway_for("models", [name])
     response, body = gateway.ask("/plan/1")
     assert response.status == 200
     assert response.whole
@@ -176,7 +177,15 @@
     assert response.getheader("X-Proof") == "proof-of-r1"
 
 
-@pytest.mark.parametrize("name", ["stream_cut", "stream_ends_inside_event"])
+BROKEN_STREAMS = [
+    "stream_cut",
+    "stream_ends_inside_event",
+    "stream_unframed_ends_inside_event",
+    "stream_unframed_reset",
+]
+
+
+@pytest.mark.parametrize("name", BROKEN_STREAMS)
 def test_resumable_stream_moves_without_gap_or_repeat(gateway_for, name):
     gateway, endpoints = gateway_for("models", [name, "stream"], [name, "stream"])
     for endpoint in endpoints:
@@ -189,7 +198,7 @@
     )
 
 
-@pytest.mark.parametrize("name", ["stream_cut", "stream_ends_inside_event"])
+@pytest.mark.parametrize("name", BROKEN_STREAMS)
 def test_stream_that_cannot_resume_is_broken_off_and_not_marked_complete(
     gateway_for, name
 ):
