Log the request limits that endpoints name in their answers

The header is decoded in the adapter's vocabulary; answers are evidence about the time between sending and receiving, so that one that arrives late neither ends nor restores a limit. A success without the header ends it; a value that is no decimal number is logged and says nothing. Nothing acts on the limits yet.

--- a/src/lagoonrill/_internal/coordination/forwarding.py
+++ b/src/lagoonrill/_internal/coordination/forwarding.py
@@ -8,12 +8,15 @@
 import time
 from collections.abc import Callable
 
+import logbook
+
 from ..event_log import EventLog
 from ..protocol.headers import (
     CONNECTION_HEADERS,
     HeaderNames,
     RawHeaders,
     parse_prompt_parts,
+    parse_request_limit,
 )
 from ..protocol.refusals import Refusal
 from ..protocol.routing import EndpointRecord, RouteKind
@@ -23,6 +26,7 @@
     RawEventSplitter,
     event_id,
 )
+from ..state.endpoint_limits import EndpointLimits, LimitEvidence
 from ..state.endpoint_registry import EndpointRegistry
 from ..state.gateway_metrics import GatewayMetrics
 from ..transport.caller_connection import CallerConnection
@@ -43,6 +47,8 @@
 from .routed_request import RoutedRequest
 from .sending import Answer, CallerBreak, Outcome, Sending, Silent
 
+log = logbook.Logger("forwarding")
+
 # Maximum number of failed connection attempts per request; they do not count as sends.
 MAX_CONNECT_FAILURES = 4
 # A request that must not be repeated reuses only a connection that the endpoint cannot
@@ -78,6 +84,7 @@
         registry: EndpointRegistry,
         pool: ConnectionPool,
         admission: EngineAdmission,
+        limits: EndpointLimits,
         crash_reports: CrashReports,
         zone: str,
         budget: SharedRetryBudget,
@@ -91,6 +98,7 @@
         self.registry = registry
         self.pool = pool
         self.admission = admission
+        self.limits = limits
         self.prompt_guard = PromptGuard(crash_reports=crash_reports, pool=pool)
         self.service_placement = LeastLoadedEndpoint(zone=zone)
         self.budget = budget
@@ -437,6 +445,7 @@
         on_event,
     ) -> Outcome | None:
         request = sending.request
+        sent_at = time.monotonic()
         with self._silence_deadline(
             sending, self._silence_limit_s(sending)
         ) as deadline:
@@ -446,6 +455,7 @@
                 id_header=self.header_names.request_id,
                 id=request.id,
             )
+            self._note_limit(record, head, sent_at)
             if head.status != 200 or request.route.kind is not RouteKind.STREAM:
                 body = connection.read_body(
                     deadline=deadline, caller=sending.caller.sock
@@ -455,6 +465,31 @@
             raise EndpointFailure("answer without proof", may_have_run=True)
         return self._relay_stream(sending, record, connection, head, on_event)
 
+    def _note_limit(
+        self, record: EndpointRecord, head: ResponseHead, sent_at: float
+    ) -> None:
+        """Takes the limit that an answer names; a success without one ends it."""
+        text = head.value(self.header_names.request_limit)
+        limit = None
+        if text is not None:
+            limit = parse_request_limit(text)
+            if limit is None:
+                log.warning("{} names an invalid limit: {!r}", record.id, text[:40])
+                return
+        elif not (200 <= head.status < 300 and self._is_genuine(head)):
+            # Another program may have written the answer.
+            return
+        self.limits.note(
+            LimitEvidence(
+                endpoint=record.id,
+                incarnation=record.incarnation,
+                limit=limit,
+                sent_at=sent_at,
+                received_at=time.monotonic(),
+            ),
+            source="answer",
+        )
+
     def _is_genuine(self, head: ResponseHead) -> bool:
         proof = head.value(self.header_names.proof)
         return proof is not None and head.value("Content-Encoding") is None
--- a/src/lagoonrill/_internal/gateway_daemon.py
+++ b/src/lagoonrill/_internal/gateway_daemon.py
@@ -32,6 +32,7 @@
 )
 from .protocol.headers import HeaderNames
 from .protocol.routing import RoutingConfig
+from .state.endpoint_limits import EndpointLimits
 from .state.endpoint_registry import EndpointRegistry
 from .state.engine_load_table import EngineLoadTable
 from .state.gateway_metrics import GatewayMetrics
@@ -98,6 +99,7 @@
         self.routing = RoutingState()
         self.registry = EndpointRegistry()
         self.load_table = EngineLoadTable()
+        self.limits = EndpointLimits(event_log=self.event_log)
         self.pool = ConnectionPool()
         self.stop_requested = threading.Event()
         self.reload_requested = threading.Event()
@@ -192,6 +194,7 @@
             registry=self.registry,
             pool=self.pool,
             admission=self.admission,
+            limits=self.limits,
             crash_reports=self.crash_reports,
             zone=settings.zone,
             budget=self.budget,
@@ -234,6 +237,9 @@
         self.metrics.register_gauge(
             "endpoints_held", lambda: len(self.registry.held_until)
         )
+        self.metrics.register_gauge(
+            "endpoints_with_limit", lambda: len(self.limits.named())
+        )
         self.metrics.register_gauge(
             "prompt_parts_refused", lambda: len(self.crash_reports.parts.refused)
         )
@@ -271,6 +277,7 @@
         records = self.registry.records
         self.pool.keep_only({record.address for record in records.values()})
         self.load_table.keep_only(set(records))
+        self.limits.keep_only(records.values())
         self.admission.note_change()
         self.peers.note_change()
 
--- a/src/lagoonrill/_internal/protocol/headers.py
+++ b/src/lagoonrill/_internal/protocol/headers.py
@@ -3,10 +3,16 @@
 A platform adapter can replace the default names.
 """
 
+import re
+
 import msgspec
 
 from .routing import PromptPart
 
+_DECIMAL = re.compile(r"[0-9]+(\.[0-9]*)?|\.[0-9]+")
+# More digits than a float distinguishes.
+MAX_DECIMAL_CHARACTERS = 30
+
 # Hop-by-hop headers (RFC 9110, section 7.6.1) and headers for message framing.
 CONNECTION_HEADERS = frozenset(
     (
@@ -39,6 +45,8 @@
     endpoint_id: str = "X-Endpoint-Id"
     not_run: str = "X-Not-Run"
     proof: str = "X-Proof"
+    # Requests per second that an endpoint accepts from all instances together.
+    request_limit: str = "X-Request-Limit"
     model: str = "X-Model"
     token_usage: str = "X-Tokens"
     prompt_parts: str = "X-Prompt-Parts"
@@ -105,6 +113,19 @@
     return int(text) or None
 
 
+def parse_request_limit(text: str) -> float | None:
+    """Parses a decimal number of requests per second; returns None if it is invalid.
+
+    >>> parse_request_limit("2.3"), parse_request_limit("0"), parse_request_limit("-1")
+    (2.3, 0.0, None)
+    >>> parse_request_limit("NaN"), parse_request_limit("1e3"), parse_request_limit("")
+    (None, None, None)
+    """
+    if len(text) > MAX_DECIMAL_CHARACTERS or not _DECIMAL.fullmatch(text.strip()):
+        return None
+    return float(text)
+
+
 def parse_token_usage(text: str | None) -> tuple[int, int]:
     """Parses the prompt token count and the maximum output token count.
 
--- a/src/lagoonrill/platform/_headers.py
+++ b/src/lagoonrill/platform/_headers.py
@@ -13,6 +13,7 @@
     endpoint_id="Instance-Id",
     not_run="Not-Executed",
     proof="Response-Signature",
+    request_limit="Server-Limit",
     model="Model",
     token_usage="Token-Usage",
     prompt_parts="Prompt-Prefix",
--- a/tests/gateway_kit.py
+++ b/tests/gateway_kit.py
@@ -23,6 +23,7 @@
     Service,
     WeightedService,
 )
+from lagoonrill._internal.state.endpoint_limits import EndpointLimits
 from lagoonrill._internal.state.endpoint_registry import EndpointRegistry
 from lagoonrill._internal.state.engine_load_table import EngineLoadTable
 from lagoonrill._internal.state.gateway_metrics import GatewayMetrics
@@ -108,6 +109,7 @@
             parts=PoisonParts(), registry=self.registry, event_log=self.event_log
         )
         self.pool = ConnectionPool()
+        self.limits = EndpointLimits(event_log=self.event_log)
         self.metrics = GatewayMetrics()
         header_names = HeaderNames()
         forwarder = Forwarder(
@@ -115,6 +117,7 @@
             registry=self.registry,
             pool=self.pool,
             admission=self.admission,
+            limits=self.limits,
             crash_reports=self.crash_reports,
             zone="a",
             budget=SharedRetryBudget(ratio=0.2, window_s=10, fixed=retry_fixed),
