--- a/bench/soak/endpoints.py
+++ b/bench/soak/endpoints.py
@@ -26,6 +26,8 @@
         self.history = history
         self.rng = random.Random(seed)
         self.failure_rate = 0.0
+        # Requests per second that all answers name; None to name none.
+        self.request_limit: float | None = None
         self.listener = ThreadedListener(serve=self._serve)
 
     def close(self) -> None:
@@ -67,6 +69,9 @@
             f"HTTP/1.1 200 OK\r\n{VOCABULARY.request_id}: {id}\r\n"
             f"{VOCABULARY.proof}: proof {id}\r\n"
         ).encode()
+        limit = self.request_limit
+        if limit is not None:
+            head += f"{VOCABULARY.request_limit}: {limit:g}\r\n".encode()
         if is_stream:
             return self._stream(sock, head, after, cut=failure == "cut")
         body = f"{self.service} did {id}".encode()
--- a/bench/soak/environment.py
+++ b/bench/soak/environment.py
@@ -12,7 +12,7 @@
 from pathlib import Path
 
 from bench.soak.endpoints import Proxy, SoakEndpoint
-from bench.soak.history import Denial, History, Outcome, Probe
+from bench.soak.history import Denial, History, NamedLimit, Outcome, Probe
 from lagoonrill.platform.__main__ import SETTINGS_VARIABLE
 from lagoonrill.platform._headers import READINESS_PATH, VOCABULARY
 from standins.metadata_store import MetadataStore, MetadataStoreServer
@@ -173,6 +173,18 @@
         self.store.delete("servers", id)
         self.history.leaving[id] = time.monotonic()
 
+    def limit_endpoint(self, id: str, limit: float) -> NamedLimit:
+        """Makes an endpoint name a limit in its answers until `end_limit`."""
+        named = NamedLimit(endpoint=id, limit=limit, began_at=time.monotonic())
+        self.history.add(named)
+        self.endpoints[id][0].request_limit = limit
+        return named
+
+    def end_limit(self, named: NamedLimit) -> None:
+        """Ends the limit of an endpoint."""
+        named.ended_at = time.monotonic()
+        self.endpoints[named.endpoint][0].request_limit = None
+
     def put_configuration(self) -> None:
         """Writes the next configuration, which has a route of its own."""
         self.version += 1
--- a/bench/soak/history.py
+++ b/bench/soak/history.py
@@ -55,8 +55,17 @@
     at: float
 
 
+class NamedLimit(msgspec.Struct, kw_only=True):
+    """Requests per second that an endpoint named in its answers for a while."""
+
+    endpoint: str
+    limit: float
+    began_at: float
+    ended_at: float = 0.0
+
+
 class History:
-    """Thread-safe record of runs, outcomes, faults, probes and denials."""
+    """Thread-safe record of runs, outcomes, faults, probes, denials and limits."""
 
     def __init__(self):
         self.lock = threading.Lock()
@@ -65,19 +74,21 @@
         self.faults: list[Fault] = []
         self.probes: list[Probe] = []
         self.denials: list[Denial] = []
+        self.limits: list[NamedLimit] = []
         # Time at which the store acknowledged each configuration version.
         self.acknowledged: dict[int, float] = {}
         # Time at which the store acknowledged the departure of an endpoint.
         self.leaving: dict[str, float] = {}
 
     def add(self, item) -> None:
-        """Adds a run, an outcome, a fault, a probe or a denial."""
+        """Adds an item to the list of its type."""
         lists = {
             Run: self.runs,
             Outcome: self.outcomes,
             Fault: self.faults,
             Probe: self.probes,
             Denial: self.denials,
+            NamedLimit: self.limits,
         }
         with self.lock:
             lists[type(item)].append(item)
@@ -93,6 +104,13 @@
 RECOVERY_S = 12.0
 # A fault of the store or of an instance excuses violations for this long after its end.
 EXCUSE_WINDOW_S = 3.0
+# All instances together keep the limit of an endpoint within this time of its first
+# answer with the limit. In each window, an endpoint gets at most the given multiple of
+# what its limit allows, and a few requests more.
+LIMIT_KNOWN_S = 3.0
+LIMIT_WINDOW_S = 4.0
+LIMIT_FACTOR = 1.5
+LIMIT_EXTRA = 5
 LAST_EVENT = 6
 # Target name of faults that affect the store for all gateways.
 STORE = "store"
@@ -116,6 +134,7 @@
         *check_refusals(history),
         *check_answers(history),
         *check_leaving(history),
+        *check_limits(history),
         *check_versions(history),
         *check_in_force(history),
         *check_planned_stops(history),
@@ -190,6 +209,50 @@
     ]
 
 
+def check_limits(history: History) -> list[str]:
+    """Checks that an endpoint gets no more requests than its limit allows.
+
+    Requests of an instance are ignored if it was restarted or suspended since shortly
+    before the window.
+    """
+    senders = {item.request: item.instance for item in history.outcomes}
+    violations = []
+    for named in history.limits:
+        allowed = LIMIT_FACTOR * LIMIT_WINDOW_S * named.limit + LIMIT_EXTRA
+        ended_at = named.ended_at or float("inf")
+        since = named.began_at + LIMIT_KNOWN_S - LIMIT_WINDOW_S
+        runs = sorted(
+            (run.at, senders.get(run.request, ""))
+            for run in history.runs
+            if run.endpoint == named.endpoint and since < run.at < ended_at
+        )
+        for begin, _ in runs:
+            end = begin + LIMIT_WINDOW_S
+            if end < named.began_at + LIMIT_KNOWN_S or end > ended_at:
+                continue
+            count = sum(
+                begin <= at < end and not was_disturbed(history, sender, begin, end)
+                for at, sender in runs
+            )
+            if count > allowed:
+                violations.append(
+                    f"{named.endpoint} with a limit of {named.limit:g} a second got "
+                    f"{count} requests in {LIMIT_WINDOW_S:g} s; allowed {allowed:g}"
+                )
+                break
+    return violations
+
+
+def was_disturbed(history: History, instance: str, since: float, until: float) -> bool:
+    """Returns whether a fault of an instance affected a time span."""
+    return any(
+        fault.target == instance
+        and fault.began_at < until
+        and (fault.ended_at or until) > since - EXCUSE_WINDOW_S
+        for fault in history.faults
+    )
+
+
 def is_excused(
     history: History, instance: str | None, run: Run, left_at: float
 ) -> bool:
