Keep the limit that an endpoint names, for all instances together

What callers saw: an endpoint in need that named a limit of 2 requests a second got 25 in 4 s (allowed 17), and became slower for all its callers.

Cause: no instance read the limit (hypothesis 1). Evidence: in the incident the rate of arrivals was the same before and after the naming, from all four instances; all sends were first sends, which rules out repeats (hypothesis 3); no instance's rate fell to the limit, which rules out limits that each instance keeps alone (hypothesis 2). Class: an endpoint states a condition, and nothing, or each instance by itself, decides whether it is kept.

Change: before a send to an endpoint with a limit, an instance needs a permit of the endpoint's owner, one instance in its zone by rendezvous hashing. The owner has a token bucket that starts empty; a sender without a permit asks again after a pause that grows with the number of askers. If the owner does not answer, an instance uses its equal share until another one takes over. Without a permit an endpoint counts as absent: engines are placed elsewhere, calls of plain services wait in the order of their urgency or are refused with the expected time. Limits and their ends are told to all peers; a late answer neither ends nor restores one, a new start of the endpoint ends it.

Why it works: the total is decided in one place, whatever the number and the demand of the instances. Disagreement about the owner lasts as long as a peer counts as live by mistake, and the burst leaves room for two owners meanwhile. Equal shares alone would allow 0.026 requests a second at 78 instances.

--- a/bench/placement_cost.py
+++ b/bench/placement_cost.py
@@ -13,6 +13,7 @@
 
 from lagoonrill._internal.coordination.engine_admission import EngineAdmission
 from lagoonrill._internal.coordination.engine_requests import Generation, Waiter
+from lagoonrill._internal.coordination.send_permits import SendPermits
 from lagoonrill._internal.event_log import EventLog
 from lagoonrill._internal.protocol.routing import (
     EndpointRecord,
@@ -74,6 +75,7 @@
         zone="z0",
         registry=registry,
         load_table=load_table,
+        permits=SendPermits(instance="i", event_log=EventLog()),
         event_log=EventLog(),
     )
     profile = EngineProfile(slots=64, cache_tokens=300_000)
--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -5,7 +5,7 @@
 import time
 
 from bench.soak.environment import GRACE_S, SoakEnvironment
-from bench.soak.history import STORE, Fault
+from bench.soak.history import LIMIT_KNOWN_S, LIMIT_WINDOW_S, STORE, Fault
 from lagoonrill._internal.coordination.policy.registry import Registry
 
 FAULTS = Registry(decision="fault")
@@ -219,6 +219,19 @@
         endpoint.failure_rate = 0.0
 
 
+@FAULTS.register("endpoint_limit")
+class EndpointLimit(EndpointFault):
+    """An endpoint names a limit on its requests, lowers it, and takes it back."""
+
+    planned = True
+
+    def inject(self, environment: SoakEnvironment, target, seconds: float) -> None:
+        for limit in (4.0, 1.5):
+            named = environment.limit_endpoint(target, limit)
+            time.sleep(LIMIT_KNOWN_S + LIMIT_WINDOW_S + seconds)
+            environment.end_limit(named)
+
+
 @FAULTS.register("endpoint_leaves")
 class EndpointLeaves(EndpointFault):
     """Replaces an endpoint: a new one is started, then the old one drains."""
--- a/src/lagoonrill/_internal/coordination/engine_admission.py
+++ b/src/lagoonrill/_internal/coordination/engine_admission.py
@@ -35,7 +35,9 @@
     owned_by,
 )
 from .policy.prompt_kinds import PromptRoute, long_prompt_routes
+from .policy.request_limits import request_rate
 from .policy.waiting_order import GoalFirstOrder, WaitingJob
+from .send_permits import SendPermits
 
 log = logbook.Logger("admission")
 
@@ -90,9 +92,11 @@
         zone: str,
         registry: EndpointRegistry,
         load_table: EngineLoadTable,
+        permits: SendPermits,
         event_log: EventLog,
         clock=time.monotonic,
     ):
+        self.permits = permits
         self.instance = instance
         self.zone = zone
         self.peers: PeerInfo = NoPeers(instance=instance)
@@ -152,7 +156,7 @@
                 return None
             if waiter.state is WaiterState.REFUSED:
                 raise self._refusal(generation)
-            if self._owner_grants(waiter):
+            if self._is_granted(waiter):
                 break
         self.load_table.note_sent(waiter.admission.engine, generation.parts)
         waiter.admission.waited_s = self.clock() - started_at
@@ -169,12 +173,30 @@
                 return False
         return True
 
+    def _is_granted(self, waiter: Waiter) -> bool:
+        """Makes a placement final if the owners of the engine agree."""
+        try:
+            granted = self._owner_grants(waiter) and self._is_permitted(waiter)
+        except BaseException:
+            self.withdraw(waiter)
+            raise
+        if granted:
+            self.grant(waiter)
+        else:
+            self.deny(waiter)
+        return granted
+
+    def _is_permitted(self, waiter: Waiter) -> bool:
+        """Takes a permit if the engine limits its requests."""
+        record = self.registry.records.get(waiter.admission.engine)
+        # The send to an engine that is gone fails for that reason.
+        return record is None or self.permits.take(record, request=waiter.generation.id)
+
     def _owner_grants(self, waiter: Waiter) -> bool:
         """Asks the owner of the engine whether it grants a long prompt."""
         admission = waiter.admission
         job = admission.job
         if not job.heavy:
-            self.grant(waiter)
             return True
         placement = admission.placement
         request = PromptRequest(
@@ -185,17 +207,12 @@
             most_heavy=placement.most_heavy,
             rank=job.rank,
         )
-        try:
-            reply = self.peers.ask_owner(admission.zone, request)
-        except BaseException:
-            self.withdraw(waiter)
-            raise
-        if reply is not None:
-            self.load_table.note_owner_reply(job, reply.pending_tokens)
-        if reply is None or reply.granted:
-            self.grant(waiter)
+        reply = self.peers.ask_owner(admission.zone, request)
+        if reply is None:
+            return True
+        self.load_table.note_owner_reply(job, reply.pending_tokens)
+        if reply.granted:
             return True
-        self.deny(waiter)
         self.event_log.emit(
             "engine_denied",
             request=waiter.generation.id,
@@ -281,13 +298,15 @@
                 remedy="Retry after the time given.",
                 retry_after_s=NO_ENGINE_RETRY_S * (1 + spread),
             )
+        retry_after_s = self.order.retry_after_s(
+            views, self._tokens_per_s(service), spread
+        )
+        held_s = min(self.permits.held_for_s(r) for r in self.registry.ready(service))
         return Refusal(
             503,
             "engines_busy",
             remedy="Retry after the time given.",
-            retry_after_s=self.order.retry_after_s(
-                views, self._tokens_per_s(service), spread
-            ),
+            retry_after_s=max(retry_after_s, held_s),
         )
 
     def start(self) -> None:
@@ -409,11 +428,7 @@
             goal_s=generation.route.goal_s if on_time else 0.0,
             pause_goal_s=self._tightest_pause_s(service),
         )
-        ordered = [
-            engine
-            for engine in fleet.ordered
-            if engine not in waiter.excluded and not self.registry.is_suspect(engine)
-        ] or [engine for engine in fleet.ordered if engine not in waiter.excluded]
+        ordered, limited = self._usable_engines(waiter.excluded, fleet)
         if not ordered:
             return False
         count = self.placement.stream_engine_count(
@@ -438,6 +453,8 @@
         listed = self.placement.shortlist(
             job, ordered, count, self._owned(fleet), skipped=waiter.denied_by
         )
+        limited = [engine for engine in limited if engine not in waiter.denied_by]
+        listed.main = listed.main + highest_ranked(job.id, limited, RANDOM_CHOICES)
         holder = self._holder(generation, fleet)
         ratio = self.load_table.delay_ratio(service)
         placement = self._choose(job, generation, fleet, holder, listed, ratio)
@@ -468,6 +485,49 @@
         waiter.move_to(WaiterState.PLACED)
         return True
 
+    def _usable_engines(
+        self, excluded: frozenset[str], fleet: Fleet
+    ) -> tuple[list[str], list[str]]:
+        """Returns the engines for a request, and further ones that limit requests.
+
+        Without a permit, an engine that limits its requests is as good as absent. With
+        one, it takes requests of any kind, so it belongs to neither group of engines.
+        """
+        engines = [engine for engine in fleet.ordered if engine not in excluded]
+        limited = self._limited_engines(fleet)
+        free = [engine for engine in engines if engine not in limited]
+        trusted = [engine for engine in free if not self.registry.is_suspect(engine)]
+        if not limited:
+            return trusted or free, []
+        permitted = [
+            engine
+            for engine in engines
+            if engine in limited
+            and not self.permits.is_held(fleet.records[engine])
+            and not self.registry.is_suspect(engine)
+        ]
+        if trusted:
+            return trusted, permitted
+        far = [
+            engine
+            for ordered in fleet.far
+            for engine in ordered
+            if engine not in limited
+            and engine not in excluded
+            and not self.registry.is_suspect(engine)
+        ]
+        return permitted or far or free, []
+
+    def _limited_engines(self, fleet: Fleet) -> frozenset[str]:
+        """Returns the engines, of all zones, that limit their requests."""
+        if not self.permits.limits.latest:
+            return frozenset()
+        return frozenset(
+            name
+            for name, record in fleet.records.items()
+            if self.permits.limit(record) is not None
+        )
+
     def _choose(
         self,
         job: PromptJob,
@@ -495,12 +555,12 @@
         self, job: PromptJob, waiter: Waiter, fleet: Fleet, count: int
     ) -> Shortlist:
         """Returns engines of other zones that are not reserved for streams there."""
+        unwanted = waiter.excluded | waiter.denied_by | self._limited_engines(fleet)
         names = [
             name
             for ordered in fleet.far
             for name in ordered[count:]
-            if name not in waiter.excluded | waiter.denied_by
-            and not self.registry.is_suspect(name)
+            if name not in unwanted and not self.registry.is_suspect(name)
         ]
         return Shortlist(main=highest_ranked(job.id, names, RANDOM_CHOICES), paced=[])
 
@@ -579,11 +639,32 @@
         )
 
     def _tokens_per_s(self, service: str) -> float:
-        """Returns this instance's share of the prefill rate for long prompts."""
-        engines = max(1, len(self._fleet(service).ordered) - 1)
-        return (
-            self.load_table.prefill_rate(service) * engines / len(self.peers.members())
-        )
+        """Returns this instance's share of the prefill rate for long prompts.
+
+        An engine that limits its requests prefills at most those.
+        """
+        fleet = self._fleet(service)
+        rate = self.load_table.prefill_rate(service)
+        limits = [
+            limit
+            for name in self._limited_engines(fleet).intersection(fleet.ordered)
+            if (limit := self.permits.limit(fleet.records[name])) is not None
+        ]
+        free = len(fleet.ordered) - len(limits)
+        total = rate * max(1, free - 1) if free or not limits else 0.0
+        if limits:
+            mean = self._mean_unread_tokens(service)
+            total += sum(min(rate, request_rate(limit) * mean) for limit in limits)
+        return total / len(self.peers.members())
+
+    def _mean_unread_tokens(self, service: str) -> float:
+        """Returns the mean number of prompt tokens that a request has to prefill."""
+        known = [
+            means.unread_tokens
+            for route in self.engine_routes.get(service, ())
+            if (means := self.means.get(route.name)) is not None
+        ]
+        return max(1.0, sum(known) / len(known)) if known else 1.0
 
     def _view(self, generation: Generation) -> WaitingJob:
         means = self.means[generation.route.name]
--- a/src/lagoonrill/_internal/coordination/forwarding.py
+++ b/src/lagoonrill/_internal/coordination/forwarding.py
@@ -26,7 +26,7 @@
     RawEventSplitter,
     event_id,
 )
-from ..state.endpoint_limits import EndpointLimits, LimitEvidence
+from ..state.endpoint_limits import LimitEvidence
 from ..state.endpoint_registry import EndpointRegistry
 from ..state.gateway_metrics import GatewayMetrics
 from ..transport.caller_connection import CallerConnection
@@ -41,11 +41,12 @@
 from .crash_reports import CrashReports
 from .engine_admission import EngineAdmission
 from .engine_requests import Admission, Generation
-from .policy.service_placement import LeastLoadedEndpoint, ServiceEndpointView
 from .policy.shared_retry_budget import SharedRetryBudget
 from .prompt_guard import PromptGuard
 from .routed_request import RoutedRequest
+from .send_permits import SendPermits
 from .sending import Answer, CallerBreak, Outcome, Sending, Silent
+from .service_selection import ServiceSelection
 
 log = logbook.Logger("forwarding")
 
@@ -84,7 +85,7 @@
         registry: EndpointRegistry,
         pool: ConnectionPool,
         admission: EngineAdmission,
-        limits: EndpointLimits,
+        permits: SendPermits,
         crash_reports: CrashReports,
         zone: str,
         budget: SharedRetryBudget,
@@ -98,9 +99,9 @@
         self.registry = registry
         self.pool = pool
         self.admission = admission
-        self.limits = limits
+        self.permits = permits
         self.prompt_guard = PromptGuard(crash_reports=crash_reports, pool=pool)
-        self.service_placement = LeastLoadedEndpoint(zone=zone)
+        self.selection = ServiceSelection(zone=zone, registry=registry, permits=permits)
         self.budget = budget
         self.instances = instances
         # Age and source of the evidence that the endpoint list is current.
@@ -169,7 +170,10 @@
 
     def _has_untried_endpoint(self, sending: Sending) -> bool:
         ready = self.registry.ready(sending.request.service)
-        return any(record.id not in sending.tried for record in ready)
+        return any(
+            record.id not in sending.tried and not self.permits.is_held(record)
+            for record in ready
+        )
 
     def _give_up(self, sending: Sending) -> None:
         """Answers a request that is not retried."""
@@ -284,18 +288,7 @@
         )
 
     def _send_to_service(self, sending: Sending) -> Outcome | None:
-        request = sending.request
-        views = [
-            ServiceEndpointView(
-                record=record,
-                outstanding=self.registry.outstanding(record.id),
-                failure_share=self.registry.failure_share(record.id),
-                suspect=self.registry.is_suspect(record.id),
-            )
-            for record in self.registry.ready(request.service)
-            if record.id not in sending.tried
-        ]
-        record = self.service_placement.choose(views)
+        record = self.selection.choose(sending)
         if record is None:
             self._give_up(sending)
             return None
@@ -479,15 +472,14 @@
         elif not (200 <= head.status < 300 and self._is_genuine(head)):
             # Another program may have written the answer.
             return
-        self.limits.note(
+        self.permits.note_answer(
             LimitEvidence(
                 endpoint=record.id,
                 incarnation=record.incarnation,
                 limit=limit,
                 sent_at=sent_at,
                 received_at=time.monotonic(),
-            ),
-            source="answer",
+            )
         )
 
     def _is_genuine(self, head: ResponseHead) -> bool:
--- a/src/lagoonrill/_internal/coordination/gateway_peers.py
+++ b/src/lagoonrill/_internal/coordination/gateway_peers.py
@@ -29,6 +29,7 @@
 from .endpoint_discovery import EndpointDiscovery
 from .policy.engine_placement import owner_of
 from .routing_catch_up import REVIEW_INTERVAL_S, RoutingCatchUp
+from .send_permits import SendPermits
 from .store_freshness import StoreFreshness
 
 # Changes within this time are batched into one digest.
@@ -86,6 +87,7 @@
         load_table: EngineLoadTable,
         freshness: StoreFreshness,
         crash_reports: CrashReports,
+        permits: SendPermits,
         work_changed: Callable[[], None],
         stream_engines: Callable[[], dict[str, int]],
         event_log: EventLog,
@@ -102,6 +104,8 @@
         self.load_table = load_table
         self.freshness = freshness
         self.crash_reports = crash_reports
+        self.permits = permits
+        permits.owners = self
         freshness.rank = self.store_rank
         freshness.changed = self._note_evidence
         self.has_new_evidence = threading.Event()
@@ -237,6 +241,27 @@
             ]
         return sorted([self.instance, *near])
 
+    def owner_in_zone(self, zone: str, endpoint: str) -> tuple[str, str]:
+        """Returns the name and the address of the instance that owns an endpoint.
+
+        It is one of the live instances in `zone`, or of all if that has none.
+        """
+        addresses = {self.instance: self.link.address}
+        near = {self.instance} if zone == self.zone else set()
+        with self.lock:
+            for name, view in self.views.items():
+                if not view.lost:
+                    addresses[name] = view.digest.address
+                    if view.digest.zone == zone:
+                        near.add(name)
+        owner = owner_of(endpoint, sorted(near or addresses))
+        return owner, addresses[owner]
+
+    def live_instances(self) -> int:
+        """Returns the number of live instances, including this one."""
+        with self.lock:
+            return 1 + sum(not view.lost for view in self.views.values())
+
     def store_rank(self) -> int:
         """Returns the position in the order in which instances ask the store.
 
@@ -337,6 +362,7 @@
             addresses = self._live_addresses()
             self.link.send_to(new_peers, self._digest([], now, addresses=addresses))
             self.crash_reports.send_all(new_peers)
+            self.permits.send_all(new_peers)
 
     def _digest(
         self,
--- a/src/lagoonrill/_internal/gateway_daemon.py
+++ b/src/lagoonrill/_internal/gateway_daemon.py
@@ -21,6 +21,7 @@
 from .coordination.policy.poison_parts import PoisonParts
 from .coordination.policy.shared_retry_budget import SharedRetryBudget
 from .coordination.policy.store_renewal import StoreRenewal
+from .coordination.send_permits import SendPermits
 from .coordination.store_follower import ObjectSource, StoreFollower
 from .coordination.store_freshness import StoreFreshness
 from .event_log import EventLog, EventLogHandler
@@ -32,7 +33,6 @@
 )
 from .protocol.headers import HeaderNames
 from .protocol.routing import RoutingConfig
-from .state.endpoint_limits import EndpointLimits
 from .state.endpoint_registry import EndpointRegistry
 from .state.engine_load_table import EngineLoadTable
 from .state.gateway_metrics import GatewayMetrics
@@ -99,10 +99,16 @@
         self.routing = RoutingState()
         self.registry = EndpointRegistry()
         self.load_table = EngineLoadTable()
-        self.limits = EndpointLimits(event_log=self.event_log)
         self.pool = ConnectionPool()
         self.stop_requested = threading.Event()
         self.reload_requested = threading.Event()
+        host, _, port = settings.peer_address.rpartition(":")
+        self.link = PeerLink(host=host, port=int(port), handler_threads=1)
+        self.permits = SendPermits(
+            instance=settings.instance,
+            event_log=self.event_log,
+            link=self.link,
+        )
         self._build_admission()
         self._build_followers(source)
         self._build_peers(source.findings)
@@ -115,8 +121,10 @@
             zone=self.settings.zone,
             registry=self.registry,
             load_table=self.load_table,
+            permits=self.permits,
             event_log=self.event_log,
         )
+        self.permits.changed = self.admission.note_change
         self.routing.subscribers.append(self.admission.install)
 
     def _build_followers(self, source: RoutingSource) -> None:
@@ -150,8 +158,6 @@
             registry=self.registry,
             event_log=self.event_log,
         )
-        host, _, port = self.settings.peer_address.rpartition(":")
-        link = PeerLink(host=host, port=int(port), handler_threads=1)
         parts = PoisonParts()
         self.findings = PoisonFindings(
             store=finding_store, parts=parts, event_log=self.event_log
@@ -160,13 +166,13 @@
             parts=parts,
             registry=self.registry,
             event_log=self.event_log,
-            link=link,
+            link=self.link,
             findings=self.findings,
         )
         self.peers = GatewayPeers(
             instance=self.settings.instance,
             zone=self.settings.zone,
-            link=link,
+            link=self.link,
             seeds=self.settings.seeds,
             expected_instances=EXPECTED_INSTANCES,
             routing=self.routing,
@@ -175,6 +181,7 @@
             load_table=self.load_table,
             freshness=self.freshness,
             crash_reports=self.crash_reports,
+            permits=self.permits,
             work_changed=self.admission.note_change,
             stream_engines=self.admission.stream_engines,
             event_log=self.event_log,
@@ -194,7 +201,7 @@
             registry=self.registry,
             pool=self.pool,
             admission=self.admission,
-            limits=self.limits,
+            permits=self.permits,
             crash_reports=self.crash_reports,
             zone=settings.zone,
             budget=self.budget,
@@ -238,7 +245,11 @@
             "endpoints_held", lambda: len(self.registry.held_until)
         )
         self.metrics.register_gauge(
-            "endpoints_with_limit", lambda: len(self.limits.named())
+            "endpoints_with_limit", lambda: len(self.permits.limits.named())
+        )
+        self.metrics.register_gauge("limited_sends_total", lambda: self.permits.sent)
+        self.metrics.register_gauge(
+            "limited_sends_held_back_total", lambda: self.permits.held_back
         )
         self.metrics.register_gauge(
             "prompt_parts_refused", lambda: len(self.crash_reports.parts.refused)
@@ -277,7 +288,7 @@
         records = self.registry.records
         self.pool.keep_only({record.address for record in records.values()})
         self.load_table.keep_only(set(records))
-        self.limits.keep_only(records.values())
+        self.permits.keep_only(list(records.values()))
         self.admission.note_change()
         self.peers.note_change()
 
@@ -307,6 +318,7 @@
             "endpoints": msgspec.to_builtins(self.registry.dump()),
             "engines": self.load_table.dump(),
             "peers": self.peers.dump(),
+            "limits": self.permits.dump(),
             "poison_parts": self.crash_reports.parts.dump(),
             "retry_budget": self.budget.dump(),
             "threads": threading.active_count(),
--- a/src/lagoonrill/_internal/protocol/messages.py
+++ b/src/lagoonrill/_internal/protocol/messages.py
@@ -253,6 +253,45 @@
     age_s: float = 0.0
 
 
+class ReportedLimit(msgspec.Struct, kw_only=True, array_like=True):
+    """Requests per second that an endpoint named in an answer to an instance.
+
+    `limit` is None if it names none any more. The ages are those of the request and of
+    the answer when the message was sent.
+    """
+
+    endpoint: str
+    incarnation: int
+    limit: float | None
+    sent_age_s: float
+    received_age_s: float
+
+
+class LimitReport(PeerMessage):
+    """Limits that have changed by answers to the sender."""
+
+    instance: str
+    limits: list[ReportedLimit]
+
+
+class PermitRequest(PeerMessage):
+    """Asks the owner of an endpoint with a limit for permits to send requests."""
+
+    instance: str
+    limit: ReportedLimit
+
+
+class PermitReply(PeerMessage):
+    """Reply to `PermitRequest`."""
+
+    # Number of requests that may be sent now.
+    granted: int
+    # Time after which an instance without permits may ask again.
+    pause_s: float
+    # The limit as known to the owner, if that differs.
+    limit: ReportedLimit | None = None
+
+
 class RoutingRequest(PeerMessage):
     """Requests a configuration and endpoints that are newer than the sender's."""
 
@@ -286,6 +325,9 @@
     | RoutingRequest
     | RoutingReply
     | CrashReport
+    | LimitReport
+    | PermitRequest
+    | PermitReply
 )
 
 
--- a/tests/test_departures_reach_placement.py
+++ b/tests/test_departures_reach_placement.py
@@ -22,6 +22,7 @@
     ASK_AFTER_S,
     REVIEW_INTERVAL_S,
 )
+from lagoonrill._internal.coordination.send_permits import SendPermits
 from lagoonrill._internal.coordination.store_follower import (
     MAX_PAUSE_S,
     ObjectChanges,
@@ -205,6 +206,7 @@
             crash_reports=CrashReports(
                 parts=PoisonParts(), registry=self.registry, event_log=EventLog()
             ),
+            permits=SendPermits(instance="me", event_log=EventLog()),
             work_changed=lambda: None,
             stream_engines=dict,
             event_log=log,
--- a/tests/test_engine_admission.py
+++ b/tests/test_engine_admission.py
@@ -16,6 +16,7 @@
     PromptJob,
     owned_by,
 )
+from lagoonrill._internal.coordination.send_permits import SendPermits
 from lagoonrill._internal.event_log import EventLog
 from lagoonrill._internal.protocol.messages import EngineWork, PromptRequest
 from lagoonrill._internal.protocol.refusals import Refusal
@@ -67,6 +68,7 @@
         zone="a",
         registry=registry,
         load_table=EngineLoadTable(),
+        permits=SendPermits(instance="i", event_log=EventLog()),
         event_log=EventLog(),
     )
     built.install(config())
--- a/tests/test_gateway_peers.py
+++ b/tests/test_gateway_peers.py
@@ -11,6 +11,7 @@
 )
 from lagoonrill._internal.coordination.policy.engine_placement import owner_of
 from lagoonrill._internal.coordination.policy.poison_parts import PoisonParts
+from lagoonrill._internal.coordination.send_permits import SendPermits
 from lagoonrill._internal.event_log import EventLog
 from lagoonrill._internal.protocol.errors import PeerError
 from lagoonrill._internal.protocol.messages import (
@@ -89,6 +90,7 @@
             crash_reports=CrashReports(
                 parts=PoisonParts(), registry=self.registry, event_log=EventLog()
             ),
+            permits=SendPermits(instance="me", event_log=EventLog()),
             work_changed=lambda: None,
             stream_engines=dict,
             event_log=self.lines,
