Log when the store comes back from an older copy

The adapter decodes the era that all answers name; a page of another era ends a list, since its pages would be of two histories. Log line store_restored, era in the lines about lists, in stale answers and in the state dump. Nothing acts on the era yet. The stand-in of the store names its era and can go back to a copy of some seconds ago.

--- a/src/lagoonrill/_internal/coordination/store_follower.py
+++ b/src/lagoonrill/_internal/coordination/store_follower.py
@@ -47,10 +47,11 @@
 
 
 class ObjectList(msgspec.Struct, kw_only=True):
-    """All objects of one kind at a store revision."""
+    """All objects of one kind at a store revision of an era."""
 
     objects: list[StoreObject]
     revision: int
+    era: int = 0
 
 
 class ObjectChanges(msgspec.Struct, kw_only=True):
@@ -62,6 +63,7 @@
     changed: list[StoreObject]
     removed: list[str]
     revision: int
+    era: int = 0
     complete: bool = True
 
 
@@ -103,6 +105,8 @@
         self.clock = clock
         self.objects: dict[str, StoreObject] = {}
         self.revision = 0
+        # Largest era of an answer; 0 if the store names none.
+        self.era = 0
         self.listed = False
         self.in_touch = False
         self.lost_at: float | None = None
@@ -168,6 +172,7 @@
             return self._failed(result.failure(), began_at)
         self._note_reached()
         answer = result.unwrap()
+        self._note_era(answer.era)
         if answer.revision < self.revision:
             return self._refuse_stale(answer)
         if isinstance(answer, ObjectList):
@@ -182,12 +187,22 @@
         self.answered(answered_at)
         return pause_s
 
+    def _note_era(self, era: int) -> None:
+        """Records that the store has come back from an older copy."""
+        if self.era and era > self.era:
+            self.event_log.emit(
+                "store_restored", kind=self.kind, era=era, known_revision=self.revision
+            )
+        self.era = max(self.era, era)
+
     def _refuse_stale(self, answer: ObjectList | ObjectChanges) -> float:
         """Ignores an answer that would revert changes."""
         self.event_log.emit(
             "store_answer_stale",
             kind=self.kind,
+            era=answer.era,
             revision=answer.revision,
+            known_era=self.era,
             known=self.revision,
         )
         return FIRST_PAUSE_S
@@ -300,6 +315,7 @@
             "store_listed",
             kind=self.kind,
             objects=len(self.objects),
+            era=self.era,
             revision=self.revision,
         )
         self.apply(self)
@@ -324,6 +340,7 @@
     def dump(self) -> dict:
         return {
             "kind": self.kind,
+            "era": self.era,
             "revision": self.revision,
             "objects": len(self.objects),
             "unreadable": self.unreadable()[:DUMPED_NAMES],
--- a/src/lagoonrill/platform/_store.py
+++ b/src/lagoonrill/platform/_store.py
@@ -14,16 +14,19 @@
     StoreObject,
 )
 from .._internal.protocol import lenient_json
-from .._internal.protocol.errors import StoreConflict, StoreError
+from .._internal.protocol.errors import StoreConflict, StoreError, StoreInDoubt
+from .._internal.protocol.headers import parse_positive_int
 from .._internal.protocol.routing import EndpointRecord
 from .._internal.transport.sockets import parse_address
-from .._internal.transport.store_client import StoreClient
+from .._internal.transport.store_client import StoreClient, StoreResponse
 from .._internal.transport.store_connection import StoreConnection
 from ._configuration import decode_configuration
 
 log = logbook.Logger("platform")
 
 OBJECTS_PATH = "/v1/objects/"
+# In all answers; it rises by one each time the store comes back from an older copy.
+ERA_HEADER = "Store-Era"
 CONFIG_KIND = "config"
 # Name of the only configuration object.
 CONFIG_NAME = "main"
@@ -64,6 +67,8 @@
     items: list[object] = []
     more: bool = False
     store_revision: int = 0
+    # Not part of the body; see `ERA_HEADER`.
+    era: int = 0
 
 
 class WireEvent(msgspec.Struct):
@@ -78,6 +83,8 @@
 
     events: list[WireEvent] = []
     store_revision: int = msgspec.field(name="StoreRevision", default=0)
+    # Not part of the body; see `ERA_HEADER`.
+    era: int = 0
 
 
 class WireServer(msgspec.Struct, rename="pascal"):
@@ -116,6 +123,22 @@
         return msgspec.convert(lenient_json.loads(data), kind)
 
 
+def decode_era(text: str | None) -> int:
+    """Returns the era that an answer names; 0 if it names none.
+
+    Raises `ValueError` if it is no number.
+
+    >>> decode_era("7"), decode_era(None)
+    (7, 0)
+    """
+    if text is None:
+        return 0
+    era = parse_positive_int(text.strip())
+    if era is None:
+        raise ValueError(f"invalid era {text[:40]!r}")
+    return era
+
+
 def decode_endpoint(name: str, spec: object) -> EndpointRecord:
     """Returns the endpoint of an entry; raises `ValueError` if it is invalid."""
     wire = msgspec.convert(spec, WireServer)
@@ -163,6 +186,7 @@
         """
         objects: list[StoreObject] = []
         revision: int | None = None
+        era: int | None = None
         after = ""
         while True:
             query = f"?{urlencode({'After': after})}" if after else ""
@@ -170,11 +194,16 @@
             if not isinstance(result, Success):
                 return result
             page = result.unwrap()
+            if era is not None and page.era != era:
+                # The pages are from different histories.
+                message = "list: the store was restored between two pages"
+                return Failure(StoreInDoubt(message=message))
+            era = page.era
             found = [self._object(raw) for raw in page.items]
             objects.extend(item for item in found if item is not None)
             revision = page.store_revision if revision is None else revision
             if not (page.more and objects) or objects[-1].name == after:
-                return Success(ObjectList(objects=objects, revision=revision))
+                return Success(ObjectList(objects=objects, revision=revision, era=era))
             after = objects[-1].name
 
     def changes(
@@ -200,10 +229,15 @@
         result = self.client.call(label, "GET", path, **options)
         return result.bind(
             lambda response: self.client.decoded(
-                label, lambda: decode_response(response.data, kind)
+                label, lambda: self._decode(response, kind)
             )
         )
 
+    def _decode(self, response: StoreResponse, kind: type):
+        answer = decode_response(response.data, kind)
+        answer.era = decode_era(response.headers.get(ERA_HEADER))
+        return answer
+
     def _changes(self, wire: WireChanges) -> ObjectChanges:
         changed: dict[str, StoreObject] = {}
         removed: dict[str, None] = {}
@@ -223,6 +257,7 @@
             changed=list(changed.values()),
             removed=list(removed),
             revision=wire.store_revision,
+            era=wire.era,
             complete=not has_unnamed,
         )
 
--- a/standins/metadata_store.py
+++ b/standins/metadata_store.py
@@ -1,17 +1,29 @@
 """Simulates the platform's metadata store: objects by kind, lists and watches.
 
-It can refuse all calls, fall silent, discard its change history and paginate lists. The
-names on the wire are the platform's, so only this file and the tests of the adapter may
-use them.
+It can refuse all calls, fall silent, discard its change history, come back from an
+older copy and paginate lists. The names on the wire are the platform's, so only this
+file and the tests of the adapter may use them.
 """
 
 import sys
 import threading
+import time
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from urllib.parse import parse_qs, unquote, urlsplit
 
 import msgspec
 
+# Copies of the objects are kept for this long.
+COPY_LIFETIME_S = 60.0
+
+
+class StoredCopy(msgspec.Struct, kw_only=True):
+    """The objects after a change, at a time on the monotonic clock."""
+
+    at: float
+    revision: int
+    kinds: dict[str, dict[str, dict]]
+
 
 class MetadataStore:
     """Objects and their change history; thread-safe."""
@@ -20,6 +32,9 @@
         self.page = page
         self.condition = threading.Condition()
         self.revision = 1
+        # Incremented when the store comes back from an older copy; None to name none.
+        self.era: int | None = 1
+        self.copies = [StoredCopy(at=0.0, revision=1, kinds={})]
         self.kinds: dict[str, dict[str, dict]] = {}
         self.changes: list[tuple[int, str, dict, bool]] = []
         self.compacted_revision = 0
@@ -40,14 +55,35 @@
                 "Status": None,
             }
             self.kinds.setdefault(kind, {})[name] = found
-            self.changes.append((self.revision, kind, found, False))
-            self.condition.notify_all()
+            self._record_change(kind, found, removed=False)
 
     def delete(self, kind: str, name: str) -> None:
         with self.condition:
             self.revision += 1
             found = self.kinds[kind].pop(name)
-            self.changes.append((self.revision, kind, found, True))
+            self._record_change(kind, found, removed=True)
+
+    def _record_change(self, kind: str, found: dict, *, removed: bool) -> None:
+        self.changes.append((self.revision, kind, found, removed))
+        now = time.monotonic()
+        kinds = {kind: dict(objects) for kind, objects in self.kinds.items()}
+        self.copies.append(StoredCopy(at=now, revision=self.revision, kinds=kinds))
+        while len(self.copies) > 1 and self.copies[1].at < now - COPY_LIFETIME_S:
+            del self.copies[0]
+        self.condition.notify_all()
+
+    def restore(self, age_s: float) -> None:
+        """Goes back to the copy of `age_s` seconds ago; revisions are reused."""
+        with self.condition:
+            at = time.monotonic() - age_s
+            kept = [copy for copy in self.copies if copy.at <= at]
+            self.copies = kept or self.copies[:1]
+            copy = self.copies[-1]
+            self.revision = copy.revision
+            self.kinds = {kind: dict(items) for kind, items in copy.kinds.items()}
+            self.changes = [item for item in self.changes if item[0] <= self.revision]
+            if self.era is not None:
+                self.era += 1
             self.condition.notify_all()
 
     def drop_history(self) -> None:
@@ -75,11 +111,13 @@
         with self.condition:
             self.condition.wait_for(
                 lambda: (
-                    events() or since < self.compacted_revision or self.refusal_status
+                    events()
+                    or not self.compacted_revision <= since <= self.revision
+                    or self.refusal_status
                 ),
                 wait_s,
             )
-            if since < self.compacted_revision:
+            if not self.compacted_revision <= since <= self.revision:
                 return 410, {}
             return 200, {"events": events(), "StoreRevision": self.revision}
 
@@ -144,6 +182,8 @@
                 body = msgspec.json.encode(answer)
                 self.send_response(status)
                 self.send_header("Content-Type", "application/json")
+                if store.era is not None:
+                    self.send_header("Store-Era", str(store.era))
                 self.send_header("Content-Length", str(len(body)))
                 self.end_headers()
                 self.wfile.write(body)
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -203,6 +203,7 @@
 
     def __init__(self, data: bytes):
         self.data = data
+        self.headers = {}
 
     def call(self, *_, **options):
         return Success(self)
