Compare positions in the store by era and revision

Cause: revisions were taken for one order for ever. Worse and without a line: a watch from a revision of the lost history is answered from the new one once that has passed it, without the changes below (hypothesis 2, shown by a test). Class: a number is compared outside the range in which it is ordered.

Change: a position is (era, revision), in the copies, watches, digests and lists of peers. Changes since a revision of an earlier era lead to a list. A late answer of an earlier era, or one without an era, is ignored. Ignored answers are logged once and asked for again with growing pauses.

--- a/bench/soak/environment.py
+++ b/bench/soak/environment.py
@@ -95,6 +95,8 @@
         self.next_endpoint = 0
         self.seed = seed
         self.endpoints: dict[str, tuple[SoakEndpoint, Proxy]] = {}
+        # State that each endpoint wrote last; those that removed their entry have none.
+        self.states: dict[str, str] = {}
         host, _, port = self.server.address.rpartition(":")
         self.gateways: list[Gateway] = []
         self.store_links: dict[str, Proxy] = {}
@@ -154,6 +156,7 @@
         return id
 
     def _register(self, id: str, state: str) -> None:
+        self.states[id] = state
         endpoint, proxy = self.endpoints[id]
         entry = server(
             Service=endpoint.service,
@@ -170,9 +173,20 @@
 
     def remove_endpoint(self, id: str) -> None:
         """Removes the entry of an endpoint, which continues to serve."""
+        del self.states[id]
         self.store.delete("servers", id)
         self.history.leaving[id] = time.monotonic()
 
+    def write_entries_again(self) -> None:
+        """Writes the entries that a restored store lost, and removes those of old."""
+        entries = self.store.kinds.get("servers", {})
+        for id in self.endpoints:
+            state = self.states.get(id)
+            if state is not None:
+                self._register(id, state)
+            elif id in entries:
+                self.store.delete("servers", id)
+
     def limit_endpoint(self, id: str, limit: float) -> NamedLimit:
         """Makes an endpoint name a limit in its answers until `end_limit`."""
         named = NamedLimit(endpoint=id, limit=limit, began_at=time.monotonic())
--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -163,6 +163,22 @@
         environment.store.drop_history()
 
 
+@FAULTS.register("store_restored")
+class StoreRestored(WholeStoreFault):
+    """The store goes back to a copy; its writers write again what was lost."""
+
+    def inject(self, environment: SoakEnvironment, target, seconds: float) -> None:
+        environment.put_configuration()
+        time.sleep(seconds / 3)
+        environment.store.refusal_status = 503
+        time.sleep(seconds / 3)
+        environment.store.restore(seconds)
+        environment.put_configuration()
+        environment.store.refusal_status = 0
+        time.sleep(seconds / 3)
+        environment.write_entries_again()
+
+
 class EndpointFault(BaseFault):
     """Base class of faults of an endpoint that is not leaving."""
 
--- a/src/lagoonrill/_internal/coordination/endpoint_discovery.py
+++ b/src/lagoonrill/_internal/coordination/endpoint_discovery.py
@@ -13,11 +13,19 @@
 import msgspec
 
 from ..event_log import EventLog
-from ..protocol.routing import EndpointRecord
+from ..protocol.routing import EndpointRecord, StorePosition
 from ..state.endpoint_registry import EndpointRegistry
 from .policy.expired_entries import ExpiredEntries
 from .store_follower import StoreFollower
 
+# A departed endpoint is remembered for this long, longer than the age of a copy from
+# which a store comes back.
+DEPARTED_LIFETIME_S = 120.0
+MAX_DEPARTED = 5_000
+# Entries that are not written expire after three heartbeats; an entry of a departed
+# endpoint that outlives this time after a restore belongs to a live one.
+RESTORED_ENTRY_S = 10.0
+
 
 class EndpointDiscovery:
     """Applies entries from the store and from peers to the registry."""
@@ -37,7 +45,13 @@
         self.changed = changed
         self.clock = clock
         self.lock = threading.Lock()
-        self.revision = 0
+        self.position = StorePosition()
+        # Endpoints that have left, with the time; an older copy may show them again.
+        self.departed: dict[tuple[str, int], float] = {}
+        # Entries of departed endpoints in a restored copy, as they stood there, and the
+        # time until which these are believed to have left.
+        self.doubted: dict[str, EndpointRecord] = {}
+        self.doubted_until = 0.0
 
     def apply(self, follower: StoreFollower) -> None:
         """Applies the entries of the store."""
@@ -54,7 +68,7 @@
                 return None
             return self.registry.held_until.get(endpoint_id, hold_until)
 
-        self._install(records, revision=follower.revision, limit=limit)
+        self._install(records, position=follower.position, limit=limit)
 
     def apply_from_peer(
         self,
@@ -62,6 +76,7 @@
         *,
         revision: int,
         held_for_s: dict[str, float],
+        era: int = 0,
     ) -> bool:
         """Applies the endpoint list of a peer; returns False if it is older.
 
@@ -84,57 +99,114 @@
             {} if self.registry.known else {record.id: record for record in records}
         )
         return self._install(
-            with_entry, revision=revision, limit=limit, new_records=new_records
+            with_entry,
+            position=StorePosition(era, revision),
+            limit=limit,
+            new_records=new_records,
         )
 
-    def snapshot(self) -> tuple[int, list[EndpointRecord], dict[str, float]]:
-        """Returns the revision, the endpoints and the remaining hold times."""
+    def snapshot(self) -> tuple[StorePosition, list[EndpointRecord], dict[str, float]]:
+        """Returns the position, the endpoints and the remaining hold times.
+
+        Endpoints whose entries are doubted are left out.
+        """
         with self.lock:
-            records = list(self.registry.records.values())
-            return self.revision, records, self.registry.held_for_s()
+            records = [
+                record
+                for name, record in self.registry.records.items()
+                if name not in self.doubted
+            ]
+            return self.position, records, self.registry.held_for_s()
 
     def _install(
         self,
         records: list[EndpointRecord],
         *,
-        revision: int,
+        position: StorePosition,
         limit: Callable[[str], float | None],
         new_records: dict[str, EndpointRecord] | None = None,
     ) -> bool:
         with self.lock:
-            if revision < self.revision:
+            if position < self.position:
                 return False
-            self.revision = revision
+            is_restored = 0 < self.position.era < position.era
+            self.position = position
             before = self.registry.records
+            hold_until = None
+            if is_restored:
+                hold_until = self.expired_entries.held_after_restore(self.clock())
+                self._doubt_departed(records)
             after = {
-                record.id: self._preserve_leaving(record, before.get(record.id))
+                record.id: self._with_departure(record, before.get(record.id))
                 for record in records
             }
             candidates = before | (new_records or {})
-            held = self._held(candidates, after, limit)
+            held = self._held(candidates, after, limit, hold_until)
             after |= {endpoint_id: candidates[endpoint_id] for endpoint_id in held}
+            self._note_departed(before, after)
             self.registry.replace(after, held_until=held)
-        self._log_changes(before, after, revision)
+        self._log_changes(before, after, position.revision)
         self.changed()
         return True
 
-    def _preserve_leaving(
+    def _note_departed(
+        self, before: dict[str, EndpointRecord], after: dict[str, EndpointRecord]
+    ) -> None:
+        """Remembers the endpoints that are no longer known."""
+        now = self.clock()
+        for endpoint_id in before.keys() - after.keys():
+            key = endpoint_id, before[endpoint_id].incarnation
+            self.departed.pop(key, None)
+            self.departed[key] = now
+        for record in after.values():
+            if not record.leaving:
+                self.departed.pop((record.id, record.incarnation), None)
+        oldest = now - DEPARTED_LIFETIME_S
+        while self.departed:
+            first = next(iter(self.departed))
+            if self.departed[first] >= oldest and len(self.departed) <= MAX_DEPARTED:
+                break
+            del self.departed[first]
+
+    def _doubt_departed(self, records: list[EndpointRecord]) -> None:
+        """Doubts the entries of departed endpoints in the list of a restored store.
+
+        If such an endpoint is alive, it changes its entry, or the entry outlives the
+        time after which the store removes those that are not written.
+        """
+        self.doubted = {
+            record.id: record
+            for record in records
+            if (record.id, record.incarnation) in self.departed
+        }
+        self.doubted_until = self.clock() + RESTORED_ENTRY_S
+
+    def _with_departure(
         self, record: EndpointRecord, known: EndpointRecord | None
     ) -> EndpointRecord:
-        """Returns the record, marked as leaving if this incarnation announced it.
+        """Returns the record, marked as leaving if its endpoint is known to leave.
 
         A delayed write by the endpoint may reach the store after a newer one and
-        overwrite it.
+        overwrite it, or the store comes back from a copy from before the departure.
         """
-        if (
-            known is None
-            or not known.leaving
-            or record.leaving
-            or record.incarnation != known.incarnation
-        ):
+        if record.leaving:
+            return record
+        doubted = self.doubted.get(record.id)
+        if doubted is not None and doubted != record:
+            del self.doubted[record.id]
+            return record
+        announced = (
+            known is not None
+            and known.leaving
+            and record.incarnation == known.incarnation
+        )
+        if not announced and doubted is None:
             return record
         self.event_log.emit(
-            "endpoint_stays_leaving", endpoint=record.id, revision=self.revision
+            "endpoint_stays_leaving",
+            endpoint=record.id,
+            reason="announced" if doubted is None else "restored_entry",
+            revision=self.position.revision,
         )
         return msgspec.structs.replace(record, leaving=True)
 
@@ -143,8 +215,12 @@
         candidates: dict[str, EndpointRecord],
         after: dict[str, EndpointRecord],
         limit: Callable[[str], float | None],
+        hold_until: float | None,
     ) -> dict[str, float]:
-        """Returns the hold end of each endpoint whose entry has disappeared."""
+        """Returns the hold end of each endpoint whose entry has disappeared.
+
+        It is at least `hold_until`, if given.
+        """
         known = self.registry.held_until
         now = self.clock()
         held = {}
@@ -152,6 +228,8 @@
             if endpoint_id in after or record.leaving:
                 continue
             until = limit(endpoint_id)
+            if hold_until is not None:
+                until = max(until or 0.0, hold_until)
             if until is None or until <= now:
                 continue
             held[endpoint_id] = until
@@ -161,12 +239,16 @@
                     endpoint=endpoint_id,
                     service=record.service,
                     hold_s=round(until - now, 3),
-                    revision=self.revision,
+                    revision=self.position.revision,
                 )
         return held
 
     def expire_holds(self) -> None:
-        """Removes the endpoints whose entries did not reappear before the hold end."""
+        """Removes the endpoints whose entries did not reappear before the hold end.
+
+        Also ends the doubt about restored entries that are still there.
+        """
+        self._end_doubt()
         with self.lock:
             now = self.clock()
             known = self.registry.held_until
@@ -176,8 +258,24 @@
             before = self.registry.records
             ended = known.keys() - held.keys()
             after = {n: record for n, record in before.items() if n not in ended}
+            self._note_departed(before, after)
             self.registry.replace(after, held_until=held)
-        self._log_changes(before, after, self.revision, gone="hold_ended")
+        self._log_changes(before, after, self.position.revision, gone="hold_ended")
+        self.changed()
+
+    def _end_doubt(self) -> None:
+        with self.lock:
+            if not self.doubted or self.clock() < self.doubted_until:
+                return
+            trusted, self.doubted = self.doubted, {}
+            before = self.registry.records
+            after = before | {
+                name: record for name, record in trusted.items() if name in before
+            }
+            self._note_departed(before, after)
+            self.registry.replace(after, held_until=self.registry.held_until)
+        for name in trusted:
+            self.event_log.emit("restored_entry_trusted", endpoint=name)
         self.changed()
 
     def _log_changes(
--- a/src/lagoonrill/_internal/coordination/gateway_peers.py
+++ b/src/lagoonrill/_internal/coordination/gateway_peers.py
@@ -378,7 +378,8 @@
             zone=self.zone,
             address=self.link.address,
             config_version=self.routing.version,
-            endpoint_revision=self.discovery.revision,
+            store_era=self.discovery.position.era,
+            endpoint_revision=self.discovery.position.revision,
             endpoint_checksum=self.registry.checksum,
             store_in_touch=self.freshness.in_touch(),
             config_age_ms=self.freshness.configuration.age_ms(near=near),
@@ -503,6 +504,7 @@
                     "silent_s": round(now - view.heard_at, 3),
                     "lost": view.lost,
                     "config_version": view.digest.config_version,
+                    "store_era": view.digest.store_era,
                     "endpoint_revision": view.digest.endpoint_revision,
                     "store_in_touch": view.digest.store_in_touch,
                 }
--- a/src/lagoonrill/_internal/coordination/policy/expired_entries.py
+++ b/src/lagoonrill/_internal/coordination/policy/expired_entries.py
@@ -48,6 +48,14 @@
         self.drain_s = drain_s
         self.contact_s = contact_s
 
+    def held_after_restore(self, now: float) -> float:
+        """Returns when holds end after the store came back from an older copy.
+
+        Entries that were written since the copy are missing until their endpoints
+        write them again.
+        """
+        return now + min(REAPPEAR_S, self.drain_s - SEND_MARGIN_S)
+
     def held_until(self, outage: StoreOutage | None) -> float | None:
         """Returns when holds end, or None if no entry can have expired."""
         if outage is None:
--- a/src/lagoonrill/_internal/coordination/routing_catch_up.py
+++ b/src/lagoonrill/_internal/coordination/routing_catch_up.py
@@ -69,16 +69,16 @@
         """Returns the digest of the most up-to-date peer ahead of this instance."""
         needs_list = self._needs_list()
         version = self.routing.version
-        revision = self.discovery.revision
+        position = self.discovery.position
         ahead = [
             digest
             for digest in self.digests()
             if digest.config_version > version
-            or (needs_list and digest.endpoint_revision > revision)
+            or (needs_list and digest.endpoint_position > position)
         ]
         return max(
             ahead,
-            key=lambda digest: (digest.config_version, digest.endpoint_revision),
+            key=lambda digest: (digest.config_version, digest.endpoint_position),
             default=None,
         )
 
@@ -92,7 +92,8 @@
             ahead.address,
             RoutingRequest(
                 config_version=self.routing.version,
-                endpoint_revision=self.discovery.revision,
+                endpoint_revision=self.discovery.position.revision,
+                store_era=self.discovery.position.era,
             ),
             REQUEST_TIMEOUT_S,
         )
@@ -119,12 +120,14 @@
                 peer=peer,
                 endpoints=len(reply.endpoints),
                 held=len(reply.held_for_s),
+                era=reply.store_era,
                 revision=reply.endpoint_revision,
-                known=self.discovery.revision,
+                known=self.discovery.position.revision,
             )
             self.discovery.apply_from_peer(
                 reply.endpoints,
                 revision=reply.endpoint_revision,
+                era=reply.store_era,
                 held_for_s=reply.held_for_s,
             )
         self.behind_since = None
@@ -135,11 +138,12 @@
         config = table.config if table else None
         if config is not None and config.version <= request.config_version:
             config = None
-        revision, endpoints, held_for_s = self.discovery.snapshot()
-        newer = revision > request.endpoint_revision
+        position, endpoints, held_for_s = self.discovery.snapshot()
+        newer = position > request.endpoint_position
         return RoutingReply(
             config=config,
-            endpoint_revision=revision,
+            endpoint_revision=position.revision,
+            store_era=position.era,
             endpoints=endpoints if newer else None,
             held_for_s=held_for_s if newer else {},
         )
--- a/src/lagoonrill/_internal/coordination/store_follower.py
+++ b/src/lagoonrill/_internal/coordination/store_follower.py
@@ -2,10 +2,13 @@
 
 Load pattern: the store is slow, unavailable, reachable for some instances only, or has
 truncated its history. The last known state stays in use; after a truncated history the
-objects are listed again. After a failure or an interrupted watch, the first call does
-not wait for changes, so that its answer shows that the store has recovered; a watch on
-a store without changes would detect this much later. `store_freshness` decides how long
-watches wait and when they are interrupted.
+objects are listed again. So they are after the store came back from an older copy: its
+answers name an era, and revisions are compared within an era only.
+
+After a failure or an interrupted watch, the first call does not wait for changes, so
+that its answer shows that the store has recovered; a watch on a store without changes
+would detect this much later. `store_freshness` decides how long watches wait and when
+they are interrupted.
 """
 
 import math
@@ -25,6 +28,7 @@
     StoreHistoryGone,
     StoreRejected,
 )
+from ..protocol.routing import StorePosition
 from .policy.expired_entries import StoreOutage
 from .policy.store_renewal import LONG_WATCH_S
 
@@ -53,6 +57,10 @@
     revision: int
     era: int = 0
 
+    @property
+    def position(self) -> StorePosition:
+        return StorePosition(self.era, self.revision)
+
 
 class ObjectChanges(msgspec.Struct, kw_only=True):
     """Changes of one kind up to a revision.
@@ -66,6 +74,10 @@
     era: int = 0
     complete: bool = True
 
+    @property
+    def position(self) -> StorePosition:
+        return StorePosition(self.era, self.revision)
+
 
 class ObjectSource(Protocol):
     """Source of one kind of objects in the store."""
@@ -104,9 +116,7 @@
         self.event_log = event_log
         self.clock = clock
         self.objects: dict[str, StoreObject] = {}
-        self.revision = 0
-        # Largest era of an answer; 0 if the store names none.
-        self.era = 0
+        self.position = StorePosition()
         self.listed = False
         self.in_touch = False
         self.lost_at: float | None = None
@@ -125,10 +135,14 @@
         self.shared_at: float | None = None
         # Called with the time of each answer of the store.
         self.answered: Callable[[float], None] = lambda answered_at: None
+        # Called after the first list of a store that came back from an older copy.
+        self.restored: Callable[[], None] = lambda: None
         # Start of the pending watch.
         self.waiting_since: float | None = None
         self.interrupted = False
         self.failures = 0
+        # Answers in a row that were older than the copy.
+        self.stale_answers = 0
         self.stopping = threading.Event()
         self.thread: threading.Thread | None = None
 
@@ -172,9 +186,13 @@
             return self._failed(result.failure(), began_at)
         self._note_reached()
         answer = result.unwrap()
-        self._note_era(answer.era)
-        if answer.revision < self.revision:
+        if answer.position < self.position:
             return self._refuse_stale(answer)
+        self.stale_answers = 0
+        if isinstance(answer, ObjectChanges) and answer.era > self.position.era:
+            # Revisions are given out again, so changes before this one may be missing.
+            self.listed = False
+            return 0.0
         if isinstance(answer, ObjectList):
             self._apply_list(answer)
             pause_s = 0.0
@@ -187,25 +205,24 @@
         self.answered(answered_at)
         return pause_s
 
-    def _note_era(self, era: int) -> None:
-        """Records that the store has come back from an older copy."""
-        if self.era and era > self.era:
-            self.event_log.emit(
-                "store_restored", kind=self.kind, era=era, known_revision=self.revision
-            )
-        self.era = max(self.era, era)
+    @property
+    def revision(self) -> int:
+        """The revision of the store up to which the copy is known, in its era."""
+        return self.position.revision
 
     def _refuse_stale(self, answer: ObjectList | ObjectChanges) -> float:
-        """Ignores an answer that would revert changes."""
-        self.event_log.emit(
-            "store_answer_stale",
-            kind=self.kind,
-            era=answer.era,
-            revision=answer.revision,
-            known_era=self.era,
-            known=self.revision,
-        )
-        return FIRST_PAUSE_S
+        """Ignores an answer that would revert changes; returns a growing pause."""
+        self.stale_answers += 1
+        if self.stale_answers == 1:
+            self.event_log.emit(
+                "store_answer_stale",
+                kind=self.kind,
+                era=answer.era,
+                revision=answer.revision,
+                known_era=self.position.era,
+                known=self.revision,
+            )
+        return min(MAX_PAUSE_S, FIRST_PAUSE_S * 2 ** min(self.stale_answers - 1, 8))
 
     def confirm_by_store(self, answered_at: float) -> None:
         """Records that the store showed at that time that the copy is current."""
@@ -308,24 +325,36 @@
         self.event_log.emit("store_reached", kind=self.kind, away_s=round(away_s, 3))
 
     def _apply_list(self, answer: ObjectList) -> None:
+        known = self.position
+        is_restored = 0 < known.era < answer.era
         self.objects = {item.name: item for item in answer.objects}
-        self.revision = answer.revision
+        self.position = answer.position
         self.listed = True
         self.event_log.emit(
             "store_listed",
             kind=self.kind,
             objects=len(self.objects),
-            era=self.era,
+            era=self.position.era,
             revision=self.revision,
         )
         self.apply(self)
+        if is_restored:
+            self.event_log.emit(
+                "store_restored",
+                kind=self.kind,
+                era=answer.era,
+                revision=answer.revision,
+                known_era=known.era,
+                known=known.revision,
+            )
+            self.restored()
 
     def _apply_changes(self, answer: ObjectChanges) -> None:
         for item in answer.changed:
             self.objects[item.name] = item
         for name in answer.removed:
             self.objects.pop(name, None)
-        self.revision = answer.revision
+        self.position = answer.position
         if answer.changed or answer.removed:
             self.apply(self)
         if not answer.complete:
@@ -340,7 +369,7 @@
     def dump(self) -> dict:
         return {
             "kind": self.kind,
-            "era": self.era,
+            "era": self.position.era,
             "revision": self.revision,
             "objects": len(self.objects),
             "unreadable": self.unreadable()[:DUMPED_NAMES],
--- a/src/lagoonrill/_internal/coordination/store_freshness.py
+++ b/src/lagoonrill/_internal/coordination/store_freshness.py
@@ -15,6 +15,7 @@
 
 from ..event_log import EventLog
 from ..protocol.messages import GatewayDigest
+from ..protocol.routing import StorePosition
 from ..state.endpoint_registry import EndpointRegistry
 from ..state.route_table import RoutingState
 from .endpoint_discovery import EndpointDiscovery
@@ -28,7 +29,7 @@
     # Identifies the content; 0 if there is none.
     content: int
     # Larger for newer content.
-    order: int
+    order: int | StorePosition
     # Age of the evidence that the instance passes on; None if it has none.
     age_ms: int | None = None
 
@@ -125,10 +126,10 @@
         )
         self.endpoints = StoreCopy(
             follower=endpoint_follower,
-            own=lambda: CopyState(content=registry.checksum, order=discovery.revision),
+            own=lambda: CopyState(content=registry.checksum, order=discovery.position),
             of_peer=lambda digest: CopyState(
                 content=digest.endpoint_checksum,
-                order=digest.endpoint_revision,
+                order=digest.endpoint_position,
                 age_ms=digest.endpoints_age_ms,
             ),
             clock=clock,
@@ -150,10 +151,13 @@
         long as neither changes.
         """
         followers = [copy.follower for copy in self.copies]
-        newest = max(follower.revision for follower in followers)
+        newest = max(follower.position for follower in followers)
         for follower in followers:
-            if follower.listed and follower.revision == newest:
+            if follower.listed and follower.position == newest:
                 follower.confirm_by_store(answered_at)
+            elif follower.position.era < newest.era:
+                # Its watch is from a revision of a history that no longer exists.
+                follower.interrupt_watch()
         self.changed()
 
     def in_touch(self) -> bool:
--- a/src/lagoonrill/_internal/gateway_daemon.py
+++ b/src/lagoonrill/_internal/gateway_daemon.py
@@ -282,6 +282,14 @@
                     teams=len(config.teams or {}),
                     revision=follower.revision,
                 )
+            elif config.version < self.routing.version:
+                self.event_log.emit(
+                    "config_not_installed",
+                    version=config.version,
+                    known=self.routing.version,
+                    era=follower.position.era,
+                    revision=follower.revision,
+                )
         self.peers.note_change()
 
     def _endpoints_changed(self) -> None:
--- a/src/lagoonrill/_internal/protocol/messages.py
+++ b/src/lagoonrill/_internal/protocol/messages.py
@@ -6,7 +6,7 @@
 
 from .codec import from_msgpack, to_msgpack
 from .objects import ConfigRecord
-from .routing import EndpointRecord, PromptPart, RoutingConfig
+from .routing import EndpointRecord, PromptPart, RoutingConfig, StorePosition
 
 
 class PeerMessage(msgspec.Struct, kw_only=True, tag=True):
@@ -191,6 +191,8 @@
     zone: str
     address: str
     config_version: int = 0
+    # Era and revision of the store up to which the sender knows the endpoints.
+    store_era: int = 0
     endpoint_revision: int = 0
     # Checksum of the endpoints in the store at `endpoint_revision`; 0 if unknown.
     endpoint_checksum: int = 0
@@ -210,6 +212,10 @@
     doubtful: list[EndpointCalls] | None = None
     known_addresses: list[str] = []
 
+    @property
+    def endpoint_position(self) -> StorePosition:
+        return StorePosition(self.store_era, self.endpoint_revision)
+
 
 # A prompt of this rank waits for all others. Also that of a request without a rank.
 LAST_RANK = 9
@@ -297,6 +303,11 @@
 
     config_version: int
     endpoint_revision: int
+    store_era: int = 0
+
+    @property
+    def endpoint_position(self) -> StorePosition:
+        return StorePosition(self.store_era, self.endpoint_revision)
 
 
 class RoutingReply(PeerMessage):
@@ -307,6 +318,11 @@
     endpoints: list[EndpointRecord] | None
     # Remaining time for which endpoints without an entry in the store are kept.
     held_for_s: dict[str, float] = {}
+    store_era: int = 0
+
+    @property
+    def endpoint_position(self) -> StorePosition:
+        return StorePosition(self.store_era, self.endpoint_revision)
 
 
 AnyMessage = (
--- a/src/lagoonrill/_internal/protocol/routing.py
+++ b/src/lagoonrill/_internal/protocol/routing.py
@@ -107,6 +107,21 @@
     teams: dict[str, RoutedTeam] | None = None
 
 
+class StorePosition(msgspec.Struct, frozen=True, order=True):
+    """A point in the history of the store.
+
+    Revisions are ordered within an era only. A store that comes back from an older copy
+    begins a new era and gives out revisions again. The era is 0 if the store names
+    none.
+
+    >>> StorePosition(1, 28) < StorePosition(2, 18) < StorePosition(2, 19)
+    True
+    """
+
+    era: int = 0
+    revision: int = 0
+
+
 class EndpointRecord(msgspec.Struct, kw_only=True, frozen=True):
     """One endpoint found by endpoint discovery.
 
--- a/standins/metadata_store.py
+++ b/standins/metadata_store.py
@@ -59,8 +59,10 @@
 
     def delete(self, kind: str, name: str) -> None:
         with self.condition:
+            found = self.kinds.get(kind, {}).pop(name, None)
+            if found is None:
+                return
             self.revision += 1
-            found = self.kinds[kind].pop(name)
             self._record_change(kind, found, removed=True)
 
     def _record_change(self, kind: str, found: dict, *, removed: bool) -> None:
--- a/tests/test_departures_reach_placement.py
+++ b/tests/test_departures_reach_placement.py
@@ -34,7 +34,7 @@
 from lagoonrill._internal.event_log import EventLog
 from lagoonrill._internal.protocol.errors import StoreInDoubt, StoreUnavailable
 from lagoonrill._internal.protocol.messages import GatewayDigest, RoutingRequest
-from lagoonrill._internal.protocol.routing import EndpointRecord
+from lagoonrill._internal.protocol.routing import EndpointRecord, StorePosition
 from lagoonrill._internal.state.endpoint_registry import EndpointRegistry
 from lagoonrill._internal.state.engine_load_table import EngineLoadTable
 from tests.gateway_kit import wait_until
@@ -241,7 +241,7 @@
             zone="a",
             address=other.peers.link.address,
             config_version=1,
-            endpoint_revision=other.discovery.revision,
+            endpoint_revision=other.discovery.position.revision,
             endpoint_checksum=other.registry.checksum,
             store_in_touch=True,
         )
@@ -329,7 +329,8 @@
     # transfer the whole list.
     there = Instance(simulation, "there")
     there.follow(102.0)
-    simulation.here.discovery.revision = there.discovery.revision - 1
+    revision = there.discovery.position.revision - 1
+    simulation.here.discovery.position = StorePosition(0, revision)
     simulation.here.registry.replace(there.registry.records)
     simulation.here.peers.link.request = None
     simulation.here.receive_digests(there, for_s=10.0)
@@ -358,6 +359,6 @@
     assert wait_until(lambda: replies)
     names = [record.id for record in replies[0].endpoints]
     assert (
-        replies[0].endpoint_revision < simulation.here.discovery.revision
+        replies[0].endpoint_revision < simulation.here.discovery.position.revision
         or "a" not in names
     )
--- a/tests/test_endpoint_discovery.py
+++ b/tests/test_endpoint_discovery.py
@@ -6,12 +6,18 @@
 import pytest
 from returns.result import Failure, Success
 
-from lagoonrill._internal.coordination.endpoint_discovery import EndpointDiscovery
+from lagoonrill._internal.coordination.endpoint_discovery import (
+    DEPARTED_LIFETIME_S,
+    MAX_DEPARTED,
+    RESTORED_ENTRY_S,
+    EndpointDiscovery,
+)
 from lagoonrill._internal.coordination.policy.expired_entries import (
     REAPPEAR_S,
     ExpiredEntries,
 )
 from lagoonrill._internal.coordination.store_follower import (
+    MAX_PAUSE_S,
     ObjectChanges,
     ObjectList,
     StoreFollower,
@@ -19,7 +25,7 @@
 )
 from lagoonrill._internal.event_log import EventLog
 from lagoonrill._internal.protocol.errors import StoreHistoryGone, StoreUnavailable
-from lagoonrill._internal.protocol.routing import EndpointRecord
+from lagoonrill._internal.protocol.routing import EndpointRecord, StorePosition
 from lagoonrill._internal.state.endpoint_registry import EndpointRegistry
 
 DOWN = Failure(StoreUnavailable(message="down"))
@@ -32,13 +38,15 @@
     return StoreObject(name=id, content=content)
 
 
-def listed(*objects, revision=1):
-    return Success(ObjectList(objects=list(objects), revision=revision))
+def listed(*objects, revision=1, era=0):
+    return Success(ObjectList(objects=list(objects), revision=revision, era=era))
 
 
-def changes(*changed, removed=(), revision=2):
+def changes(*changed, removed=(), revision=2, era=0):
     return Success(
-        ObjectChanges(changed=list(changed), removed=list(removed), revision=revision)
+        ObjectChanges(
+            changed=list(changed), removed=list(removed), revision=revision, era=era
+        )
     )
 
 
@@ -242,3 +250,118 @@
     assert simulation.ready() == ["b"]
     simulation.run_steps(changes(entry("a", incarnation=8), revision=4))
     assert simulation.ready() == ["a", "b"]
+
+
+def test_a_list_of_a_later_era_is_taken_although_its_revision_is_lower(simulation):
+    simulation.run_steps(listed(entry("a"), revision=28, era=1), HISTORY_GONE)
+    simulation.run_steps(listed(entry("b"), revision=18, era=2))
+    simulation.now += REAPPEAR_S
+    simulation.discovery.expire_holds()
+    assert simulation.ready() == ["b"]
+
+
+def test_changes_since_a_revision_of_an_earlier_era_lead_to_a_list(simulation):
+    simulation.run_steps(listed(entry("a"), entry("b"), revision=28, era=1))
+    simulation.run_steps(changes(revision=30, era=2))
+    simulation.run_steps(listed(entry("b", slots=9), revision=30, era=2))
+    assert simulation.source.calls == ["list", 28, "list"]
+
+
+@pytest.mark.parametrize("era", [0, 1], ids=["without_era", "earlier_era"])
+def test_a_late_answer_of_an_earlier_history_is_ignored(simulation, era):
+    simulation.run_steps(listed(entry("a"), revision=28, era=1), HISTORY_GONE)
+    simulation.run_steps(listed(entry("a", leaving=True), revision=18, era=2))
+    simulation.run_steps(changes(entry("a"), revision=99, era=era))
+    assert simulation.ready() == []
+    assert simulation.follower.position == StorePosition(2, 18)
+
+
+def test_ignored_answers_are_logged_once_and_asked_for_less_and_less(simulation):
+    simulation.run_steps(listed(entry("a"), revision=9), HISTORY_GONE)
+    stale = listed(entry("b"), revision=4)
+    simulation.source.script.extend([stale] * 6)
+    pauses = [simulation.follower.step() for _ in range(6)]
+    assert pauses == sorted(pauses) and pauses[-1] == MAX_PAUSE_S
+    events = [event for _, event, _ in simulation.log.waiting]
+    assert events.count("store_answer_stale") == 1
+
+
+def test_a_list_of_a_peer_from_an_earlier_era_is_ignored(simulation):
+    simulation.run_steps(listed(entry("a", leaving=True), revision=18, era=2))
+    old = entry("a").content
+    assert not simulation.discovery.apply_from_peer(
+        [old], revision=28, era=1, held_for_s={}
+    )
+    assert simulation.ready() == []
+
+
+def test_a_list_of_a_peer_from_a_later_era_is_taken(simulation):
+    simulation.run_steps(listed(entry("a"), revision=28, era=1))
+    new = entry("a", leaving=True).content
+    assert simulation.discovery.apply_from_peer(
+        [new], revision=18, era=2, held_for_s={}
+    )
+    assert simulation.ready() == []
+
+
+def test_a_restored_entry_of_an_endpoint_that_left_is_not_used(simulation):
+    simulation.run_steps(
+        listed(entry("a"), entry("b", leaving=True), entry("c"), revision=27, era=1)
+    )
+    simulation.run_steps(changes(removed=["a"], revision=28, era=1), HISTORY_GONE)
+    copy = listed(entry("a"), entry("b"), entry("c"), revision=18, era=2)
+    simulation.run_steps(copy)
+    assert simulation.ready() == ["c"]
+    # Other changes do not end the doubt.
+    simulation.run_steps(changes(entry("d"), revision=19, era=2))
+    assert simulation.ready() == ["c", "d"]
+
+
+def test_a_restored_entry_is_used_once_its_endpoint_changes_it(simulation):
+    simulation.run_steps(listed(entry("a"), entry("c"), revision=27, era=1))
+    simulation.run_steps(changes(removed=["a"], revision=28, era=1), HISTORY_GONE)
+    simulation.run_steps(listed(entry("a"), entry("c"), revision=18, era=2))
+    simulation.run_steps(changes(entry("a", slots=3), revision=19, era=2))
+    assert simulation.ready() == ["a", "c"]
+
+
+def test_a_restored_entry_that_does_not_expire_is_used_after_a_while(simulation):
+    simulation.run_steps(listed(entry("a"), entry("c"), revision=27, era=1))
+    simulation.run_steps(changes(removed=["a"], revision=28, era=1), HISTORY_GONE)
+    simulation.run_steps(listed(entry("a"), entry("c"), revision=18, era=2))
+    simulation.now += RESTORED_ENTRY_S - 0.1
+    simulation.discovery.expire_holds()
+    assert simulation.ready() == ["c"]
+    simulation.now += 0.1
+    simulation.discovery.expire_holds()
+    assert simulation.ready() == ["a", "c"]
+    # It is not doubted after a further restore.
+    simulation.run_steps(HISTORY_GONE)
+    simulation.run_steps(listed(entry("a"), entry("c"), revision=10, era=3))
+    assert simulation.ready() == ["a", "c"]
+
+
+def test_an_endpoint_that_the_copy_lacks_is_held_until_it_writes_again(simulation):
+    simulation.run_steps(listed(entry("a"), entry("b"), revision=28, era=1))
+    # The instance noticed no outage.
+    simulation.run_steps(HISTORY_GONE, listed(revision=18, era=2))
+    assert simulation.ready() == ["a", "b"]
+    simulation.run_steps(changes(entry("a"), revision=19, era=2))
+    simulation.now += REAPPEAR_S
+    simulation.discovery.expire_holds()
+    assert simulation.ready() == ["a"]
+    # A removal after the restore counts at once.
+    simulation.run_steps(changes(removed=["a"], revision=20, era=2))
+    assert simulation.ready() == []
+
+
+def test_departed_endpoints_are_remembered_for_a_limited_time_and_number(simulation):
+    simulation.run_steps(listed(entry("a"), revision=1, era=1))
+    simulation.run_steps(changes(removed=["a"], revision=2, era=1))
+    simulation.now += DEPARTED_LIFETIME_S + 1
+    simulation.run_steps(changes(entry("b"), revision=3, era=1))
+    assert not simulation.discovery.departed
+    names = [f"n{number}" for number in range(MAX_DEPARTED + 9)]
+    simulation.run_steps(changes(*map(entry, names), revision=4, era=1))
+    simulation.run_steps(changes(removed=names, revision=5, era=1))
+    assert len(simulation.discovery.departed) == MAX_DEPARTED
--- a/tests/test_gateway_peers.py
+++ b/tests/test_gateway_peers.py
@@ -20,6 +20,7 @@
     PromptReply,
     PromptRequest,
 )
+from lagoonrill._internal.protocol.routing import StorePosition
 from lagoonrill._internal.state.endpoint_registry import EndpointRegistry
 from lagoonrill._internal.state.engine_load_table import EngineLoadTable
 
@@ -83,7 +84,7 @@
             seeds=[],
             expected_instances=1,
             routing=type("Routing", (), {"version": 1})(),
-            discovery=type("Discovery", (), {"revision": 1})(),
+            discovery=type("Discovery", (), {"position": StorePosition(0, 1)})(),
             registry=self.registry,
             load_table=EngineLoadTable(),
             freshness=FreshnessStub(),
--- a/tests/test_store_freshness.py
+++ b/tests/test_store_freshness.py
@@ -22,6 +22,7 @@
 from lagoonrill._internal.event_log import EventLog
 from lagoonrill._internal.protocol.errors import StoreCallInterrupted
 from lagoonrill._internal.protocol.messages import GatewayDigest
+from lagoonrill._internal.protocol.routing import StorePosition
 
 BOUND_S = 2.0
 INTERRUPTED = Failure(StoreCallInterrupted(message="interrupted"))
@@ -64,7 +65,7 @@
         self.source = Source(self)
         self.routing = type("Routing", (), {"version": 5})()
         registry = type("Registry", (), {"checksum": 77})()
-        discovery = type("Discovery", (), {"revision": 1})()
+        discovery = type("Discovery", (), {"position": StorePosition(0, 1)})()
         self.config, self.endpoints = (
             StoreFollower(
                 kind=kind,
