Notice an Object API that went back to an older copy

The client refuses such an answer as lost history, so that all objects are listed again, and logs an error. What ran on a number that was given out twice cannot be undone; that stays a promise of the platform. The test failed before: the batch was returned.

--- a/src/lagoonrill/_internal/transport/object_api.py
+++ b/src/lagoonrill/_internal/transport/object_api.py
@@ -2,14 +2,22 @@
 
 from urllib.parse import quote, urlencode
 
+import logbook
 from returns.result import Result, Success
 
 from ..protocol.codec import from_json
-from ..protocol.errors import StoreConflict, StoreError, StoreRejected
+from ..protocol.errors import (
+    StoreConflict,
+    StoreError,
+    StoreHistoryGone,
+    StoreRejected,
+)
 from ..protocol.objects import VersionedObject, WatchBatch
 from ..protocol.settings import PlatformSettings
 from .store_client import StoreClient
 
+log = logbook.Logger("object-api")
+
 # Added to the wait of a watch to get its read timeout.
 WATCH_MARGIN_S = 2.0
 INSTANCE_HEADER = "X-Instance"
@@ -78,11 +86,26 @@
         result = self.call(
             "watch", "GET", f"/watch?{query}", read_timeout_s=wait_s + WATCH_MARGIN_S
         )
-        return result.bind(
+        batch = result.bind(
             lambda response: self.decoded(
                 "watch", lambda: from_json(response.data, WatchBatch)
             )
         )
+        return batch.bind(lambda found: self._checked(found, since))
+
+    def _checked(self, batch: WatchBatch, since: int) -> Result[WatchBatch, StoreError]:
+        """Refuses changes up to a revision before the one that they follow.
+
+        Versions of objects are fencing numbers, so a store must never go back.
+        """
+        if batch.revision >= since:
+            return Success(batch)
+        message = (
+            f"watch: the Object API went back from revision {since} to "
+            f"{batch.revision}, so versions may have been given out twice"
+        )
+        log.error(message)
+        return self.failed("watch", StoreHistoryGone(message=message))
 
     def _put(
         self, kind: str, name: str, value: bytes, condition: dict[str, str]
--- a/tests/test_object_api.py
+++ b/tests/test_object_api.py
@@ -12,6 +12,7 @@
 from bench.processes import start_stand_in
 from lagoonrill._internal.protocol.errors import (
     StoreConflict,
+    StoreHistoryGone,
     StoreInDoubt,
     StoreRejected,
     StoreUnavailable,
@@ -81,6 +82,14 @@
     assert api.watch("w/", since=batch.revision, wait_s=0.1).unwrap().objects == []
 
 
+def test_a_store_that_went_back_to_an_older_copy_is_noticed(store):
+    api = client(store.url)
+    api.create("w/1", b"1")
+    revision = api.watch("w/", since=0, wait_s=1.0).unwrap().revision
+    result = api.watch("w/", since=revision + 5, wait_s=0.1)
+    assert isinstance(result.failure(), StoreHistoryGone)
+
+
 def test_faults_of_the_store_map_to_error_types(store):
     api = client(store.url, timeout_s=0.3)
     set_faults(store.url, lose_next=1, prefix="f/")
