Write findings about prompts again after the store lost them

The first instance by rank, which already asks the store for all, compares its findings with a list and writes those that are missing. Ruled out: all instances, at the price of their number of calls. The test has no restore to fail on before, since nothing wrote findings again.

--- a/src/lagoonrill/_internal/coordination/poison_findings.py
+++ b/src/lagoonrill/_internal/coordination/poison_findings.py
@@ -1,7 +1,8 @@
 """Keeps the parts of prompts that crash engines beyond the life of all instances.
 
 Load pattern: all instances are killed at once, or a zone is cut off from its peers but
-reaches the store. Without the findings in the store, further engines have to crash.
+reaches the store. Without the findings in the store, further engines have to crash. A
+store that comes back from an older copy has lost the newest ones.
 """
 
 import queue
@@ -100,6 +101,25 @@
         )
         self._enqueue(lambda: self.store.remove(finding))
 
+    def write_again(self) -> None:
+        """Writes the findings that a store lost when it came back from a copy."""
+        self._enqueue(self._write_lost)
+
+    def _write_lost(self) -> Result:
+        result = self.store.list()
+        if isinstance(result, Failure):
+            return result
+        stored = {(finding.service, finding.parts) for finding in result.unwrap()}
+        for service, parts, age_s in self.parts.refused_groups():
+            finding = PoisonFinding(
+                service=service,
+                parts=tuple(parts),
+                found_at=self.wall_clock() - age_s,
+            )
+            if (service, finding.parts) not in stored:
+                self._enqueue(lambda finding=finding: self.store.add(finding))
+        return result
+
     def _enqueue(self, call: Callable[[], Result] | None) -> None:
         try:
             self.calls.put_nowait(call)
--- a/src/lagoonrill/_internal/coordination/policy/poison_parts.py
+++ b/src/lagoonrill/_internal/coordination/policy/poison_parts.py
@@ -215,6 +215,16 @@
                 return
             del self.crashes[engine]
 
+    def refused_groups(self) -> list[tuple[str, list[str], float]]:
+        """Returns service, parts and age in seconds of all groups that are refused."""
+        now = self.clock()
+        with self.lock:
+            self._expire()
+            return [
+                (service, sorted(group), now - since)
+                for (service, group), since in self.refused.items()
+            ]
+
     def reports(self) -> list[tuple[str, Crash]]:
         """Returns the engines that crashed with suspected parts, and their crashes."""
         with self.lock:
--- a/src/lagoonrill/_internal/gateway_daemon.py
+++ b/src/lagoonrill/_internal/gateway_daemon.py
@@ -187,6 +187,7 @@
             event_log=self.event_log,
         )
         self.load_table.changed = self.peers.note_change
+        self.config_follower.restored = self._write_findings_again
         self.admission.peers = self.peers
 
     def _build_request_path(self, header_names: HeaderNames) -> None:
@@ -266,6 +267,14 @@
             },
         )
 
+    def _write_findings_again(self) -> None:
+        """Writes findings that a restored store lost, from one instance of the fleet.
+
+        Its peers have the same findings.
+        """
+        if self.peers.store_rank() == 0:
+            self.findings.write_again()
+
     def _apply_config(self, follower: StoreFollower) -> None:
         configs = [
             item.content
--- a/tests/test_poison_findings.py
+++ b/tests/test_poison_findings.py
@@ -166,3 +166,21 @@
         instance.findings.refresh()
     instance.run_calls()
     assert store.lists == 1
+
+
+def test_findings_that_a_restored_store_lost_are_written_again_once(store):
+    instance = Instance(store)
+    instance.find_poison()
+    instance.run_calls()
+    found = dict(store.found)
+    instance.now += 30
+    store.found.clear()
+    instance.findings.write_again()
+    instance.run_calls()
+    assert store.found == found
+    lists, store.failures = store.lists, 1
+    instance.findings.write_again()
+    instance.run_calls()
+    # The failed list is repeated; nothing is written that the store has.
+    assert store.lists == lists + 2
+    assert store.found == found
