Take no endpoint from an entry with a number or an address out of range

A host name in an address would be looked up on each connect, which may block; infinite cold times, other digits in ports and a zero byte were accepted too. A finding with such a number made all findings unreadable. Ruled out by tests that passed at once: entries nested 10,000 deep, ports 0, -1, 65536 and of 31 digits.

--- a/src/lagoonrill/_internal/coordination/gateway_peers.py
+++ b/src/lagoonrill/_internal/coordination/gateway_peers.py
@@ -286,7 +286,11 @@
         while not self.stopping.is_set():
             self.changed.wait(DIGEST_INTERVAL_S)
             self.changed.clear()
-            self._send_digest()
+            try:
+                self._send_digest()
+            except Exception as error:
+                # If this thread ended, peers would take this instance for lost.
+                self.event_log.emit("digest_failed", error=repr(error)[:200])
             self.stopping.wait(self._near_spacing_s())
 
     def _near_spacing_s(self) -> float:
--- a/src/lagoonrill/_internal/transport/sockets.py
+++ b/src/lagoonrill/_internal/transport/sockets.py
@@ -4,6 +4,7 @@
 import socket
 import time
 
+MAX_PORT_DIGITS = 5
 RECEIVE_BYTES = 65_536
 # The socket options accept whole seconds only.
 KEEPALIVE_IDLE_S = 1
@@ -63,7 +64,8 @@
     ('10.1.0.19', 8740)
     """
     host, separator, port = text.rpartition(":")
-    if not (separator and host and port.isdigit() and 0 < int(port) < 65_536):
+    is_number = port.isascii() and port.isdigit() and len(port) <= MAX_PORT_DIGITS
+    if not (separator and host and is_number and 0 < int(port) < 65_536):
         raise ValueError(f"{text!r} is not HOST:PORT")
     return host, int(port)
 
--- a/src/lagoonrill/platform/_store.py
+++ b/src/lagoonrill/platform/_store.py
@@ -1,6 +1,8 @@
 """Configuration, endpoints and findings in the platform's metadata store."""
 
 import hashlib
+import ipaddress
+from typing import Annotated
 from urllib.parse import quote, urlencode
 
 import logbook
@@ -45,9 +47,18 @@
 # A call for each of the three kinds; watches have connections of their own.
 CONNECTIONS = 3
 
+# Bounds of numbers in entries, beyond what any endpoint writes. Peers exchange integers
+# of 64 bits, and other writers may have stored any number.
+MAX_SLOTS = 1_000_000
+MAX_COLD_MS = 24 * 3_600 * 1000
+MAX_UNIX_MS = 2**53
+
 LEAVING_BY_STATE = {"ready": False, "draining": True}
 
 
+UnixMs = Annotated[int, msgspec.Meta(ge=0, le=MAX_UNIX_MS)]
+
+
 class WireMetadata(msgspec.Struct, rename="pascal"):
     """Metadata of an object."""
 
@@ -95,11 +106,13 @@
     zone: str
     # `ready` if the endpoint accepts new requests, otherwise `draining`.
     state: str
-    slots: int = 1
+    slots: Annotated[int, msgspec.Meta(ge=-MAX_SLOTS, le=MAX_SLOTS)] = 1
     # Remaining duration of the cold start, in which the endpoint is slow.
-    cold_remaining_ms: float = 0.0
+    cold_remaining_ms: Annotated[
+        float, msgspec.Meta(ge=-MAX_COLD_MS, le=MAX_COLD_MS)
+    ] = 0.0
     # Start time in Unix milliseconds; it distinguishes restarts under the same id.
-    born: int = msgspec.field(name="born", default=0)
+    born: UnixMs = msgspec.field(name="born", default=0)
 
 
 class WireFinding(msgspec.Struct, rename="pascal"):
@@ -108,7 +121,7 @@
     service: str
     parts: list[str]
     # Unix time in milliseconds.
-    found_ms: int
+    found_ms: UnixMs
 
 
 def decode_response(data: bytes, kind: type):
@@ -144,7 +157,9 @@
     wire = msgspec.convert(spec, WireServer)
     if wire.state not in LEAVING_BY_STATE:
         raise ValueError(f"unknown state {wire.state!r}")
-    parse_address(wire.address)
+    host, _ = parse_address(wire.address)
+    # A name would be looked up on each connect, which may block.
+    ipaddress.IPv4Address(host)
     return EndpointRecord(
         id=name,
         service=wire.service,
@@ -153,7 +168,7 @@
         slots=max(1, wire.slots),
         leaving=LEAVING_BY_STATE[wire.state],
         incarnation=wire.born,
-        cold_s=wire.cold_remaining_ms / 1000,
+        cold_s=max(0.0, wire.cold_remaining_ms / 1000),
     )
 
 
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -198,6 +198,26 @@
 }
 
 
+DEPTH = 10_000
+ODD_VALUES = {
+    "deep_list": b"[" * DEPTH + b"]" * DEPTH,
+    "deep_object": b'{"a":' * DEPTH + b"1" + b"}" * DEPTH,
+    "400_digits": b"9" * 400,
+    "400_digits_negative": b"-" + b"9" * 400,
+    "too_large_for_peers": b"%d" % 2**64,
+    "infinite": b"1e999",
+    "infinite_negative": b"-1e999",
+    "port_0": b'"10.0.0.1:0"',
+    "port_negative": b'"10.0.0.1:-1"',
+    "port_65536": b'"10.0.0.1:65536"',
+    "port_of_31_digits": b'"10.0.0.1:%d"' % 10**30,
+    "port_of_other_digits": '"10.0.0.1:\uff18\uff10"'.encode(),
+    "host_name": b'"example.org:80"',
+    "host_out_of_range": b'"999.0.0.1:80"',
+    "host_with_zero_byte": b'"10.0.0.1\\u0000:80"',
+}
+
+
 class CannedStore:
     """Returns the same bytes for every call."""
 
@@ -246,6 +266,53 @@
     assert found.complete
 
 
+def odd_entry(field: str, value: bytes) -> bytes:
+    """Returns an entry that is valid except for one value."""
+    return msgspec.json.encode(server(**{field: msgspec.Raw(value)}))
+
+
+@pytest.mark.parametrize("value", ODD_VALUES.values(), ids=ODD_VALUES)
+@pytest.mark.parametrize("field", ["born", "Slots", "ColdRemainingMs", "Address"])
+def test_an_entry_with_an_odd_value_names_no_endpoint(field, value):
+    # An accepted one would end the thread that sends it to peers, or block in a lookup.
+    good = msgspec.json.encode(server(Address="10.0.0.2:80"))
+    odd = odd_entry(field, value)
+    found = changes_in(wire_event("i-odd", odd), wire_event("i-good", good))
+    contents = {item.name: item.content for item in found.changed}
+    assert contents["i-odd"] is None
+    assert contents["i-good"].address == "10.0.0.2:80"
+    assert found.complete
+    items = b", ".join(
+        b'{"Metadata": {"Name": "%s"}, "Spec": %s}' % (name, spec)
+        for name, spec in ((b"i-odd", odd), (b"i-good", good))
+    )
+    source = StoreObjectSource(
+        client=CannedStore(b'{"Items": [%s], "StoreRevision": 9}' % items),
+        kind="servers",
+        decode=decode_endpoint,
+        watch_connection=None,
+    )
+    listed = {item.name: item.content for item in source.list().unwrap().objects}
+    assert listed == contents
+
+
+@pytest.mark.parametrize("value", [0, -5])
+def test_an_entry_with_few_slots_or_no_time_left_is_used(value):
+    spec = server(Slots=value, ColdRemainingMs=value, Address="10.0.0.2:80")
+    found = changes_in(wire_event("i-1", msgspec.json.encode(spec)))
+    (item,) = found.changed
+    assert (item.content.slots, item.content.cold_s) == (1, 0.0)
+
+
+def test_a_finding_with_a_number_too_large_hides_no_other(store):
+    *_, findings = open_sources(store.server.address)
+    found = PoisonFinding(service="models", parts=("a", "b"), found_at=1_700_000_000.0)
+    findings.add(found)
+    large = {"Service": "s", "Parts": ["p"], "FoundMs": msgspec.Raw(b"9" * 400)}
+    store.put("poison-parts", "odd", large)
+    assert findings.list().unwrap() == [found]
+
+
 def test_metadata_of_another_type_does_not_hide_a_removal():
     event = (
         b'{"Object": {"Metadata": {"Name": "i-1", "Revision": "x"}}, "Removed": true}'
--- a/tests/test_gateway_peers.py
+++ b/tests/test_gateway_peers.py
@@ -255,3 +255,21 @@
     kit.peers._watch()
     events = [event for _, event, _ in kit.lines.waiting]
     assert events.count("maintenance_failed") == 2
+
+
+def test_a_digest_that_cannot_be_sent_does_not_end_the_exchange():
+    kit = PeersKit(2)
+    sent = []
+
+    def send_digest():
+        sent.append(None)
+        if len(sent) > 1:
+            kit.peers.stopping.set()
+        kit.peers.changed.set()
+        raise OverflowError("a number too large")
+
+    kit.peers._send_digest = send_digest
+    kit.peers.changed.set()
+    kit.peers._send_digests()
+    assert len(sent) == 2
+    assert [event for _, event, _ in kit.lines.waiting].count("digest_failed") == 2
