Reuse no connection after an answer without an id

Such a repeat cannot be told from a genuine answer, so a connection on which an answer had no id serves no further request.

--- a/src/lagoonrill/_internal/transport/endpoint_connection.py
+++ b/src/lagoonrill/_internal/transport/endpoint_connection.py
@@ -151,7 +151,8 @@
         """Returns the head of the response to request `id`.
 
         An endpoint may send a second response to an earlier request. Such a response
-        has a different id and is skipped.
+        has a different id and is skipped; after a response without an id, the
+        connection is not reused.
         """
         interim = others = 0
         while True:
@@ -175,6 +176,9 @@
                 self._skip_response(deadline, caller)
                 continue
             self._update_reuse(head)
+            if id and head.value(id_header) is None:
+                # Sent again later, it could not be told from the next response.
+                self.reusable = False
             return head
 
     def _update_reuse(self, head: ResponseHead) -> None:
--- a/standins/scripted_endpoint.py
+++ b/standins/scripted_endpoint.py
@@ -53,6 +53,8 @@
         self.id = id
         self.script = list(script)
         self.received: list[ReceivedRequest] = []
+        # The connection of each received request.
+        self.received_on: list[socket.socket] = []
         self.runs: list[ReceivedRequest] = []
         self.cancelled = threading.Event()
         # Bytes of endless responses sent before the client closed the connection.
@@ -70,6 +72,7 @@
             while (request := read_request(sock, parser)) is not None:
                 with self.lock:
                     self.received.append(request)
+                    self.received_on.append(sock)
                     number = min(len(self.received), len(self.script)) - 1
                     name = self.script[number]
                 keep_open = BEHAVIOURS[name](sock, request, self)
@@ -203,6 +206,76 @@
     return True
 
 
+def earlier_refusal(endpoint, *, with_id: bool) -> bytes:
+    """Returns the refusal of the first request that the endpoint received."""
+    head = b"HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: 1\r\n"
+    if with_id:
+        first = endpoint.received[0].header("X-Request-Id") or ""
+        head += b"X-Request-Id: " + first.encode() + b"\r\n"
+    return head + b"Content-Length: 4\r\n\r\nfull"
+
+
+@behaviour
+def refused_without_id(sock, request, endpoint) -> bool:
+    sock.sendall(earlier_refusal(endpoint, with_id=False))
+    return True
+
+
+@behaviour
+def refused_twice(sock, request, endpoint) -> bool:
+    """Sends the refusal once more 50 ms later."""
+    refusal = earlier_refusal(endpoint, with_id=True)
+    sock.sendall(refusal)
+    time.sleep(0.05)
+    sock.sendall(refusal)
+    return True
+
+
+@behaviour
+def refused_twice_without_id(sock, request, endpoint) -> bool:
+    """Sends the refusal, which has no id, once more 50 ms later."""
+    refusal = earlier_refusal(endpoint, with_id=False)
+    sock.sendall(refusal)
+    time.sleep(0.05)
+    sock.sendall(refusal)
+    return True
+
+
+@behaviour
+def answer_after_earlier_refusal(sock, request, endpoint) -> bool:
+    """Runs a request; sends the refusal of the first one again, then the answer."""
+    endpoint.record_run(request)
+    sock.sendall(earlier_refusal(endpoint, with_id=True))
+    sock.sendall(encode_response(request, expected_body(request)))
+    return True
+
+
+@behaviour
+def answer_after_earlier_refusal_in_pieces(sock, request, endpoint) -> bool:
+    """The same, with the refusal in two pieces."""
+    endpoint.record_run(request)
+    refusal = earlier_refusal(endpoint, with_id=True)
+    sock.sendall(refusal[:20])
+    time.sleep(0.03)
+    sock.sendall(refusal[20:])
+    sock.sendall(encode_response(request, expected_body(request)))
+    return True
+
+
+@behaviour
+def answer_after_refusal_without_id(sock, request, endpoint) -> bool:
+    """The same, with a refusal that has no id, on a connection used before.
+
+    On a new connection there is no earlier refusal, so only the answer is sent.
+    """
+    endpoint.record_run(request)
+    if sock is endpoint.received_on[0]:
+        sock.sendall(earlier_refusal(endpoint, with_id=False))
+        time.sleep(0.03)
+    sock.sendall(encode_response(request, expected_body(request)))
+    return True
+
+
 @behaviour
 def misdirected(sock, request, endpoint) -> bool:
     sock.sendall(encode_response(request, b"", b"421 Misdirected Request", proof=False))
--- a/tests/test_gateway_sends.py
+++ b/tests/test_gateway_sends.py
@@ -46,6 +46,29 @@
         assert response.getheader("X-Proof") is None
 
 
+# A refusal, and how the endpoint answers the next request on the kept connection.
+REPEATED_REFUSALS = [
+    ("refused_marked", "answer_after_earlier_refusal"),
+    ("refused_marked", "answer_after_earlier_refusal_in_pieces"),
+    ("refused_twice", "answer"),
+    ("refused_without_id", "answer_after_refusal_without_id"),
+    ("refused_twice_without_id", "answer"),
+]
+
+
+@pytest.mark.parametrize("pause_s", [0.0, 0.03, 0.1])
+@pytest.mark.parametrize(("refusal", "answer"), REPEATED_REFUSALS)
+def test_refusal_that_is_written_again_belongs_to_no_later_request(
+    gateway_for, refusal, answer, pause_s
+):
+    gateway, (endpoint,) = gateway_for("app", [refusal, answer])
+    assert gateway.ask("/order/1", id="r1")[0].status == 503
+    time.sleep(pause_s)
+    response, body = gateway.ask("/order/1", id="r2")
+    assert (response.status, body) == (200, b"answer to r2")
+    assert len(endpoint.runs) == 1
+
+
 @pytest.mark.parametrize(
     "name", [name for name in UNSAFE_RESULTS if name not in ("answer", "unframed")]
 )
