Let no answer that is no stream enter a stream that began

Errors with a body, chunked or not, left the stream broken off as they must, but statuses below 500 only because the HTTP library refuses a second head, as an internal error.

--- a/bench/soak/endpoints.py
+++ b/bench/soak/endpoints.py
@@ -10,7 +10,7 @@
 
 from bench.soak.history import LAST_EVENT, History, Run
 from lagoonrill.platform._headers import VOCABULARY
-from standins.scripted_endpoint import chunk, read_request
+from standins.scripted_endpoint import STREAM_HEAD, chunk, read_request
 from standins.threaded_listener import ThreadedListener
 
 EVENT_PAUSE_S = 0.03
@@ -80,7 +80,7 @@
         return failure != "cut"
 
     def _stream(self, sock, head: bytes, after: int, *, cut: bool) -> bool:
-        sock.sendall(head + b"Transfer-Encoding: chunked\r\n\r\n")
+        sock.sendall(head + STREAM_HEAD)
         for number in range(after + 1, LAST_EVENT + 1):
             data = b"id: %d\ndata: token\n\n" % number
             if cut and number > after + 2:
--- a/src/lagoonrill/_internal/coordination/forwarding.py
+++ b/src/lagoonrill/_internal/coordination/forwarding.py
@@ -68,6 +68,7 @@
 # goals; the caller times out after four.
 STALLED_FIRST_EVENT_GOALS = 2.0
 RETRY_AFTER_S = 0.3
+EVENT_STREAM_TYPE = "text/event-stream"
 # An endpoint stops at the time limit that it was given. An answer cut off within this
 # time before the limit does not count as an endpoint failure.
 TIME_LIMIT_SLACK_S = 0.5
@@ -456,6 +457,8 @@
                 return self._handle_whole_answer(sending, record, head, body)
         if not self._is_genuine(head):
             raise EndpointFailure("answer without proof", may_have_run=True)
+        if sending.stream_started and not is_event_stream(head):
+            raise EndpointFailure("no stream: 200", may_have_run=True)
         return self._relay_stream(sending, record, connection, head, on_event)
 
     def _note_limit(
@@ -513,6 +516,9 @@
             )
         if head.status < 300 and not self._is_genuine(head):
             raise EndpointFailure("answer without proof", may_have_run=True)
+        if sending.stream_started:
+            # The caller is in the middle of a stream, which this answer is no part of.
+            return Outcome(reason=f"no stream: {head.status}", may_have_run=True)
         self._note_success(record)
         self._answer(sending, answer)
         return None
@@ -618,6 +624,12 @@
         return new_events
 
 
+def is_event_stream(head: ResponseHead) -> bool:
+    """Returns whether a response says that its body is a stream of events."""
+    media_type, _, _ = (head.value("Content-Type") or "").partition(";")
+    return media_type.strip().lower() == EVENT_STREAM_TYPE
+
+
 def strip_connection_headers(headers: RawHeaders) -> RawHeaders:
     """Returns the headers of an answer without connection headers."""
     return [
--- a/standins/scripted_endpoint.py
+++ b/standins/scripted_endpoint.py
@@ -527,6 +527,50 @@
     return False
 
 
+# Text that a client would take for further events of its stream.
+FOREIGN_EVENT = b"id: 9\ndata: foreign\n\n"
+
+
+def register_whole_answer(name: str, status: bytes, *, chunked: bool, extra=()) -> None:
+    """Registers a behaviour that answers a stream's request with a whole body."""
+
+    def send(sock, request, endpoint) -> bool:
+        endpoint.record_run(request)
+        head = encode_response_head(request, status, extra=extra)
+        if chunked:
+            framed = b"Transfer-Encoding: chunked\r\n\r\n" + chunk(FOREIGN_EVENT)
+            framed += b"0\r\n\r\n"
+        else:
+            framed = b"Content-Length: %d\r\n\r\n" % len(FOREIGN_EVENT)
+            framed += FOREIGN_EVENT
+        sock.sendall(head + framed)
+        return True
+
+    BEHAVIOURS[name] = send
+
+
+WHOLE_ANSWERS = {
+    "200_json": (b"200 OK", (b"Content-Type: application/json",)),
+    "200_untyped": (b"200 OK", ()),
+    "206": (b"206 Partial Content", (b"Content-Type: text/event-stream",)),
+    "302": (b"302 Found", (b"Location: /other",)),
+    "400": (b"400 Bad Request", ()),
+    "404": (b"404 Not Found", ()),
+    "429": (b"429 Too Many Requests", ()),
+    "500": (b"500 Internal Server Error", ()),
+    "503": (b"503 Service Unavailable", ()),
+    "503_not_run": (b"503 Service Unavailable", (b"X-Not-Run: 1",)),
+}
+for answer_name, (answer_status, answer_headers) in WHOLE_ANSWERS.items():
+    for is_chunked in (False, True):
+        register_whole_answer(
+            f"whole_{answer_name}{'_chunked' if is_chunked else ''}",
+            answer_status,
+            chunked=is_chunked,
+            extra=answer_headers,
+        )
+
+
 @behaviour
 def stream_stalls(sock, request, endpoint) -> bool:
     endpoint.record_run(request)
--- a/tests/test_gateway_sends.py
+++ b/tests/test_gateway_sends.py
@@ -8,7 +8,7 @@
 import pytest
 
 from lagoonrill._internal.protocol.refusals import Refusal
-from standins.scripted_endpoint import STREAM_EVENT_COUNT, event
+from standins.scripted_endpoint import STREAM_EVENT_COUNT, WHOLE_ANSWERS, event
 from tests.gateway_kit import config, engine_route, wait_until
 
 # Maps each endpoint behaviour to the status of a request that must not be repeated and
@@ -46,6 +46,19 @@
         assert response.getheader("X-Proof") is None
 
 
+@pytest.mark.parametrize("chunked", ["", "_chunked"])
+@pytest.mark.parametrize("answer", WHOLE_ANSWERS)
+def test_answer_that_is_no_stream_does_not_enter_a_stream_that_began(
+    gateway_for, answer, chunked
+):
+    script = [f"whole_{answer}{chunked}"]
+    gateway, _ = gateway_for("models", ["stream_cut"], script)
+    response, body = gateway.ask("/ask/1")
+    assert response.status == 200
+    assert not response.whole
+    assert body == event(1) + event(2)
+
+
 # A refusal, and how the endpoint answers the next request on the kept connection.
 REPEATED_REFUSALS = [
     ("refused_marked", "answer_after_earlier_refusal"),
