Use no endpoint that says in an answer that it leaves

Answers are now decoded once into a type (answer_signals), and one place acts on them (endpoint_signals): leaving ends the use of this start of the endpoint at once, as strongly as in the store, and outlives lists in which it still stands as ready, a restored store and a late answer; a new start ends it. Peers are told at once, new ones when they appear, also of departures that the store announced: an instance that starts on a restored copy would use them. Weighed: keeping it as the last resort until the bound; a replacement comes first in a release, and the store's announcement is handled like this already.

--- a/bench/soak/endpoints.py
+++ b/bench/soak/endpoints.py
@@ -28,6 +28,8 @@
         self.failure_rate = 0.0
         # Requests per second that all answers name; None to name none.
         self.request_limit: float | None = None
+        # Whether all answers say that the endpoint leaves.
+        self.leaving = False
         self.listener = ThreadedListener(serve=self._serve)
 
     def close(self) -> None:
@@ -59,7 +61,11 @@
         is_stream = request.target.startswith((b"/ask/", b"/plan/"))
         after = int(request.header(VOCABULARY.resume_after) or 0)
         run = Run(
-            request=id, endpoint=self.id, at=time.monotonic(), first_event=after + 1
+            request=id,
+            endpoint=self.id,
+            at=time.monotonic(),
+            first_event=after + 1,
+            says_leaving=self.leaving,
         )
         self.history.add(run)
         if failure == "reset":
@@ -69,6 +75,9 @@
             f"HTTP/1.1 200 OK\r\n{VOCABULARY.request_id}: {id}\r\n"
             f"{VOCABULARY.proof}: proof {id}\r\n"
         ).encode()
+        if run.says_leaving:
+            name, value = VOCABULARY.endpoint_state, VOCABULARY.leaving_state
+            head += f"{name}: {value}\r\n".encode()
         limit = self.request_limit
         if limit is not None:
             head += f"{VOCABULARY.request_limit}: {limit:g}\r\n".encode()
--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -5,7 +5,13 @@
 import time
 
 from bench.soak.environment import GRACE_S, SoakEnvironment
-from bench.soak.history import LIMIT_KNOWN_S, LIMIT_WINDOW_S, STORE, Fault
+from bench.soak.history import (
+    DRAIN_S,
+    LIMIT_KNOWN_S,
+    LIMIT_WINDOW_S,
+    STORE,
+    Fault,
+)
 from lagoonrill._internal.coordination.policy.registry import Registry
 
 FAULTS = Registry(decision="fault")
@@ -260,6 +266,20 @@
         environment.drain_endpoint(target)
 
 
+@FAULTS.register("endpoint_says_it_leaves")
+class EndpointSaysItLeaves(EndpointFault):
+    """An endpoint says in its answers that it leaves, and later in the store."""
+
+    planned = True
+
+    def inject(self, environment: SoakEnvironment, target, seconds: float) -> None:
+        endpoint, _ = environment.endpoints[target]
+        environment.add_endpoint(endpoint.service)
+        endpoint.leaving = True
+        time.sleep(DRAIN_S + seconds)
+        environment.drain_endpoint(target)
+
+
 @FAULTS.register("endpoint_vanishes")
 class EndpointVanishes(EndpointFault):
     """Replaces an endpoint whose entry is removed without a draining state."""
--- a/bench/soak/history.py
+++ b/bench/soak/history.py
@@ -13,6 +13,8 @@
     at: float
     # Number of the first event that this execution sends.
     first_event: int = 1
+    # Whether the answer says that the endpoint leaves.
+    says_leaving: bool = False
 
 
 class Outcome(msgspec.Struct, kw_only=True):
@@ -119,6 +121,8 @@
     (
         "EndpointGrey",
         "EndpointLeaves",
+        "EndpointLimit",
+        "EndpointSaysItLeaves",
         "EndpointVanishes",
         "NewConfiguration",
         "Reload",
@@ -134,6 +138,7 @@
         *check_refusals(history),
         *check_answers(history),
         *check_leaving(history),
+        *check_announced(history),
         *check_limits(history),
         *check_versions(history),
         *check_in_force(history),
@@ -209,6 +214,35 @@
     ]
 
 
+def check_announced(history: History) -> list[str]:
+    """Checks that an endpoint gets nothing from an instance that it told its leaving.
+
+    The time counts from the first whole answer that said so, whatever the store says.
+    A restart or suspension of the instance since then excuses it.
+    """
+    outcomes = {item.request: item for item in history.outcomes}
+    told: dict[tuple[str, str], float] = {}
+    for run in history.runs:
+        outcome = outcomes.get(run.request)
+        if run.says_leaving and outcome is not None and outcome.status == 200:
+            key = outcome.instance, run.endpoint
+            told[key] = min(told.get(key, outcome.ended_at), outcome.ended_at)
+    violations = []
+    for run in history.runs:
+        outcome = outcomes.get(run.request)
+        told_at = told.get((outcome.instance, run.endpoint)) if outcome else None
+        if (
+            told_at is not None
+            and outcome.sent_at > told_at + DRAIN_S
+            and not was_disturbed(history, outcome.instance, told_at, run.at)
+        ):
+            violations.append(
+                f"{run.request} reached {run.endpoint} {run.at - told_at:.2f} s after "
+                f"it had told {outcome.instance} that it leaves"
+            )
+    return violations
+
+
 def check_limits(history: History) -> list[str]:
     """Checks that an endpoint gets no more requests than its limit allows.
 
--- a/src/lagoonrill/_internal/coordination/endpoint_discovery.py
+++ b/src/lagoonrill/_internal/coordination/endpoint_discovery.py
@@ -48,6 +48,9 @@
         self.position = StorePosition()
         # Endpoints that have left, with the time; an older copy may show them again.
         self.departed: dict[tuple[str, int], float] = {}
+        # Endpoints that have announced that they leave, in the store or in an answer,
+        # with the time.
+        self.announced: dict[tuple[str, int], float] = {}
         # Entries of departed endpoints in a restored copy, as they stood there, and the
         # time until which these are believed to have left.
         self.doubted: dict[str, EndpointRecord] = {}
@@ -105,6 +108,59 @@
             new_records=new_records,
         )
 
+    def note_announced(self, endpoint: str, incarnation: int, *, source: str) -> bool:
+        """Records that an endpoint said in an answer that it leaves.
+
+        The source is `answer`, or the peer that received it. It holds whatever the
+        store says, until the endpoint starts again. Returns whether that is new.
+        """
+        key = (endpoint, incarnation)
+        with self.lock:
+            if key in self.announced:
+                return False
+            self._remember(self.announced, key)
+            before = self.registry.records
+            record = before.get(endpoint)
+            is_known = record is not None and record.incarnation == incarnation
+            if is_known and not record.leaving:
+                leaving = msgspec.structs.replace(record, leaving=True)
+                after = before | {endpoint: leaving}
+                self.registry.replace(after, held_until=self.registry.held_until)
+        self.event_log.emit("endpoint_announced", endpoint=endpoint, source=source)
+        if is_known and not record.leaving:
+            self._log_changes(before, after, self.position.revision)
+            self.changed()
+        return True
+
+    def announced_departures(self) -> list[tuple[str, int]]:
+        """Returns the known endpoints that have announced that they leave."""
+        with self.lock:
+            return [
+                (endpoint, incarnation)
+                for endpoint, incarnation in self.announced
+                if (record := self.registry.records.get(endpoint)) is not None
+                and record.incarnation == incarnation
+            ]
+
+    def _remember(self, table: dict, key: tuple[str, int]) -> None:
+        """Adds a key to a table with the time."""
+        table.pop(key, None)
+        table[key] = self.clock()
+        self._forget_old(table)
+
+    def _forget_old(self, table: dict) -> None:
+        """Removes the keys that are too many, or old and of no known endpoint."""
+        oldest = self.clock() - DEPARTED_LIFETIME_S
+        surplus = len(table) - MAX_DEPARTED
+        for number, (key, at) in enumerate(list(table.items())):
+            if number >= surplus and at >= oldest:
+                return
+            endpoint, incarnation = key
+            record = self.registry.records.get(endpoint)
+            is_known = record is not None and record.incarnation == incarnation
+            if number < surplus or not is_known:
+                del table[key]
+
     def snapshot(self) -> tuple[StorePosition, list[EndpointRecord], dict[str, float]]:
         """Returns the position, the endpoints and the remaining hold times.
 
@@ -136,10 +192,7 @@
             if is_restored:
                 hold_until = self.expired_entries.held_after_restore(self.clock())
                 self._doubt_departed(records)
-            after = {
-                record.id: self._with_departure(record, before.get(record.id))
-                for record in records
-            }
+            after = {record.id: self._with_departure(record) for record in records}
             candidates = before | (new_records or {})
             held = self._held(candidates, after, limit, hold_until)
             after |= {endpoint_id: candidates[endpoint_id] for endpoint_id in held}
@@ -153,20 +206,15 @@
         self, before: dict[str, EndpointRecord], after: dict[str, EndpointRecord]
     ) -> None:
         """Remembers the endpoints that are no longer known."""
-        now = self.clock()
         for endpoint_id in before.keys() - after.keys():
             key = endpoint_id, before[endpoint_id].incarnation
-            self.departed.pop(key, None)
-            self.departed[key] = now
+            self._remember(self.departed, key)
+            if key in self.announced:
+                self._remember(self.announced, key)
+        self._forget_old(self.departed)
         for record in after.values():
             if not record.leaving:
                 self.departed.pop((record.id, record.incarnation), None)
-        oldest = now - DEPARTED_LIFETIME_S
-        while self.departed:
-            first = next(iter(self.departed))
-            if self.departed[first] >= oldest and len(self.departed) <= MAX_DEPARTED:
-                break
-            del self.departed[first]
 
     def _doubt_departed(self, records: list[EndpointRecord]) -> None:
         """Doubts the entries of departed endpoints in the list of a restored store.
@@ -181,31 +229,29 @@
         }
         self.doubted_until = self.clock() + RESTORED_ENTRY_S
 
-    def _with_departure(
-        self, record: EndpointRecord, known: EndpointRecord | None
-    ) -> EndpointRecord:
+    def _with_departure(self, record: EndpointRecord) -> EndpointRecord:
         """Returns the record, marked as leaving if its endpoint is known to leave.
 
         A delayed write by the endpoint may reach the store after a newer one and
         overwrite it, or the store comes back from a copy from before the departure.
         """
+        key = (record.id, record.incarnation)
         if record.leaving:
+            if key not in self.announced:
+                self._remember(self.announced, key)
             return record
         doubted = self.doubted.get(record.id)
-        if doubted is not None and doubted != record:
-            del self.doubted[record.id]
-            return record
-        announced = (
-            known is not None
-            and known.leaving
-            and record.incarnation == known.incarnation
-        )
-        if not announced and doubted is None:
+        if key in self.announced:
+            reason = "announced"
+        elif doubted == record:
+            reason = "restored_entry"
+        else:
+            self.doubted.pop(record.id, None)
             return record
         self.event_log.emit(
             "endpoint_stays_leaving",
             endpoint=record.id,
-            reason="announced" if doubted is None else "restored_entry",
+            reason=reason,
             revision=self.position.revision,
         )
         return msgspec.structs.replace(record, leaving=True)
@@ -270,7 +316,9 @@
             trusted, self.doubted = self.doubted, {}
             before = self.registry.records
             after = before | {
-                name: record for name, record in trusted.items() if name in before
+                name: self._with_departure(record)
+                for name, record in trusted.items()
+                if name in before
             }
             self._note_departed(before, after)
             self.registry.replace(after, held_until=self.registry.held_until)
--- a/src/lagoonrill/_internal/coordination/forwarding.py
+++ b/src/lagoonrill/_internal/coordination/forwarding.py
@@ -8,15 +8,13 @@
 import time
 from collections.abc import Callable
 
-import logbook
-
 from ..event_log import EventLog
+from ..protocol.answer_signals import read_signals
 from ..protocol.headers import (
     CONNECTION_HEADERS,
     HeaderNames,
     RawHeaders,
     parse_prompt_parts,
-    parse_request_limit,
 )
 from ..protocol.refusals import Refusal
 from ..protocol.routing import EndpointRecord, RouteKind
@@ -26,7 +24,6 @@
     RawEventSplitter,
     event_id,
 )
-from ..state.endpoint_limits import LimitEvidence
 from ..state.endpoint_registry import EndpointRegistry
 from ..state.gateway_metrics import GatewayMetrics
 from ..transport.caller_connection import CallerConnection
@@ -39,17 +36,15 @@
 )
 from ..transport.sockets import CallerGone
 from .crash_reports import CrashReports
+from .endpoint_signals import EndpointSignals
 from .engine_admission import EngineAdmission
 from .engine_requests import Admission, Generation
 from .policy.shared_retry_budget import SharedRetryBudget
 from .prompt_guard import PromptGuard
 from .routed_request import RoutedRequest
-from .send_permits import SendPermits
 from .sending import Answer, CallerBreak, Outcome, Sending, Silent
 from .service_selection import ServiceSelection
 
-log = logbook.Logger("forwarding")
-
 # Maximum number of failed connection attempts per request; they do not count as sends.
 MAX_CONNECT_FAILURES = 4
 # A request that must not be repeated reuses only a connection that the endpoint cannot
@@ -86,7 +81,7 @@
         registry: EndpointRegistry,
         pool: ConnectionPool,
         admission: EngineAdmission,
-        permits: SendPermits,
+        signals: EndpointSignals,
         crash_reports: CrashReports,
         zone: str,
         budget: SharedRetryBudget,
@@ -100,9 +95,12 @@
         self.registry = registry
         self.pool = pool
         self.admission = admission
-        self.permits = permits
+        self.signals = signals
+        self.permits = signals.permits
         self.prompt_guard = PromptGuard(crash_reports=crash_reports, pool=pool)
-        self.selection = ServiceSelection(zone=zone, registry=registry, permits=permits)
+        self.selection = ServiceSelection(
+            zone=zone, registry=registry, permits=signals.permits
+        )
         self.budget = budget
         self.instances = instances
         # Age and source of the evidence that the endpoint list is current.
@@ -449,7 +447,7 @@
                 id_header=self.header_names.request_id,
                 id=request.id,
             )
-            self._note_limit(record, head, sent_at)
+            self._note_signals(record, head, sent_at)
             if head.status != 200 or request.route.kind is not RouteKind.STREAM:
                 body = connection.read_body(
                     deadline=deadline, caller=sending.caller.sock
@@ -461,28 +459,15 @@
             raise EndpointFailure("no stream: 200", may_have_run=True)
         return self._relay_stream(sending, record, connection, head, on_event)
 
-    def _note_limit(
+    def _note_signals(
         self, record: EndpointRecord, head: ResponseHead, sent_at: float
     ) -> None:
-        """Takes the limit that an answer names; a success without one ends it."""
-        text = head.value(self.header_names.request_limit)
-        limit = None
-        if text is not None:
-            limit = parse_request_limit(text)
-            if limit is None:
-                log.warning("{} names an invalid limit: {!r}", record.id, text[:40])
-                return
-        elif not (200 <= head.status < 300 and self._is_genuine(head)):
-            # Another program may have written the answer.
-            return
-        self.permits.note_answer(
-            LimitEvidence(
-                endpoint=record.id,
-                incarnation=record.incarnation,
-                limit=limit,
-                sent_at=sent_at,
-                received_at=time.monotonic(),
-            )
+        """Takes what the endpoint says of itself in an answer."""
+        self.signals.note_answer(
+            record,
+            read_signals(head.headers, self.header_names),
+            sent_at=sent_at,
+            is_success=200 <= head.status < 300 and self._is_genuine(head),
         )
 
     def _is_genuine(self, head: ResponseHead) -> bool:
--- a/src/lagoonrill/_internal/coordination/gateway_peers.py
+++ b/src/lagoonrill/_internal/coordination/gateway_peers.py
@@ -27,9 +27,9 @@
 from ..transport.peer_link import PeerLink
 from .crash_reports import CrashReports
 from .endpoint_discovery import EndpointDiscovery
+from .endpoint_signals import EndpointSignals
 from .policy.engine_placement import owner_of
 from .routing_catch_up import REVIEW_INTERVAL_S, RoutingCatchUp
-from .send_permits import SendPermits
 from .store_freshness import StoreFreshness
 
 # Changes within this time are batched into one digest.
@@ -87,7 +87,7 @@
         load_table: EngineLoadTable,
         freshness: StoreFreshness,
         crash_reports: CrashReports,
-        permits: SendPermits,
+        signals: EndpointSignals,
         work_changed: Callable[[], None],
         stream_engines: Callable[[], dict[str, int]],
         event_log: EventLog,
@@ -104,8 +104,8 @@
         self.load_table = load_table
         self.freshness = freshness
         self.crash_reports = crash_reports
-        self.permits = permits
-        permits.owners = self
+        self.signals = signals
+        signals.permits.owners = self
         freshness.rank = self.store_rank
         freshness.changed = self._note_evidence
         self.has_new_evidence = threading.Event()
@@ -366,7 +366,7 @@
             addresses = self._live_addresses()
             self.link.send_to(new_peers, self._digest([], now, addresses=addresses))
             self.crash_reports.send_all(new_peers)
-            self.permits.send_all(new_peers)
+            self.signals.send_all(new_peers)
 
     def _digest(
         self,
--- a/src/lagoonrill/_internal/gateway_daemon.py
+++ b/src/lagoonrill/_internal/gateway_daemon.py
@@ -13,6 +13,7 @@
 
 from .coordination.crash_reports import CrashReports
 from .coordination.endpoint_discovery import EndpointDiscovery
+from .coordination.endpoint_signals import EndpointSignals
 from .coordination.engine_admission import EngineAdmission
 from .coordination.forwarding import Forwarder
 from .coordination.gateway_peers import GatewayPeers
@@ -134,6 +135,12 @@
             event_log=self.event_log,
             changed=self._endpoints_changed,
         )
+        self.signals = EndpointSignals(
+            instance=self.settings.instance,
+            permits=self.permits,
+            discovery=self.discovery,
+            link=self.link,
+        )
         self.config_follower = StoreFollower(
             kind="configuration",
             source=source.configs,
@@ -181,7 +188,7 @@
             load_table=self.load_table,
             freshness=self.freshness,
             crash_reports=self.crash_reports,
-            permits=self.permits,
+            signals=self.signals,
             work_changed=self.admission.note_change,
             stream_engines=self.admission.stream_engines,
             event_log=self.event_log,
@@ -202,7 +209,7 @@
             registry=self.registry,
             pool=self.pool,
             admission=self.admission,
-            permits=self.permits,
+            signals=self.signals,
             crash_reports=self.crash_reports,
             zone=settings.zone,
             budget=self.budget,
--- a/src/lagoonrill/_internal/protocol/headers.py
+++ b/src/lagoonrill/_internal/protocol/headers.py
@@ -47,6 +47,9 @@
     proof: str = "X-Proof"
     # Requests per second that an endpoint accepts from all instances together.
     request_limit: str = "X-Request-Limit"
+    # State of an endpoint, and its value, in lower case, if the endpoint shuts down.
+    endpoint_state: str = "X-Endpoint-State"
+    leaving_state: str = "leaving"
     model: str = "X-Model"
     token_usage: str = "X-Tokens"
     prompt_parts: str = "X-Prompt-Parts"
--- a/src/lagoonrill/_internal/protocol/messages.py
+++ b/src/lagoonrill/_internal/protocol/messages.py
@@ -280,6 +280,13 @@
     limits: list[ReportedLimit]
 
 
+class LeavingReport(PeerMessage):
+    """Endpoints, by id and incarnation, that have announced that they shut down."""
+
+    instance: str
+    endpoints: list[tuple[str, int]]
+
+
 class PermitRequest(PeerMessage):
     """Asks the owner of an endpoint with a limit for permits to send requests."""
 
@@ -341,6 +348,7 @@
     | RoutingRequest
     | RoutingReply
     | CrashReport
+    | LeavingReport
     | LimitReport
     | PermitRequest
     | PermitReply
--- a/standins/scripted_endpoint.py
+++ b/standins/scripted_endpoint.py
@@ -506,6 +506,16 @@
     return True
 
 
+@behaviour
+def leaves(sock, request, endpoint) -> bool:
+    """Answers, with a stream of one event, and says that it leaves."""
+    endpoint.record_run(request)
+    leaving = (b"X-Endpoint-State: leaving",)
+    sock.sendall(encode_response_head(request, extra=leaving) + STREAM_HEAD)
+    sock.sendall(chunk(event(1)) + b"0\r\n\r\n")
+    return True
+
+
 @behaviour
 def stream_or_crash(sock, request, endpoint) -> bool:
     """Crashes before the first event if the prompt has the part `poison`."""
--- a/tests/gateway_kit.py
+++ b/tests/gateway_kit.py
@@ -4,8 +4,11 @@
 import time
 
 from lagoonrill._internal.coordination.crash_reports import CrashReports
+from lagoonrill._internal.coordination.endpoint_discovery import EndpointDiscovery
+from lagoonrill._internal.coordination.endpoint_signals import EndpointSignals
 from lagoonrill._internal.coordination.engine_admission import EngineAdmission
 from lagoonrill._internal.coordination.forwarding import Forwarder
+from lagoonrill._internal.coordination.policy.expired_entries import ExpiredEntries
 from lagoonrill._internal.coordination.policy.poison_parts import PoisonParts
 from lagoonrill._internal.coordination.policy.shared_retry_budget import (
     SharedRetryBudget,
@@ -101,6 +104,15 @@
             instance="gateway-test",
             event_log=self.event_log,
         )
+        self.discovery = EndpointDiscovery(
+            registry=self.registry,
+            expired_entries=ExpiredEntries(drain_s=2.0, contact_s=3.0),
+            event_log=self.event_log,
+            changed=lambda: None,
+        )
+        self.signals = EndpointSignals(
+            instance="gateway-test", permits=self.permits, discovery=self.discovery
+        )
         self.admission = EngineAdmission(
             instance="gateway-test",
             zone="a",
@@ -121,7 +133,7 @@
             registry=self.registry,
             pool=self.pool,
             admission=self.admission,
-            permits=self.permits,
+            signals=self.signals,
             crash_reports=self.crash_reports,
             zone="a",
             budget=SharedRetryBudget(ratio=0.2, window_s=10, fixed=retry_fixed),
--- a/tests/test_departures_reach_placement.py
+++ b/tests/test_departures_reach_placement.py
@@ -11,6 +11,7 @@
 
 from lagoonrill._internal.coordination.crash_reports import CrashReports
 from lagoonrill._internal.coordination.endpoint_discovery import EndpointDiscovery
+from lagoonrill._internal.coordination.endpoint_signals import EndpointSignals
 from lagoonrill._internal.coordination.gateway_peers import GatewayPeers
 from lagoonrill._internal.coordination.policy.expired_entries import ExpiredEntries
 from lagoonrill._internal.coordination.policy.poison_parts import PoisonParts
@@ -206,7 +207,10 @@
             crash_reports=CrashReports(
                 parts=PoisonParts(), registry=self.registry, event_log=EventLog()
             ),
-            permits=SendPermits(instance="me", event_log=EventLog()),
+            signals=EndpointSignals(
+                instance="me",
+                permits=SendPermits(instance="me", event_log=EventLog()),
+            ),
             work_changed=lambda: None,
             stream_engines=dict,
             event_log=log,
--- a/tests/test_gateway_peers.py
+++ b/tests/test_gateway_peers.py
@@ -4,6 +4,7 @@
 from returns.result import Failure, Success
 
 from lagoonrill._internal.coordination.crash_reports import CrashReports
+from lagoonrill._internal.coordination.endpoint_signals import EndpointSignals
 from lagoonrill._internal.coordination.gateway_peers import (
     OWNER_BACKOFF_S,
     SMALL_FLEET,
@@ -91,7 +92,10 @@
             crash_reports=CrashReports(
                 parts=PoisonParts(), registry=self.registry, event_log=EventLog()
             ),
-            permits=SendPermits(instance="me", event_log=EventLog()),
+            signals=EndpointSignals(
+                instance="me",
+                permits=SendPermits(instance="me", event_log=EventLog()),
+            ),
             work_changed=lambda: None,
             stream_engines=dict,
             event_log=self.lines,
--- a/tests/test_soak_checkers.py
+++ b/tests/test_soak_checkers.py
@@ -11,6 +11,7 @@
     Probe,
     Run,
     check,
+    check_announced,
 )
 
 
@@ -155,3 +156,23 @@
 )
 def test_a_fault_shortly_before_excuses_an_old_configuration(fault):
     assert check(history_with_denial(fault), ended_at=30.0) == []
+
+
+def test_request_after_its_endpoint_told_the_instance_that_it_leaves():
+    history = History()
+    for number, at in enumerate((1.0, 2.9, 3.2)):
+        request = f"r{number}"
+        history.add(Run(request=request, endpoint="e", at=at, says_leaving=True))
+        history.add(
+            Outcome(
+                request=request,
+                kind="order",
+                instance="g0",
+                sent_at=at,
+                ended_at=at + 0.1,
+                status=200,
+                whole=True,
+            )
+        )
+    # The bound is 2 s from the first answer, at 1.1 s.
+    assert [line.split()[0] for line in check_announced(history)] == ["r2"]
