Send an endpoint nothing while it asks for a pause

Before each send, send_permits asks it, so first sends, repeats, hedges and resumed streams are alike. Requests go elsewhere; if all endpoints of a service pause, those that can finish after the pause wait in their order, the others are refused at once with the time that is left, spread over callers. After a pause one request tries the endpoint, and the others follow after its answer, so that no herd meets it. Peers are not told: the endpoint turned this sender away, and its rule binds this sender only.

--- a/bench/soak/endpoints.py
+++ b/bench/soak/endpoints.py
@@ -8,7 +8,7 @@
 
 import h11
 
-from bench.soak.history import LAST_EVENT, History, Run
+from bench.soak.history import LAST_EVENT, History, PauseRequest, Run
 from lagoonrill.platform._headers import VOCABULARY
 from standins.scripted_endpoint import STREAM_HEAD, chunk, read_request
 from standins.threaded_listener import ThreadedListener
@@ -28,6 +28,8 @@
         self.failure_rate = 0.0
         # Requests per second that all answers name; None to name none.
         self.request_limit: float | None = None
+        # Time for which each turned away sender should wait; 0 to turn none away.
+        self.pause_s = 0.0
         # Whether all answers say that the endpoint leaves.
         self.leaving = False
         self.listener = ThreadedListener(serve=self._serve)
@@ -48,6 +50,17 @@
         if request.header(VOCABULARY.expected_endpoint) != self.id:
             sock.sendall(b"HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n")
             return True
+        if self.pause_s:
+            refusal = PauseRequest(
+                request=id, endpoint=self.id, at=time.monotonic(), pause_s=self.pause_s
+            )
+            self.history.add(refusal)
+            sock.sendall(
+                f"HTTP/1.1 503 Full\r\n{VOCABULARY.not_run}: 1\r\n"
+                f"{VOCABULARY.request_id}: {id}\r\nRetry-After: {self.pause_s:g}\r\n"
+                "Content-Length: 0\r\n\r\n".encode()
+            )
+            return True
         fails = self.rng.random() < self.failure_rate
         failure = self.rng.choice(("refuse", "reset", "cut", "slow")) if fails else ""
         if failure == "refuse":
--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -241,6 +241,17 @@
         endpoint.failure_rate = 0.0
 
 
+@FAULTS.register("endpoint_pauses")
+class EndpointPauses(EndpointFault):
+    """An endpoint turns requests away and asks for a pause that outlasts the fault."""
+
+    def inject(self, environment: SoakEnvironment, target, seconds: float) -> None:
+        endpoint, _ = environment.endpoints[target]
+        endpoint.pause_s = 1.5 * seconds
+        time.sleep(seconds)
+        endpoint.pause_s = 0.0
+
+
 @FAULTS.register("endpoint_limit")
 class EndpointLimit(EndpointFault):
     """An endpoint names a limit on its requests, lowers it, and takes it back."""
--- a/bench/soak/history.py
+++ b/bench/soak/history.py
@@ -66,6 +66,15 @@
     ended_at: float = 0.0
 
 
+class PauseRequest(msgspec.Struct, kw_only=True):
+    """An endpoint turned a request away and asked its sender to wait."""
+
+    request: str
+    endpoint: str
+    at: float
+    pause_s: float
+
+
 class History:
     """Thread-safe record of runs, outcomes, faults, probes, denials and limits."""
 
@@ -77,6 +86,7 @@
         self.probes: list[Probe] = []
         self.denials: list[Denial] = []
         self.limits: list[NamedLimit] = []
+        self.pauses: list[PauseRequest] = []
         # Time at which the store acknowledged each configuration version.
         self.acknowledged: dict[int, float] = {}
         # Time at which the store acknowledged the departure of an endpoint.
@@ -91,6 +101,7 @@
             Probe: self.probes,
             Denial: self.denials,
             NamedLimit: self.limits,
+            PauseRequest: self.pauses,
         }
         with self.lock:
             lists[type(item)].append(item)
@@ -113,6 +124,10 @@
 LIMIT_WINDOW_S = 4.0
 LIMIT_FACTOR = 1.5
 LIMIT_EXTRA = 5
+# After an endpoint has asked an instance to wait, it gets at most this many requests
+# from it between the given time and the end of the pause.
+PAUSE_KNOWN_S = 0.5
+PAUSE_EXTRA = 2
 LAST_EVENT = 6
 # Target name of faults that affect the store for all gateways.
 STORE = "store"
@@ -122,6 +137,7 @@
         "EndpointGrey",
         "EndpointLeaves",
         "EndpointLimit",
+        "EndpointPauses",
         "EndpointSaysItLeaves",
         "EndpointVanishes",
         "NewConfiguration",
@@ -140,6 +156,7 @@
         *check_leaving(history),
         *check_announced(history),
         *check_limits(history),
+        *check_pauses(history),
         *check_versions(history),
         *check_in_force(history),
         *check_planned_stops(history),
@@ -275,6 +292,29 @@
     return violations
 
 
+def check_pauses(history: History) -> list[str]:
+    """Checks that an instance sends an endpoint nothing for as long as that asks."""
+    senders = {item.request: item.instance for item in history.outcomes}
+    arrivals: dict[tuple[str, str], list[float]] = {}
+    for item in (*history.runs, *history.pauses):
+        sender = senders.get(item.request)
+        if sender is not None:
+            arrivals.setdefault((sender, item.endpoint), []).append(item.at)
+    violations = []
+    for asked in history.pauses:
+        sender = senders.get(asked.request)
+        begin, end = asked.at + PAUSE_KNOWN_S, asked.at + asked.pause_s
+        if sender is None or was_disturbed(history, sender, asked.at, end):
+            continue
+        count = sum(begin < at < end for at in arrivals[sender, asked.endpoint])
+        if count > PAUSE_EXTRA:
+            violations.append(
+                f"{asked.endpoint} got {count} requests from {sender} in the pause of "
+                f"{asked.pause_s:g} s that it asked for"
+            )
+    return violations
+
+
 def was_disturbed(history: History, instance: str, since: float, until: float) -> bool:
     """Returns whether a fault of an instance affected a time span."""
     return any(
--- a/src/lagoonrill/_internal/coordination/endpoint_signals.py
+++ b/src/lagoonrill/_internal/coordination/endpoint_signals.py
@@ -9,6 +9,7 @@
 
 import logbook
 
+from ..event_log import EventLog
 from ..protocol.answer_signals import AnswerSignals
 from ..protocol.messages import LeavingReport
 from ..protocol.routing import EndpointRecord
@@ -28,12 +29,14 @@
         *,
         instance: str,
         permits: SendPermits,
+        event_log: EventLog,
         discovery: EndpointDiscovery | None = None,
         link: PeerLink | None = None,
         clock: Callable[[], float] = time.monotonic,
     ):
         self.instance = instance
         self.permits = permits
+        self.event_log = event_log
         self.discovery = discovery
         self.link = link
         self.clock = clock
@@ -54,9 +57,29 @@
         limit; another program may have written an error.
         """
         self._note_limit(record, signals, sent_at, is_success)
+        self._note_pause(record, signals, sent_at, is_success)
         if signals.leaving:
             self._note_leaving(record)
 
+    def _note_pause(
+        self,
+        record: EndpointRecord,
+        signals: AnswerSignals,
+        sent_at: float,
+        is_success: bool,
+    ) -> None:
+        key = (record.id, record.incarnation)
+        if signals.invalid_pause is not None:
+            text = signals.invalid_pause[:40]
+            log.warning("{} names an invalid time to wait: {!r}", record.id, text)
+        if signals.pause_s > 0:
+            self.permits.pauses.begin(*key, signals.pause_s)
+            self.event_log.emit(
+                "endpoint_paused", endpoint=record.id, pause_s=signals.pause_s
+            )
+        elif is_success:
+            self.permits.pauses.end(*key, sent_at=sent_at)
+
     def _note_limit(
         self,
         record: EndpointRecord,
--- a/src/lagoonrill/_internal/coordination/engine_admission.py
+++ b/src/lagoonrill/_internal/coordination/engine_admission.py
@@ -68,6 +68,8 @@
 # times smaller than the limit for the local zone: load updates from other zones are
 # older.
 FAR_DELAY_FACTOR = 2.0
+# Prefill rate assumed while all engines pause, so that waits can be computed.
+MIN_TOKENS_PER_S = 1.0
 # Retry delay for a request that finds no engine at all; by then the instance may have
 # discovered one.
 NO_ENGINE_RETRY_S = 0.5
@@ -236,7 +238,8 @@
         now = self.clock()
         with self.lock:
             line = self.waiting.setdefault(service, [])
-            hopeless = not waiter.view.can_finish(now)
+            earliest = now + self._held_s(self._fleet(service))
+            hopeless = not waiter.view.can_finish(earliest)
             if hopeless and waiter.denials:
                 waiter.move_to(WaiterState.REFUSED)
                 return
@@ -250,7 +253,7 @@
                 fleet = self._fleet(service)
                 if self._try_place(waiter, fleet, now):
                     return
-            if line and hopeless:
+            if (line or earliest > now) and hopeless:
                 waiter.move_to(WaiterState.REFUSED)
                 return
             waiter.move_to(WaiterState.WAITING)
@@ -344,12 +347,13 @@
             now = self.clock()
             waiters = {waiter.view.id: waiter for waiter in line}
             engines = self._fleet(service)
+            earliest = now + self._held_s(engines)
             failed_placements = Counter()
             blocked_rank = LAST_RANK + 1
             for view in self.order.order([item.view for item in line], now):
                 if view.priority >= blocked_rank:
                     continue
-                if not view.can_finish(now):
+                if not view.can_finish(earliest):
                     waiters[view.id].move_to(WaiterState.REFUSED)
                     continue
                 if not self._try_place(waiters[view.id], engines, now):
@@ -494,7 +498,7 @@
         one, it takes requests of any kind, so it belongs to neither group of engines.
         """
         engines = [engine for engine in fleet.ordered if engine not in excluded]
-        limited = self._limited_engines(fleet)
+        limited = self._restricted_engines(fleet)
         free = [engine for engine in engines if engine not in limited]
         trusted = [engine for engine in free if not self.registry.is_suspect(engine)]
         if not limited:
@@ -518,14 +522,23 @@
         ]
         return permitted or far or free, []
 
-    def _limited_engines(self, fleet: Fleet) -> frozenset[str]:
-        """Returns the engines, of all zones, that limit their requests."""
-        if not self.permits.limits.latest:
+    def _held_s(self, fleet: Fleet) -> float:
+        """Returns the time in which no engine of a service takes a request."""
+        if not self.permits.has_restrictions():
+            return 0.0
+        return min(
+            (self.permits.held_for_s(record) for record in fleet.records.values()),
+            default=0.0,
+        )
+
+    def _restricted_engines(self, fleet: Fleet) -> frozenset[str]:
+        """Returns the engines, of all zones, that limit their requests or pause."""
+        if not self.permits.has_restrictions():
             return frozenset()
         return frozenset(
             name
             for name, record in fleet.records.items()
-            if self.permits.limit(record) is not None
+            if self.permits.is_restricted(record)
         )
 
     def _choose(
@@ -555,7 +568,7 @@
         self, job: PromptJob, waiter: Waiter, fleet: Fleet, count: int
     ) -> Shortlist:
         """Returns engines of other zones that are not reserved for streams there."""
-        unwanted = waiter.excluded | waiter.denied_by | self._limited_engines(fleet)
+        unwanted = waiter.excluded | waiter.denied_by | self._restricted_engines(fleet)
         names = [
             name
             for ordered in fleet.far
@@ -641,17 +654,19 @@
     def _tokens_per_s(self, service: str) -> float:
         """Returns this instance's share of the prefill rate for long prompts.
 
-        An engine that limits its requests prefills at most those.
+        An engine that limits its requests prefills at most those, and one that pauses
+        nothing.
         """
         fleet = self._fleet(service)
         rate = self.load_table.prefill_rate(service)
+        restricted = self._restricted_engines(fleet).intersection(fleet.ordered)
         limits = [
             limit
-            for name in self._limited_engines(fleet).intersection(fleet.ordered)
+            for name in restricted
             if (limit := self.permits.limit(fleet.records[name])) is not None
         ]
-        free = len(fleet.ordered) - len(limits)
-        total = rate * max(1, free - 1) if free or not limits else 0.0
+        free = len(fleet.ordered) - len(restricted)
+        total = rate * max(1, free - 1) if free or not restricted else MIN_TOKENS_PER_S
         if limits:
             mean = self._mean_unread_tokens(service)
             total += sum(min(rate, request_rate(limit) * mean) for limit in limits)
--- a/src/lagoonrill/_internal/coordination/forwarding.py
+++ b/src/lagoonrill/_internal/coordination/forwarding.py
@@ -6,6 +6,7 @@
 
 import contextlib
 import time
+import zlib
 from collections.abc import Callable
 
 from ..event_log import EventLog
@@ -191,11 +192,15 @@
                 "endpoint_failed",
                 remedy="The request may have run; check before it is repeated.",
             )
+        ready = self.registry.ready(request.service)
+        held_s = min((self.permits.held_for_s(item) for item in ready), default=0.0)
+        # Callers that wait for the same endpoints do not return at the same moment.
+        spread = zlib.crc32(request.id.encode()) / 2**32
         raise Refusal(
             503,
             "endpoints_unavailable",
             remedy="Retry after the time given.",
-            retry_after_s=RETRY_AFTER_S,
+            retry_after_s=max(RETRY_AFTER_S, held_s * (1 + spread)),
         )
 
     def _send_once(self, sending: Sending) -> Outcome | None:
@@ -465,7 +470,7 @@
         """Takes what the endpoint says of itself in an answer."""
         self.signals.note_answer(
             record,
-            read_signals(head.headers, self.header_names),
+            read_signals(head.status, head.headers, self.header_names),
             sent_at=sent_at,
             is_success=200 <= head.status < 300 and self._is_genuine(head),
         )
--- a/src/lagoonrill/_internal/coordination/send_permits.py
+++ b/src/lagoonrill/_internal/coordination/send_permits.py
@@ -6,6 +6,9 @@
 members may have different owners for a moment; a new owner starts without tokens, and
 the burst is small, so the total stays within the bound. If the owner does not answer,
 an instance uses its equal share until another owner takes over.
+
+An endpoint may also ask this instance alone for a pause. Peers are not told: it turns
+away who overloads it, and names the time by what it knows of that sender.
 """
 
 import threading
@@ -20,6 +23,7 @@
 from ..protocol.messages import LimitReport, PermitReply, PermitRequest, ReportedLimit
 from ..protocol.routing import EndpointRecord
 from ..state.endpoint_limits import EndpointLimits, LimitEvidence
+from ..state.endpoint_pauses import EndpointPauses
 from ..transport.peer_link import PeerLink
 from .policy.request_limits import (
     ASKER_LIFETIME_S,
@@ -108,6 +112,7 @@
         self.link = link
         self.clock = clock
         self.owners: PermitOwners = SingleInstance(instance=instance)
+        self.pauses = EndpointPauses(clock=clock)
         # Called if requests that wait may have become possible.
         self.changed: Callable[[], None] = lambda: None
         # Protects all tables; never held while a peer is asked.
@@ -127,19 +132,37 @@
         """Returns the limit that an endpoint names, or None."""
         return self.limits.limit(record.id, record.incarnation)
 
+    def has_restrictions(self) -> bool:
+        """Returns whether there may be an endpoint with a limit or a pause."""
+        return bool(self.limits.latest or self.pauses.pauses)
+
+    def is_restricted(self, record: EndpointRecord) -> bool:
+        """Returns whether the endpoint has a limit or a pause."""
+        key = (record.id, record.incarnation)
+        return self.limit(record) is not None or key in self.pauses.pauses
+
     def is_held(self, record: EndpointRecord) -> bool:
         """Returns whether the endpoint gets nothing from this instance now."""
-        return self.held_for_s(record) > 0
+        key = (record.id, record.incarnation)
+        return self.held_for_s(record) > 0 or self.pauses.has_trial(*key)
 
     def held_for_s(self, record: EndpointRecord) -> float:
-        """Returns the time until this instance may ask for a permit."""
+        """Returns the time until this instance may send, or ask for a permit."""
+        paused_s = self.pauses.remaining_s(record.id, record.incarnation)
         if self.limit(record) is None:
-            return 0.0
+            return paused_s
         permits = self.permits.get((record.id, record.incarnation))
-        return max(0.0, permits.held_until - self.clock()) if permits else 0.0
+        return max(paused_s, permits.held_until - self.clock()) if permits else paused_s
 
     def take(self, record: EndpointRecord, *, request: str) -> bool:
         """Takes a permit for one send; returns False if there is none now."""
+        if self.pauses.remaining_s(record.id, record.incarnation) > 0:
+            return False
+        if not self._take_permit(record, request=request):
+            return False
+        return self.pauses.take(record.id, record.incarnation)
+
+    def _take_permit(self, record: EndpointRecord, *, request: str) -> bool:
         key = (record.id, record.incarnation)
         if self.limit(record) is None:
             return True
@@ -307,6 +330,7 @@
     def keep_only(self, records: list[EndpointRecord]) -> None:
         """Forgets all other endpoints and incarnations."""
         self.limits.keep_only(records)
+        self.pauses.keep_only(records)
         kept = {(record.id, record.incarnation) for record in records}
         with self.lock:
             for table in (self.permits, self.grants, self.own_shares):
--- a/src/lagoonrill/_internal/coordination/service_selection.py
+++ b/src/lagoonrill/_internal/coordination/service_selection.py
@@ -1,9 +1,9 @@
 """Selects the endpoint of a plain service for a call, which may wait for a permit.
 
-Load pattern: all endpoints of a service limit their requests, and more calls arrive
-than they take. Calls wait in the order of their urgency, as long as they can still
-finish in time; the others are refused at once with the time at which a permit can be
-expected.
+Load pattern: all endpoints of a service limit their requests or ask for a pause, and
+more calls arrive than they take. Calls wait in the order of their urgency, as long as
+they can still finish in time; the others are refused at once with the time at which an
+endpoint can be expected to take them.
 """
 
 import bisect
@@ -76,14 +76,16 @@
     def _check_wait(self, sending: Sending, place: Place) -> None:
         """Refuses a call that cannot finish in time after its expected wait."""
         request = sending.request
-        rate = self.permits.rate_per_s(self._untried(sending))
-        expected_s = self._ahead(request.service, place) / rate if rate else 0.0
+        untried = self._untried(sending)
+        held_s = min((self.permits.held_for_s(r) for r in untried), default=0.0)
+        rate = self.permits.rate_per_s(untried)
+        queue_s = self._ahead(request.service, place) / rate if rate else 0.0
+        expected_s = max(held_s, queue_s)
         latest_start = request.deadline - request.route.goal_s
         if time.monotonic() + expected_s <= latest_start:
             return
-        held_s = min(self.permits.held_for_s(r) for r in self._untried(sending))
         spread = zlib.crc32(request.id.encode()) / 2**32
-        wait_s = max(held_s, expected_s, POLL_INTERVAL_S) * (1 + spread)
+        wait_s = max(expected_s, POLL_INTERVAL_S) * (1 + spread)
         raise Refusal(
             503,
             "endpoints_limited",
@@ -111,7 +113,7 @@
                 return record
 
     def _is_callable(self, record: EndpointRecord, is_first: bool) -> bool:
-        if self.permits.limit(record) is None:
+        if not self.permits.is_restricted(record):
             return True
         return is_first and not self.permits.is_held(record)
 
--- a/src/lagoonrill/_internal/gateway_daemon.py
+++ b/src/lagoonrill/_internal/gateway_daemon.py
@@ -138,6 +138,7 @@
         self.signals = EndpointSignals(
             instance=self.settings.instance,
             permits=self.permits,
+            event_log=self.event_log,
             discovery=self.discovery,
             link=self.link,
         )
@@ -255,6 +256,9 @@
         self.metrics.register_gauge(
             "endpoints_with_limit", lambda: len(self.permits.limits.named())
         )
+        self.metrics.register_gauge(
+            "endpoints_paused", lambda: len(self.permits.pauses.pauses)
+        )
         self.metrics.register_gauge("limited_sends_total", lambda: self.permits.sent)
         self.metrics.register_gauge(
             "limited_sends_held_back_total", lambda: self.permits.held_back
@@ -343,6 +347,7 @@
             "engines": self.load_table.dump(),
             "peers": self.peers.dump(),
             "limits": self.permits.dump(),
+            "pauses": self.permits.pauses.dump(),
             "poison_parts": self.crash_reports.parts.dump(),
             "retry_budget": self.budget.dump(),
             "threads": threading.active_count(),
--- a/src/lagoonrill/_internal/protocol/headers.py
+++ b/src/lagoonrill/_internal/protocol/headers.py
@@ -116,12 +116,12 @@
     return int(text) or None
 
 
-def parse_request_limit(text: str) -> float | None:
-    """Parses a decimal number of requests per second; returns None if it is invalid.
+def parse_decimal(text: str) -> float | None:
+    """Parses a decimal number that is not negative; returns None if it is invalid.
 
-    >>> parse_request_limit("2.3"), parse_request_limit("0"), parse_request_limit("-1")
+    >>> parse_decimal("2.3"), parse_decimal("0"), parse_decimal("-1")
     (2.3, 0.0, None)
-    >>> parse_request_limit("NaN"), parse_request_limit("1e3"), parse_request_limit("")
+    >>> parse_decimal("NaN"), parse_decimal("1e3"), parse_decimal("")
     (None, None, None)
     """
     if len(text) > MAX_DECIMAL_CHARACTERS or not _DECIMAL.fullmatch(text.strip()):
--- a/standins/scripted_endpoint.py
+++ b/standins/scripted_endpoint.py
@@ -221,6 +221,15 @@
     return True
 
 
+@behaviour
+def paused(sock, request, endpoint) -> bool:
+    """Turns the request away and wants nothing for half a second."""
+    extra = (b"X-Not-Run: 1", b"Retry-After: 0.5")
+    status = b"503 Service Unavailable"
+    sock.sendall(encode_response(request, b"", status, proof=False, extra=extra))
+    return True
+
+
 @behaviour
 def refused_twice(sock, request, endpoint) -> bool:
     """Sends the refusal once more 50 ms later."""
--- a/tests/gateway_kit.py
+++ b/tests/gateway_kit.py
@@ -111,7 +111,10 @@
             changed=lambda: None,
         )
         self.signals = EndpointSignals(
-            instance="gateway-test", permits=self.permits, discovery=self.discovery
+            instance="gateway-test",
+            permits=self.permits,
+            event_log=self.event_log,
+            discovery=self.discovery,
         )
         self.admission = EngineAdmission(
             instance="gateway-test",
--- a/tests/test_departures_reach_placement.py
+++ b/tests/test_departures_reach_placement.py
@@ -210,6 +210,7 @@
             signals=EndpointSignals(
                 instance="me",
                 permits=SendPermits(instance="me", event_log=EventLog()),
+                event_log=EventLog(),
             ),
             work_changed=lambda: None,
             stream_engines=dict,
--- a/tests/test_endpoint_signals.py
+++ b/tests/test_endpoint_signals.py
@@ -68,6 +68,7 @@
         self.signals = EndpointSignals(
             instance=name,
             permits=SendPermits(instance=name, event_log=self.log),
+            event_log=self.log,
             discovery=self.discovery,
             link=self.link,
             clock=lambda: self.now,
--- a/tests/test_soak_checkers.py
+++ b/tests/test_soak_checkers.py
@@ -8,10 +8,12 @@
     Fault,
     History,
     Outcome,
+    PauseRequest,
     Probe,
     Run,
     check,
     check_announced,
+    check_pauses,
 )
 
 
@@ -176,3 +178,29 @@
         )
     # The bound is 2 s from the first answer, at 1.1 s.
     assert [line.split()[0] for line in check_announced(history)] == ["r2"]
+
+
+def test_requests_in_a_pause_are_a_violation():
+    history = History()
+    for number, at in enumerate((1.0, 1.4, 1.6, 1.7, 1.8, 3.1)):
+        request = f"r{number}"
+        item = (
+            PauseRequest(request=request, endpoint="e", at=at, pause_s=2.0)
+            if number == 0
+            else Run(request=request, endpoint="e", at=at)
+        )
+        history.add(item)
+        history.add(
+            Outcome(
+                request=request,
+                kind="order",
+                instance="g0",
+                sent_at=at,
+                ended_at=at + 0.1,
+                status=200,
+                whole=True,
+            )
+        )
+    assert "e got 3 requests from g0" in check_pauses(history)[0]
+    history.runs.pop(1)
+    assert check_pauses(history) == []
