Let a change of faults end a pending step of the stand-in engine

Cause, shown by force: the stand-in's decode step keeps the speed that it began with.

Change: a pending step is dropped when the faults change, and a stream joins the step after its prefill, as in continuous batching. The checks are unchanged.

--- a/standins/engine.py
+++ b/standins/engine.py
@@ -237,6 +237,7 @@
 
     def __init__(self, *, arguments):
         super().__init__(faults=EngineFaults(), threads=arguments.threads)
+        self.faults_changed = threading.Event()
         self.arguments = arguments
         self.latency = ZoneLatency(
             zone=arguments.zone, one_way_ms=arguments.zone_latency_ms
@@ -269,7 +270,9 @@
     def set_faults(self, request: Request) -> Response:
         """Sets faults and ends the downtime after a crash."""
         self.down_until = 0.0
-        return super().set_faults(request)
+        response = super().set_faults(request)
+        self.faults_changed.set()
+        return response
 
     def handle(self, request: Request) -> Response:
         """Applies connection-level faults, then handles the request."""
@@ -331,25 +334,36 @@
             self.running.append(stream)
 
     def generate(self) -> None:
-        """Runs the decode loop; a step adds a token to each prefilled stream."""
+        """Runs the decode loop; a step adds a token to each prefilled stream.
+
+        A step that is pending when the faults change is dropped: it would have the
+        speed of the faults before.
+        """
         next_step = time.monotonic()
         while True:
+            began_at = next_step
             step_s = self.arguments.token_ms / 1e3 * self.faults.straggler
             next_step = max(next_step + step_s, time.monotonic())
-            time.sleep(max(0.0, next_step - time.monotonic()))
+            if self.faults_changed.wait(max(0.0, next_step - time.monotonic())):
+                self.faults_changed.clear()
+                next_step = time.monotonic()
+                continue
             if self.faults.freeze:
                 continue
             with self.lock:
-                self.step(time.monotonic())
+                self.step(time.monotonic(), began_at=began_at)
                 self.sample_load(time.monotonic())
 
-    def step(self, now: float) -> None:
-        """Runs one decode step and cancels streams without readers after `grace_s`."""
+    def step(self, now: float, *, began_at: float) -> None:
+        """Runs one decode step and cancels streams without readers after `grace_s`.
+
+        Streams that were prefilled during the step join the next one.
+        """
         grace_s = self.arguments.grace_s
         for stream in self.running:
             if not stream.readers and now - stream.unread_since > grace_s:
                 stream.cancel()
-            elif stream.ready_at <= now and not stream.ended:
+            elif stream.ready_at <= began_at and not stream.ended:
                 stream.advance()
         crash_at = self.faults.crash_after_tokens
         if crash_at and any(s.count >= crash_at for s in self.running):
