Hold no lock while an owner is asked, and log limits in one layer

The table of limits imported the event log as the only module of its layer; it returns the change, and send_permits logs it.

--- a/src/lagoonrill/_internal/coordination/send_permits.py
+++ b/src/lagoonrill/_internal/coordination/send_permits.py
@@ -84,11 +84,11 @@
 class Permits:
     """Permits for one endpoint that this instance may use."""
 
-    __slots__ = ("ask_lock", "count", "expire_at", "held_until")
+    __slots__ = ("asking", "count", "expire_at", "held_until")
 
     def __init__(self):
-        # Held while the owner is asked, so that one thread asks at a time.
-        self.ask_lock = threading.Lock()
+        # Whether a thread waits for the owner's answer.
+        self.asking = False
         self.count = 0
         self.expire_at = 0.0
         # Time until which nothing is sent, because there was no permit.
@@ -107,7 +107,7 @@
         clock: Callable[[], float] = time.monotonic,
     ):
         self.instance = instance
-        self.limits = EndpointLimits(event_log=event_log)
+        self.limits = EndpointLimits()
         self.event_log = event_log
         self.link = link
         self.clock = clock
@@ -144,7 +144,10 @@
     def is_held(self, record: EndpointRecord) -> bool:
         """Returns whether the endpoint gets nothing from this instance now."""
         key = (record.id, record.incarnation)
-        return self.held_for_s(record) > 0 or self.pauses.has_trial(*key)
+        if self.held_for_s(record) > 0 or self.pauses.has_trial(*key):
+            return True
+        permits = self.permits.get(key)
+        return permits is not None and permits.asking
 
     def held_for_s(self, record: EndpointRecord) -> float:
         """Returns the time until this instance may send, or ask for a permit."""
@@ -164,21 +167,27 @@
 
     def _take_permit(self, record: EndpointRecord, *, request: str) -> bool:
         key = (record.id, record.incarnation)
-        if self.limit(record) is None:
+        evidence = self.limits.latest.get(key)
+        if evidence is None or evidence.limit is None:
             return True
         with self.lock:
             permits = self.permits.setdefault(key, Permits())
-        with permits.ask_lock:
-            evidence = self.limits.latest.get(key)
-            if evidence is None or evidence.limit is None or self._use(permits):
+            if self._use(permits):
                 return True
-            if permits.held_until > self.clock():
+            # One thread asks at a time; the answer decides for the others too.
+            if permits.asking or permits.held_until > self.clock():
                 return False
+            permits.asking = True
+        try:
             owner, reply = self._ask(record, evidence)
-            with self.lock:
-                permits.count = reply.granted
-                permits.expire_at = self.clock() + PERMIT_LIFETIME_S
-            if self.limit(record) is None or self._use(permits):
+        except BaseException:
+            permits.asking = False
+            raise
+        with self.lock:
+            permits.asking = False
+            permits.count = reply.granted
+            permits.expire_at = self.clock() + PERMIT_LIFETIME_S
+            if self._use(permits):
                 return True
             permits.held_until = self.clock() + reply.pause_s
             self.held_back += 1
@@ -193,12 +202,12 @@
         return False
 
     def _use(self, permits: Permits) -> bool:
-        with self.lock:
-            if permits.count <= 0 or permits.expire_at < self.clock():
-                return False
-            permits.count -= 1
-            self.sent += 1
-            return True
+        """Uses one permit, if there is one; the lock must be held."""
+        if permits.count <= 0 or permits.expire_at < self.clock():
+            return False
+        permits.count -= 1
+        self.sent += 1
+        return True
 
     def _ask(
         self, record: EndpointRecord, evidence: LimitEvidence
@@ -270,10 +279,7 @@
 
     def note_answer(self, evidence: LimitEvidence) -> None:
         """Takes what an answer says, and tells all peers if the limit changed."""
-        if not self.limits.note(evidence, source="answer"):
-            return
-        self._limit_changed(evidence.key)
-        if self.link is not None:
+        if self._note(evidence, source="answer") and self.link is not None:
             self._report([evidence], self.link.addresses())
 
     def _report(self, found: list[LimitEvidence], addresses: set[str]) -> None:
@@ -302,15 +308,26 @@
             sent_at=now - limit.sent_age_s,
             received_at=now - limit.received_age_s,
         )
-        if self.limits.note(evidence, source=peer):
-            self._limit_changed(evidence.key)
+        self._note(evidence, source=peer)
 
-    def _limit_changed(self, key: Key) -> None:
+    def _note(self, evidence: LimitEvidence, *, source: str) -> bool:
+        """Takes evidence about a limit; returns whether that changed."""
+        change = self.limits.note(evidence)
+        if change is None:
+            return False
+        self.event_log.emit(
+            "endpoint_limit",
+            endpoint=evidence.endpoint,
+            limit=change.after,
+            before=change.before,
+            source=source,
+        )
         with self.lock:
-            permits = self.permits.get(key)
+            permits = self.permits.get(evidence.key)
             if permits is not None:
                 permits.held_until = 0.0
         self.changed()
+        return True
 
     def _reported(self, evidence: LimitEvidence, now: float) -> ReportedLimit:
         return ReportedLimit(
--- a/src/lagoonrill/_internal/state/endpoint_limits.py
+++ b/src/lagoonrill/_internal/state/endpoint_limits.py
@@ -10,7 +10,6 @@
 
 import msgspec
 
-from ..event_log import EventLog
 from ..protocol.routing import EndpointRecord
 
 
@@ -31,22 +30,28 @@
         return self.endpoint, self.incarnation
 
 
+class LimitChange(msgspec.Struct, kw_only=True, frozen=True):
+    """Change of the limit of an endpoint; None stands for no limit."""
+
+    before: float | None
+    after: float | None
+
+
 class EndpointLimits:
     """The latest evidence about the limit of each endpoint; thread-safe.
 
-    >>> limits = EndpointLimits(event_log=EventLog())
+    >>> limits = EndpointLimits()
     >>> named = LimitEvidence(
     ...     endpoint="e", incarnation=1, limit=2.0, sent_at=5.0, received_at=6.0
     ... )
-    >>> limits.note(named, source="answer")
-    True
+    >>> limits.note(named)
+    LimitChange(before=None, after=2.0)
     >>> late = msgspec.structs.replace(named, limit=None, sent_at=4.0, received_at=7.0)
-    >>> limits.note(late, source="answer"), limits.limit("e", 1)
-    (False, 2.0)
+    >>> limits.note(late), limits.limit("e", 1)
+    (None, 2.0)
     """
 
-    def __init__(self, *, event_log: EventLog):
-        self.event_log = event_log
+    def __init__(self):
         self.lock = threading.Lock()
         # Also holds ended limits, so that a late answer does not restore them.
         self.latest: dict[tuple[str, int], LimitEvidence] = {}
@@ -56,28 +61,21 @@
         found = self.latest.get((endpoint, incarnation))
         return found.limit if found is not None else None
 
-    def note(self, evidence: LimitEvidence, *, source: str) -> bool:
-        """Takes the evidence of an answer; returns whether the limit changed.
+    def note(self, evidence: LimitEvidence) -> LimitChange | None:
+        """Takes the evidence of an answer; returns the change of the limit, if any.
 
         If two answers overlap in time, the lower limit applies until a later answer.
         """
         with self.lock:
             known = self.latest.get(evidence.key)
             if known is None and evidence.limit is None:
-                return False
+                return None
             merged = evidence if known is None else merge_evidence(known, evidence)
             self.latest[evidence.key] = merged
         before = known.limit if known is not None else None
         if merged.limit == before:
-            return False
-        self.event_log.emit(
-            "endpoint_limit",
-            endpoint=evidence.endpoint,
-            limit=merged.limit,
-            before=before,
-            source=source,
-        )
-        return True
+            return None
+        return LimitChange(before=before, after=merged.limit)
 
     def named(self) -> list[LimitEvidence]:
         """Returns the evidence of all limits that apply."""
--- a/tests/test_endpoint_limits.py
+++ b/tests/test_endpoint_limits.py
@@ -2,7 +2,6 @@
 
 import pytest
 
-from lagoonrill._internal.event_log import EventLog
 from lagoonrill._internal.state.endpoint_limits import EndpointLimits, LimitEvidence
 
 
@@ -10,8 +9,8 @@
     """Takes answers of one endpoint."""
 
     def __init__(self):
-        self.log = EventLog()
-        self.limits = EndpointLimits(event_log=self.log)
+        self.limits = EndpointLimits()
+        self.changes = []
 
     def note(self, limit, *, sent_at, received_at, incarnation=1) -> float | None:
         evidence = LimitEvidence(
@@ -21,7 +20,9 @@
             sent_at=sent_at,
             received_at=received_at,
         )
-        self.limits.note(evidence, source="answer")
+        change = self.limits.note(evidence)
+        if change is not None:
+            self.changes.append(change.after)
         return self.limits.limit("e", incarnation)
 
 
@@ -35,8 +36,7 @@
     assert answers.note(2.0, sent_at=2, received_at=3) == 2.0
     assert answers.note(5.0, sent_at=3, received_at=4) == 5.0
     assert answers.note(None, sent_at=4, received_at=5) is None
-    lines = [fields["limit"] for _, _, fields in answers.log.waiting]
-    assert lines == [2.0, 5.0, None]
+    assert answers.changes == [2.0, 5.0, None]
 
 
 def test_earlier_answer_that_arrives_late_neither_ends_nor_restores_a_limit(answers):
