--- a/standins/scripted_endpoint.py
+++ b/standins/scripted_endpoint.py
@@ -535,6 +535,38 @@
     return False
 
 
+@behaviour
+def answer_or_crash(sock, request, endpoint) -> bool:
+    """Crashes before the answer if the body contains `deadly`."""
+    if b"deadly" not in request.body:
+        return answer(sock, request, endpoint)
+    endpoint.record_run(request)
+    endpoint.close()
+    return False
+
+
+@behaviour
+def stream_or_crash_by_body(sock, request, endpoint) -> bool:
+    """Crashes before the first event if the body contains `deadly`."""
+    if b"deadly" not in request.body:
+        return stream(sock, request, endpoint)
+    endpoint.record_run(request)
+    endpoint.close()
+    return False
+
+
+@behaviour
+def stream_or_crash_late(sock, request, endpoint) -> bool:
+    """Crashes after the first event if the body contains `deadly`."""
+    if b"deadly" not in request.body:
+        return stream(sock, request, endpoint)
+    endpoint.record_run(request)
+    head = encode_response_head(request) + STREAM_HEAD
+    sock.sendall(head + chunk(event(first_event_number(request))))
+    endpoint.close()
+    return False
+
+
 @behaviour
 def stream_cut(sock, request, endpoint) -> bool:
     """Closes the connection in the middle of the third event."""
