Name repeats of a request by a digest in the log line of a failed send

The digest is keyed by the team and covers method, host, target and body; headers change with each attempt.

--- a/src/lagoonrill/_internal/coordination/forwarding.py
+++ b/src/lagoonrill/_internal/coordination/forwarding.py
@@ -140,6 +140,7 @@
             route=sending.request.route.name,
             endpoint=sending.endpoint,
             begun=sending.begun,
+            fingerprint=sending.fingerprint,
             parts=sending.shared_parts,
             reason=outcome.reason,
             may_have_run=outcome.may_have_run,
--- a/src/lagoonrill/_internal/coordination/routed_request.py
+++ b/src/lagoonrill/_internal/coordination/routed_request.py
@@ -1,5 +1,7 @@
 """Resolves the route, team and time limit of an incoming request."""
 
+import hashlib
+
 import msgspec
 
 from ..protocol.headers import (
@@ -17,6 +19,7 @@
 # Subtracted from the remaining time sent to the endpoint, for the network round trip.
 TIME_LIMIT_MARGIN_S = 0.005
 MIN_TIME_LIMIT_MS = 1
+FINGERPRINT_BYTES = 16
 
 
 class RoutedRequest(msgspec.Struct, kw_only=True):
@@ -41,6 +44,22 @@
     def header(self, name: str) -> str | None:
         return first_value(self.incoming.headers, name)
 
+    def fingerprint(self) -> str:
+        """Returns a digest that is the same for repeats of a request, and only for it.
+
+        Headers are left out, since some change with each attempt. The team is the key,
+        so that no caller can name the request of another team.
+        """
+        incoming = self.incoming
+        host = (first_value(incoming.headers, "Host") or "").lower()
+        team = (self.team or "").encode()
+        key = hashlib.blake2b(team, digest_size=hashlib.blake2b.MAX_KEY_SIZE).digest()
+        digest = hashlib.blake2b(key=key, digest_size=FINGERPRINT_BYTES)
+        for part in (incoming.method, host.encode(), incoming.target, incoming.body):
+            digest.update(len(part).to_bytes(8, "big"))
+            digest.update(part)
+        return digest.hexdigest()
+
     def headers_for(
         self, header_names: HeaderNames, *, endpoint: str, now: float
     ) -> RawHeaders:
--- a/src/lagoonrill/_internal/coordination/sending.py
+++ b/src/lagoonrill/_internal/coordination/sending.py
@@ -1,5 +1,6 @@
 """State of one request across all send attempts, and how an attempt can end."""
 
+import functools
 import time
 
 import msgspec
@@ -60,6 +61,11 @@
         # Address of an engine that has a part of the prompt cached.
         self.copy_from: str | None = None
 
+    @functools.cached_property
+    def fingerprint(self) -> str:
+        """Digest of the request, the same for its repeats; takes time for each byte."""
+        return self.request.fingerprint()
+
     def note_event(self) -> None:
         """Records the time of events that are relayed to the caller."""
         now = time.monotonic()
