Name the evidence of crashes after what it is, not after prompts

poison_parts, poison_findings and prompt_guard become crash_evidence, crash_findings and crash_guard, as they will hold suspects that are no parts of prompts.

--- a/src/lagoonrill/_internal/coordination/poison_findings.py
+++ b/src/lagoonrill/_internal/coordination/crash_findings.py
@@ -16,7 +16,7 @@
 
 from ..event_log import EventLog
 from ..protocol.errors import StoreError
-from .policy.poison_parts import EVIDENCE_LIFETIME_S, PoisonParts
+from .policy.crash_evidence import EVIDENCE_LIFETIME_S, CrashEvidence
 
 # Pause after a failed call to the store, which counts every call.
 RETRY_PAUSE_S = 2.0
@@ -26,7 +26,7 @@
 MAX_WAITING = 200
 
 
-class PoisonFinding(msgspec.Struct, kw_only=True, frozen=True):
+class CrashFinding(msgspec.Struct, kw_only=True, frozen=True):
     """Parts of prompts that together crash the engines of a service."""
 
     service: str
@@ -39,14 +39,14 @@
 class FindingStore(Protocol):
     """Findings in the store; `add` and `remove` may be repeated."""
 
-    def list(self) -> Result[list[PoisonFinding], StoreError]: ...
+    def list(self) -> Result[list[CrashFinding], StoreError]: ...
 
-    def add(self, finding: PoisonFinding) -> Result[object, StoreError]: ...
+    def add(self, finding: CrashFinding) -> Result[object, StoreError]: ...
 
-    def remove(self, finding: PoisonFinding) -> Result[object, StoreError]: ...
+    def remove(self, finding: CrashFinding) -> Result[object, StoreError]: ...
 
 
-class PoisonFindings:
+class CrashFindings:
     """Reads findings at the start and after crashes, and writes new ones.
 
     One thread makes the calls, so that no request waits for the store.
@@ -56,7 +56,7 @@
         self,
         *,
         store: FindingStore,
-        parts: PoisonParts,
+        parts: CrashEvidence,
         event_log: EventLog,
         wall_clock: Callable[[], float] = time.time,
         clock: Callable[[], float] = time.monotonic,
@@ -89,14 +89,14 @@
 
     def add(self, service: str, parts: list[str]) -> None:
         """Writes a finding of this instance."""
-        finding = PoisonFinding(
+        finding = CrashFinding(
             service=service, parts=tuple(sorted(parts)), found_at=self.wall_clock()
         )
         self._enqueue(lambda: self.store.add(finding))
 
     def remove(self, service: str, parts: list[str]) -> None:
         """Removes a finding that an answer has shown to be wrong."""
-        finding = PoisonFinding(
+        finding = CrashFinding(
             service=service, parts=tuple(sorted(parts)), found_at=0.0
         )
         self._enqueue(lambda: self.store.remove(finding))
@@ -111,7 +111,7 @@
             return result
         stored = {(finding.service, finding.parts) for finding in result.unwrap()}
         for service, parts, age_s in self.parts.refused_groups():
-            finding = PoisonFinding(
+            finding = CrashFinding(
                 service=service,
                 parts=tuple(parts),
                 found_at=self.wall_clock() - age_s,
--- a/src/lagoonrill/_internal/coordination/prompt_guard.py
+++ b/src/lagoonrill/_internal/coordination/crash_guard.py
@@ -13,7 +13,7 @@
 CONNECTION_REFUSED = f"connect: {ConnectionRefusedError.__name__}"
 
 
-class PromptGuard:
+class CrashGuard:
     """Checks the prompts of requests before and after they are sent to engines."""
 
     def __init__(self, *, crash_reports: CrashReports, pool: ConnectionPool):
--- a/src/lagoonrill/_internal/coordination/crash_reports.py
+++ b/src/lagoonrill/_internal/coordination/crash_reports.py
@@ -1,6 +1,6 @@
 """Shares crashes of engines among the instances, with the prompts that may cause them.
 
-The policy `poison_parts` decides which prompts are refused. Reports are sent to all
+The policy `crash_evidence` decides which prompts are refused. Reports are sent to all
 peers at once, and to new peers when they appear. Each instance also avoids an engine
 whose crash another one reports.
 """
@@ -13,8 +13,8 @@
 from ..protocol.routing import EndpointRecord, PromptPart
 from ..state.endpoint_registry import EndpointRegistry
 from ..transport.peer_link import PeerLink
-from .poison_findings import PoisonFindings
-from .policy.poison_parts import PoisonParts
+from .crash_findings import CrashFindings
+from .policy.crash_evidence import CrashEvidence
 
 
 class CrashReports:
@@ -23,11 +23,11 @@
     def __init__(
         self,
         *,
-        parts: PoisonParts,
+        parts: CrashEvidence,
         registry: EndpointRegistry,
         event_log: EventLog,
         link: PeerLink | None = None,
-        findings: PoisonFindings | None = None,
+        findings: CrashFindings | None = None,
         clock: Callable[[], float] = time.monotonic,
     ):
         self.parts = parts
--- a/src/lagoonrill/_internal/coordination/forwarding.py
+++ b/src/lagoonrill/_internal/coordination/forwarding.py
@@ -36,12 +36,12 @@
     ResponseHead,
 )
 from ..transport.sockets import CallerGone
+from .crash_guard import CrashGuard
 from .crash_reports import CrashReports
 from .endpoint_signals import EndpointSignals
 from .engine_admission import EngineAdmission
 from .engine_requests import Admission, Generation
 from .policy.shared_retry_budget import SharedRetryBudget
-from .prompt_guard import PromptGuard
 from .routed_request import RoutedRequest
 from .sending import Answer, CallerBreak, Outcome, Sending, Silent
 from .service_selection import ServiceSelection
@@ -98,7 +98,7 @@
         self.admission = admission
         self.signals = signals
         self.permits = signals.permits
-        self.prompt_guard = PromptGuard(crash_reports=crash_reports, pool=pool)
+        self.crash_guard = CrashGuard(crash_reports=crash_reports, pool=pool)
         self.selection = ServiceSelection(
             zone=zone, registry=registry, permits=signals.permits
         )
@@ -225,7 +225,7 @@
         )
         sending.shared_parts = [part.id for part in generation.parts[:-1]]
         try:
-            self.prompt_guard.check(sending)
+            self.crash_guard.check(sending)
             admission = self.admission.admit(
                 generation,
                 excluded=frozenset(sending.tried),
@@ -271,7 +271,7 @@
         self, sending: Sending, admission: Admission, generation: Generation
     ) -> None:
         if not sending.begun:
-            self.prompt_guard.note_begun(sending)
+            self.crash_guard.note_begun(sending)
         self.admission.started(admission, generation)
 
     def _log_placed(
@@ -314,7 +314,7 @@
             if not self.registry.takes_work(record):
                 return Outcome(reason="endpoint_left", may_have_run=False)
             # The request may have waited while its prompt was found to crash engines.
-            if self.prompt_guard.is_refused(sending):
+            if self.crash_guard.is_refused(sending):
                 return Outcome(reason="prompt_crashes_engines", may_have_run=False)
             if sending.sends == 0:
                 self.budget.note_request(request.service)
@@ -322,7 +322,7 @@
             self._transmit(sending, record, connection)
             return self._receive(sending, record, connection, on_event)
         except EndpointFailure as failure:
-            self.prompt_guard.note_failure(sending, record, failure)
+            self.crash_guard.note_failure(sending, record, failure)
             return self._failed(sending, record, failure)
         except Silent:
             failure = EndpointFailure("silent", may_have_run=True)
--- a/src/lagoonrill/_internal/coordination/policy/poison_parts.py
+++ b/src/lagoonrill/_internal/coordination/policy/crash_evidence.py
@@ -42,13 +42,13 @@
     suspects: dict[str, set[str]] = {}
 
 
-class PoisonParts:
+class CrashEvidence:
     """Parts of prompts that crash engines, by the crashes that all instances report.
 
     Parts are kept by service, since a part may be sound on the engines of another one.
     Times are on the monotonic clock of `clock`.
 
-    >>> parts = PoisonParts(clock=lambda: 10.0)
+    >>> parts = CrashEvidence(clock=lambda: 10.0)
     >>> parts.note_crash("s", "e1", request="r1", suspects=["a", "b"], at=1.0)
     >>> parts.note_begun("s", ["a"])
     []
--- a/src/lagoonrill/_internal/gateway_daemon.py
+++ b/src/lagoonrill/_internal/gateway_daemon.py
@@ -11,15 +11,15 @@
 
 import msgspec
 
+from .coordination.crash_findings import CrashFindings, FindingStore
 from .coordination.crash_reports import CrashReports
 from .coordination.endpoint_discovery import EndpointDiscovery
 from .coordination.endpoint_signals import EndpointSignals
 from .coordination.engine_admission import EngineAdmission
 from .coordination.forwarding import Forwarder
 from .coordination.gateway_peers import GatewayPeers
-from .coordination.poison_findings import FindingStore, PoisonFindings
+from .coordination.policy.crash_evidence import CrashEvidence
 from .coordination.policy.expired_entries import ExpiredEntries
-from .coordination.policy.poison_parts import PoisonParts
 from .coordination.policy.shared_retry_budget import SharedRetryBudget
 from .coordination.policy.store_renewal import StoreRenewal
 from .coordination.send_permits import SendPermits
@@ -166,8 +166,8 @@
             registry=self.registry,
             event_log=self.event_log,
         )
-        parts = PoisonParts()
-        self.findings = PoisonFindings(
+        parts = CrashEvidence()
+        self.findings = CrashFindings(
             store=finding_store, parts=parts, event_log=self.event_log
         )
         self.crash_reports = CrashReports(
@@ -348,7 +348,7 @@
             "peers": self.peers.dump(),
             "limits": self.permits.dump(),
             "pauses": self.permits.pauses.dump(),
-            "poison_parts": self.crash_reports.parts.dump(),
+            "crash_evidence": self.crash_reports.parts.dump(),
             "retry_budget": self.budget.dump(),
             "threads": threading.active_count(),
         }
--- a/src/lagoonrill/platform/_store.py
+++ b/src/lagoonrill/platform/_store.py
@@ -9,7 +9,7 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
-from .._internal.coordination.poison_findings import PoisonFinding
+from .._internal.coordination.crash_findings import CrashFinding
 from .._internal.coordination.store_follower import (
     ObjectChanges,
     ObjectList,
@@ -299,10 +299,10 @@
         return StoreObject(name=wire.metadata.name, content=content)
 
 
-def decode_finding(name: str, spec: object) -> PoisonFinding:
+def decode_finding(name: str, spec: object) -> CrashFinding:
     """Returns the finding in an object; raises `ValueError` if it is invalid."""
     wire = msgspec.convert(spec, WireFinding)
-    return PoisonFinding(
+    return CrashFinding(
         service=wire.service,
         parts=tuple(sorted(wire.parts)),
         found_at=wire.found_ms / 1000,
@@ -322,7 +322,7 @@
             watch_connection=None,
         )
 
-    def list(self) -> Result[list[PoisonFinding], StoreError]:
+    def list(self) -> Result[list[CrashFinding], StoreError]:
         """Returns the findings; objects that cannot be decoded are left out."""
         return self.source.list().map(
             lambda found: [
@@ -330,7 +330,7 @@
             ]
         )
 
-    def add(self, finding: PoisonFinding) -> Result[object, StoreError]:
+    def add(self, finding: CrashFinding) -> Result[object, StoreError]:
         """Writes a finding, unless the store has it."""
         wire = WireFinding(
             service=finding.service,
@@ -349,16 +349,16 @@
             return Success(None)
         return result
 
-    def remove(self, finding: PoisonFinding) -> Result[object, StoreError]:
+    def remove(self, finding: CrashFinding) -> Result[object, StoreError]:
         """Removes a finding; it is no error if the store does not have it."""
         path = f"{self.path}/{finding_name(finding)}"
         return self.client.call(f"delete {FINDING_KIND}", "DELETE", path)
 
 
-def finding_name(finding: PoisonFinding) -> str:
+def finding_name(finding: CrashFinding) -> str:
     """Returns the name of a finding's object, the same at all instances.
 
-    >>> len(finding_name(PoisonFinding(service="s", parts=("a", "b"), found_at=0.0)))
+    >>> len(finding_name(CrashFinding(service="s", parts=("a", "b"), found_at=0.0)))
     32
     """
     text = "\n".join((finding.service, *finding.parts))
--- a/tests/gateway_kit.py
+++ b/tests/gateway_kit.py
@@ -8,8 +8,8 @@
 from lagoonrill._internal.coordination.endpoint_signals import EndpointSignals
 from lagoonrill._internal.coordination.engine_admission import EngineAdmission
 from lagoonrill._internal.coordination.forwarding import Forwarder
+from lagoonrill._internal.coordination.policy.crash_evidence import CrashEvidence
 from lagoonrill._internal.coordination.policy.expired_entries import ExpiredEntries
-from lagoonrill._internal.coordination.policy.poison_parts import PoisonParts
 from lagoonrill._internal.coordination.policy.shared_retry_budget import (
     SharedRetryBudget,
 )
@@ -126,7 +126,7 @@
         )
         self.routing.subscribers.append(self.admission.install)
         self.crash_reports = CrashReports(
-            parts=PoisonParts(), registry=self.registry, event_log=self.event_log
+            parts=CrashEvidence(), registry=self.registry, event_log=self.event_log
         )
         self.pool = ConnectionPool()
         self.metrics = GatewayMetrics()
--- a/tests/test_poison_prompts.py
+++ b/tests/test_crash_evidence.py
@@ -9,14 +9,14 @@
 import pytest
 
 from lagoonrill._internal.coordination.crash_reports import CrashReports
-from lagoonrill._internal.coordination.policy.poison_parts import (
+from lagoonrill._internal.coordination.policy.crash_evidence import (
     CERTAIN_CRASHES,
     COMMON_CAUSE_S,
     EVIDENCE_LIFETIME_S,
     MAX_CRASHES,
     MAX_SOUND_PARTS,
     MIN_CRASHES,
-    PoisonParts,
+    CrashEvidence,
 )
 from lagoonrill._internal.event_log import EventLog
 from lagoonrill._internal.protocol.headers import HeaderNames
@@ -34,7 +34,7 @@
 
     def __init__(self):
         self.now = 1_000.0
-        self.parts = PoisonParts(clock=lambda: self.now)
+        self.parts = CrashEvidence(clock=lambda: self.now)
 
     def crash(self, engine: str, suspects, *, request: str = "", after_s: float = 1.0):
         self.now += after_s
@@ -213,7 +213,7 @@
         self.records = [record(engine, SERVICE) for engine in engines]
         self.registry.replace({item.id: item for item in self.records})
         self.reports = CrashReports(
-            parts=PoisonParts(),
+            parts=CrashEvidence(),
             registry=self.registry,
             event_log=EventLog(),
             link=self.link,
--- a/tests/test_poison_findings.py
+++ b/tests/test_crash_findings.py
@@ -6,16 +6,16 @@
 import pytest
 from returns.result import Failure, Success
 
-from lagoonrill._internal.coordination.crash_reports import CrashReports
-from lagoonrill._internal.coordination.poison_findings import (
+from lagoonrill._internal.coordination.crash_findings import (
     MIN_LIST_INTERVAL_S,
-    PoisonFinding,
-    PoisonFindings,
+    CrashFinding,
+    CrashFindings,
 )
-from lagoonrill._internal.coordination.policy.poison_parts import (
+from lagoonrill._internal.coordination.crash_reports import CrashReports
+from lagoonrill._internal.coordination.policy.crash_evidence import (
     EVIDENCE_LIFETIME_S,
     MIN_CRASHES,
-    PoisonParts,
+    CrashEvidence,
 )
 from lagoonrill._internal.event_log import EventLog
 from lagoonrill._internal.protocol.errors import StoreInDoubt
@@ -58,8 +58,8 @@
 
     def __init__(self, store, *, now: float = 1_000.0):
         self.now = now
-        self.parts = PoisonParts(clock=lambda: self.now)
-        self.findings = PoisonFindings(
+        self.parts = CrashEvidence(clock=lambda: self.now)
+        self.findings = CrashFindings(
             store=store,
             parts=self.parts,
             event_log=EventLog(),
@@ -151,7 +151,7 @@
 
 
 def test_old_findings_are_removed_from_the_store(store):
-    old = PoisonFinding(service=SERVICE, parts=("poison",), found_at=1_700_000_000.0)
+    old = CrashFinding(service=SERVICE, parts=("poison",), found_at=1_700_000_000.0)
     store.add(old)
     instance = Instance(store, now=EVIDENCE_LIFETIME_S + 1)
     instance.findings.refresh()
--- a/tests/test_departures_reach_placement.py
+++ b/tests/test_departures_reach_placement.py
@@ -13,8 +13,8 @@
 from lagoonrill._internal.coordination.endpoint_discovery import EndpointDiscovery
 from lagoonrill._internal.coordination.endpoint_signals import EndpointSignals
 from lagoonrill._internal.coordination.gateway_peers import GatewayPeers
+from lagoonrill._internal.coordination.policy.crash_evidence import CrashEvidence
 from lagoonrill._internal.coordination.policy.expired_entries import ExpiredEntries
-from lagoonrill._internal.coordination.policy.poison_parts import PoisonParts
 from lagoonrill._internal.coordination.policy.store_renewal import (
     LONG_WATCH_S,
     StoreRenewal,
@@ -205,7 +205,7 @@
             load_table=EngineLoadTable(),
             freshness=freshness,
             crash_reports=CrashReports(
-                parts=PoisonParts(), registry=self.registry, event_log=EventLog()
+                parts=CrashEvidence(), registry=self.registry, event_log=EventLog()
             ),
             signals=EndpointSignals(
                 instance="me",
--- a/tests/test_gateway_peers.py
+++ b/tests/test_gateway_peers.py
@@ -10,8 +10,8 @@
     SMALL_FLEET,
     GatewayPeers,
 )
+from lagoonrill._internal.coordination.policy.crash_evidence import CrashEvidence
 from lagoonrill._internal.coordination.policy.engine_placement import owner_of
-from lagoonrill._internal.coordination.policy.poison_parts import PoisonParts
 from lagoonrill._internal.coordination.send_permits import SendPermits
 from lagoonrill._internal.event_log import EventLog
 from lagoonrill._internal.protocol.errors import PeerError
@@ -90,7 +90,7 @@
             load_table=EngineLoadTable(),
             freshness=FreshnessStub(),
             crash_reports=CrashReports(
-                parts=PoisonParts(), registry=self.registry, event_log=EventLog()
+                parts=CrashEvidence(), registry=self.registry, event_log=EventLog()
             ),
             signals=EndpointSignals(
                 instance="me",
