Refuse a request that crashes the endpoints it runs on

Cause: evidence was kept for the shared parts of a prompt only. A request whose parts were sound, and each call of a plain service, left none (hypothesis 1); and a part was blamed after two crashes by one request (hypothesis 2). Class: evidence is kept under one kind of key, and what does not fit it leaves none.

Change: one table of crashes with suspects of two kinds. A crash speaks against each request that was on the endpoint, known by a digest of method, host, target, body and team. The request with the most crashes explains them and is refused after three; what it explains speaks against no other; parts are suspected only if no single request explains their crashes. An answer clears a request at all instances. A request under suspicion goes to one endpoint of its own, by rendezvous hashing of the digest, the same at all instances. A crash is a refused connection, or another start under the same id, of an endpoint that has not announced its exit. Findings in the store hold requests as well.

Why it works: copies of a crashing request crash one endpoint at a time, at all instances together, and sound requests that shared its first endpoint are spread over the others, so that the second and third crash tell them apart.

--- a/src/lagoonrill/_internal/coordination/crash_findings.py
+++ b/src/lagoonrill/_internal/coordination/crash_findings.py
@@ -1,7 +1,7 @@
-"""Keeps the parts of prompts that crash engines beyond the life of all instances.
+"""Keeps what crashes endpoints beyond the life of all instances.
 
 Load pattern: all instances are killed at once, or a zone is cut off from its peers but
-reaches the store. Without the findings in the store, further engines have to crash. A
+reaches the store. Without the findings in the store, further endpoints have to crash. A
 store that comes back from an older copy has lost the newest ones.
 """
 
@@ -16,22 +16,20 @@
 
 from ..event_log import EventLog
 from ..protocol.errors import StoreError
-from .policy.crash_evidence import EVIDENCE_LIFETIME_S, CrashEvidence
+from .policy.crash_evidence import EVIDENCE_LIFETIME_S, Cause, CrashEvidence
 
 # Pause after a failed call to the store, which counts every call.
 RETRY_PAUSE_S = 2.0
-# Minimum interval between lists; several requests may be on a crashed engine.
+# Minimum interval between lists; several requests may be on a crashed endpoint.
 MIN_LIST_INTERVAL_S = 1.0
 # Changes that wait for the store; further ones are dropped and logged.
 MAX_WAITING = 200
 
 
 class CrashFinding(msgspec.Struct, kw_only=True, frozen=True):
-    """Parts of prompts that together crash the engines of a service."""
+    """What crashes the endpoints of a service, and when it was found."""
 
-    service: str
-    # Sorted.
-    parts: tuple[str, ...]
+    cause: Cause
     # Unix time in seconds.
     found_at: float
 
@@ -56,13 +54,13 @@
         self,
         *,
         store: FindingStore,
-        parts: CrashEvidence,
+        evidence: CrashEvidence,
         event_log: EventLog,
         wall_clock: Callable[[], float] = time.time,
         clock: Callable[[], float] = time.monotonic,
     ):
         self.store = store
-        self.parts = parts
+        self.evidence = evidence
         self.event_log = event_log
         self.wall_clock = wall_clock
         self.clock = clock
@@ -87,18 +85,14 @@
             self.listed_at = now
             self._enqueue(self._list)
 
-    def add(self, service: str, parts: list[str]) -> None:
+    def add(self, cause: Cause) -> None:
         """Writes a finding of this instance."""
-        finding = CrashFinding(
-            service=service, parts=tuple(sorted(parts)), found_at=self.wall_clock()
-        )
+        finding = CrashFinding(cause=cause, found_at=self.wall_clock())
         self._enqueue(lambda: self.store.add(finding))
 
-    def remove(self, service: str, parts: list[str]) -> None:
+    def remove(self, cause: Cause) -> None:
         """Removes a finding that an answer has shown to be wrong."""
-        finding = CrashFinding(
-            service=service, parts=tuple(sorted(parts)), found_at=0.0
-        )
+        finding = CrashFinding(cause=cause, found_at=0.0)
         self._enqueue(lambda: self.store.remove(finding))
 
     def write_again(self) -> None:
@@ -109,14 +103,10 @@
         result = self.store.list()
         if isinstance(result, Failure):
             return result
-        stored = {(finding.service, finding.parts) for finding in result.unwrap()}
-        for service, parts, age_s in self.parts.refused_groups():
-            finding = CrashFinding(
-                service=service,
-                parts=tuple(parts),
-                found_at=self.wall_clock() - age_s,
-            )
-            if (service, finding.parts) not in stored:
+        stored = {finding.cause for finding in result.unwrap()}
+        for cause, age_s in self.evidence.refused_causes():
+            finding = CrashFinding(cause=cause, found_at=self.wall_clock() - age_s)
+            if cause not in stored:
                 self._enqueue(lambda finding=finding: self.store.add(finding))
         return result
 
@@ -150,11 +140,24 @@
             age_s = max(0.0, self.wall_clock() - finding.found_at)
             if age_s > EVIDENCE_LIFETIME_S:
                 self._enqueue(lambda finding=finding: self.store.remove(finding))
-            elif self.parts.restore(finding.service, finding.parts, age_s=age_s):
-                self.event_log.emit(
-                    "prompt_parts_refused",
-                    service=finding.service,
-                    parts=list(finding.parts),
-                    source="store",
-                )
+            elif self.evidence.restore(finding.cause, age_s=age_s):
+                log_refused(self.event_log, finding.cause, source="store")
         return result
+
+
+def log_refused(event_log: EventLog, cause: Cause, *, source: str) -> None:
+    """Logs that requests are refused from now on, and for what cause."""
+    if cause.request:
+        event_log.emit(
+            "request_refused_for_crashes",
+            service=cause.service,
+            fingerprint=cause.request,
+            source=source,
+        )
+    else:
+        event_log.emit(
+            "prompt_parts_refused",
+            service=cause.service,
+            parts=sorted(cause.parts),
+            source=source,
+        )
--- a/src/lagoonrill/_internal/coordination/crash_reports.py
+++ b/src/lagoonrill/_internal/coordination/crash_reports.py
@@ -1,7 +1,7 @@
-"""Shares crashes of engines among the instances, with the prompts that may cause them.
+"""Shares crashes of endpoints among the instances, with the requests on them.
 
-The policy `crash_evidence` decides which prompts are refused. Reports are sent to all
-peers at once, and to new peers when they appear. Each instance also avoids an engine
+The policy `crash_evidence` decides which requests are refused. Reports are sent to all
+peers at once, and to new peers when they appear. Each instance also avoids an endpoint
 whose crash another one reports.
 """
 
@@ -9,28 +9,28 @@
 from collections.abc import Callable, Iterable
 
 from ..event_log import EventLog
-from ..protocol.messages import CrashReport
+from ..protocol.messages import CrashReport, SoundRequest
 from ..protocol.routing import EndpointRecord, PromptPart
 from ..state.endpoint_registry import EndpointRegistry
 from ..transport.peer_link import PeerLink
-from .crash_findings import CrashFindings
-from .policy.crash_evidence import CrashEvidence
+from .crash_findings import CrashFindings, log_refused
+from .policy.crash_evidence import Cause, CrashEvidence, Decision
 
 
 class CrashReports:
-    """Records crashes with the parts of the prompts that had not begun."""
+    """Records crashes with the requests that were on the endpoints."""
 
     def __init__(
         self,
         *,
-        parts: CrashEvidence,
+        evidence: CrashEvidence,
         registry: EndpointRegistry,
         event_log: EventLog,
         link: PeerLink | None = None,
         findings: CrashFindings | None = None,
         clock: Callable[[], float] = time.monotonic,
     ):
-        self.parts = parts
+        self.evidence = evidence
         self.registry = registry
         self.event_log = event_log
         self.link = link
@@ -38,45 +38,76 @@
         self.clock = clock
         if link is not None:
             link.register_handler(CrashReport, self.handle, inline=True)
+            link.register_handler(SoundRequest, self.handle_sound, inline=True)
+
+    def is_known(self, record: EndpointRecord) -> bool:
+        """Returns whether a crash of this incarnation has been reported."""
+        return crash_key(record.id, record.incarnation) in self.evidence.crashes
 
     def report(
-        self, record: EndpointRecord, *, request: str, suspects: list[str]
+        self,
+        record: EndpointRecord,
+        *,
+        request: str,
+        fingerprint: str,
+        begun: bool,
+        ran_s: float,
+        suspects: list[str],
     ) -> None:
-        """Records a crash that this instance has seen, and tells all peers."""
+        """Records a crash that this instance has seen, and tells all peers.
+
+        `request` is the id of the attempt, for the log; it was sent `ran_s` before.
+        """
         report = CrashReport(
             service=record.service,
             endpoint=record.id,
             incarnation=record.incarnation,
-            request=request,
+            request=fingerprint,
+            begun=begun,
+            ran_s=ran_s,
             suspects=suspects,
         )
+        decision = self._record(report)
         self.event_log.emit(
             "endpoint_crashed",
             request=request,
             endpoint=record.id,
             service=record.service,
+            fingerprint=fingerprint,
+            begun=begun,
+            crashes=self.evidence.crash_count(record.service, fingerprint),
             suspects=suspects,
         )
-        refused = self._record(report)
         if self.link is not None:
             self.link.send_to(self.link.addresses(), report)
         if self.findings is None:
             return
-        if refused is not None:
-            self.findings.add(record.service, refused)
-        else:
+        for cause in decision.refused:
+            self.findings.add(cause)
+        self._remove(decision.cleared)
+        if not decision.refused:
             # An instance that is cut off from this one may know the cause.
             self.findings.refresh()
 
     def note_begun(self, service: str, parts: Iterable[str]) -> None:
         """Records the parts with which an answer has begun at this instance."""
-        cleared = self.parts.note_begun(service, parts)
+        self._remove(self.evidence.note_begun(service, parts))
+
+    def note_answered(self, service: str, fingerprint: str) -> None:
+        """Records that an endpoint has answered a request of this instance."""
+        was_suspected, cleared = self.evidence.note_answered(service, fingerprint)
+        if was_suspected and self.link is not None:
+            message = SoundRequest(service=service, request=fingerprint)
+            self.link.send_to(self.link.addresses(), message)
+        self._remove(cleared)
+
+    def _remove(self, cleared: Iterable[Cause]) -> None:
         if self.findings is not None:
-            for group in cleared:
-                self.findings.remove(service, group)
+            for cause in cleared:
+                self.findings.remove(cause)
 
     def handle(self, report: CrashReport) -> None:
-        """Records a crash that a peer reports, and avoids the engine."""
+        """Records a crash that a peer reports, and avoids the endpoint."""
         record = self.registry.records.get(report.endpoint)
         if (
             record is not None
@@ -92,37 +123,46 @@
             )
         self._record(report)
 
-    def _record(self, report: CrashReport) -> list[str] | None:
-        refused = self.parts.note_crash(
+    def handle_sound(self, message: SoundRequest) -> None:
+        """Drops the evidence against a request that has been answered at a peer."""
+        self.evidence.note_answered(message.service, message.request)
+
+    def _record(self, report: CrashReport) -> Decision:
+        decision = self.evidence.note_crash(
             report.service,
-            f"{report.endpoint}/{report.incarnation}",
+            crash_key(report.endpoint, report.incarnation),
             request=report.request,
-            suspects=report.suspects,
+            parts=report.suspects,
+            begun=report.begun,
+            ran_s=report.ran_s,
             at=self.clock() - report.age_s,
         )
-        if refused is not None:
+        for cause in decision.refused:
+            log_refused(self.event_log, cause, source="crash")
+        for cause in decision.cleared:
             self.event_log.emit(
-                "prompt_parts_refused",
-                service=report.service,
-                parts=refused,
-                source="crash",
+                "request_no_longer_refused",
+                service=cause.service,
+                fingerprint=cause.request,
             )
-        return refused
+        return decision
 
     def send_all(self, addresses: set[str]) -> None:
         """Sends all known crashes to peers."""
         now = self.clock()
-        for engine, crash in self.parts.reports():
-            endpoint, _, incarnation = engine.rpartition("/")
-            for request in set().union(*crash.suspects.values()):
+        for key, crash in self.evidence.reports():
+            endpoint, _, incarnation = key.rpartition("/")
+            for request, exposure in crash.requests.items():
                 report = CrashReport(
                     service=crash.service,
                     endpoint=endpoint,
                     incarnation=int(incarnation),
                     request=request,
+                    begun=exposure.begun,
+                    ran_s=crash.at - exposure.sent_at,
                     suspects=[
                         part
-                        for part, requests in crash.suspects.items()
+                        for part, requests in crash.parts.items()
                         if request in requests
                     ],
                     age_s=now - crash.at,
@@ -134,4 +174,9 @@
         for engine, parts in reads:
             record = self.registry.records.get(engine)
             if record is not None:
-                self.parts.note_begun(record.service, [part.id for part in parts])
+                self.evidence.note_begun(record.service, [part.id for part in parts])
+
+
+def crash_key(endpoint: str, incarnation: int) -> str:
+    """Returns the name of one incarnation of an endpoint."""
+    return f"{endpoint}/{incarnation}"
--- a/src/lagoonrill/_internal/coordination/engine_admission.py
+++ b/src/lagoonrill/_internal/coordination/engine_admission.py
@@ -387,6 +387,11 @@
             self.fleets[service] = fleet
         return fleet
 
+    def near_engines(self, service: str) -> list[str]:
+        """Returns the engines that get the requests of this instance first."""
+        with self.lock:
+            return self._fleet(service).ordered
+
     def stream_engines(self) -> dict[str, int]:
         """Returns the number of engines reserved for streams here, by service."""
         return {
--- a/src/lagoonrill/_internal/coordination/forwarding.py
+++ b/src/lagoonrill/_internal/coordination/forwarding.py
@@ -98,9 +98,14 @@
         self.admission = admission
         self.signals = signals
         self.permits = signals.permits
-        self.crash_guard = CrashGuard(crash_reports=crash_reports, pool=pool)
+        self.crash_guard = CrashGuard(
+            crash_reports=crash_reports, registry=registry, pool=pool
+        )
         self.selection = ServiceSelection(
-            zone=zone, registry=registry, permits=signals.permits
+            zone=zone,
+            registry=registry,
+            permits=signals.permits,
+            crash_guard=self.crash_guard,
         )
         self.budget = budget
         self.instances = instances
@@ -204,6 +209,14 @@
             retry_after_s=max(RETRY_AFTER_S, held_s * (1 + spread)),
         )
 
+    def _give_up_refused(self, sending: Sending, refusal: Refusal) -> None:
+        """Answers a request that is refused; raises the refusal if it has not run."""
+        if not (sending.may_have_run or sending.stream_started):
+            raise refusal
+        # The request may have run on another endpoint, so "not run" would be wrong.
+        sending.last_reason += f" ({refusal.reason})"
+        self._give_up(sending)
+
     def _send_once(self, sending: Sending) -> Outcome | None:
         """Sends to one endpoint; returns None once the caller has its answer."""
         if sending.request.route.uses_engine:
@@ -228,15 +241,11 @@
             self.crash_guard.check(sending)
             admission = self.admission.admit(
                 generation,
-                excluded=frozenset(sending.tried),
+                excluded=self._excluded_engines(sending),
                 caller_disconnected=sending.caller.is_disconnected,
             )
         except Refusal as refusal:
-            if not (sending.may_have_run or sending.stream_started):
-                raise
-            # The request may have run on another engine, so "not run" would be wrong.
-            sending.last_reason += f" ({refusal.reason})"
-            self._give_up(sending)
+            self._give_up_refused(sending, refusal)
             return None
         if admission is None:
             raise CallerGone
@@ -267,6 +276,15 @@
                 token_s=sending.token_s(self.admission.tokens_per_event(generation)),
             )
 
+    def _excluded_engines(self, sending: Sending) -> frozenset[str]:
+        near = self.admission.near_engines(sending.request.service)
+        untried = [name for name in near if name not in sending.tried]
+        allowed = self.crash_guard.isolated(sending, untried)
+        if len(allowed) == len(untried):
+            return frozenset(sending.tried)
+        ready = (item.id for item in self.registry.ready(sending.request.service))
+        return frozenset(sending.tried).union(ready) - frozenset(allowed)
+
     def _begun(
         self, sending: Sending, admission: Admission, generation: Generation
     ) -> None:
@@ -293,6 +311,11 @@
         )
 
     def _send_to_service(self, sending: Sending) -> Outcome | None:
+        try:
+            self.crash_guard.check(sending)
+        except Refusal as refusal:
+            self._give_up_refused(sending, refusal)
+            return None
         record = self.selection.choose(sending)
         if record is None:
             self._give_up(sending)
@@ -313,9 +336,9 @@
             connection = self._connect(sending, record)
             if not self.registry.takes_work(record):
                 return Outcome(reason="endpoint_left", may_have_run=False)
-            # The request may have waited while its prompt was found to crash engines.
-            if self.crash_guard.is_refused(sending):
-                return Outcome(reason="prompt_crashes_engines", may_have_run=False)
+            # The request may have waited while it was found to crash endpoints.
+            if reason := self.crash_guard.refused_reason(sending):
+                return Outcome(reason=reason, may_have_run=False)
             if sending.sends == 0:
                 self.budget.note_request(request.service)
             sending.sends += 1
@@ -393,6 +416,7 @@
             list_age_ms=round(self.list_age_s() * 1000),
             list_confirmed_by=self.list_confirmed_by(),
         )
+        sending.sent_at = time.monotonic()
         connection.send(
             method=request.incoming.method,
             target=request.incoming.target,
@@ -494,6 +518,7 @@
         if head.status in NOT_RUN_STATUSES:
             self.registry.note_failure(record.id, unreachable=False)
             return Outcome(reason=f"status: {head.status}", may_have_run=True)
+        self.crash_guard.note_answered(sending)
         answer = Answer(
             status=head.status,
             reason=head.reason,
@@ -589,6 +614,7 @@
         if splitter.rest.strip() or not sending.stream_started:
             raise EndpointFailure("the stream ended early", may_have_run=True)
         self._note_success(record)
+        self.crash_guard.note_answered(sending)
         sending.caller.end_stream()
         self._log_answered(sending, 200)
         return None
--- a/src/lagoonrill/_internal/coordination/policy/crash_evidence.py
+++ b/src/lagoonrill/_internal/coordination/policy/crash_evidence.py
@@ -1,98 +1,170 @@
-"""Decides which prompts are refused because a part of them crashes engines.
-
-Load pattern: one part of a prompt crashes each engine that begins to answer a request
-with it. Requests with that part arrive at all instances, beside sound requests of the
-same callers that share the other parts. Without a decision, engine after engine
-crashes, and each crash breaks off all streams of its engine.
-
-A part with which an answer has begun is sound. A crash speaks against the parts of the
-requests that were on the engine and had not begun, unless they are sound, and never
-against the last part of a prompt, which no other request has. Parts that only occurred
-together cannot be told apart, so prompts are refused that have all of them; a sound
-request with some of them clears these.
+"""Decides which requests are refused because they crash endpoints.
+
+Load pattern: one request crashes each endpoint that begins to run it, and comes again
+at any instance; or one part of a prompt does so, in requests no two of which are alike.
+Sound requests run on the same endpoints, and sound prompts share the other parts.
+Without a decision, endpoint after endpoint crashes, and each crash breaks off all that
+runs there.
+
+A crash speaks against each request that was on the endpoint, and against the parts of
+those prompts that had not begun, but never against the last part, which no other
+request has. Of several requests, the one with the most crashes explains them, and what
+it explains speaks against no other. Parts are suspected only if no single request was
+on all of their engines, as that is the narrower explanation.
+
+An answer shows that a request is sound, and the beginning of an answer that the parts
+of its prompt are. Parts that only occurred together cannot be told apart, so prompts
+are refused that have all of them; a sound request with some of them clears these.
 """
 
+import hashlib
 import threading
 import time
 from collections import OrderedDict
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 
 import msgspec
 
-# Prompts are refused after crashes of two engines with two different requests, or of
-# three engines. Crashes at the same time have a common cause and count once.
-MIN_CRASHES = 2
-MIN_REQUESTS = 2
+# A request is refused after this many crashes of endpoints that it was on.
 CERTAIN_CRASHES = 3
+# Prompts with a part are refused after crashes of this many engines that no single
+# request explains.
+MIN_CRASHES = 2
 COMMON_CAUSE_S = 0.1
-# A crash counts, and prompts are refused, for this long. It ends by time because the
-# part may be sound for new weights or a new version of the engines.
+# A crash counts, and requests are refused, for this long. It ends by time because a
+# request may be sound for new weights or a new version of the endpoints.
 EVIDENCE_LIFETIME_S = 600.0
 MAX_CRASHES = 200
 # Sound parts that are remembered, the most recently used ones.
 MAX_SOUND_PARTS = 4_096
 
 
+class Cause(msgspec.Struct, kw_only=True, frozen=True):
+    """What crashes the endpoints of a service: one request, or parts of prompts."""
+
+    service: str
+    # Fingerprint of the request; empty if the parts are the cause.
+    request: str = ""
+    # Parts that are the cause if a prompt has all of them.
+    parts: frozenset[str] = frozenset()
+
+
+class Exposure(msgspec.Struct, kw_only=True, frozen=True):
+    """A request that was on an endpoint when it crashed."""
+
+    # Whether the endpoint had begun to answer.
+    begun: bool
+    sent_at: float
+
+
 class Crash(msgspec.Struct, kw_only=True):
-    """Crash of one incarnation of an engine."""
+    """Crash of one incarnation of an endpoint."""
 
     service: str
     at: float
+    # By fingerprint.
+    requests: dict[str, Exposure] = {}
     # For each suspected part, the requests that had it.
-    suspects: dict[str, set[str]] = {}
+    parts: dict[str, set[str]] = {}
+
+    def note_exposure(self, request: str, *, begun: bool, sent_at: float) -> None:
+        """Records a request; of several copies, the most suspect one counts."""
+        known = self.requests.get(request)
+        if known is not None:
+            begun = begun and known.begun
+            sent_at = max(sent_at, known.sent_at)
+        self.requests[request] = Exposure(begun=begun, sent_at=sent_at)
+
+
+class Decision(msgspec.Struct, kw_only=True, frozen=True):
+    """Causes for which requests are refused from now on, or no longer."""
+
+    refused: tuple[Cause, ...] = ()
+    cleared: tuple[Cause, ...] = ()
 
 
 class CrashEvidence:
-    """Parts of prompts that crash engines, by the crashes that all instances report.
+    """Crashes that all instances report, and what is refused because of them.
 
-    Parts are kept by service, since a part may be sound on the engines of another one.
-    Times are on the monotonic clock of `clock`.
+    Causes are kept by service, since a request may be sound on the endpoints of
+    another one. Times are on the monotonic clock of `clock`.
 
-    >>> parts = CrashEvidence(clock=lambda: 10.0)
-    >>> parts.note_crash("s", "e1", request="r1", suspects=["a", "b"], at=1.0)
-    >>> parts.note_begun("s", ["a"])
+    >>> evidence = CrashEvidence(clock=lambda: 10.0)
+    >>> decision = evidence.note_crash("s", "e1", request="r1", parts=["a", "b"], at=1)
+    >>> decision.refused
+    ()
+    >>> evidence.note_begun("s", ["a"])
     []
-    >>> parts.note_crash("s", "e2", request="r2", suspects=["a", "b"], at=2.0)
-    ['b']
-    >>> parts.refused_parts("s", ["a", "b", "c"])
-    ['b']
+    >>> decision = evidence.note_crash("s", "e2", request="r2", parts=["a", "b"], at=2)
+    >>> [sorted(cause.parts) for cause in decision.refused]
+    [['b']]
+    >>> evidence.refusal("s", request="r3", parts=["a", "b", "c"]) in decision.refused
+    True
     """
 
     def __init__(self, *, clock: Callable[[], float] = time.monotonic):
         self.clock = clock
         self.lock = threading.Lock()
         self.sound: OrderedDict[tuple[str, str], None] = OrderedDict()
-        # By engine and incarnation.
+        # By endpoint and incarnation.
         self.crashes: OrderedDict[str, Crash] = OrderedDict()
-        # Time since which prompts are refused that have all parts of a group.
-        self.refused: dict[tuple[str, frozenset[str]], float] = {}
+        # Time since which requests are refused for a cause.
+        self.refused: dict[Cause, float] = {}
+        # Refused requests that the crashes known here explain.
+        self.explaining: set[Cause] = set()
 
-    def note_begun(self, service: str, parts: Iterable[str]) -> list[list[str]]:
+    def is_empty(self) -> bool:
+        """Returns whether nothing is suspected, without the lock."""
+        return not (self.crashes or self.refused)
+
+    def note_begun(self, service: str, parts: Iterable[str]) -> list[Cause]:
         """Records that an answer to a request with these parts has begun.
 
-        Returns the groups of parts that are no longer refused.
+        Returns the causes for which nothing is refused any longer.
         """
         cleared = []
         with self.lock:
             for part in parts:
                 key = (service, part)
                 if key not in self.sound:
-                    cleared += self._clear(service, part)
+                    cleared += self._clear_part(service, part)
                 self.sound[key] = None
                 self.sound.move_to_end(key)
             while len(self.sound) > MAX_SOUND_PARTS:
                 self.sound.popitem(last=False)
         return cleared
 
-    def restore(self, service: str, parts: Iterable[str], *, age_s: float) -> bool:
-        """Refuses parts that were found before; returns False if they are known."""
+    def note_answered(self, service: str, request: str) -> tuple[bool, list[Cause]]:
+        """Records that an endpoint has answered a request.
+
+        Returns whether anything spoke against the request, and the causes for which
+        nothing is refused any longer.
+        """
+        with self.lock:
+            suspected = False
+            for crash in self.crashes.values():
+                if crash.service == service and request in crash.requests:
+                    suspected = True
+                    del crash.requests[request]
+            cause = Cause(service=service, request=request)
+            self.explaining.discard(cause)
+            if self.refused.pop(cause, None) is not None:
+                return True, [cause]
+            return suspected, []
+
+    def restore(self, cause: Cause, *, age_s: float) -> bool:
+        """Refuses a cause that was found before; returns False if it is known."""
         with self.lock:
-            group = frozenset(
-                part for part in parts if (service, part) not in self.sound
-            )
-            if not group or self._refuses(service, group):
+            if cause.parts:
+                parts = frozenset(
+                    part
+                    for part in cause.parts
+                    if (cause.service, part) not in self.sound
+                )
+                cause = msgspec.structs.replace(cause, parts=parts)
+            if not (cause.request or cause.parts) or self._refuses(cause):
                 return False
-            self._refuse(service, group, self.clock() - age_s)
+            self._refuse(cause, self.clock() - age_s)
             return True
 
     def suspects(self, service: str, parts: Iterable[str]) -> list[str]:
@@ -103,139 +175,244 @@
     def note_crash(
         self,
         service: str,
-        engine: str,
+        endpoint: str,
         *,
         request: str,
-        suspects: Iterable[str],
         at: float,
-    ) -> list[str] | None:
-        """Records a request that had not begun on an engine when it crashed.
+        ran_s: float = 0.0,
+        parts: Iterable[str] = (),
+        begun: bool = False,
+    ) -> Decision:
+        """Records a request that was on an endpoint when it crashed.
 
-        `engine` identifies the incarnation. Returns the parts that together are refused
-        from now on, or None.
+        `endpoint` identifies the incarnation; the request had been sent to it `ran_s`
+        before. Returns the causes for which requests are
+        refused from now on.
         """
         with self.lock:
             self._expire()
-            crash = self.crashes.setdefault(engine, Crash(service=service, at=at))
-            for part in suspects:
+            crash = self.crashes.setdefault(endpoint, Crash(service=service, at=at))
+            crash.note_exposure(request, begun=begun, sent_at=at - ran_s)
+            for part in parts:
                 if (service, part) not in self.sound:
-                    crash.suspects.setdefault(part, set()).add(request)
+                    crash.parts.setdefault(part, set()).add(request)
             while len(self.crashes) > MAX_CRASHES:
                 self.crashes.popitem(last=False)
-            group = self._most_suspected(crash)
-            if not group or self._refuses(service, group):
-                return None
-            self._refuse(service, group, self.clock())
-            return sorted(group)
-
-    def refused_parts(self, service: str, parts: Iterable[str]) -> list[str] | None:
-        """Returns the parts for which a prompt is refused, or None."""
-        # Read without the lock, as this is called for every request.
+            refused, cleared = [], []
+            if len(self._crashes_with(service, request)) >= CERTAIN_CRASHES:
+                refused, cleared = self._review_requests(service)
+            group = self._most_suspected_parts(crash)
+            if group:
+                refused.append(Cause(service=service, parts=group))
+            refused = [cause for cause in refused if not self._refuses(cause)]
+            for cause in refused:
+                self._refuse(cause, self.clock())
+            return Decision(refused=tuple(refused), cleared=tuple(cleared))
+
+    def crash_count(self, service: str, request: str) -> int:
+        """Returns the number of crashes that speak against a request.
+
+        Crashes at the same time have a common cause and count once, unless the request
+        was sent to the second endpoint after the first one had crashed.
+        """
+        if not self.crashes:
+            return 0
+        with self.lock:
+            self._expire()
+            return self._crash_count(service, request)
+
+    def refusal(
+        self, service: str, *, request: str, parts: Iterable[str]
+    ) -> Cause | None:
+        """Returns the cause for which a request is refused, or None."""
         if not self.refused:
             return None
         present = frozenset(parts)
         with self.lock:
             self._expire()
-            for other, group in self.refused:
-                if other == service and group <= present:
-                    return sorted(group)
+            for cause in self.refused:
+                if cause.service != service:
+                    continue
+                if (
+                    cause.request == request
+                    if cause.request
+                    else cause.parts <= present
+                ):
+                    return cause
         return None
 
-    def _most_suspected(self, crash: Crash) -> frozenset[str]:
-        """Returns the suspects with enough and the most crashes."""
+    def _crashes_with(self, service: str, request: str) -> list[Crash]:
+        return [
+            crash
+            for crash in self.crashes.values()
+            if crash.service == service and request in crash.requests
+        ]
+
+    def _review_requests(self, service: str) -> tuple[list[Cause], list[Cause]]:
+        """Returns the requests that explain crashes, and those that no longer do."""
+        found = {
+            Cause(service=service, request=request)
+            for request in self._explaining_requests(service)
+        }
+        before = {cause for cause in self.explaining if cause.service == service}
+        cleared = [cause for cause in before - found if cause in self.refused]
+        for cause in cleared:
+            del self.refused[cause]
+        self.explaining = (self.explaining - before) | found
+        return sorted(found, key=lambda cause: cause.request), cleared
+
+    def _explaining_requests(self, service: str) -> set[str]:
+        """Returns the requests that explain enough crashes.
+
+        Those with the most crashes come first, then those whose answers had begun
+        less often; what they explain does not count for the others.
+        """
+        crashes = [
+            crash
+            for crash in self.crashes.values()
+            if crash.service == service
+            and not self._is_explained_by_parts(crash, frozenset())
+        ]
+        found: set[str] = set()
+        while True:
+            exposed: dict[str, list[Crash]] = {}
+            for crash in crashes:
+                for request in crash.requests:
+                    exposed.setdefault(request, []).append(crash)
+            ranks = {
+                request: (
+                    request_crash_count(on, request),
+                    -sum(crash.requests[request].begun for crash in on),
+                )
+                for request, on in exposed.items()
+                if len(on) >= CERTAIN_CRASHES
+            }
+            most = max(ranks.values(), default=(0, 0))
+            if most[0] < CERTAIN_CRASHES:
+                return found
+            first = {request for request, rank in ranks.items() if rank == most}
+            found |= first
+            crashes = [crash for crash in crashes if first.isdisjoint(crash.requests)]
+
+    def _crash_count(self, service: str, request: str) -> int:
+        unexplained = [
+            crash
+            for crash in self._crashes_with(service, request)
+            if not self._is_explained_by_parts(crash, frozenset())
+            and not self._is_explained_by_another(crash, request)
+        ]
+        return request_crash_count(unexplained, request)
+
+    def _is_explained_by_another(self, crash: Crash, request: str) -> bool:
+        """Returns whether another refused request was on the endpoint."""
+        return any(
+            cause.service == crash.service
+            and cause.request != request
+            and cause.request in crash.requests
+            for cause in self.refused
+        )
+
+    def _is_explained_by_parts(self, crash: Crash, parts: Collection[str]) -> bool:
+        """Returns whether other parts than these are known to have caused a crash."""
+        return any(
+            cause.service == crash.service
+            and cause.parts
+            and not cause.parts.intersection(parts)
+            and cause.parts <= crash.parts.keys()
+            for cause in self.refused
+        )
+
+    def _most_suspected_parts(self, crash: Crash) -> frozenset[str]:
+        """Returns the suspected parts with enough and the most crashes."""
         counts = {
-            part: self._crash_count(crash.service, part) for part in crash.suspects
+            part: self._part_crash_count(crash.service, part) for part in crash.parts
         }
         most = max(counts.values(), default=0)
         if most == 0:
             return frozenset()
         return frozenset(part for part, count in counts.items() if count == most)
 
-    def _crash_count(self, service: str, part: str) -> int:
+    def _part_crash_count(self, service: str, part: str) -> int:
         """Returns how many crashes speak against a part, or 0 if they are too few."""
         crashes = [
             crash
             for crash in self.crashes.values()
             if crash.service == service
-            and part in crash.suspects
-            and not self._is_explained(crash, part)
+            and part in crash.parts
+            and not self._is_explained_by_parts(crash, (part,))
         ]
-        count = 0
-        counted_at = float("-inf")
-        for at in sorted(crash.at for crash in crashes):
-            if at - counted_at > COMMON_CAUSE_S:
-                count += 1
-                counted_at = at
-        requests = set().union(*(crash.suspects[part] for crash in crashes))
-        if count >= CERTAIN_CRASHES:
-            return count
-        return count if count >= MIN_CRASHES and len(requests) >= MIN_REQUESTS else 0
-
-    def _is_explained(self, crash: Crash, part: str) -> bool:
-        """Returns whether other parts are known to have caused a crash."""
+        count = independent_count(crashes)
+        if count < MIN_CRASHES or one_request_explains(crashes):
+            return 0
+        return count
+
+    def _refuses(self, cause: Cause) -> bool:
+        if cause.request:
+            return cause in self.refused
         return any(
-            service == crash.service
-            and part not in group
-            and group <= crash.suspects.keys()
-            for service, group in self.refused
+            known.service == cause.service
+            and known.parts
+            and known.parts <= cause.parts
+            for known in self.refused
         )
 
-    def _refuses(self, service: str, group: frozenset[str]) -> bool:
-        return any(other == service and known <= group for other, known in self.refused)
-
-    def _refuse(self, service: str, group: frozenset[str], since: float) -> None:
-        for other, known in list(self.refused):
-            if other == service and known > group:
-                del self.refused[other, known]
-        self.refused[service, group] = since
+    def _refuse(self, cause: Cause, since: float) -> None:
+        for known in list(self.refused):
+            if (
+                known.service == cause.service
+                and cause.parts
+                and known.parts > cause.parts
+            ):
+                del self.refused[known]
+        self.refused[cause] = since
 
-    def _clear(self, service: str, part: str) -> list[list[str]]:
-        """Forgets what speaks against a part; returns the groups that had it."""
+    def _clear_part(self, service: str, part: str) -> list[Cause]:
+        """Forgets what speaks against a part; returns the causes that had it."""
         cleared = []
         for crash in self.crashes.values():
             if crash.service == service:
-                crash.suspects.pop(part, None)
-        for (other, group), since in list(self.refused.items()):
-            if other != service or part not in group:
+                crash.parts.pop(part, None)
+        for cause, since in list(self.refused.items()):
+            if cause.service != service or part not in cause.parts:
                 continue
-            del self.refused[other, group]
-            cleared.append(sorted(group))
-            rest = group - {part}
-            if rest and not self._refuses(service, rest):
-                self._refuse(service, rest, since)
+            del self.refused[cause]
+            cleared.append(cause)
+            rest = msgspec.structs.replace(cause, parts=cause.parts - {part})
+            if rest.parts and not self._refuses(rest):
+                self._refuse(rest, since)
         return cleared
 
     def _expire(self) -> None:
         oldest = self.clock() - EVIDENCE_LIFETIME_S
-        for key in [key for key, since in self.refused.items() if since < oldest]:
-            del self.refused[key]
+        for cause in [item for item, since in self.refused.items() if since < oldest]:
+            del self.refused[cause]
+            self.explaining.discard(cause)
         while self.crashes:
-            engine, crash = next(iter(self.crashes.items()))
+            endpoint, crash = next(iter(self.crashes.items()))
             if crash.at >= oldest:
                 return
-            del self.crashes[engine]
+            del self.crashes[endpoint]
 
-    def refused_groups(self) -> list[tuple[str, list[str], float]]:
-        """Returns service, parts and age in seconds of all groups that are refused."""
+    def refused_causes(self) -> list[tuple[Cause, float]]:
+        """Returns all causes for which requests are refused, with their ages."""
         now = self.clock()
         with self.lock:
             self._expire()
-            return [
-                (service, sorted(group), now - since)
-                for (service, group), since in self.refused.items()
-            ]
+            return [(cause, now - since) for cause, since in self.refused.items()]
 
     def reports(self) -> list[tuple[str, Crash]]:
-        """Returns the engines that crashed with suspected parts, and their crashes."""
+        """Returns the endpoints that crashed under suspects, and their crashes."""
         with self.lock:
             self._expire()
             return [
                 (
-                    engine,
-                    msgspec.structs.replace(crash, suspects=dict(crash.suspects)),
+                    endpoint,
+                    msgspec.structs.replace(
+                        crash, requests=dict(crash.requests), parts=dict(crash.parts)
+                    ),
                 )
-                for engine, crash in self.crashes.items()
-                if crash.suspects
+                for endpoint, crash in self.crashes.items()
+                if crash.requests or crash.parts
             ]
 
     def dump(self) -> dict:
@@ -244,12 +421,64 @@
             return {
                 "refused": [
                     {
-                        "service": service,
-                        "parts": sorted(group),
+                        "service": cause.service,
+                        "request": cause.request,
+                        "parts": sorted(cause.parts),
                         "since_s": round(now - since, 3),
                     }
-                    for (service, group), since in self.refused.items()
+                    for cause, since in self.refused.items()
                 ],
                 "crashes": len(self.crashes),
                 "sound": len(self.sound),
             }
+
+
+def isolated_endpoint(request: str, endpoints: Iterable[str]) -> str:
+    """Returns the endpoint to which a suspected request goes, of those it may go to.
+
+    It is the same at all instances, so that copies of a request that crashes endpoints
+    crash one at a time; and different requests rarely meet twice, so that a further
+    crash tells them apart. A linear hash such as CRC-32 would not do: requests that
+    share their first endpoint would share the second one too.
+
+    >>> isolated_endpoint("r1", ["e1", "e2"]) == isolated_endpoint("r1", ["e2", "e1"])
+    True
+    """
+    return max(
+        endpoints,
+        key=lambda name: hashlib.blake2b(f"{request}/{name}".encode()).digest(),
+    )
+
+
+def independent_count(crashes: Iterable[Crash]) -> int:
+    """Returns the number of crashes; those at the same time count once."""
+    count = 0
+    counted_at = float("-inf")
+    for at in sorted(crash.at for crash in crashes):
+        if at - counted_at > COMMON_CAUSE_S:
+            count += 1
+            counted_at = at
+    return count
+
+
+def request_crash_count(crashes: Iterable[Crash], request: str) -> int:
+    """Returns the number of crashes for which a request may be the cause of its own."""
+    count = 0
+    counted_at = float("-inf")
+    for crash in sorted(crashes, key=lambda item: item.at):
+        sent_after = crash.requests[request].sent_at >= counted_at
+        if sent_after or crash.at - counted_at > COMMON_CAUSE_S:
+            count += 1
+            counted_at = crash.at
+    return count
+
+
+def one_request_explains(crashes: list[Crash]) -> bool:
+    """Returns whether one request was on all endpoints and had begun on none."""
+    common = set.intersection(
+        *(
+            {name for name, found in crash.requests.items() if not found.begun}
+            for crash in crashes
+        )
+    )
+    return bool(common)
--- a/src/lagoonrill/_internal/coordination/sending.py
+++ b/src/lagoonrill/_internal/coordination/sending.py
@@ -44,6 +44,8 @@
         # Endpoint of the latest send, and whether it has sent an event.
         self.endpoint = ""
         self.begun = False
+        # Time of the latest send, on the monotonic clock.
+        self.sent_at = 0.0
         # Ids of the prompt parts that other requests may have too.
         self.shared_parts: list[str] = []
         self.sends = 0
--- a/src/lagoonrill/_internal/coordination/service_selection.py
+++ b/src/lagoonrill/_internal/coordination/service_selection.py
@@ -15,6 +15,7 @@
 from ..protocol.routing import EndpointRecord
 from ..state.endpoint_registry import EndpointRegistry
 from ..transport.sockets import CallerGone
+from .crash_guard import CrashGuard
 from .policy.service_placement import LeastLoadedEndpoint, ServiceEndpointView
 from .send_permits import SendPermits
 from .sending import Sending
@@ -31,7 +32,15 @@
 class ServiceSelection:
     """Selects endpoints, and queues calls while no endpoint may be called."""
 
-    def __init__(self, *, zone: str, registry: EndpointRegistry, permits: SendPermits):
+    def __init__(
+        self,
+        *,
+        zone: str,
+        registry: EndpointRegistry,
+        permits: SendPermits,
+        crash_guard: CrashGuard,
+    ):
+        self.crash_guard = crash_guard
         self.placement = LeastLoadedEndpoint(zone=zone)
         self.registry = registry
         self.permits = permits
@@ -123,8 +132,10 @@
             return bisect.bisect_left(self.waiting.get(service, []), place)
 
     def _untried(self, sending: Sending) -> list[EndpointRecord]:
-        return [
-            record
+        untried = {
+            record.id: record
             for record in self.registry.ready(sending.request.service)
             if record.id not in sending.tried
-        ]
+        }
+        allowed = self.crash_guard.isolated(sending, list(untried))
+        return [untried[name] for name in allowed]
--- a/src/lagoonrill/_internal/gateway_daemon.py
+++ b/src/lagoonrill/_internal/gateway_daemon.py
@@ -166,12 +166,12 @@
             registry=self.registry,
             event_log=self.event_log,
         )
-        parts = CrashEvidence()
+        evidence = CrashEvidence()
         self.findings = CrashFindings(
-            store=finding_store, parts=parts, event_log=self.event_log
+            store=finding_store, evidence=evidence, event_log=self.event_log
         )
         self.crash_reports = CrashReports(
-            parts=parts,
+            evidence=evidence,
             registry=self.registry,
             event_log=self.event_log,
             link=self.link,
@@ -264,7 +264,7 @@
             "limited_sends_held_back_total", lambda: self.permits.held_back
         )
         self.metrics.register_gauge(
-            "prompt_parts_refused", lambda: len(self.crash_reports.parts.refused)
+            "crash_causes_refused", lambda: len(self.crash_reports.evidence.refused)
         )
         self.metrics.register_gauge(
             "connections_opened_total", lambda: self.pool.opened
@@ -348,7 +348,7 @@
             "peers": self.peers.dump(),
             "limits": self.permits.dump(),
             "pauses": self.permits.pauses.dump(),
-            "crash_evidence": self.crash_reports.parts.dump(),
+            "crash_evidence": self.crash_reports.evidence.dump(),
             "retry_budget": self.budget.dump(),
             "threads": threading.active_count(),
         }
--- a/src/lagoonrill/_internal/protocol/messages.py
+++ b/src/lagoonrill/_internal/protocol/messages.py
@@ -247,18 +247,31 @@
 
 
 class CrashReport(PeerMessage):
-    """A request had not begun on an engine when the engine crashed."""
+    """A request was on an endpoint when the endpoint crashed."""
 
     service: str
     endpoint: str
     incarnation: int
+    # Fingerprint of the request.
     request: str
+    # Whether the endpoint had begun to answer.
+    begun: bool
+    # Time from the sending of the request to the crash.
+    ran_s: float
     # Parts of the prompt that may be the cause.
     suspects: list[str]
     # Time since the crash; 0 in the first report.
     age_s: float = 0.0
 
 
+class SoundRequest(PeerMessage):
+    """An endpoint has answered a request that was on a crashed endpoint before."""
+
+    service: str
+    # Fingerprint of the request.
+    request: str
+
+
 class ReportedLimit(msgspec.Struct, kw_only=True, array_like=True):
     """Requests per second that an endpoint named in an answer to an instance.
 
--- a/src/lagoonrill/platform/_store.py
+++ b/src/lagoonrill/platform/_store.py
@@ -10,6 +10,7 @@
 from returns.result import Failure, Result, Success
 
 from .._internal.coordination.crash_findings import CrashFinding
+from .._internal.coordination.policy.crash_evidence import Cause
 from .._internal.coordination.store_follower import (
     ObjectChanges,
     ObjectList,
@@ -33,7 +34,7 @@
 # Name of the only configuration object.
 CONFIG_NAME = "main"
 ENDPOINT_KIND = "servers"
-# Objects of the router itself: parts of prompts that crash engines.
+# Objects of the router itself: what crashes endpoints.
 FINDING_KIND = "poison-parts"
 # Timeout of a list call, after which it is retried. The store responds within a few
 # milliseconds, and within some hundred when it is slow. A call that is lost at the end
@@ -116,12 +117,14 @@
 
 
 class WireFinding(msgspec.Struct, rename="pascal"):
-    """Parts of prompts that crash the engines of a service."""
+    """A request, or parts of prompts, that crash the endpoints of a service."""
 
     service: str
-    parts: list[str]
     # Unix time in milliseconds.
     found_ms: UnixMs
+    # Fingerprint of the request; empty if the parts are the cause.
+    request: str = ""
+    parts: list[str] = []
 
 
 def decode_response(data: bytes, kind: type):
@@ -302,15 +305,14 @@
 def decode_finding(name: str, spec: object) -> CrashFinding:
     """Returns the finding in an object; raises `ValueError` if it is invalid."""
     wire = msgspec.convert(spec, WireFinding)
-    return CrashFinding(
-        service=wire.service,
-        parts=tuple(sorted(wire.parts)),
-        found_at=wire.found_ms / 1000,
+    cause = Cause(
+        service=wire.service, request=wire.request, parts=frozenset(wire.parts)
     )
+    return CrashFinding(cause=cause, found_at=wire.found_ms / 1000)
 
 
 class StoreFindings:
-    """Parts of prompts that crash engines, one object for each finding."""
+    """What crashes endpoints, one object for each finding."""
 
     def __init__(self, *, client: StoreClient):
         self.client = client
@@ -333,8 +335,9 @@
     def add(self, finding: CrashFinding) -> Result[object, StoreError]:
         """Writes a finding, unless the store has it."""
         wire = WireFinding(
-            service=finding.service,
-            parts=list(finding.parts),
+            service=finding.cause.service,
+            request=finding.cause.request,
+            parts=sorted(finding.cause.parts),
             found_ms=round(finding.found_at * 1000),
         )
         body = {"Metadata": {"Name": finding_name(finding)}, "Spec": wire}
@@ -358,10 +361,12 @@
 def finding_name(finding: CrashFinding) -> str:
     """Returns the name of a finding's object, the same at all instances.
 
-    >>> len(finding_name(CrashFinding(service="s", parts=("a", "b"), found_at=0.0)))
+    >>> cause = Cause(service="s", parts=frozenset(("a", "b")))
+    >>> len(finding_name(CrashFinding(cause=cause, found_at=0.0)))
     32
     """
-    text = "\n".join((finding.service, *finding.parts))
+    cause = finding.cause
+    text = "\n".join((cause.service, cause.request, *sorted(cause.parts)))
     return hashlib.sha256(text.encode()).hexdigest()[:32]
 
 
--- a/tests/gateway_kit.py
+++ b/tests/gateway_kit.py
@@ -126,7 +126,7 @@
         )
         self.routing.subscribers.append(self.admission.install)
         self.crash_reports = CrashReports(
-            parts=CrashEvidence(), registry=self.registry, event_log=self.event_log
+            evidence=CrashEvidence(), registry=self.registry, event_log=self.event_log
         )
         self.pool = ConnectionPool()
         self.metrics = GatewayMetrics()
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -7,6 +7,7 @@
 from returns.result import Failure, Success
 
 from lagoonrill._internal.coordination.crash_findings import CrashFinding
+from lagoonrill._internal.coordination.policy.crash_evidence import Cause
 from lagoonrill._internal.protocol.errors import (
     StoreCallInterrupted,
     StoreHistoryGone,
@@ -165,9 +166,17 @@
     assert not configs.interrupt()
 
 
-def test_findings_are_written_once_and_can_be_removed(store):
+@pytest.mark.parametrize(
+    "cause",
+    [
+        Cause(service="models", parts=frozenset(("a", "b"))),
+        Cause(service="app", request="0f3e"),
+    ],
+    ids=["parts", "request"],
+)
+def test_findings_are_written_once_and_can_be_removed(store, cause):
     *_, findings = open_sources(store.server.address)
-    found = CrashFinding(service="models", parts=("a", "b"), found_at=1_700_000_000.0)
+    found = CrashFinding(cause=cause, found_at=1_700_000_000.0)
     later = msgspec.structs.replace(found, found_at=1_700_000_009.0)
     for finding in (found, later):
         assert isinstance(findings.add(finding), Success)
@@ -306,7 +315,10 @@
 
 def test_a_finding_with_a_number_too_large_hides_no_other(store):
     *_, findings = open_sources(store.server.address)
-    found = CrashFinding(service="models", parts=("a", "b"), found_at=1_700_000_000.0)
+    found = CrashFinding(
+        cause=Cause(service="models", parts=frozenset(("a", "b"))),
+        found_at=1_700_000_000.0,
+    )
     findings.add(found)
     large = {"Service": "s", "Parts": ["p"], "FoundMs": msgspec.Raw(b"9" * 400)}
     store.put("poison-parts", "odd", large)
--- a/tests/test_crash_findings.py
+++ b/tests/test_crash_findings.py
@@ -13,8 +13,10 @@
 )
 from lagoonrill._internal.coordination.crash_reports import CrashReports
 from lagoonrill._internal.coordination.policy.crash_evidence import (
+    CERTAIN_CRASHES,
     EVIDENCE_LIFETIME_S,
     MIN_CRASHES,
+    Cause,
     CrashEvidence,
 )
 from lagoonrill._internal.event_log import EventLog
@@ -23,6 +25,7 @@
 from lagoonrill._internal.state.endpoint_registry import EndpointRegistry
 
 SERVICE = "models"
+POISON = Cause(service=SERVICE, parts=frozenset(("poison",)))
 DOWN = Failure(StoreInDoubt(message="no answer"))
 
 
@@ -45,11 +48,11 @@
     def add(self, finding):
         if self.fails():
             return DOWN
-        self.found.setdefault((finding.service, finding.parts), finding)
+        self.found.setdefault(finding.cause, finding)
         return Success(None)
 
     def remove(self, finding):
-        self.found.pop((finding.service, finding.parts), None)
+        self.found.pop(finding.cause, None)
         return Success(None)
 
 
@@ -58,17 +61,17 @@
 
     def __init__(self, store, *, now: float = 1_000.0):
         self.now = now
-        self.parts = CrashEvidence(clock=lambda: self.now)
+        self.evidence = CrashEvidence(clock=lambda: self.now)
         self.findings = CrashFindings(
             store=store,
-            parts=self.parts,
+            evidence=self.evidence,
             event_log=EventLog(),
             wall_clock=lambda: 1_700_000_000 + self.now,
             clock=lambda: self.now,
         )
         self.findings.stopping.wait = lambda pause_s: None
         self.reports = CrashReports(
-            parts=self.parts,
+            evidence=self.evidence,
             registry=EndpointRegistry(),
             event_log=EventLog(),
             findings=self.findings,
@@ -88,19 +91,34 @@
             self.findings.calls.put(self._stop)
         return Success(None)
 
-    def crash(self, engine: str) -> None:
+    def crash(self, engine: str, *, request: str = "") -> None:
         self.now += 1.0
         record = EndpointRecord(
             id=engine, service=SERVICE, address="x:1", zone="a", slots=1
         )
-        self.reports.report(record, request=f"r {engine}", suspects=["poison"])
+        self.reports.report(
+            record,
+            request=f"r {engine}",
+            fingerprint=request or f"f {engine}",
+            begun=False,
+            ran_s=0.1,
+            suspects=["poison"],
+        )
 
     def find_poison(self) -> None:
         for number in range(MIN_CRASHES):
             self.crash(f"e{number}")
 
+    def find_deadly_request(self) -> None:
+        for number in range(CERTAIN_CRASHES):
+            self.crash(f"e{number}", request="deadly")
+
     def refuses_poison(self) -> bool:
-        return self.parts.refused_parts(SERVICE, ["poison"]) is not None
+        cause = self.evidence.refusal(SERVICE, request="other", parts=["poison"])
+        return cause is not None
+
+    def refuses_deadly_request(self) -> bool:
+        return self.evidence.refusal(SERVICE, request="deadly", parts=()) is not None
 
 
 @pytest.fixture
@@ -121,6 +139,22 @@
     assert not second.refuses_poison()
 
 
+def test_a_request_that_crashes_endpoints_is_known_after_the_loss_of_all(store):
+    first = Instance(store)
+    first.find_deadly_request()
+    first.run_calls()
+    second = Instance(store, now=first.now + 60)
+    second.findings.refresh()
+    second.run_calls()
+    assert second.refuses_deadly_request()
+    assert not second.refuses_poison()
+    # An answer to a copy that was on its way disproves it, here and in the store.
+    second.reports.note_answered(SERVICE, "deadly")
+    second.run_calls()
+    assert not second.refuses_deadly_request()
+    assert store.found == {}
+
+
 def test_an_instance_cut_off_from_its_peers_needs_one_crash_only(store):
     there = Instance(store)
     there.findings.refresh()
@@ -139,7 +173,7 @@
     instance = Instance(store)
     instance.find_poison()
     instance.run_calls()
-    assert list(store.found) == [(SERVICE, ("poison",))]
+    assert list(store.found) == [POISON]
 
 
 def test_a_finding_that_an_answer_disproves_is_removed(store):
@@ -151,7 +185,7 @@
 
 
 def test_old_findings_are_removed_from_the_store(store):
-    old = CrashFinding(service=SERVICE, parts=("poison",), found_at=1_700_000_000.0)
+    old = CrashFinding(cause=POISON, found_at=1_700_000_000.0)
     store.add(old)
     instance = Instance(store, now=EVIDENCE_LIFETIME_S + 1)
     instance.findings.refresh()
--- a/tests/test_departures_reach_placement.py
+++ b/tests/test_departures_reach_placement.py
@@ -205,7 +205,7 @@
             load_table=EngineLoadTable(),
             freshness=freshness,
             crash_reports=CrashReports(
-                parts=CrashEvidence(), registry=self.registry, event_log=EventLog()
+                evidence=CrashEvidence(), registry=self.registry, event_log=EventLog()
             ),
             signals=EndpointSignals(
                 instance="me",
--- a/tests/test_gateway_peers.py
+++ b/tests/test_gateway_peers.py
@@ -90,7 +90,7 @@
             load_table=EngineLoadTable(),
             freshness=FreshnessStub(),
             crash_reports=CrashReports(
-                parts=CrashEvidence(), registry=self.registry, event_log=EventLog()
+                evidence=CrashEvidence(), registry=self.registry, event_log=EventLog()
             ),
             signals=EndpointSignals(
                 instance="me",
