Name software versions and taken-up streams in the log

An entry whose version is no text, or over 200 characters, names no endpoint, as with its other fields; one without a version is used.

--- a/src/lagoonrill/_internal/coordination/endpoint_discovery.py
+++ b/src/lagoonrill/_internal/coordination/endpoint_discovery.py
@@ -350,6 +350,7 @@
                     service=record.service,
                     address=record.address,
                     leaving=record.leaving,
+                    version=record.version,
                     revision=revision,
                 )
             elif record.leaving and not known.leaving:
@@ -358,5 +359,8 @@
                 )
             elif record.incarnation != known.incarnation:
                 self.event_log.emit(
-                    "endpoint_restarted", endpoint=endpoint_id, revision=revision
+                    "endpoint_restarted",
+                    endpoint=endpoint_id,
+                    version=record.version,
+                    revision=revision,
                 )
--- a/src/lagoonrill/_internal/coordination/forwarding.py
+++ b/src/lagoonrill/_internal/coordination/forwarding.py
@@ -69,6 +69,7 @@
 # time before the limit does not count as an endpoint failure.
 TIME_LIMIT_SLACK_S = 0.5
 # Statuses that tell the caller "not run"; only the router itself may return them.
+MAX_LOGGED_ID_CHARACTERS = 64
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 
 
@@ -412,6 +413,8 @@
             send=sending.sends,
             reused=connection.served > 0,
             resume_after=sending.last_event,
+            resumes=(request.resumes or "")[:MAX_LOGGED_ID_CHARACTERS],
+            version=record.version,
             config=request.config_version,
             list_age_ms=round(self.list_age_s() * 1000),
             list_confirmed_by=self.list_confirmed_by(),
--- a/src/lagoonrill/_internal/coordination/routed_request.py
+++ b/src/lagoonrill/_internal/coordination/routed_request.py
@@ -39,6 +39,8 @@
     # timeout of the route.
     deadline: float
     resume_after: int | None
+    # Id of the request that brought the first event of a resumed stream.
+    resumes: str | None = None
     config_version: int
 
     def header(self, name: str) -> str | None:
@@ -120,6 +122,7 @@
             arrived_at=incoming.arrived_at,
             deadline=incoming.arrived_at + limit_s,
             resume_after=int(resume) if resume and resume.isdigit() else None,
+            resumes=first_value(incoming.headers, header_names.resumes),
             config_version=table.config.version,
         )
 
--- a/src/lagoonrill/_internal/protocol/headers.py
+++ b/src/lagoonrill/_internal/protocol/headers.py
@@ -57,6 +57,8 @@
     # Address of the engine to copy the cached prompt prefix from.
     copy_prompt_from: str = "X-Copy-Prompt-From"
     resume_after: str = "Last-Event-Id"
+    # Id of the request that brought the first event of the stream to be resumed.
+    resumes: str = "X-Resumes"
     key_scheme: str = "Bearer"
     # Headers that only the router may set; they are removed from requests of callers.
     router_only: frozenset[str] = frozenset()
--- a/src/lagoonrill/_internal/protocol/routing.py
+++ b/src/lagoonrill/_internal/protocol/routing.py
@@ -138,6 +138,8 @@
     incarnation: int = 0
     # Remaining time for which the endpoint is slow after its start.
     cold_s: float = 0.0
+    # Version of its software; versions have no order. Empty if it names none.
+    version: str = ""
 
 
 class PromptPart(msgspec.Struct, kw_only=True, frozen=True, array_like=True):
--- a/src/lagoonrill/platform/_headers.py
+++ b/src/lagoonrill/platform/_headers.py
@@ -22,6 +22,7 @@
     output_estimate="Length-Hint",
     copy_prompt_from="Kv-Fetch",
     resume_after="Last-Event-Id",
+    resumes="Resumes",
     key_scheme="Token",
     router_only=frozenset(("Expect-Version", "Hold", "Pin-Ms", "Kv-Backup", "Kv-From")),
 )
--- a/src/lagoonrill/platform/_store.py
+++ b/src/lagoonrill/platform/_store.py
@@ -53,6 +53,7 @@
 MAX_SLOTS = 1_000_000
 MAX_COLD_MS = 24 * 3_600 * 1000
 MAX_UNIX_MS = 2**53
+MAX_VERSION_CHARACTERS = 200
 
 LEAVING_BY_STATE = {"ready": False, "draining": True}
 
@@ -112,6 +113,8 @@
     cold_remaining_ms: Annotated[
         float, msgspec.Meta(ge=-MAX_COLD_MS, le=MAX_COLD_MS)
     ] = 0.0
+    # Version of the endpoint's software.
+    version: Annotated[str, msgspec.Meta(max_length=MAX_VERSION_CHARACTERS)] = ""
     # Start time in Unix milliseconds; it distinguishes restarts under the same id.
     born: UnixMs = msgspec.field(name="born", default=0)
 
@@ -172,6 +175,7 @@
         leaving=LEAVING_BY_STATE[wire.state],
         incarnation=wire.born,
         cold_s=max(0.0, wire.cold_remaining_ms / 1000),
+        version=wire.version,
     )
 
 
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -340,3 +340,24 @@
 def test_an_answer_without_structure_is_an_error():
     with pytest.raises(ValueError):
         decode_response(b'{"events": [', object)
+
+
+@pytest.mark.parametrize(
+    "version, decoded",
+    [(b'"v1.1"', "v1.1"), (b'""', ""), (b"7", None), (b'"%s"' % (b"v" * 10**7), None)],
+    ids=["text", "empty", "number", "long"],
+)
+def test_an_entry_names_the_version_of_its_software(version, decoded):
+    """An entry with another type in a field names no endpoint to use."""
+    spec = msgspec.json.encode(server(Address="10.0.0.2:80"))
+    spec = spec[:-1] + b', "Version": ' + version + b"}"
+    (item,) = changes_in(wire_event("i-1", spec)).changed
+    found = item.content.version if item.content is not None else None
+    assert found == decoded
+
+
+def test_an_entry_without_a_version_is_used():
+    spec = server(Address="10.0.0.2:80")
+    spec.pop("Version", None)
+    (item,) = changes_in(wire_event("i-1", msgspec.json.encode(spec))).changed
+    assert item.content.version == ""
