Let a stream go on only at the software version that began it

Class: an answer is continued on what one instance knows of endpoints, not on what it was begun with.

Change: a request that resumes a stream is placed among endpoints of its version only. Within one answer the instance knows it. For take-ups each service has a default version, kept in the store: a stream that is recorded nowhere began there. The default changes once none of its endpoints has been there for twice the longest timeout of a resumable route. What is not known is refused, never guessed. A taken-up stream also goes to the service that its first request was sent to.

Why it works: at any time at most one version has streams without a record, and all instances read from the store which one. An instance that has not learned of a new default writes records without need and sends nothing wrong. While one version serves, no stream costs a call.

--- a/src/lagoonrill/_internal/coordination/forwarding.py
+++ b/src/lagoonrill/_internal/coordination/forwarding.py
@@ -45,6 +45,7 @@
 from .routed_request import RoutedRequest
 from .sending import Answer, CallerBreak, Outcome, Sending, Silent
 from .service_selection import ServiceSelection
+from .stream_origins import StreamOrigins
 
 # Maximum number of failed connection attempts per request; they do not count as sends.
 MAX_CONNECT_FAILURES = 4
@@ -87,6 +88,7 @@
         crash_reports: CrashReports,
         zone: str,
         budget: SharedRetryBudget,
+        origins: StreamOrigins,
         instances,
         list_age_s: Callable[[], float],
         list_confirmed_by: Callable[[], str],
@@ -109,6 +111,7 @@
             crash_guard=self.crash_guard,
         )
         self.budget = budget
+        self.origins = origins
         self.instances = instances
         # Age and source of the evidence that the endpoint list is current.
         self.list_age_s = list_age_s
@@ -119,12 +122,35 @@
     def serve(self, request: RoutedRequest, caller: CallerConnection) -> None:
         """Answers a request; raises `Refusal` or `CallerGone`."""
         sending = Sending(request=request, caller=caller)
+        self._find_version(sending)
         try:
             self._send_until_answered(sending)
         except (CallerGone, CallerBreak) as error:
             error.progress = sending.timing()
             raise
 
+    def _find_version(self, sending: Sending) -> None:
+        """Finds the version that a stream has to go on at; raises `Refusal`."""
+        request = sending.request
+        if not (request.route.resumable and request.resume_after):
+            return
+        version = self.origins.version_of(request.service, request.resumes)
+        if version is None:
+            raise Refusal(
+                503,
+                "stream_origin_unknown",
+                remedy="Retry after the time given, or begin a new stream.",
+                retry_after_s=RETRY_AFTER_S,
+            )
+        sending.version = version
+        if not any(map(sending.may_use, self.registry.ready(request.service))):
+            raise Refusal(
+                503,
+                "stream_version_gone",
+                remedy="Begin a new stream; no endpoint can go on with this one.",
+                retry_after_s=RETRY_AFTER_S,
+            )
+
     def _send_until_answered(self, sending: Sending) -> None:
         while True:
             outcome = self._send_once(sending)
@@ -178,7 +204,7 @@
     def _has_untried_endpoint(self, sending: Sending) -> bool:
         ready = self.registry.ready(sending.request.service)
         return any(
-            record.id not in sending.tried and not self.permits.is_held(record)
+            sending.may_use(record) and not self.permits.is_held(record)
             for record in ready
         )
 
@@ -278,13 +304,16 @@
             )
 
     def _excluded_engines(self, sending: Sending) -> frozenset[str]:
+        ready = self.registry.ready(sending.request.service)
+        usable = {item.id for item in ready if sending.may_use(item)}
         near = self.admission.near_engines(sending.request.service)
-        untried = [name for name in near if name not in sending.tried]
+        untried = [name for name in near if name in usable]
         allowed = self.crash_guard.isolated(sending, untried)
-        if len(allowed) == len(untried):
-            return frozenset(sending.tried)
-        ready = (item.id for item in self.registry.ready(sending.request.service))
-        return frozenset(sending.tried).union(ready) - frozenset(allowed)
+        if len(allowed) < len(untried):
+            usable = set(allowed)
+        return frozenset(sending.tried).union(
+            item.id for item in ready if item.id not in usable
+        )
 
     def _begun(
         self, sending: Sending, admission: Admission, generation: Generation
@@ -608,6 +637,7 @@
             if not new_events:
                 continue
             if not sending.stream_started:
+                self._note_origin(sending, record)
                 self._start_stream(sending, head)
             on_event()
             sending.begun = True
@@ -622,6 +652,15 @@
         self._log_answered(sending, 200)
         return None
 
+    def _note_origin(self, sending: Sending, record: EndpointRecord) -> None:
+        """Notes where a stream begins, before its caller gets the first event."""
+        request = sending.request
+        if sending.version is not None or not request.route.resumable:
+            return
+        sending.version = record.version
+        if request.id:
+            self.origins.note_begun(request.service, request.id, record.version)
+
     def _start_stream(self, sending: Sending, head: ResponseHead) -> None:
         request = sending.request
         sending.stream_started = True
--- /dev/null
+++ b/src/lagoonrill/_internal/coordination/policy/stream_history.py
@@ -0,0 +1,200 @@
+"""Knows at which software version of its endpoints a stream began.
+
+Load pattern: endpoints of two versions serve side by side, during a release or for
+days, and instances are killed, one or all at once. Callers take their broken streams up
+at any instance. What two versions write does not fit together, so a stream may go on
+only at the version that began it.
+
+Each service has a default version, on which all instances agree. A stream that is known
+nowhere began at the default version; what begins at another one is recorded before the
+caller gets the first event. The default changes only after none of its endpoints has
+been there for longer than a stream can last, so nothing is recorded while one version
+serves, and a release costs a record for each stream for a limited time.
+
+Versions have no order and may come back; they are compared for equality only.
+"""
+
+import threading
+import time
+from collections import OrderedDict
+from collections.abc import Callable, Iterable
+
+import msgspec
+
+from ...protocol.routing import EndpointRecord
+
+# A stream may be taken up for as long as it has lasted, so it lives for this many
+# timeouts of its route at most.
+STREAM_TIMEOUTS = 2.0
+# Lifetime of a stream until a configuration is known.
+DEFAULT_STREAM_LIFE_S = 60.0
+MAX_RECORDS = 100_000
+
+
+class StreamRecord(msgspec.Struct, kw_only=True, frozen=True):
+    """Where a stream began; `key` is the digest of the id of its first request."""
+
+    key: str
+    service: str
+    version: str
+
+
+class DefaultVersion(msgspec.Struct, kw_only=True, frozen=True):
+    """The version of streams that are known nowhere; the highest number holds."""
+
+    service: str
+    version: str
+    number: int = 0
+
+
+class ServedVersions:
+    """Versions of the endpoints of a service, as observed by this instance."""
+
+    __slots__ = ("gone_at", "present", "since")
+
+    def __init__(self, *, since: float):
+        self.since = since
+        self.present: frozenset[str] = frozenset()
+        # Times at which versions lost their last endpoint.
+        self.gone_at: dict[str, float] = {}
+
+
+class StreamHistory:
+    """Records of streams, default versions, and the versions that served lately.
+
+    >>> history = StreamHistory(clock=lambda: 100.0)
+    >>> history.add_default(DefaultVersion(service="s", version="v1"))
+    >>> history.needs_record("s", "v1"), history.needs_record("s", "v2")
+    (False, True)
+    >>> history.add(StreamRecord(key="k", service="s", version="v2"), age_s=3.0)
+    >>> history.begun_at_version("s", "k")
+    'v2'
+    """
+
+    def __init__(self, *, clock: Callable[[], float] = time.monotonic):
+        self.clock = clock
+        self.lock = threading.Lock()
+        self.stream_life_s = DEFAULT_STREAM_LIFE_S
+        self.is_life_known = False
+        # Records and the times at which the streams began, oldest first.
+        self.records: OrderedDict[str, tuple[StreamRecord, float]] = OrderedDict()
+        self.defaults: dict[str, DefaultVersion] = {}
+        self.served: dict[str, ServedVersions] = {}
+
+    def note_longest_timeout(self, timeout_s: float) -> None:
+        """Takes the longest timeout of the routes whose streams may be resumed.
+
+        Streams that began with a longer one may still live.
+        """
+        life_s = STREAM_TIMEOUTS * timeout_s
+        if self.is_life_known:
+            life_s = max(life_s, self.stream_life_s)
+        self.stream_life_s = life_s
+        self.is_life_known = True
+
+    def add(self, record: StreamRecord, *, age_s: float = 0.0) -> None:
+        """Adds a record, unless the stream is known."""
+        now = self.clock()
+        with self.lock:
+            self.records.setdefault(record.key, (record, now - age_s))
+            while len(self.records) > MAX_RECORDS or self._oldest_is_over(now):
+                self.records.popitem(last=False)
+
+    def _oldest_is_over(self, now: float) -> bool:
+        if not self.records:
+            return False
+        _, begun_at = next(iter(self.records.values()))
+        return begun_at < now - self.stream_life_s
+
+    def add_default(self, default: DefaultVersion) -> None:
+        """Adds a default version, unless a later one of the service is known."""
+        with self.lock:
+            known = self.defaults.get(default.service)
+            if known is None or known.number < default.number:
+                self.defaults[default.service] = default
+
+    def needs_record(self, service: str, version: str) -> bool:
+        """Returns whether a stream that begins at a version has to be recorded."""
+        default = self.defaults.get(service)
+        return default is None or default.version != version
+
+    def begun_at_version(self, service: str, key: str) -> str | None:
+        """Returns the version at which a recorded stream began, or None."""
+        found = self.records.get(key)
+        if found is None or found[0].service != service:
+            return None
+        return found[0].version
+
+    def default_version(self, service: str) -> str | None:
+        """Returns the version of streams that are known nowhere, if it is known."""
+        default = self.defaults.get(service)
+        return None if default is None else default.version
+
+    def note_endpoints(self, records: Iterable[EndpointRecord]) -> None:
+        """Records which versions have endpoints now, leaving ones included."""
+        now = self.clock()
+        present: dict[str, set[str]] = {}
+        for record in records:
+            present.setdefault(record.service, set()).add(record.version)
+        with self.lock:
+            for service in present.keys() | self.served.keys():
+                served = self.served.setdefault(service, ServedVersions(since=now))
+                versions = frozenset(present.get(service, ()))
+                for version in served.present - versions:
+                    served.gone_at[version] = now
+                for version in versions:
+                    served.gone_at.pop(version, None)
+                served.present = versions
+
+    def only_version(self, service: str) -> str | None:
+        """Returns the version of all endpoints for a stream's life, or None."""
+        now = self.clock()
+        with self.lock:
+            served = self.served.get(service)
+            if served is None or len(served.present) != 1:
+                return None
+            oldest = now - self.stream_life_s
+            if served.since > oldest or any(
+                at > oldest for at in served.gone_at.values()
+            ):
+                return None
+            (version,) = served.present
+            return version
+
+    def is_settled(self, service: str) -> bool:
+        """Returns whether all streams that can be resumed began at the default."""
+        version = self.only_version(service)
+        return version is not None and version == self.default_version(service)
+
+    def next_default(self, service: str) -> DefaultVersion | None:
+        """Returns the default that replaces the present one, if that is due.
+
+        Without a default in the store, no stream has begun before.
+        """
+        served = self.served.get(service)
+        default = self.defaults.get(service)
+        if default is None:
+            if served is None or len(served.present) != 1:
+                return None
+            (version,) = served.present
+            return DefaultVersion(service=service, version=version)
+        version = self.only_version(service)
+        if version is None or version == default.version:
+            return None
+        return DefaultVersion(
+            service=service, version=version, number=default.number + 1
+        )
+
+    def dump(self) -> dict:
+        with self.lock:
+            return {
+                "records": len(self.records),
+                "stream_life_s": self.stream_life_s,
+                "services": {
+                    service: {
+                        "default": self.default_version(service),
+                        "present": sorted(served.present),
+                    }
+                    for service, served in self.served.items()
+                },
+            }
--- a/src/lagoonrill/_internal/coordination/routed_request.py
+++ b/src/lagoonrill/_internal/coordination/routed_request.py
@@ -111,18 +111,20 @@
         if limit_ms is not None:
             limit_s = min(limit_s, limit_ms / 1000)
         resume = first_value(incoming.headers, header_names.resume_after)
+        # A stream goes on at the service that began it.
+        origin = first_value(incoming.headers, header_names.resumes) if resume else None
         return RoutedRequest(
             id=request_id,
             incoming=incoming,
             route=route,
-            service=choose_service(route, request_id),
+            service=choose_service(route, origin or request_id),
             team=team.name if team else None,
             priority=table.rank(route, team),
             headers=self._forwarded_headers(incoming),
             arrived_at=incoming.arrived_at,
             deadline=incoming.arrived_at + limit_s,
             resume_after=int(resume) if resume and resume.isdigit() else None,
-            resumes=first_value(incoming.headers, header_names.resumes),
+            resumes=origin,
             config_version=table.config.version,
         )
 
--- a/src/lagoonrill/_internal/coordination/sending.py
+++ b/src/lagoonrill/_internal/coordination/sending.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from ..protocol.headers import RawHeaders
+from ..protocol.routing import EndpointRecord
 from ..transport.caller_connection import CallerConnection
 from .routed_request import RoutedRequest
 
@@ -55,6 +56,9 @@
         self.last_reason = ""
         self.last_event = request.resume_after
         self.stream_started = False
+        # Version of the endpoint that began the stream, which others cannot go on with;
+        # None if any version will do.
+        self.version: str | None = None
         # Times of the first and latest relayed event on the monotonic clock; 0 before.
         self.first_event_at = 0.0
         self.last_event_at = 0.0
@@ -68,6 +72,12 @@
         """Digest of the request, the same for its repeats; takes time for each byte."""
         return self.request.fingerprint()
 
+    def may_use(self, record: EndpointRecord) -> bool:
+        """Returns whether the request may be sent to an endpoint."""
+        if record.id in self.tried:
+            return False
+        return self.version is None or record.version == self.version
+
     def note_event(self) -> None:
         """Records the time of events that are relayed to the caller."""
         now = time.monotonic()
--- a/src/lagoonrill/_internal/coordination/service_selection.py
+++ b/src/lagoonrill/_internal/coordination/service_selection.py
@@ -135,7 +135,7 @@
         untried = {
             record.id: record
             for record in self.registry.ready(sending.request.service)
-            if record.id not in sending.tried
+            if sending.may_use(record)
         }
         allowed = self.crash_guard.isolated(sending, list(untried))
         return [untried[name] for name in allowed]
--- a/src/lagoonrill/_internal/gateway_daemon.py
+++ b/src/lagoonrill/_internal/gateway_daemon.py
@@ -25,6 +25,7 @@
 from .coordination.send_permits import SendPermits
 from .coordination.store_follower import ObjectSource, StoreFollower
 from .coordination.store_freshness import StoreFreshness
+from .coordination.stream_origins import OriginStore, StreamOrigins
 from .event_log import EventLog, EventLogHandler
 from .protocol.errors import SettingsError
 from .protocol.gateway_settings import (
@@ -79,6 +80,7 @@
     # The content of its objects is an `EndpointRecord`.
     endpoints: ObjectSource
     findings: FindingStore
+    origins: OriginStore
 
 
 class GatewayDaemon:
@@ -113,6 +115,7 @@
         self._build_admission()
         self._build_followers(source)
         self._build_peers(source.findings)
+        self._build_origins(source.origins)
         self._build_request_path(header_names)
         self._build_pages(readiness_path)
 
@@ -195,9 +198,21 @@
             event_log=self.event_log,
         )
         self.load_table.changed = self.peers.note_change
-        self.config_follower.restored = self._write_findings_again
+        self.config_follower.restored = self._write_again
         self.admission.peers = self.peers
 
+    def _build_origins(self, store: OriginStore) -> None:
+        self.origins = StreamOrigins(
+            instance=self.settings.instance,
+            store=store,
+            registry=self.registry,
+            event_log=self.event_log,
+            is_writer=lambda: self.peers.store_rank() == 0,
+            instances=self.peers.instances,
+            writes_per_s=self.settings.store_writes_per_s,
+        )
+        self.routing.subscribers.append(self.origins.install)
+
     def _build_request_path(self, header_names: HeaderNames) -> None:
         settings = self.settings
         self.budget = SharedRetryBudget(
@@ -214,6 +229,7 @@
             crash_reports=self.crash_reports,
             zone=settings.zone,
             budget=self.budget,
+            origins=self.origins,
             instances=self.peers.instances,
             list_age_s=self.endpoint_follower.age_s,
             list_confirmed_by=lambda: self.endpoint_follower.confirmed_by,
@@ -266,6 +282,9 @@
         self.metrics.register_gauge(
             "crash_causes_refused", lambda: len(self.crash_reports.evidence.refused)
         )
+        self.metrics.register_gauge(
+            "streams_unrecorded_total", lambda: self.origins.unrecorded
+        )
         self.metrics.register_gauge(
             "connections_opened_total", lambda: self.pool.opened
         )
@@ -278,11 +297,12 @@
             },
         )
 
-    def _write_findings_again(self) -> None:
-        """Writes findings that a restored store lost, from one instance of the fleet.
+    def _write_again(self) -> None:
+        """Writes what a restored store lost.
 
-        Its peers have the same findings.
+        Findings are written by one instance of the fleet, as its peers have the same.
         """
+        self.origins.write_again()
         if self.peers.store_rank() == 0:
             self.findings.write_again()
 
@@ -317,6 +337,7 @@
         self.pool.keep_only({record.address for record in records.values()})
         self.load_table.keep_only(set(records))
         self.permits.keep_only(list(records.values()))
+        self.origins.note_endpoints()
         self.admission.note_change()
         self.peers.note_change()
 
@@ -348,6 +369,7 @@
             "peers": self.peers.dump(),
             "limits": self.permits.dump(),
             "pauses": self.permits.pauses.dump(),
+            "stream_origins": self.origins.dump(),
             "crash_evidence": self.crash_reports.evidence.dump(),
             "retry_budget": self.budget.dump(),
             "threads": threading.active_count(),
@@ -368,6 +390,7 @@
         self.config_follower.start()
         self.endpoint_follower.start()
         self.findings.start()
+        self.origins.start()
         self.peers.start()
         self.admission.start()
         self.listener.start()
@@ -472,6 +495,7 @@
             self.config_follower.stop,
             self.endpoint_follower.stop,
             self.findings.stop,
+            self.origins.stop,
             self.peers.stop,
             self.admission.stop,
             self.pages.close,
--- a/src/lagoonrill/_internal/protocol/gateway_settings.py
+++ b/src/lagoonrill/_internal/protocol/gateway_settings.py
@@ -2,7 +2,14 @@
 
 import msgspec
 
-from .checks import Milliseconds, Problem, Seconds, decode_document, raise_problems
+from .checks import (
+    Count,
+    Milliseconds,
+    Problem,
+    Seconds,
+    decode_document,
+    raise_problems,
+)
 from .errors import SettingsError
 
 ADDRESS_REMEDY = "Write HOST:PORT with an IPv4 address, for example 10.1.0.19:8740"
@@ -39,6 +46,8 @@
     seeds: list[str] = []
     max_descriptors: int = 4_096
     memory_mb: int = 256
+    # Writes that the store takes from all instances together.
+    store_writes_per_s: Count = 100
     bounds: GatewayBounds = msgspec.field(default_factory=GatewayBounds)
 
 
--- a/src/lagoonrill/_internal/state/endpoint_registry.py
+++ b/src/lagoonrill/_internal/state/endpoint_registry.py
@@ -84,13 +84,16 @@
 
 
 def checksum_of(records: Iterable[EndpointRecord]) -> int:
-    """Returns a checksum over the ids, incarnations and leaving flags of endpoints.
+    """Returns a checksum over what tells the states of endpoints apart.
 
     >>> a = EndpointRecord(id="a", service="s", address="x:1", zone="z", slots=1)
     >>> checksum_of([a]) == checksum_of([msgspec.structs.replace(a, leaving=True)])
     False
     """
-    lines = sorted(f"{item.id} {item.incarnation} {item.leaving}" for item in records)
+    lines = sorted(
+        f"{item.id} {item.incarnation} {item.leaving} {item.version}"
+        for item in records
+    )
     return zlib.crc32("\n".join(lines).encode())
 
 
@@ -163,6 +166,7 @@
             and not current.leaving
             and current.address == record.address
             and current.incarnation == record.incarnation
+            and current.version == record.version
             and not self._is_hold_expired(record.id)
         )
 
--- a/src/lagoonrill/platform/__main__.py
+++ b/src/lagoonrill/platform/__main__.py
@@ -26,12 +26,17 @@
     except (SettingsError, OSError) as error:
         print(f"lagoonrill: {path}: {error}", file=sys.stderr)
         return EXIT_INVALID_SETTINGS
-    configs, endpoints, findings = open_sources(settings.store_address)
+    sources = open_sources(settings.store_address)
     daemon = GatewayDaemon(
         settings=settings,
         settings_path=path,
         header_names=VOCABULARY,
-        source=RoutingSource(configs=configs, endpoints=endpoints, findings=findings),
+        source=RoutingSource(
+            configs=sources.configs,
+            endpoints=sources.endpoints,
+            findings=sources.findings,
+            origins=sources.origins,
+        ),
         readiness_path=READINESS_PATH,
     )
     daemon.install_signal_handlers()
--- a/src/lagoonrill/platform/_store.py
+++ b/src/lagoonrill/platform/_store.py
@@ -11,11 +11,20 @@
 
 from .._internal.coordination.crash_findings import CrashFinding
 from .._internal.coordination.policy.crash_evidence import Cause
+from .._internal.coordination.policy.stream_history import (
+    DefaultVersion,
+    StreamRecord,
+)
 from .._internal.coordination.store_follower import (
     ObjectChanges,
     ObjectList,
     StoreObject,
 )
+from .._internal.coordination.stream_origins import (
+    StoredOrigins,
+    StoredSlot,
+    StoredStream,
+)
 from .._internal.protocol import lenient_json
 from .._internal.protocol.errors import StoreConflict, StoreError, StoreInDoubt
 from .._internal.protocol.headers import parse_positive_int
@@ -36,6 +45,8 @@
 ENDPOINT_KIND = "servers"
 # Objects of the router itself: what crashes endpoints.
 FINDING_KIND = "poison-parts"
+# Objects of the router itself: at which software versions streams began.
+ORIGIN_KIND = "stream-origins"
 # Timeout of a list call, after which it is retried. The store responds within a few
 # milliseconds, and within some hundred when it is slow. A call that is lost at the end
 # of an outage is repeated early enough for the instance to know all changes three
@@ -45,8 +56,8 @@
 CONNECT_TIMEOUT_S = 0.7
 # Added to the wait of a watch to get its read timeout; the same as of a list.
 WATCH_MARGIN_S = CALL_TIMEOUT_S
-# A call for each of the three kinds; watches have connections of their own.
-CONNECTIONS = 3
+# A call for each of the four kinds; watches have connections of their own.
+CONNECTIONS = 4
 
 # Bounds of numbers in entries, beyond what any endpoint writes. Peers exchange integers
 # of 64 bits, and other writers may have stored any number.
@@ -374,10 +385,145 @@
     return hashlib.sha256(text.encode()).hexdigest()[:32]
 
 
-def open_sources(
-    address: str,
-) -> tuple[StoreObjectSource, StoreObjectSource, StoreFindings]:
-    """Returns the sources of the configuration and the endpoints, and the findings."""
+class WireDefaultVersion(msgspec.Struct, rename="pascal", tag="default"):
+    """The version of streams of a service that are recorded nowhere."""
+
+    service: str
+    version: str
+    number: Annotated[int, msgspec.Meta(ge=0, le=MAX_UNIX_MS)]
+
+
+class WireStreams(msgspec.Struct, rename="pascal"):
+    """Streams of a service that began at a version, with Unix times in ms."""
+
+    service: str
+    version: str
+    begun: list[tuple[str, UnixMs]]
+
+
+class WireSlot(msgspec.Struct, rename="pascal", tag="streams"):
+    """Records of streams that one instance wrote."""
+
+    instance: str
+    slot: int
+    streams: list[WireStreams]
+
+
+def decode_origins(name: str, spec: object) -> DefaultVersion | StoredSlot:
+    """Returns what an object says of origins; raises `ValueError` if it is invalid."""
+    wire = msgspec.convert(spec, WireDefaultVersion | WireSlot)
+    if isinstance(wire, WireDefaultVersion):
+        return DefaultVersion(
+            service=wire.service, version=wire.version, number=wire.number
+        )
+    streams = tuple(
+        StoredStream(
+            record=StreamRecord(key=key, service=group.service, version=group.version),
+            begun_at=begun_ms / 1000,
+        )
+        for group in wire.streams
+        for key, begun_ms in group.begun
+    )
+    return StoredSlot(instance=wire.instance, slot=wire.slot, streams=streams)
+
+
+def encode_slot(slot: StoredSlot) -> WireSlot:
+    """Groups the records of a slot, so that versions are not repeated."""
+    groups: dict[tuple[str, str], WireStreams] = {}
+    for stream in slot.streams:
+        record = stream.record
+        group = groups.setdefault(
+            (record.service, record.version),
+            WireStreams(service=record.service, version=record.version, begun=[]),
+        )
+        group.begun.append((record.key, round(stream.begun_at * 1000)))
+    return WireSlot(
+        instance=slot.instance, slot=slot.slot, streams=list(groups.values())
+    )
+
+
+class StoreOrigins:
+    """Origins of streams: objects for the slots of instances, and for defaults."""
+
+    def __init__(self, *, client: StoreClient):
+        self.client = client
+        self.path = OBJECTS_PATH + ORIGIN_KIND
+        self.source = StoreObjectSource(
+            client=client,
+            kind=ORIGIN_KIND,
+            decode=decode_origins,
+            watch_connection=None,
+        )
+
+    def list(self) -> Result[StoredOrigins, StoreError]:
+        """Returns the origins; objects that cannot be decoded are left out."""
+        return self.source.list().map(self._origins)
+
+    def _origins(self, found: ObjectList) -> StoredOrigins:
+        contents = [item.content for item in found.objects]
+        return StoredOrigins(
+            defaults=[item for item in contents if isinstance(item, DefaultVersion)],
+            slots=[item for item in contents if isinstance(item, StoredSlot)],
+        )
+
+    def write(self, slot: StoredSlot) -> Result[object, StoreError]:
+        """Replaces the object of a slot, or creates it."""
+        name = f"{object_name(slot.instance)}.{slot.slot}"
+        wire = encode_slot(slot)
+        result = self._call("PUT", f"{self.path}/{name}", name, wire)
+        if isinstance(result, Success) and result.unwrap().status == 404:
+            return self._call("POST", self.path, name, wire)
+        return result
+
+    def add_default(self, default: DefaultVersion) -> Result[object, StoreError]:
+        """Creates the object of a default; fails if one of this number exists."""
+        wire = WireDefaultVersion(
+            service=default.service, version=default.version, number=default.number
+        )
+        return self._call("POST", self.path, default_name(default), wire)
+
+    def remove_default(self, default: DefaultVersion) -> Result[object, StoreError]:
+        """Removes a replaced default; it is no error if the store does not have it."""
+        path = f"{self.path}/{default_name(default)}"
+        return self.client.call(f"delete {ORIGIN_KIND}", "DELETE", path)
+
+    def _call(
+        self, method: str, path: str, name: str, wire: msgspec.Struct
+    ) -> Result[StoreResponse, StoreError]:
+        return self.client.call(
+            f"write {ORIGIN_KIND}",
+            method,
+            path,
+            headers={"Content-Type": "application/json"},
+            body=msgspec.json.encode({"Metadata": {"Name": name}, "Spec": wire}),
+        )
+
+
+def default_name(default: DefaultVersion) -> str:
+    """Returns the name of a default's object, the same at all instances."""
+    return f"{object_name(default.service)}.default.{default.number}"
+
+
+def object_name(text: str) -> str:
+    """Returns a name for an object from any text.
+
+    >>> len(object_name("a service / with odd characters"))
+    24
+    """
+    return hashlib.sha256(text.encode()).hexdigest()[:24]
+
+
+class StoreSources(msgspec.Struct, kw_only=True):
+    """Everything that the router reads from and writes to the store."""
+
+    configs: StoreObjectSource
+    endpoints: StoreObjectSource
+    findings: StoreFindings
+    origins: StoreOrigins
+
+
+def open_sources(address: str) -> StoreSources:
+    """Returns the sources in the store at an address."""
     client = StoreClient(
         url=f"http://{address}",
         call_timeout_s=CALL_TIMEOUT_S,
@@ -396,4 +542,9 @@
             (ENDPOINT_KIND, decode_endpoint),
         )
     )
-    return configs, endpoints, StoreFindings(client=client)
+    return StoreSources(
+        configs=configs,
+        endpoints=endpoints,
+        findings=StoreFindings(client=client),
+        origins=StoreOrigins(client=client),
+    )
--- a/standins/metadata_store.py
+++ b/standins/metadata_store.py
@@ -152,6 +152,15 @@
                     store.put(kind, name, found["Spec"])
                 self.send(store.refusal_status or (409 if exists else 201), {})
 
+            def do_PUT(self):
+                length = int(self.headers["Content-Length"])
+                found = msgspec.json.decode(self.rfile.read(length))
+                kind, name = self.kind_and_name()
+                exists = name in store.kinds.get(kind, {})
+                if exists and not store.refusal_status:
+                    store.put(kind, name, found["Spec"])
+                self.send(store.refusal_status or (200 if exists else 404), {})
+
             def do_DELETE(self):
                 kind, name = self.kind_and_name()
                 exists = name in store.kinds.get(kind, {})
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -23,5 +23,6 @@
     yield build
     for gateway, endpoints in opened:
         gateway.listener.close()
+        gateway.origins.stop()
         for endpoint in endpoints:
             endpoint.close()
--- a/tests/gateway_kit.py
+++ b/tests/gateway_kit.py
@@ -1,8 +1,11 @@
 """Builds an in-process gateway request path in front of scripted endpoints."""
 
 import http.client
+import threading
 import time
 
+from returns.result import Failure, Success
+
 from lagoonrill._internal.coordination.crash_reports import CrashReports
 from lagoonrill._internal.coordination.endpoint_discovery import EndpointDiscovery
 from lagoonrill._internal.coordination.endpoint_signals import EndpointSignals
@@ -13,8 +16,15 @@
 from lagoonrill._internal.coordination.policy.shared_retry_budget import (
     SharedRetryBudget,
 )
+from lagoonrill._internal.coordination.policy.stream_history import DefaultVersion
 from lagoonrill._internal.coordination.send_permits import SendPermits
+from lagoonrill._internal.coordination.stream_origins import (
+    StoredOrigins,
+    StoredSlot,
+    StreamOrigins,
+)
 from lagoonrill._internal.event_log import EventLog
+from lagoonrill._internal.protocol.errors import StoreConflict, StoreInDoubt
 from lagoonrill._internal.protocol.headers import HeaderNames
 from lagoonrill._internal.protocol.routing import (
     CallerLimits,
@@ -92,10 +102,69 @@
     )
 
 
+class MemoryOrigins:
+    """Store of the origins of streams, shared by gateways; `down` fails all calls."""
+
+    def __init__(self):
+        self.lock = threading.Lock()
+        self.defaults: dict[tuple[str, int], DefaultVersion] = {}
+        self.slots: dict[tuple[str, int], StoredSlot] = {}
+        self.down = False
+        self.calls: list[str] = []
+
+    def _call(self, name: str, function):
+        with self.lock:
+            self.calls.append(name)
+            if self.down:
+                return Failure(StoreInDoubt(message="no answer"))
+            return function()
+
+    def list(self):
+        return self._call(
+            "list",
+            lambda: Success(
+                StoredOrigins(
+                    defaults=list(self.defaults.values()),
+                    slots=list(self.slots.values()),
+                )
+            ),
+        )
+
+    def write(self, slot):
+        def replace():
+            self.slots[slot.instance, slot.slot] = slot
+            return Success(None)
+
+        return self._call("write", replace)
+
+    def add_default(self, default):
+        def create():
+            key = (default.service, default.number)
+            if key in self.defaults:
+                return Failure(StoreConflict(message="exists"))
+            self.defaults[key] = default
+            return Success(None)
+
+        return self._call("add_default", create)
+
+    def remove_default(self, default):
+        def remove():
+            self.defaults.pop((default.service, default.number), None)
+            return Success(None)
+
+        return self._call("remove_default", remove)
+
+
 class Gateway:
     """Request path of a gateway; `endpoints` maps services to scripted endpoints."""
 
-    def __init__(self, endpoints: dict[str, list], *, retry_fixed: float = 100.0):
+    def __init__(
+        self,
+        endpoints: dict[str, list],
+        *,
+        retry_fixed: float = 100.0,
+        origin_store: MemoryOrigins | None = None,
+    ):
         self.event_log = EventLog(instance="gateway-test")
         self.registry = EndpointRegistry()
         self.routing = RoutingState()
@@ -131,6 +200,16 @@
         self.pool = ConnectionPool()
         self.metrics = GatewayMetrics()
         header_names = HeaderNames()
+        self.origins = StreamOrigins(
+            instance="gateway-test",
+            store=origin_store or MemoryOrigins(),
+            registry=self.registry,
+            event_log=self.event_log,
+            is_writer=lambda: True,
+            instances=lambda: 1,
+            writes_per_s=1_000,
+        )
+        self.routing.subscribers.append(self.origins.install)
         forwarder = Forwarder(
             header_names=header_names,
             registry=self.registry,
@@ -139,6 +218,7 @@
             signals=self.signals,
             crash_reports=self.crash_reports,
             zone="a",
+            origins=self.origins,
             budget=SharedRetryBudget(ratio=0.2, window_s=10, fixed=retry_fixed),
             instances=lambda: 1,
             list_age_s=lambda: 0.0,
@@ -160,16 +240,22 @@
         self.set_endpoints(endpoints)
 
     def set_endpoints(self, endpoints: dict[str, list]) -> None:
-        self.registry.replace(
-            {
-                endpoint.id: record(endpoint, service)
+        self.install_records(
+            [
+                record(endpoint, service)
                 for service, found in endpoints.items()
                 for endpoint in found
-            }
+            ]
         )
 
+    def install_records(self, records: list[EndpointRecord]) -> None:
+        """Installs endpoints as discovery does."""
+        self.registry.replace({item.id: item for item in records})
+        self.origins.note_endpoints()
+
     def start(self, configuration: RoutingConfig | None = None) -> "Gateway":
         self.routing.install(configuration or config())
+        self.origins.start()
         self.admission.start()
         self.listener.open()
         self.listener.start()
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -8,8 +8,14 @@
 
 from lagoonrill._internal.coordination.crash_findings import CrashFinding
 from lagoonrill._internal.coordination.policy.crash_evidence import Cause
+from lagoonrill._internal.coordination.policy.stream_history import (
+    DefaultVersion,
+    StreamRecord,
+)
+from lagoonrill._internal.coordination.stream_origins import StoredSlot, StoredStream
 from lagoonrill._internal.protocol.errors import (
     StoreCallInterrupted,
+    StoreConflict,
     StoreHistoryGone,
 )
 from lagoonrill._internal.protocol.routing import RouteKind
@@ -111,7 +117,7 @@
     for number in range(5):
         store.put("servers", f"i-{number}", server())
     store.put("servers", "i-9", {"Service": 1})
-    _, endpoints, _ = open_sources(store.server.address)
+    endpoints = open_sources(store.server.address).endpoints
     found = endpoints.list().unwrap()
     assert [item.name for item in found.objects] == [
         "i-0",
@@ -127,7 +133,7 @@
 
 def test_changes_since_a_revision(store):
     store.put("servers", "i-0", server())
-    _, endpoints, _ = open_sources(store.server.address)
+    endpoints = open_sources(store.server.address).endpoints
     revision = endpoints.list().unwrap().revision
     store.put("servers", "i-1", server())
     store.delete("servers", "i-0")
@@ -139,7 +145,7 @@
 
 def test_dropped_history_is_distinguished_from_other_failures(store):
     store.put("config", "main", configuration())
-    configs, _, _ = open_sources(store.server.address)
+    configs = open_sources(store.server.address).configs
     store.drop_history()
     gone = configs.changes(since=0, wait_s=1)
     assert isinstance(gone, Failure)
@@ -151,7 +157,7 @@
 def test_a_pending_watch_ends_when_it_is_interrupted(store):
     # Otherwise a watch whose response was lost is pending until its read timeout.
     store.put("config", "main", configuration())
-    configs, _, _ = open_sources(store.server.address)
+    configs = open_sources(store.server.address).configs
     results = []
     watch = threading.Thread(
         target=lambda: results.append(configs.changes(since=store.revision, wait_s=20)),
@@ -175,7 +181,7 @@
     ids=["parts", "request"],
 )
 def test_findings_are_written_once_and_can_be_removed(store, cause):
-    *_, findings = open_sources(store.server.address)
+    findings = open_sources(store.server.address).findings
     found = CrashFinding(cause=cause, found_at=1_700_000_000.0)
     later = msgspec.structs.replace(found, found_at=1_700_000_009.0)
     for finding in (found, later):
@@ -187,10 +193,37 @@
     assert findings.list().unwrap() == []
 
 
+def test_origins_of_streams_are_written_and_found_again(store):
+    origins = open_sources(store.server.address).origins
+    default = DefaultVersion(service="a service/é", version="v1")
+    assert isinstance(origins.add_default(default), Success)
+    again = msgspec.structs.replace(default, version="v2")
+    assert isinstance(origins.add_default(again).failure(), StoreConflict)
+    streams = tuple(
+        StoredStream(
+            record=StreamRecord(key=f"k{number}", service="s", version=version),
+            begun_at=1_700_000_000.5,
+        )
+        for number, version in enumerate(("v1", "", "v1"))
+    )
+    for count in (1, 3):
+        slot = StoredSlot(instance="i 1", slot=2, streams=streams[:count])
+        assert isinstance(origins.write(slot), Success)
+    store.put("stream-origins", "unreadable", {"type": "streams", "Slot": "x"})
+    found = origins.list().unwrap()
+    assert found.defaults == [default]
+    (stored,) = found.slots
+    assert (stored.instance, stored.slot) == ("i 1", 2)
+    assert set(stored.streams) == set(streams)
+    for _ in range(2):
+        assert isinstance(origins.remove_default(default), Success)
+    assert origins.list().unwrap().defaults == []
+
+
 def test_other_objects_of_the_configuration_kind_are_not_the_configuration(store):
     store.put("config", "old", configuration())
     store.put("config", "main", configuration(Version=8))
-    configs, _, _ = open_sources(store.server.address)
+    configs = open_sources(store.server.address).configs
     found = {item.name: item.content for item in configs.list().unwrap().objects}
     assert found["old"] is None
     assert found["main"].version == 8
@@ -314,7 +347,7 @@
 
 
 def test_a_finding_with_a_number_too_large_hides_no_other(store):
-    *_, findings = open_sources(store.server.address)
+    findings = open_sources(store.server.address).findings
     found = CrashFinding(
         cause=Cause(service="models", parts=frozenset(("a", "b"))),
         found_at=1_700_000_000.0,
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -8,7 +8,15 @@
 from lagoonrill._internal.protocol.headers import HeaderNames
 from lagoonrill._internal.protocol.routing import RouteKind
 from standins.scripted_endpoint import ScriptedEndpoint
-from tests.gateway_kit import ROUTES, Gateway, config, record, route
+from tests.gateway_kit import (
+    ROUTES,
+    Gateway,
+    MemoryOrigins,
+    config,
+    record,
+    route,
+    wait_until,
+)
 
 NAMES = HeaderNames()
 # A resumable stream that no engine writes.
@@ -29,20 +37,25 @@
         self.endpoints.append(endpoint)
         return endpoint
 
-    def gateway(self, *endpoints, service: str = "models") -> Gateway:
-        gateway = Gateway({})
+    def gateway(
+        self, *endpoints, service: str = "models", origin_store=None
+    ) -> Gateway:
+        gateway = Gateway({}, origin_store=origin_store)
         self.gateways.append(gateway)
         self.serve(gateway, *endpoints, service=service)
         return gateway.start(config(routes=(*ROUTES, PLAIN_STREAM)))
 
     def serve(self, gateway, *endpoints, service: str = "models") -> None:
-        gateway.registry.replace(
-            {item.id: record(item, service, version=item.version) for item in endpoints}
+        gateway.install_records(
+            [record(item, service, version=item.version) for item in endpoints]
         )
 
     def close(self) -> None:
-        for item in (*(gateway.listener for gateway in self.gateways), *self.endpoints):
-            item.close()
+        for gateway in self.gateways:
+            gateway.listener.close()
+            gateway.origins.stop()
+        for endpoint in self.endpoints:
+            endpoint.close()
 
 
 @pytest.fixture
@@ -94,3 +107,58 @@
     fleet.serve(gateway, other, same, service=service)
     assert resume(gateway, path)[0].status == 200
     assert not other.runs
+
+
+def test_a_taken_up_stream_finds_its_version_at_another_instance(fleet):
+    """All instances that relayed the stream may be gone."""
+    origins = MemoryOrigins()
+    old, new = fleet.endpoint("v1", "stream"), fleet.endpoint("v2", "stream")
+    first = fleet.gateway(old, origin_store=origins)
+    assert wait_until(lambda: not first.origins.history.needs_record("models", "v1"))
+    began_at = {"r1": old, "r2": new}
+    for id, endpoint in began_at.items():
+        fleet.serve(first, endpoint)
+        assert first.ask("/ask/1", id=id)[0].status == 200
+    second = fleet.gateway(old, new, origin_store=origins)
+    for id, endpoint in began_at.items():
+        assert resume(second, "/ask/1", id=f"again-{id}", of=id)[0].status == 200
+        assert run_id(endpoint.runs[-1]) == f"again-{id}"
+
+
+def run_id(run) -> str:
+    return run.header(NAMES.request_id)
+
+
+@pytest.mark.parametrize("resumes", ["", "x" * 10_000, "\xe9", None], ids=repr)
+def test_a_stream_that_nobody_knows_is_not_guessed(fleet, resumes):
+    origins = MemoryOrigins()
+    origins.down = True
+    new = fleet.endpoint("v2", "stream")
+    gateway = fleet.gateway(new, origin_store=origins)
+    headers = {NAMES.resume_after: "2", NAMES.resumes: resumes}
+    response, body = gateway.ask("/ask/1", id="r2", headers=headers)
+    assert response.status == 503
+    assert float(response.getheader("Retry-After")) > 0
+    assert b"stream_origin_unknown" in body
+    assert not new.runs
+
+
+def test_a_request_that_brought_no_event_may_begin_anywhere(fleet):
+    origins = MemoryOrigins()
+    origins.down = True
+    new = fleet.endpoint("v2", "stream")
+    gateway = fleet.gateway(new, origin_store=origins)
+    headers = {NAMES.resume_after: "0", NAMES.resumes: "r1"}
+    assert gateway.ask("/ask/1", id="r2", headers=headers)[0].status == 200
+
+
+def test_streams_of_two_versions_need_a_record_before_their_first_event(fleet):
+    origins = MemoryOrigins()
+    old, new = fleet.endpoint("v1", "stream"), fleet.endpoint("v2", "stream")
+    gateway = fleet.gateway(old, origin_store=origins)
+    assert wait_until(lambda: not gateway.origins.history.needs_record("models", "v1"))
+    fleet.serve(gateway, new)
+    origins.calls.clear()
+    assert gateway.ask("/ask/1", id="r1")[0].status == 200
+    assert "write" in origins.calls
+    assert not gateway.events("stream_unrecorded")
