Refuse an event number that cannot be converted, instead of closing

What callers saw: a request that resumes a stream after a number of 5,000 digits, or a superscript two, got no answer: its connection was closed. An event with such an id from an endpoint did the same to a stream.

Cause: str.isdigit accepts digits that int does not, and int refuses more than 4,300 digits; the error ended the request's thread.

Change: one function converts event numbers, of at most 18 ASCII digits. A resumable route answers 400 to a number that is none, where it sent the request on before as if it began a stream; an event with such an id has no number.

Tests: four of the requests got no answer, 200 or 502 before; the id of 5,000 digits raised an error.

--- a/src/lagoonrill/_internal/coordination/routed_request.py
+++ b/src/lagoonrill/_internal/coordination/routed_request.py
@@ -13,6 +13,7 @@
 )
 from ..protocol.refusals import Refusal
 from ..protocol.routing import Route, RoutedTeam
+from ..protocol.sse import event_number
 from ..state.route_table import RouteTable, choose_service
 from ..transport.caller_connection import IncomingRequest
 
@@ -123,11 +124,23 @@
             headers=self._forwarded_headers(incoming),
             arrived_at=incoming.arrived_at,
             deadline=incoming.arrived_at + limit_s,
-            resume_after=int(resume) if resume and resume.isdigit() else None,
+            resume_after=self._resume_after(resume, route),
             resumes=origin,
             config_version=table.config.version,
         )
 
+    def _resume_after(self, text: str | None, route: Route) -> int | None:
+        if not text:
+            return None
+        number = event_number(text.encode("latin-1"))
+        if number is None and route.resumable:
+            raise Refusal(
+                400,
+                "bad_event_number",
+                remedy="Name the last event by its number, or begin a new stream.",
+            )
+        return number
+
     def _team(
         self, incoming: IncomingRequest, table: RouteTable, route: Route
     ) -> RoutedTeam | None:
--- a/src/lagoonrill/_internal/protocol/sse.py
+++ b/src/lagoonrill/_internal/protocol/sse.py
@@ -9,6 +9,8 @@
 MAX_TERMINATOR_BYTES = 4
 DONE_DATA = b"[DONE]"
 MAX_EVENT_BYTES = 1_000_000
+# More digits than the number of any event has; Python converts some thousand at most.
+MAX_NUMBER_DIGITS = 18
 
 
 class EventTooLarge(Exception):
@@ -37,7 +39,7 @@
             data.append(line[5:].strip())
         elif line.startswith(b"id:"):
             value = line[3:].strip()
-            event_id = int(value) if value.isdigit() else None
+            event_id = event_number(value)
     return ServerSentEvent(
         raw=block + EVENT_TERMINATOR, id=event_id, data=b"\n".join(data)
     )
@@ -123,5 +125,16 @@
     for line in event.splitlines():
         if line.startswith(b"id:"):
             value = line[3:].strip()
-            return int(value) if value.isdigit() else None
+            return event_number(value)
+    return None
+
+
+def event_number(value: bytes) -> int | None:
+    """Returns the number of an event; None for any other text.
+
+    >>> event_number(b"7"), event_number(b"-7"), event_number(b"9" * 5_000)
+    (7, None, None)
+    """
+    if value.isdigit() and len(value) <= MAX_NUMBER_DIGITS:
+        return int(value)
     return None
--- a/tests/test_sse.py
+++ b/tests/test_sse.py
@@ -10,6 +10,8 @@
     EventParser,
     EventTooLarge,
     RawEventSplitter,
+    event_id,
+    parse_event,
 )
 
 # Half of the time limit after which the tests of endless answers expect a result.
@@ -50,3 +52,10 @@
         for _ in range(MAX_EVENT_BYTES):
             read(b"data: more\n" * 20)
     assert time.process_time() - began < MAX_READ_S
+
+
+@pytest.mark.parametrize("id", [b"9" * 5_000, b"-1", "²".encode(), b""])
+def test_an_event_with_an_odd_id_has_no_number(id):
+    event = b"id: " + id + b"\ndata: x\n\n"
+    assert event_id(event) is None
+    assert parse_event(event.rstrip()).id is None
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -162,3 +162,12 @@
     assert gateway.ask("/ask/1", id="r1")[0].status == 200
     assert "write" in origins.calls
     assert not gateway.events("stream_unrecorded")
+
+
+@pytest.mark.parametrize("after", ["9" * 5_000, "²", "-1", "1.5"], ids=len)
+def test_an_odd_event_number_is_refused(fleet, after):
+    """Such a number cannot be converted, or names no event."""
+    gateway = fleet.gateway(fleet.endpoint("v1", "stream"))
+    headers = {NAMES.resume_after: after.encode("latin-1"), NAMES.resumes: "r1"}
+    assert gateway.ask("/ask/1", id="r2", headers=headers)[0].status == 400
+    assert gateway.ask("/ask/1", id="r3")[0].status == 200
