Doubt the entries of departed endpoints in each list of a restored store

What callers saw: requests to an endpoint that had been removed before the store came back from an older copy, until its entry expired again.

A departure keeps its time when such an entry comes and goes, so that endpoints which depart after the restore, and may come back, are not doubted.

Test: the order of the two lists is forced without processes or time; it failed before.

--- a/src/lagoonrill/_internal/coordination/endpoint_discovery.py
+++ b/src/lagoonrill/_internal/coordination/endpoint_discovery.py
@@ -55,6 +55,8 @@
         # time until which these are believed to have left.
         self.doubted: dict[str, EndpointRecord] = {}
         self.doubted_until = 0.0
+        # Time at which the present era of the store was first seen here.
+        self.restored_at = -math.inf
 
     def apply(self, follower: StoreFollower) -> None:
         """Applies the entries of the store."""
@@ -191,7 +193,8 @@
             hold_until = None
             if is_restored:
                 hold_until = self.expired_entries.held_after_restore(self.clock())
-                self._doubt_departed(records)
+                self._begin_doubt()
+            self._doubt_departed(records)
             after = {record.id: self._with_departure(record) for record in records}
             candidates = before | (new_records or {})
             held = self._held(candidates, after, limit, hold_until)
@@ -208,7 +211,8 @@
         """Remembers the endpoints that are no longer known."""
         for endpoint_id in before.keys() - after.keys():
             key = endpoint_id, before[endpoint_id].incarnation
-            self._remember(self.departed, key)
+            if key not in self.departed:
+                self._remember(self.departed, key)
             if key in self.announced:
                 self._remember(self.announced, key)
         self._forget_old(self.departed)
@@ -216,18 +220,24 @@
             if not record.leaving:
                 self.departed.pop((record.id, record.incarnation), None)
 
+    def _begin_doubt(self) -> None:
+        self.doubted = {}
+        self.restored_at = self.clock()
+        self.doubted_until = self.restored_at + RESTORED_ENTRY_S
+
     def _doubt_departed(self, records: list[EndpointRecord]) -> None:
-        """Doubts the entries of departed endpoints in the list of a restored store.
+        """Doubts the entries of departed endpoints in the lists of a restored store.
 
-        If such an endpoint is alive, it changes its entry, or the entry outlives the
-        time after which the store removes those that are not written.
+        The first list of an era may be one of a peer, which leaves such entries out. If
+        such an endpoint is alive, it changes its entry, or the entry outlives the time
+        after which the store removes those that are not written.
         """
-        self.doubted = {
-            record.id: record
-            for record in records
-            if (record.id, record.incarnation) in self.departed
-        }
-        self.doubted_until = self.clock() + RESTORED_ENTRY_S
+        if self.clock() >= self.doubted_until:
+            return
+        for record in records:
+            departed_at = self.departed.get((record.id, record.incarnation), math.inf)
+            if departed_at <= self.restored_at:
+                self.doubted.setdefault(record.id, record)
 
     def _with_departure(self, record: EndpointRecord) -> EndpointRecord:
         """Returns the record, marked as leaving if its endpoint is known to leave.
--- a/tests/test_endpoint_discovery.py
+++ b/tests/test_endpoint_discovery.py
@@ -341,6 +341,34 @@
     assert simulation.ready() == ["a", "c"]
 
 
+def test_a_restored_entry_is_doubted_after_a_first_list_of_a_peer(simulation):
+    """A peer leaves the entries out that it doubts."""
+    simulation.run_steps(listed(entry("a"), entry("c"), revision=27, era=1))
+    simulation.run_steps(changes(removed=["a"], revision=28, era=1), HISTORY_GONE)
+    peer = [entry("c").content]
+    for revision in (18, 19):
+        simulation.now += 0.2
+        simulation.discovery.apply_from_peer(
+            peer, revision=revision, era=2, held_for_s={}
+        )
+        copy = listed(entry("a"), entry("c"), revision=revision, era=2)
+        simulation.run_steps(copy, HISTORY_GONE)
+        assert simulation.ready() == ["c"]
+    # The endpoint is alive after all.
+    simulation.run_steps(listed(entry("a", slots=3), entry("c"), revision=20, era=2))
+    assert simulation.ready() == ["a", "c"]
+
+
+def test_an_endpoint_that_departs_after_a_restore_is_not_doubted(simulation):
+    simulation.run_steps(listed(entry("a"), entry("c"), revision=28, era=1))
+    simulation.run_steps(HISTORY_GONE, listed(entry("c"), revision=18, era=2))
+    simulation.now += REAPPEAR_S
+    simulation.discovery.expire_holds()
+    assert simulation.ready() == ["c"]
+    simulation.run_steps(changes(entry("a"), revision=19, era=2))
+    assert simulation.ready() == ["a", "c"]
+
+
 def test_an_endpoint_that_the_copy_lacks_is_held_until_it_writes_again(simulation):
     simulation.run_steps(listed(entry("a"), entry("b"), revision=28, era=1))
     # The instance noticed no outage.
