Answer what arrives during a stop before the grace time ends

Here, requests of the first 2 s after SIGTERM are taken whatever their time limit, since callers may have no other instance; one whose endpoint was silent, or which waited for an engine, was cut at the end of the grace. Later ones are taken only if their time limit is before the end, so these were not affected.

Change: the time limit of what arrives during a stop ends 0.3 s before the process does, so it is answered 504, or refused if it has not been sent; what still waits for an engine then is refused with 503.

--- a/src/lagoonrill/_internal/coordination/engine_admission.py
+++ b/src/lagoonrill/_internal/coordination/engine_admission.py
@@ -366,6 +366,14 @@
                 waiters[view.id].move_to(WaiterState.REFUSED)
             line[:] = [item for item in line if item.state is WaiterState.WAITING]
 
+    def refuse_waiting(self) -> None:
+        """Refuses all queued requests, as the instance is about to exit."""
+        with self.lock:
+            for line in self.waiting.values():
+                for waiter in line:
+                    waiter.move_to(WaiterState.REFUSED)
+                line.clear()
+
     def review_all(self) -> None:
         """Reviews the queues of all services."""
         for service, line in list(self.waiting.items()):
--- a/src/lagoonrill/_internal/gateway_daemon.py
+++ b/src/lagoonrill/_internal/gateway_daemon.py
@@ -40,7 +40,11 @@
 from .state.gateway_metrics import GatewayMetrics
 from .state.route_table import RoutingState
 from .transport.endpoint_connection import ConnectionPool
-from .transport.gateway_listener import GatewayListener, TextListener
+from .transport.gateway_listener import (
+    STOP_ANSWER_S,
+    GatewayListener,
+    TextListener,
+)
 from .transport.peer_link import PeerLink
 
 # The load balancer polls readiness once a second and removes an instance after two
@@ -471,8 +475,11 @@
         )
         self._accept_until_quiet(stop_started_at)
         self.listener.close()
+        answer_at = stop_deadline - STOP_ANSWER_S
         while not self.listener.is_idle() and time.monotonic() < stop_deadline:
             time.sleep(0.05)
+            if time.monotonic() >= answer_at:
+                self.admission.refuse_waiting()
         self._close()
         self.event_log.emit(
             "stopped",
--- a/src/lagoonrill/_internal/transport/gateway_listener.py
+++ b/src/lagoonrill/_internal/transport/gateway_listener.py
@@ -31,6 +31,8 @@
 # Retry-After while the instance has no configuration yet.
 NOT_READY_RETRY_S = 0.5
 # Retry-After for requests received during shutdown; another instance serves the retry.
+# A request that arrives during a stop gets its final answer this long before the end.
+STOP_ANSWER_S = 0.3
 STOPPING_RETRY_S = 0.05
 
 
@@ -239,6 +241,9 @@
             request = self.intake.accept(incoming, table)
             route = request.route.name
             self._check_time_left(request)
+            if self.stopping.is_set():
+                latest = self.stop_deadline - STOP_ANSWER_S
+                request.deadline = min(request.deadline, latest)
             self.event_log.emit(
                 "request_received",
                 request=request.id,
--- a/tests/test_gateway_listener.py
+++ b/tests/test_gateway_listener.py
@@ -246,6 +246,37 @@
     assert len(gateway.endpoints["app"][0].runs) == 1
 
 
+@pytest.mark.parametrize("path", ["/order/1", "/ask/1"])
+def test_a_request_taken_during_a_stop_is_answered_before_its_end(gateway, path):
+    """Its time limit may be longer than the rest of the grace time."""
+    gateway.start()
+    for endpoints in gateway.endpoints.values():
+        endpoints[0].script = ["silent"]
+    left_s = 1.2
+    stop(gateway, left_s=left_s)
+    started_at = time.monotonic()
+    response, _ = gateway.ask(path, headers={"X-Deadline-Ms": "2900"})
+    assert time.monotonic() - started_at < left_s
+    assert response.status == 504
+
+
+def test_a_queued_request_is_refused_before_the_process_ends(gateway):
+    gateway.start()
+    gateway.set_endpoints({})
+    answers = []
+    thread = threading.Thread(
+        target=lambda: answers.append(
+            gateway.ask("/ask/1", headers={"X-Deadline-Ms": "2900"})[0]
+        )
+    )
+    thread.start()
+    assert wait_until(lambda: gateway.events("request_waits"))
+    gateway.admission.refuse_waiting()
+    thread.join(1.0)
+    assert answers[0].status == 503
+    assert float(answers[0].getheader("Retry-After")) > 0
+
+
 def test_a_connection_without_a_thread_does_not_end_the_listener(gateway, monkeypatch):
     # A failure to start a connection's thread must not end the accepting thread.
     gateway.start()
