Refuse no sound request that others send with the same bytes

What callers saw: in the soak, all questions of all callers have one path, one team and no body. After three crashes by another request within 50 ms, 197 of them were refused with 400; nothing could clear them, as they were not sent any more, and in the store the refusal outlived the instance that had cleared it.

Cause: such a request is on each endpoint, so it was on the same crashed ones as the crashing request. Reports of one crash arrive one after the other, so it could also be the first with three. An equal count refused both for good.

Change: a request is refused after three crashes only if no other request was on all, or on all but one, of the same endpoints without its answer having begun there more often. Otherwise it takes six crashes, which the users' rule allows in any case; both requests go to endpoints of their own meanwhile, so the next crash mostly decides. An instance that learns from a peer's report that a refusal was wrong removes it from the store too.

Ruled out: waiting before a refusal, which costs a crash each time; trials of refused requests, which crash endpoints on purpose.

--- a/src/lagoonrill/_internal/coordination/crash_reports.py
+++ b/src/lagoonrill/_internal/coordination/crash_reports.py
@@ -121,7 +121,9 @@
                 service=record.service,
                 reason="a peer reports its crash",
             )
-        self._record(report)
+        # The instance that wrote a finding does not learn that it is wrong from a
+        # crash of its own.
+        self._remove(self._record(report).cleared)
 
     def handle_sound(self, message: SoundRequest) -> None:
         """Drops the evidence against a request that has been answered at a peer."""
--- a/src/lagoonrill/_internal/coordination/policy/crash_evidence.py
+++ b/src/lagoonrill/_internal/coordination/policy/crash_evidence.py
@@ -27,6 +27,9 @@
 
 # A request is refused after this many crashes of endpoints that it was on.
 CERTAIN_CRASHES = 3
+# A request that another one on the same endpoints may stand for is refused after this
+# many crashes. As both go to endpoints of their own, a further crash mostly decides.
+AMBIGUOUS_CRASHES = 6
 # Prompts with a part are refused after crashes of this many engines that no single
 # request explains.
 MIN_CRASHES = 2
@@ -265,7 +268,8 @@
         """Returns the requests that explain enough crashes.
 
         Those with the most crashes come first, then those whose answers had begun
-        less often; what they explain does not count for the others.
+        less often; what they explain does not count for the others. A request that
+        cannot be told from another one needs more crashes.
         """
         crashes = [
             crash
@@ -282,7 +286,7 @@
             ranks = {
                 request: (
                     request_crash_count(on, request),
-                    -sum(crash.requests[request].begun for crash in on),
+                    -begun_count(request, on),
                 )
                 for request, on in exposed.items()
                 if len(on) >= CERTAIN_CRASHES
@@ -291,7 +295,12 @@
             if most[0] < CERTAIN_CRASHES:
                 return found
             first = {request for request, rank in ranks.items() if rank == most}
-            found |= first
+            found |= {
+                request
+                for request in first
+                if most[0] >= AMBIGUOUS_CRASHES
+                or not has_rival(request, exposed[request])
+            }
             crashes = [crash for crash in crashes if first.isdisjoint(crash.requests)]
 
     def _crash_count(self, service: str, request: str) -> int:
@@ -473,6 +482,28 @@
     return count
 
 
+def has_rival(request: str, crashes: list[Crash]) -> bool:
+    """Returns whether another request explains these crashes as well.
+
+    It was on all of the endpoints, or on all but one, as the reports of a crash arrive
+    one after the other; and its answers had not begun there more often.
+    """
+    shared: dict[str, list[Crash]] = {}
+    for crash in crashes:
+        for other in crash.requests.keys() - {request}:
+            shared.setdefault(other, []).append(crash)
+    return any(
+        len(on) >= len(crashes) - 1
+        and begun_count(other, on) <= begun_count(request, on)
+        for other, on in shared.items()
+    )
+
+
+def begun_count(request: str, crashes: Iterable[Crash]) -> int:
+    """Returns on how many crashed endpoints an answer to a request had begun."""
+    return sum(crash.requests[request].begun for crash in crashes)
+
+
 def one_request_explains(crashes: list[Crash]) -> bool:
     """Returns whether one request was on all endpoints and had begun on none."""
     common = set.intersection(
