Crash endpoints, release versions and kill all instances in the soak

Endpoints have a software version, which each event names. New faults: a release of half of a service, with versions that come back; a request that crashes each endpoint that runs it, sent to all gateways again and again; the loss of all gateways at once. Callers take broken streams up at each gateway. New checks: no more than two streams with events of two versions, over all tries; no more than three runs of the deadly request 3 s after its third crash.

--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -17,6 +17,7 @@
 # Threads that inject faults concurrently, so that faults overlap.
 INJECTOR_THREADS = 2
 PAUSE_S = (0.1, 0.8)
+GATEWAY_FAULTS = ("kill", "kill_all", "pause", "stop", "reload")
 # Time after the recovery in which requests show whether service is restored.
 VERIFICATION_S = 3.0
 
@@ -60,8 +61,8 @@
     def run(number: int) -> None:
         rng = random.Random(seed * 100 + number)
         groups = (
-            [name for name in names if name in ("kill", "pause", "stop", "reload")],
-            [name for name in names if name not in ("kill", "pause", "stop", "reload")],
+            [name for name in names if name in GATEWAY_FAULTS],
+            [name for name in names if name not in GATEWAY_FAULTS],
         )
         while time.monotonic() < until:
             name = rng.choice(groups[number % len(groups)])
--- a/bench/soak/endpoints.py
+++ b/bench/soak/endpoints.py
@@ -8,7 +8,14 @@
 
 import h11
 
-from bench.soak.history import LAST_EVENT, History, PauseRequest, Run
+from bench.soak.history import (
+    DEADLY_BODY,
+    LAST_EVENT,
+    CrashByRequest,
+    History,
+    PauseRequest,
+    Run,
+)
 from lagoonrill.platform._headers import VOCABULARY
 from standins.scripted_endpoint import STREAM_HEAD, chunk, read_request
 from standins.threaded_listener import ThreadedListener
@@ -20,8 +27,14 @@
 class SoakEndpoint:
     """Endpoint that records its executions and fails a `failure_rate` of its calls."""
 
-    def __init__(self, *, id: str, service: str, history: History, seed: int):
+    def __init__(
+        self, *, id: str, service: str, version: str, history: History, seed: int
+    ):
         self.id = id
+        # Version of its software, which each event names.
+        self.version = version
+        # Ends the endpoint without an announcement.
+        self.crash = self.close
         self.service = service
         self.history = history
         self.rng = random.Random(seed)
@@ -81,6 +94,10 @@
             says_leaving=self.leaving,
         )
         self.history.add(run)
+        if request.body == DEADLY_BODY:
+            self.history.add(CrashByRequest(endpoint=self.id, at=run.at))
+            self.crash()
+            return False
         if failure == "reset":
             return False
         time.sleep(1.0 if failure == "slow" else WORK_S)
@@ -104,7 +121,7 @@
     def _stream(self, sock, head: bytes, after: int, *, cut: bool) -> bool:
         sock.sendall(head + STREAM_HEAD)
         for number in range(after + 1, LAST_EVENT + 1):
-            data = b"id: %d\ndata: token\n\n" % number
+            data = b"id: %d\ndata: %b\n\n" % (number, self.version.encode())
             if cut and number > after + 2:
                 sock.sendall(chunk(data[:5]))
                 return False
--- a/bench/soak/environment.py
+++ b/bench/soak/environment.py
@@ -12,7 +12,16 @@
 from pathlib import Path
 
 from bench.soak.endpoints import Proxy, SoakEndpoint
-from bench.soak.history import Denial, History, NamedLimit, Outcome, Probe
+from bench.soak.history import (
+    DEADLY_BODY,
+    Denial,
+    History,
+    NamedLimit,
+    Outcome,
+    Probe,
+    TakeUp,
+    last_event,
+)
 from lagoonrill.platform.__main__ import SETTINGS_VARIABLE
 from lagoonrill.platform._headers import READINESS_PATH, VOCABULARY
 from standins.metadata_store import MetadataStore, MetadataStoreServer
@@ -93,6 +102,8 @@
         self.server = MetadataStoreServer(self.store)
         self.version = 1
         self.next_endpoint = 0
+        # Version of the software of endpoints that are started.
+        self.release = 1
         self.seed = seed
         self.endpoints: dict[str, tuple[SoakEndpoint, Proxy]] = {}
         # State that each endpoint wrote last; those that removed their entry have none.
@@ -147,10 +158,12 @@
         endpoint = SoakEndpoint(
             id=id,
             service=service,
+            version=f"v{self.release}",
             history=self.history,
             seed=self.seed * 1_000 + self.next_endpoint,
         )
         proxy = Proxy(target=("127.0.0.1", endpoint.listener.port))
+        endpoint.crash = proxy.close
         self.endpoints[id] = (endpoint, proxy)
         self._register(id, "ready")
         return id
@@ -162,6 +175,7 @@
             Service=endpoint.service,
             Address=proxy.address,
             Zone="ab"[len(id) % 2],
+            Version=endpoint.version,
             State=state,
         )
         self.store.put("servers", id, entry)
@@ -217,16 +231,53 @@
                 connection = http.client.HTTPConnection(
                     "127.0.0.1", gateway.port, timeout=TIME_LIMIT_S + 2
                 )
-            outcome = self._send_request(
-                connection, gateway, kind, f"c{number}-{count}"
-            )
+            id = f"c{number}-{count}"
+            outcome = self._send_request(connection, gateway, kind, id)
             if outcome is None or outcome.status in (0, 503):
                 connection.close()
                 connection = None
             if outcome is not None:
                 self.history.add(outcome)
+                self._take_up(outcome)
+
+    def _take_up(self, first: Outcome) -> None:
+        """Takes a broken stream up again at each gateway, as long as it breaks."""
+        outcome, received = first, first.body
+        for gateway in self.gateways:
+            last = last_event(received)
+            is_whole = outcome.status == 200 and outcome.whole
+            if first.kind != "ask" or outcome.status not in (0, 200) or not last:
+                return
+            if is_whole or self.stopping.is_set():
+                return
+            headers = {
+                VOCABULARY.resume_after: str(last),
+                VOCABULARY.resumes: first.request,
+            }
+            connection = http.client.HTTPConnection(
+                "127.0.0.1", gateway.port, timeout=TIME_LIMIT_S + 2
+            )
+            id = f"{first.request}-{gateway.name}"
+            found = self._send_request(connection, gateway, "ask", id, **headers)
+            connection.close()
+            if found is not None and found.status in (0, 200):
+                outcome = found
+                received += found.body
+                self.history.add(TakeUp(first=first.request, body=received))
+
+    def send_deadly(self, kind: str) -> None:
+        """Sends the request that crashes endpoints to each gateway."""
+        for gateway in self.gateways:
+            connection = http.client.HTTPConnection(
+                "127.0.0.1", gateway.port, timeout=TIME_LIMIT_S + 2
+            )
+            id = f"deadly-{time.monotonic()}"
+            self._send_request(connection, gateway, kind, id, body=DEADLY_BODY)
+            connection.close()
 
-    def _send_request(self, connection, gateway, kind: str, id: str) -> Outcome | None:
+    def _send_request(
+        self, connection, gateway, kind: str, id: str, *, body=None, **more
+    ) -> Outcome | None:
         """Sends one request; returns None if it could not be sent."""
         sent_at = time.monotonic()
         headers = {
@@ -234,23 +285,25 @@
             "Authorization": f"{VOCABULARY.key_scheme} key-1",
             VOCABULARY.request_id: id,
             VOCABULARY.time_limit_ms: str(int(TIME_LIMIT_S * 1000)),
+            **more,
         }
-        status, body, whole = 0, b"", False
+        method = METHODS_BY_KIND[kind]
+        status, received, whole = 0, b"", False
         try:
-            connection.request(METHODS_BY_KIND[kind], f"/{kind}/1", headers=headers)
+            connection.request(method, f"/{kind}/1", body=body, headers=headers)
         except OSError:
             return None
         with contextlib.suppress(OSError, http.client.HTTPException):
             response = connection.getresponse()
             proof = response.getheader(VOCABULARY.proof)
             try:
-                body = response.read()
+                received = response.read()
                 status = response.status
                 whole = proof == f"proof {id}" and (
-                    kind in ("ask", "plan") or body == f"desk did {id}".encode()
+                    kind in ("ask", "plan") or received == f"desk did {id}".encode()
                 )
             except http.client.IncompleteRead as error:
-                body = error.partial
+                received = error.partial
             if response.getheader("Connection") == "close":
                 connection.close()
         return Outcome(
@@ -261,7 +314,7 @@
             ended_at=time.monotonic(),
             status=status,
             whole=whole,
-            body=body,
+            body=received,
         )
 
     def _run_probe(self) -> None:
--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -291,6 +291,59 @@
         environment.drain_endpoint(target)
 
 
+@FAULTS.register("endpoint_release")
+class EndpointRelease(EndpointFault):
+    """Replaces half of a service's endpoints by those of another software version.
+
+    Versions take turns, so that one may come back.
+    """
+
+    planned = True
+
+    def inject(self, environment: SoakEnvironment, target, seconds: float) -> None:
+        endpoint, _ = environment.endpoints[target]
+        environment.release = environment.release % 3 + 1
+        old = [
+            id
+            for id, (other, _) in environment.endpoints.items()
+            if other.service == endpoint.service
+            and id not in environment.history.leaving
+        ]
+        for id in old[::2]:
+            environment.add_endpoint(endpoint.service)
+            environment.drain_endpoint(id)
+            time.sleep(seconds / 10)
+
+
+@FAULTS.register("deadly_request")
+class DeadlyRequest(WholeStoreFault):
+    """A request that crashes each endpoint that runs it comes again and again."""
+
+    def inject(self, environment: SoakEnvironment, target, seconds: float) -> None:
+        for _ in range(3):
+            before = set(environment.history.crashed())
+            environment.send_deadly("ask")
+            time.sleep(seconds / 3)
+            for id in environment.history.crashed() - before:
+                environment.add_endpoint(environment.endpoints[id][0].service)
+                environment.remove_endpoint(id)
+
+
+@FAULTS.register("kill_all")
+class KillAll(BaseFault):
+    """Kills all gateways at once and restarts them after a delay."""
+
+    def choose(self, environment: SoakEnvironment, rng: random.Random):
+        return STORE
+
+    def inject(self, environment: SoakEnvironment, target, seconds: float) -> None:
+        for gateway in environment.gateways:
+            gateway.end()
+        time.sleep(seconds / 3)
+        for gateway in environment.gateways:
+            gateway.start(environment.seeds())
+
+
 @FAULTS.register("endpoint_vanishes")
 class EndpointVanishes(EndpointFault):
     """Replaces an endpoint whose entry is removed without a draining state."""
--- a/bench/soak/history.py
+++ b/bench/soak/history.py
@@ -75,6 +75,21 @@
     pause_s: float
 
 
+class TakeUp(msgspec.Struct, kw_only=True):
+    """All that a caller has received of a stream after it was taken up."""
+
+    # Id of the request that brought the first event.
+    first: str
+    body: bytes
+
+
+class CrashByRequest(msgspec.Struct, kw_only=True):
+    """The deadly request began to run on an endpoint, which crashed."""
+
+    endpoint: str
+    at: float
+
+
 class History:
     """Thread-safe record of runs, outcomes, faults, probes, denials and limits."""
 
@@ -87,11 +102,18 @@
         self.denials: list[Denial] = []
         self.limits: list[NamedLimit] = []
         self.pauses: list[PauseRequest] = []
+        self.take_ups: list[TakeUp] = []
+        self.crashes: list[CrashByRequest] = []
         # Time at which the store acknowledged each configuration version.
         self.acknowledged: dict[int, float] = {}
         # Time at which the store acknowledged the departure of an endpoint.
         self.leaving: dict[str, float] = {}
 
+    def crashed(self) -> set[str]:
+        """Returns the endpoints that the deadly request has crashed."""
+        with self.lock:
+            return {item.endpoint for item in self.crashes}
+
     def add(self, item) -> None:
         """Adds an item to the list of its type."""
         lists = {
@@ -102,6 +124,8 @@
             Denial: self.denials,
             NamedLimit: self.limits,
             PauseRequest: self.pauses,
+            TakeUp: self.take_ups,
+            CrashByRequest: self.crashes,
         }
         with self.lock:
             lists[type(item)].append(item)
@@ -129,6 +153,14 @@
 PAUSE_KNOWN_S = 0.5
 PAUSE_EXTRA = 2
 LAST_EVENT = 6
+# A request that crashes endpoints is known to all instances within this time of its
+# third crash, and runs on at most this many endpoints afterwards.
+DEADLY_BODY = b"deadly"
+DEADLY_KNOWN_S = 3.0
+CERTAIN_CRASHES = 3
+DEADLY_EXTRA = 3
+# Streams that may hold events of two versions.
+MIXED_EXTRA = 2
 # Target name of faults that affect the store for all gateways.
 STORE = "store"
 # Departures, and faults during which an instance still has to learn of departures.
@@ -138,6 +170,7 @@
         "EndpointLeaves",
         "EndpointLimit",
         "EndpointPauses",
+        "EndpointRelease",
         "EndpointSaysItLeaves",
         "EndpointVanishes",
         "NewConfiguration",
@@ -157,6 +190,8 @@
         *check_announced(history),
         *check_limits(history),
         *check_pauses(history),
+        *check_stream_versions(history),
+        *check_crashes(history),
         *check_versions(history),
         *check_in_force(history),
         *check_planned_stops(history),
@@ -216,6 +251,50 @@
     return []
 
 
+def last_event(body: bytes) -> int:
+    """Returns the number of the last whole event, or 0."""
+    events = body.split(b"\n\n")[:-1]
+    return int(events[-1].split()[1]) if events else 0
+
+
+def check_stream_versions(history: History) -> list[str]:
+    """Checks that no stream holds events of two versions of an endpoint's software.
+
+    All tries of a caller count, whatever happened to the instances.
+    """
+    received = {
+        item.request: item.body
+        for item in history.outcomes
+        if item.kind == "ask" and item.status in (0, 200)
+    }
+    received |= {item.first: item.body for item in history.take_ups}
+    mixed = {
+        request: versions
+        for request, body in received.items()
+        if len(versions := versions_in(body)) > 1
+    }
+    if len(mixed) <= MIXED_EXTRA:
+        return []
+    return [f"{name}: events of {sorted(found)}" for name, found in mixed.items()]
+
+
+def versions_in(body: bytes) -> set[bytes]:
+    """Returns the versions that whole events name."""
+    return {event.rpartition(b" ")[2] for event in body.split(b"\n\n")[:-1]}
+
+
+def check_crashes(history: History) -> list[str]:
+    """Checks that a request which crashes endpoints stops reaching them."""
+    times = sorted(item.at for item in history.crashes)
+    if len(times) < CERTAIN_CRASHES:
+        return []
+    known_at = times[CERTAIN_CRASHES - 1] + DEADLY_KNOWN_S
+    late = sum(at > known_at for at in times)
+    if late <= DEADLY_EXTRA:
+        return []
+    return [f"the deadly request ran {len(times)} times, {late} after it was known"]
+
+
 def check_leaving(history: History) -> list[str]:
     """Checks that an endpoint gets no requests later than `DRAIN_S` after it left.
 
