Take up a stream that names no first request while it is certain

Cause: without an id, only a process that had seen one version for the life of a stream knew where the stream began.

Change: the store has a record of each stream that began at another version than the default. If a fresh list has none that may live, the stream began at the default version.

Test: three instances, with and without a stream at a second version; the first line failed before.

--- a/src/lagoonrill/_internal/coordination/policy/stream_history.py
+++ b/src/lagoonrill/_internal/coordination/policy/stream_history.py
@@ -125,6 +125,18 @@
             return None
         return found[0].version
 
+    def has_other_versions(self, service: str) -> bool:
+        """Returns whether a stream that may live began at another than the default."""
+        oldest = self.clock() - self.stream_life_s
+        with self.lock:
+            default = self.default_version(service)
+            return any(
+                record.service == service
+                and record.version != default
+                and begun_at >= oldest
+                for record, begun_at in self.records.values()
+            )
+
     def default_version(self, service: str) -> str | None:
         """Returns the version of streams that are known nowhere, if it is known."""
         default = self.defaults.get(service)
--- a/src/lagoonrill/_internal/coordination/stream_origins.py
+++ b/src/lagoonrill/_internal/coordination/stream_origins.py
@@ -202,7 +202,8 @@
     def version_of(self, service: str, request_id: str | None) -> str | None:
         """Returns the version at which a stream began, or None if that is not known.
 
-        `request_id` names the request that brought its first event.
+        `request_id` names the request that brought its first event. Without it the
+        version is known only while no stream has begun at another one than the default.
         """
         key = stream_key(request_id) if request_id else ""
         known = self.history.begun_at_version(service, key)
@@ -213,8 +214,10 @@
         if not self._refresh():
             return None
         known = self.history.begun_at_version(service, key)
-        if known is not None or not key:
+        if known is not None:
             return known
+        if not key and self.history.has_other_versions(service):
+            return None
         return self.history.default_version(service)
 
     def _refresh(self) -> bool:
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -108,6 +108,24 @@
     assert after.version_of(None) is None
 
 
+def test_a_stream_without_the_id_of_its_first_request_goes_on_if_it_is_certain(
+    store, world
+):
+    """Callers may not name it where all endpoints have one version."""
+    Instance(store, world).serve("v1")
+    world.now += 1.0
+    started = Instance(store, world, name="i2")
+    started.serve("v1")
+    assert started.version_of(None) == "v1"
+    started.serve("v1", "v2")
+    started.begin("r1", "v2")
+    started.serve("v1")
+    assert started.version_of(None) is None
+    assert Instance(store, world, name="i3").version_of(None) is None
+    world.now += LIFE_S + 1
+    assert started.version_of(None) == "v1"
+
+
 def test_nothing_is_written_while_one_version_serves(store, world):
     instance = Instance(store, world)
     instance.serve("v1")
