List the endpoints of a service only for requests that are restricted

No caller saw this: each placement walked all endpoints of the service, though only a resumed or suspected request is kept from some.

--- a/src/lagoonrill/_internal/coordination/crash_guard.py
+++ b/src/lagoonrill/_internal/coordination/crash_guard.py
@@ -68,15 +68,19 @@
             parts=sending.shared_parts,
         )
 
+    def is_suspected(self, sending: Sending) -> bool:
+        """Returns whether a crash speaks against the request."""
+        if not self.evidence.crashes:
+            return False
+        service = sending.request.service
+        return self.evidence.crash_count(service, sending.fingerprint) > 0
+
     def isolated(self, sending: Sending, endpoints: list[str]) -> list[str]:
         """Returns the endpoints to which a request may be sent.
 
         A request that was on a crashed endpoint has one of its own.
         """
-        if not endpoints or not self.evidence.crashes:
-            return endpoints
-        service = sending.request.service
-        if not self.evidence.crash_count(service, sending.fingerprint):
+        if not endpoints or not self.is_suspected(sending):
             return endpoints
         trusted = [name for name in endpoints if not self.registry.is_suspect(name)]
         return [isolated_endpoint(sending.fingerprint, trusted or endpoints)]
--- a/src/lagoonrill/_internal/coordination/forwarding.py
+++ b/src/lagoonrill/_internal/coordination/forwarding.py
@@ -304,16 +304,18 @@
             )
 
     def _excluded_engines(self, sending: Sending) -> frozenset[str]:
+        """Returns the engines to which a request may not be sent."""
+        tried = frozenset(sending.tried)
+        suspected = self.crash_guard.is_suspected(sending)
+        if sending.version is None and not suspected:
+            return tried
         ready = self.registry.ready(sending.request.service)
         usable = {item.id for item in ready if sending.may_use(item)}
         near = self.admission.near_engines(sending.request.service)
-        untried = [name for name in near if name in usable]
-        allowed = self.crash_guard.isolated(sending, untried)
-        if len(allowed) < len(untried):
-            usable = set(allowed)
-        return frozenset(sending.tried).union(
-            item.id for item in ready if item.id not in usable
-        )
+        near_usable = [name for name in near if name in usable]
+        if suspected and near_usable:
+            usable = set(self.crash_guard.isolated(sending, near_usable))
+        return tried.union(item.id for item in ready if item.id not in usable)
 
     def _begun(
         self, sending: Sending, admission: Admission, generation: Generation
