Show the crashes that led to a refusal in explain

An operator who looks up a refused request by its id saw the status only; the crashes happened to other attempts, earlier and at other instances. A line crashing_request_stopped names the digest of the refused request, and explain lists what all logs say of that digest. Test: failed before (no such context).

--- a/src/lagoonrill/_internal/commands/explain.py
+++ b/src/lagoonrill/_internal/commands/explain.py
@@ -24,6 +24,14 @@
         "store_reached",
     )
 )
+# Events about the cause of a refusal are shown whenever, and wherever, they happened.
+CRASH_EVENTS = frozenset(
+    (
+        "endpoint_crashed",
+        "request_no_longer_refused",
+        "request_refused_for_crashes",
+    )
+)
 END_EVENTS = frozenset(
     ("request_answered", "request_refused", "request_cancelled", "stream_broken_off")
 )
@@ -86,6 +94,8 @@
     if reason == "timeout":
         after = f" after {last_failure}" if last_failure else ""
         return outcome, f"deadline exceeded{after}"
+    if reason == "request_crashes_endpoints":
+        return outcome, "endpoints have crashed each time that they ran this request"
     if last_failure:
         return outcome, f"{reason}: {last_failure}"
     return outcome, reason
@@ -99,13 +109,21 @@
     started, ended = lines[0].time, lines[-1].time
     endpoints = {line.fields.get("endpoint") for line in lines} - {None}
     instances = {line.instance for line in lines}
+    fingerprints = {line.fields.get("fingerprint") for line in lines} - {None}
     context = [
         _step(line, started)
         for line in all_lines
-        if line.event in CONTEXT_EVENTS
-        and started - CONTEXT_S <= line.time <= ended + 1
-        and line.instance in instances
-        and line.fields.get("endpoint") in {None, *endpoints}
+        if (
+            line.event in CONTEXT_EVENTS
+            and started - CONTEXT_S <= line.time <= ended + 1
+            and line.instance in instances
+            and line.fields.get("endpoint") in {None, *endpoints}
+        )
+        or (
+            line.event in CRASH_EVENTS
+            and line.fields.get("fingerprint") in fingerprints
+            and line.fields.get("request") != request
+        )
     ]
     return RequestExplanation(
         request=request,
--- a/src/lagoonrill/_internal/coordination/crash_guard.py
+++ b/src/lagoonrill/_internal/coordination/crash_guard.py
@@ -39,6 +39,12 @@
         if cause is None:
             return
         if cause.request:
+            self.crash_reports.event_log.emit(
+                "crashing_request_stopped",
+                request=sending.request.id,
+                service=cause.service,
+                fingerprint=cause.request,
+            )
             raise Refusal(
                 400,
                 "request_crashes_endpoints",
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -90,3 +90,32 @@
     assert len(explanation.steps) == 3
     assert len(explanation.context) == 1
     assert "endpoint=e1" in explanation.context[0]
+
+
+def test_the_crashes_that_led_to_a_refusal_are_shown():
+    """They happened to other requests, earlier and at other instances."""
+    lines = [
+        line(100.0 + n, "endpoint_crashed", request=f"r{n}", fingerprint=fingerprint)
+        for n, fingerprint in enumerate(("f1", "f2", "f1"))
+    ]
+    lines.append(line(103.0, "request_refused_for_crashes", fingerprint="f1"))
+    lines.append(
+        line(900.0, "crashing_request_stopped", request="r9", fingerprint="f1")
+    )
+    lines.append(
+        line(
+            900.0,
+            "request_refused",
+            request="r9",
+            status=400,
+            reason="request_crashes_endpoints",
+        )
+    )
+    found = read_lines(lines)
+    explanation = explain_request("r9", group_by_request(found)["r9"], found)
+    assert "crashed each time" in explanation.cause
+    assert [step.split()[3] for step in explanation.context] == [
+        "endpoint_crashed",
+        "endpoint_crashed",
+        "request_refused_for_crashes",
+    ]
