--- a/src/lagoonrill/_internal/coordination/policy/crash_evidence.py
+++ b/src/lagoonrill/_internal/coordination/policy/crash_evidence.py
@@ -25,6 +25,15 @@
 
 import msgspec
 
+from .crash_records import (
+    Crash,
+    begun_count,
+    has_rival,
+    independent_count,
+    one_request_explains,
+    request_crash_count,
+)
+
 # A request is refused after this many crashes of endpoints that it was on.
 CERTAIN_CRASHES = 3
 # A request that another one on the same endpoints may stand for is refused after this
@@ -33,7 +42,6 @@
 # Prompts with a part are refused after crashes of this many engines that no single
 # request explains.
 MIN_CRASHES = 2
-COMMON_CAUSE_S = 0.1
 # A crash counts, and requests are refused, for this long. It ends by time because a
 # request may be sound for new weights or a new version of the endpoints.
 EVIDENCE_LIFETIME_S = 600.0
@@ -51,32 +59,11 @@
     # Parts that are the cause if a prompt has all of them.
     parts: frozenset[str] = frozenset()
 
-
-class Exposure(msgspec.Struct, kw_only=True, frozen=True):
-    """A request that was on an endpoint when it crashed."""
-
-    # Whether the endpoint had begun to answer.
-    begun: bool
-    sent_at: float
-
-
-class Crash(msgspec.Struct, kw_only=True):
-    """Crash of one incarnation of an endpoint."""
-
-    service: str
-    at: float
-    # By fingerprint.
-    requests: dict[str, Exposure] = {}
-    # For each suspected part, the requests that had it.
-    parts: dict[str, set[str]] = {}
-
-    def note_exposure(self, request: str, *, begun: bool, sent_at: float) -> None:
-        """Records a request; of several copies, the most suspect one counts."""
-        known = self.requests.get(request)
-        if known is not None:
-            begun = begun and known.begun
-            sent_at = max(sent_at, known.sent_at)
-        self.requests[request] = Exposure(begun=begun, sent_at=sent_at)
+    def matches(self, request: str, parts: frozenset[str]) -> bool:
+        """Returns whether a request, or a prompt with these parts, has this cause."""
+        if self.request:
+            return self.request == request
+        return self.parts <= parts
 
 
 class Decision(msgspec.Struct, kw_only=True, frozen=True):
@@ -189,8 +176,7 @@
         """Records a request that was on an endpoint when it crashed.
 
         `endpoint` identifies the incarnation; the request had been sent to it `ran_s`
-        before. Returns the causes for which requests are
-        refused from now on.
+        before the crash.
         """
         with self.lock:
             self._expire()
@@ -201,16 +187,15 @@
                     crash.parts.setdefault(part, set()).add(request)
             while len(self.crashes) > MAX_CRASHES:
                 self.crashes.popitem(last=False)
-            refused, cleared = [], []
+            found, cleared = [], []
             if len(self._crashes_with(service, request)) >= CERTAIN_CRASHES:
-                refused, cleared = self._review_requests(service)
-            group = self._most_suspected_parts(crash)
-            if group:
-                refused.append(Cause(service=service, parts=group))
-            refused = [cause for cause in refused if not self._refuses(cause)]
-            for cause in refused:
+                found, cleared = self._review_requests(service)
+            if parts := self._most_suspected_parts(crash):
+                found.append(Cause(service=service, parts=parts))
+            new = [cause for cause in found if not self._refuses(cause)]
+            for cause in new:
                 self._refuse(cause, self.clock())
-            return Decision(refused=tuple(refused), cleared=tuple(cleared))
+            return Decision(refused=tuple(new), cleared=tuple(cleared))
 
     def crash_count(self, service: str, request: str) -> int:
         """Returns the number of crashes that speak against a request.
@@ -234,13 +219,7 @@
         with self.lock:
             self._expire()
             for cause in self.refused:
-                if cause.service != service:
-                    continue
-                if (
-                    cause.request == request
-                    if cause.request
-                    else cause.parts <= present
-                ):
+                if cause.service == service and cause.matches(request, present):
                     return cause
         return None
 
@@ -457,59 +436,3 @@
         endpoints,
         key=lambda name: hashlib.blake2b(f"{request}/{name}".encode()).digest(),
     )
-
-
-def independent_count(crashes: Iterable[Crash]) -> int:
-    """Returns the number of crashes; those at the same time count once."""
-    count = 0
-    counted_at = float("-inf")
-    for at in sorted(crash.at for crash in crashes):
-        if at - counted_at > COMMON_CAUSE_S:
-            count += 1
-            counted_at = at
-    return count
-
-
-def request_crash_count(crashes: Iterable[Crash], request: str) -> int:
-    """Returns the number of crashes for which a request may be the cause of its own."""
-    count = 0
-    counted_at = float("-inf")
-    for crash in sorted(crashes, key=lambda item: item.at):
-        sent_after = crash.requests[request].sent_at >= counted_at
-        if sent_after or crash.at - counted_at > COMMON_CAUSE_S:
-            count += 1
-            counted_at = crash.at
-    return count
-
-
-def has_rival(request: str, crashes: list[Crash]) -> bool:
-    """Returns whether another request explains these crashes as well.
-
-    It was on all of the endpoints, or on all but one, as the reports of a crash arrive
-    one after the other; and its answers had not begun there more often.
-    """
-    shared: dict[str, list[Crash]] = {}
-    for crash in crashes:
-        for other in crash.requests.keys() - {request}:
-            shared.setdefault(other, []).append(crash)
-    return any(
-        len(on) >= len(crashes) - 1
-        and begun_count(other, on) <= begun_count(request, on)
-        for other, on in shared.items()
-    )
-
-
-def begun_count(request: str, crashes: Iterable[Crash]) -> int:
-    """Returns on how many crashed endpoints an answer to a request had begun."""
-    return sum(crash.requests[request].begun for crash in crashes)
-
-
-def one_request_explains(crashes: list[Crash]) -> bool:
-    """Returns whether one request was on all endpoints and had begun on none."""
-    common = set.intersection(
-        *(
-            {name for name, found in crash.requests.items() if not found.begun}
-            for crash in crashes
-        )
-    )
-    return bool(common)
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -14,7 +14,6 @@
 from lagoonrill._internal.coordination.policy.crash_evidence import (
     AMBIGUOUS_CRASHES,
     CERTAIN_CRASHES,
-    COMMON_CAUSE_S,
     EVIDENCE_LIFETIME_S,
     MAX_CRASHES,
     MAX_SOUND_PARTS,
@@ -22,6 +21,7 @@
     CrashEvidence,
     isolated_endpoint,
 )
+from lagoonrill._internal.coordination.policy.crash_records import COMMON_CAUSE_S
 from lagoonrill._internal.event_log import EventLog
 from lagoonrill._internal.protocol.headers import HeaderNames
 from lagoonrill._internal.protocol.messages import CrashReport
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from lagoonrill._internal.coordination.policy.crash_evidence import COMMON_CAUSE_S
+from lagoonrill._internal.coordination.policy.crash_records import COMMON_CAUSE_S
 from lagoonrill._internal.protocol.headers import HeaderNames
 
 NAMES = HeaderNames()
