Blame no request for a crash that came before it was sent

What callers saw: nothing yet; a sound request came under suspicion, and went to one endpoint only, because it was sent on a connection that had been idle when the endpoint crashed.

Cause: the failure of such a send looks like one under which the request may have run. Change: if the crash is known, what was sent afterwards is not counted as on the endpoint. Test: failed before.

--- a/src/lagoonrill/_internal/coordination/crash_guard.py
+++ b/src/lagoonrill/_internal/coordination/crash_guard.py
@@ -106,7 +106,7 @@
         self, sending: Sending, record: EndpointRecord, failure: EndpointFailure
     ) -> None:
         """Reports an endpoint that crashed while the request was on it."""
-        if not failure.may_have_run or not self._has_crashed(record):
+        if not (failure.may_have_run and self._was_on_crashed(sending, record)):
             return
         suspects = []
         if not sending.begun:
@@ -120,10 +120,16 @@
             suspects=suspects,
         )
 
+    def _was_on_crashed(self, sending: Sending, record: EndpointRecord) -> bool:
+        """Returns whether an endpoint crashed after the request was sent to it."""
+        crashed_at = self.crash_reports.crashed_at(record)
+        if crashed_at is None:
+            return self._has_crashed(record)
+        # A connection that was idle at the crash fails when it is used.
+        return sending.sent_at < crashed_at
+
     def _has_crashed(self, record: EndpointRecord) -> bool:
         """Returns whether an endpoint has ended without having announced it."""
-        if self.crash_reports.is_known(record):
-            return True
         current = self.registry.records.get(record.id)
         if current is None or current.leaving:
             return False
--- a/src/lagoonrill/_internal/coordination/crash_reports.py
+++ b/src/lagoonrill/_internal/coordination/crash_reports.py
@@ -40,9 +40,11 @@
             link.register_handler(CrashReport, self.handle, inline=True)
             link.register_handler(SoundRequest, self.handle_sound, inline=True)
 
-    def is_known(self, record: EndpointRecord) -> bool:
-        """Returns whether a crash of this incarnation has been reported."""
-        return crash_key(record.id, record.incarnation) in self.evidence.crashes
+    def crashed_at(self, record: EndpointRecord) -> float | None:
+        """Returns when this incarnation crashed, or None if no crash was reported."""
+        key = crash_key(record.id, record.incarnation)
+        crash = self.evidence.crashes.get(key)
+        return None if crash is None else crash.at
 
     def report(
         self,
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -493,6 +493,18 @@
     assert reporter.reports.evidence.crashes == {}
 
 
+@pytest.mark.parametrize("late", [True, False], ids=["after", "before"])
+def test_a_request_sent_after_a_crash_did_not_cause_it(late):
+    """A connection that was idle at the crash fails when it is used."""
+    reporter = Reporter()
+    reporter.report(0, "deadly")
+    sending = Waiting("sound")
+    sending.sent_at = time.monotonic() if late else 0.0
+    failure = EndpointFailure("receive: ConnectionResetError", may_have_run=True)
+    guard_of(reporter).note_failure(sending, reporter.records[0], failure)
+    assert reporter.reports.evidence.crash_count(SERVICE, "sound") == (not late)
+
+
 def test_an_endpoint_that_started_again_under_its_id_has_crashed():
     reporter = Reporter()
     before = reporter.records[0]
