Trust a default version only as far as lists of endpoints agree

Cause: each instance decided by its own list of endpoints, and lists differ by seconds.

Change: an instance at which the default version appears, or whose list was old, records the streams of that version too, until a list of the store that began 5 s later shows that it still is the default. A take-up of a stream that this instance did not begin is always looked up while the store can be reached; the look-up ends after 0.5 s, was 1 s.

Why it works: the lists of two instances are at most 5 s old, so one that may begin a stream at the default has seen it absent, if another one could replace it, and asks the store after the replacement would be visible.

--- a/src/lagoonrill/_internal/coordination/stream_origins.py
+++ b/src/lagoonrill/_internal/coordination/stream_origins.py
@@ -18,6 +18,7 @@
 from ..protocol.routing import RoutingConfig
 from ..state.endpoint_registry import EndpointRegistry
 from .policy.stream_history import (
+    MAX_LIST_LAG_S,
     DefaultVersion,
     StreamHistory,
     StreamRecord,
@@ -27,7 +28,7 @@
 # in trouble, and a caller should not wait for it.
 MAX_HOLD_S = 0.2
 # A take-up waits this long for a list of the store.
-LOOKUP_TIMEOUT_S = 1.0
+LOOKUP_TIMEOUT_S = 0.5
 MIN_LIST_INTERVAL_S = 0.1
 RETRY_PAUSE_S = 0.3
 # Interval of the checks for a new default version, and of the lists that show whether
@@ -88,8 +89,9 @@
 class StreamOrigins:
     """Records where streams begin, and finds where a taken-up stream began.
 
-    `is_writer` tells whether this instance sets default versions, and `instances` how
-    many instances share the writes to the store.
+    `is_writer` tells whether this instance sets default versions, `list_age_s` how old
+    its list of endpoints may be, and `instances` how many instances share the writes to
+    the store.
     """
 
     def __init__(
@@ -100,6 +102,7 @@
         registry: EndpointRegistry,
         event_log: EventLog,
         is_writer: Callable[[], bool],
+        list_age_s: Callable[[], float],
         instances: Callable[[], int],
         writes_per_s: float,
         history: StreamHistory | None = None,
@@ -111,6 +114,8 @@
         self.registry = registry
         self.event_log = event_log
         self.is_writer = is_writer
+        self.list_age_s = list_age_s
+        self.had_old_list = False
         self.instances = instances
         self.writes_per_s = writes_per_s
         self.clock = clock
@@ -209,10 +214,11 @@
         known = self.history.begun_at_version(service, key)
         if known is not None:
             return known
-        if self.history.is_settled(service):
-            return self.history.default_version(service)
-        if not self._refresh():
-            return None
+        is_settled = self.history.is_settled(service)
+        # Another instance may know of a version that is not in the list here yet.
+        is_reachable = self.list_age_s() <= MAX_LIST_LAG_S
+        if not (is_reachable and self._refresh()):
+            return self.history.default_version(service) if is_settled else None
         known = self.history.begun_at_version(service, key)
         if known is not None:
             return known
@@ -255,12 +261,21 @@
     def make_calls(self) -> bool:
         """Makes the calls that are due; returns whether all succeeded."""
         now = self.clock()
+        self._watch_list_age()
+        if self.history.list_due(self.services):
+            self.list_wanted_at = now
         if self.listed_at < self.list_wanted_at:
             self.stopping.wait(max(0.0, self.listed_at + MIN_LIST_INTERVAL_S - now))
             if not self._list():
                 return False
         return self._write_slots() and self._review_defaults()
 
+    def _watch_list_age(self) -> None:
+        is_old = self.list_age_s() > MAX_LIST_LAG_S
+        if self.had_old_list and not is_old:
+            self.history.note_old_list()
+        self.had_old_list = is_old
+
     def _list(self) -> bool:
         began_at = self.clock()
         result = self.store.list()
@@ -279,6 +294,7 @@
             if self.listed_at == float("-inf"):
                 self._adopt(found)
             self.listed_at = began_at
+            self.history.note_list(began_at)
             self.condition.notify_all()
         return self._restore_defaults(found.defaults)
 
--- a/src/lagoonrill/_internal/gateway_daemon.py
+++ b/src/lagoonrill/_internal/gateway_daemon.py
@@ -212,6 +212,7 @@
             registry=self.registry,
             event_log=self.event_log,
             is_writer=lambda: self.peers.store_rank() == 0,
+            list_age_s=self.endpoint_follower.age_s,
             instances=self.peers.instances,
             writes_per_s=self.settings.store_writes_per_s,
         )
--- a/tests/gateway_kit.py
+++ b/tests/gateway_kit.py
@@ -206,6 +206,7 @@
             registry=self.registry,
             event_log=self.event_log,
             is_writer=lambda: True,
+            list_age_s=lambda: 0.0,
             instances=lambda: 1,
             writes_per_s=1_000,
         )
