Let a suspension excuse the probes of its instance in the soak

The check excuses an instance for 3 s after a suspension, but knew the senders of callers' requests only, not of probes. It is not narrowed otherwise: a probe of another instance is reported. The checkers of the last faults get tests of their own.

--- a/bench/soak/environment.py
+++ b/bench/soak/environment.py
@@ -348,10 +348,12 @@
     def _route_status(self, gateway: Gateway, version: int) -> int:
         """Returns the status of a request on the route of a version; 0 without one."""
         connection = http.client.HTTPConnection("127.0.0.1", gateway.port, timeout=1)
+        id = f"probe-{time.monotonic()}"
+        self.history.probed[id] = gateway.name
         headers = {
             "Host": "shop.example",
             "Authorization": f"{VOCABULARY.key_scheme} key-1",
-            VOCABULARY.request_id: f"probe-{time.monotonic()}",
+            VOCABULARY.request_id: id,
         }
         try:
             connection.request("GET", f"/v{version}/1", headers=headers)
--- a/tests/test_soak_checkers.py
+++ b/tests/test_soak_checkers.py
@@ -4,6 +4,7 @@
 
 from bench.soak.history import (
     LAST_EVENT,
+    CrashByRequest,
     Denial,
     Fault,
     History,
@@ -11,9 +12,12 @@
     PauseRequest,
     Probe,
     Run,
+    TakeUp,
     check,
     check_announced,
+    check_crashes,
     check_pauses,
+    check_stream_versions,
 )
 
 
@@ -132,6 +136,33 @@
     assert check(history_with_late_request(fault), ended_at=30.0) == []
 
 
+@pytest.mark.parametrize("instance, broken", [("g0", False), ("g1", True)])
+def test_a_probe_is_excused_by_a_fault_of_its_instance_only(instance, broken):
+    """A suspended instance sends late, and a probe has no caller that knows it."""
+    history = history_of([run("probe-1", at=22.5), fault(instance, 19.0, 22.4)])
+    history.probed["probe-1"] = "g0"
+    history.leaving["i-1"] = 20.0
+    assert bool(check(history, ended_at=30.0)) == broken
+
+
+@pytest.mark.parametrize("mixed, broken", [(0, False), (2, False), (3, True)])
+def test_streams_of_two_versions_are_reported_over_all_tries(mixed, broken):
+    history = history_of([])
+    for number in range(5):
+        first = b"id: 1\ndata: v1\n\n"
+        second = b"id: 2\ndata: v2\n\n" if number < mixed else first
+        history.add(outcome(f"r{number}", "ask", 0, body=first))
+        history.add(TakeUp(first=f"r{number}", body=first + second))
+    assert bool(check_stream_versions(history)) == broken
+
+
+@pytest.mark.parametrize("late, broken", [(0, False), (3, False), (4, True)])
+def test_a_deadly_request_that_goes_on_is_reported(late, broken):
+    at = [10.0, 10.1, 10.2, *(13.3 + n for n in range(late))]
+    crashes = [CrashByRequest(endpoint=f"i-{n}", at=t) for n, t in enumerate(at)]
+    assert bool(check_crashes(history_of(crashes))) == broken
+
+
 def history_with_denial(*faults: Fault) -> History:
     """Returns a history in which a configuration is not in force after 2.5 s."""
     history = history_of([Denial(instance="g0", version=7, at=22.5), *faults])
