--- a/src/lagoonrill/_internal/coordination/forwarding.py
+++ b/src/lagoonrill/_internal/coordination/forwarding.py
@@ -70,8 +70,9 @@
 # time before the limit does not count as an endpoint failure.
 TIME_LIMIT_SLACK_S = 0.5
 # Statuses that tell the caller "not run"; only the router itself may return them.
-MAX_LOGGED_ID_CHARACTERS = 64
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
+# Callers may send ids of any length.
+MAX_LOGGED_ID_CHARACTERS = 64
 
 
 class Forwarder:
