--- a/src/lagoonrill/_internal/coordination/policy/stream_history.py
+++ b/src/lagoonrill/_internal/coordination/policy/stream_history.py
@@ -11,6 +11,10 @@
 been there for longer than a stream can last, so nothing is recorded while one version
 serves, and a release costs a record for each stream for a limited time.
 
+The lists of endpoints of two instances differ by seconds. Therefore an instance at
+which the default version appears records its streams too, until the store shows that
+no other instance has replaced the default meanwhile.
+
 Versions have no order and may come back; they are compared for equality only.
 """
 
@@ -83,6 +87,7 @@
         self.lock = threading.Lock()
         self.stream_life_s = DEFAULT_STREAM_LIFE_S
         self.is_life_known = False
+        # Time at which the latest list of the defaults in the store began.
         self.listed_at = -math.inf
         # Records and the times at which the streams began, oldest first.
         self.records: OrderedDict[str, tuple[StreamRecord, float]] = OrderedDict()
