--- a/standins/scripted_endpoint.py
+++ b/standins/scripted_endpoint.py
@@ -525,34 +525,35 @@
     return True
 
 
-@behaviour
-def stream_or_crash(sock, request, endpoint) -> bool:
-    """Crashes before the first event if the prompt has the part `poison`."""
-    if "poison:" not in (request.header("X-Prompt-Parts") or ""):
-        return stream(sock, request, endpoint)
+def crash(request, endpoint) -> bool:
+    """Ends the endpoint while the request runs."""
     endpoint.record_run(request)
     endpoint.close()
     return False
 
 
+@behaviour
+def stream_or_crash(sock, request, endpoint) -> bool:
+    """Crashes before the first event if the prompt has the part `poison`."""
+    if "poison:" in (request.header("X-Prompt-Parts") or ""):
+        return crash(request, endpoint)
+    return stream(sock, request, endpoint)
+
+
 @behaviour
 def answer_or_crash(sock, request, endpoint) -> bool:
     """Crashes before the answer if the body contains `deadly`."""
-    if b"deadly" not in request.body:
-        return answer(sock, request, endpoint)
-    endpoint.record_run(request)
-    endpoint.close()
-    return False
+    if b"deadly" in request.body:
+        return crash(request, endpoint)
+    return answer(sock, request, endpoint)
 
 
 @behaviour
 def stream_or_crash_by_body(sock, request, endpoint) -> bool:
     """Crashes before the first event if the body contains `deadly`."""
-    if b"deadly" not in request.body:
-        return stream(sock, request, endpoint)
-    endpoint.record_run(request)
-    endpoint.close()
-    return False
+    if b"deadly" in request.body:
+        return crash(request, endpoint)
+    return stream(sock, request, endpoint)
 
 
 @behaviour
@@ -560,11 +561,9 @@
     """Crashes after the first event if the body contains `deadly`."""
     if b"deadly" not in request.body:
         return stream(sock, request, endpoint)
-    endpoint.record_run(request)
     head = encode_response_head(request) + STREAM_HEAD
     sock.sendall(head + chunk(event(first_event_number(request))))
-    endpoint.close()
-    return False
+    return crash(request, endpoint)
 
 
 @behaviour
