Keep the time of the latest list of origins in one place

Cause: stream_origins and stream_history each held it, and both had to be set. Change: the history holds it.

--- a/src/lagoonrill/_internal/coordination/stream_origins.py
+++ b/src/lagoonrill/_internal/coordination/stream_origins.py
@@ -5,6 +5,7 @@
 """
 
 import hashlib
+import math
 import threading
 import time
 from collections.abc import Callable
@@ -126,13 +127,12 @@
         self.condition = threading.Condition()
         self.wake = threading.Event()
         self.stopping = threading.Event()
-        # Times at which a list was asked for, and at which the latest one began.
+        # Time at which a list was asked for.
         self.list_wanted_at = clock()
-        self.listed_at = float("-inf")
         # Records of this instance by slot, and how many of each slot are stored.
         self.slots: dict[int, list[StoredStream]] = {}
         self.stored: dict[int, int] = {}
-        self.written_at = float("-inf")
+        self.written_at = -math.inf
         self.unrecorded = 0
 
     def start(self) -> None:
@@ -233,7 +233,7 @@
             self.list_wanted_at = max(self.list_wanted_at, now)
             self.wake.set()
             return self.condition.wait_for(
-                lambda: self.listed_at >= now, LOOKUP_TIMEOUT_S
+                lambda: self.history.listed_at >= now, LOOKUP_TIMEOUT_S
             )
 
     def write_again(self) -> None:
@@ -264,8 +264,10 @@
         self._watch_list_age()
         if self.history.list_due(self.services):
             self.list_wanted_at = now
-        if self.listed_at < self.list_wanted_at:
-            self.stopping.wait(max(0.0, self.listed_at + MIN_LIST_INTERVAL_S - now))
+        if self.history.listed_at < self.list_wanted_at:
+            self.stopping.wait(
+                max(0.0, self.history.listed_at + MIN_LIST_INTERVAL_S - now)
+            )
             if not self._list():
                 return False
         return self._write_slots() and self._review_defaults()
@@ -291,9 +293,8 @@
                 if age_s <= self.history.stream_life_s:
                     self.history.add(stream.record, age_s=age_s)
         with self.condition:
-            if self.listed_at == float("-inf"):
+            if self.history.listed_at == -math.inf:
                 self._adopt(found)
-            self.listed_at = began_at
             self.history.note_list(began_at)
             self.condition.notify_all()
         return self._restore_defaults(found.defaults)
@@ -345,7 +346,7 @@
             if not self.is_writer():
                 # Another instance sets it; until it is known here, streams of the
                 # version are recorded without need.
-                if self.clock() - self.listed_at >= DEFAULT_LIST_INTERVAL_S:
+                if self.clock() - self.history.listed_at >= DEFAULT_LIST_INTERVAL_S:
                     self.list_wanted_at = self.clock()
                 continue
             before = self.history.defaults.get(service)
