--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -10,9 +10,9 @@
 
 import typer
 
+from bench.soak.checks import RECOVERY_S, check
 from bench.soak.environment import SoakEnvironment
 from bench.soak.faults import FAULTS, inject
-from bench.soak.history import RECOVERY_S, check
 
 # Threads that inject faults concurrently, so that faults overlap.
 INJECTOR_THREADS = 2
--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -4,14 +4,9 @@
 import signal
 import time
 
+from bench.soak.checks import DRAIN_S, LIMIT_KNOWN_S, LIMIT_WINDOW_S, STORE
 from bench.soak.environment import GRACE_S, SoakEnvironment
-from bench.soak.history import (
-    DRAIN_S,
-    LIMIT_KNOWN_S,
-    LIMIT_WINDOW_S,
-    STORE,
-    Fault,
-)
+from bench.soak.history import Fault
 from lagoonrill._internal.coordination.policy.registry import Registry
 
 FAULTS = Registry(decision="fault")
--- a/tests/test_request_limits.py
+++ b/tests/test_request_limits.py
@@ -4,15 +4,9 @@
 
 import pytest
 
+from bench.soak.checks import LIMIT_KNOWN_S, LIMIT_WINDOW_S, check_limits
 from bench.soak.environment import SoakEnvironment
-from bench.soak.history import (
-    LIMIT_KNOWN_S,
-    LIMIT_WINDOW_S,
-    History,
-    NamedLimit,
-    Run,
-    check_limits,
-)
+from bench.soak.history import History, NamedLimit, Run
 
 SETTLING_S = 1.0
 
--- a/tests/test_soak_checkers.py
+++ b/tests/test_soak_checkers.py
@@ -2,6 +2,13 @@
 
 import pytest
 
+from bench.soak.checks import (
+    check,
+    check_announced,
+    check_crashes,
+    check_pauses,
+    check_stream_versions,
+)
 from bench.soak.history import (
     LAST_EVENT,
     CrashByRequest,
@@ -13,11 +20,6 @@
     Probe,
     Run,
     TakeUp,
-    check,
-    check_announced,
-    check_crashes,
-    check_pauses,
-    check_stream_versions,
 )
 
 
