Build the sources of the router's own objects in one place

Cause: findings and origins opened the same kind of source with the same lines. Change: one function. No behaviour or test changed; the tests of the adapter pass.

--- a/src/lagoonrill/platform/_store.py
+++ b/src/lagoonrill/platform/_store.py
@@ -317,6 +317,13 @@
         return StoreObject(name=wire.metadata.name, content=content)
 
 
+def unwatched_source(client: StoreClient, kind: str, decode) -> StoreObjectSource:
+    """Returns a source of the router's own objects, which are only listed."""
+    return StoreObjectSource(
+        client=client, kind=kind, decode=decode, watch_connection=None
+    )
+
+
 def decode_finding(name: str, spec: object) -> CrashFinding:
     """Returns the finding in an object; raises `ValueError` if it is invalid."""
     wire = msgspec.convert(spec, WireFinding)
@@ -331,13 +338,8 @@
 
     def __init__(self, *, client: StoreClient):
         self.client = client
-        self.path = OBJECTS_PATH + FINDING_KIND
-        self.source = StoreObjectSource(
-            client=client,
-            kind=FINDING_KIND,
-            decode=decode_finding,
-            watch_connection=None,
-        )
+        self.source = unwatched_source(client, FINDING_KIND, decode_finding)
+        self.path = self.source.path
 
     def list(self) -> Result[list[CrashFinding], StoreError]:
         """Returns the findings; objects that cannot be decoded are left out."""
@@ -447,13 +449,8 @@
 
     def __init__(self, *, client: StoreClient):
         self.client = client
-        self.path = OBJECTS_PATH + ORIGIN_KIND
-        self.source = StoreObjectSource(
-            client=client,
-            kind=ORIGIN_KIND,
-            decode=decode_origins,
-            watch_connection=None,
-        )
+        self.source = unwatched_source(client, ORIGIN_KIND, decode_origins)
+        self.path = self.source.path
 
     def list(self) -> Result[StoredOrigins, StoreError]:
         """Returns the origins; objects that cannot be decoded are left out."""
