--- a/review/1/case.py
+++ b/review/1/case.py
@@ -2,7 +2,6 @@
 
 import contextlib
 import itertools
-import os
 import sys
 import tempfile
 import threading
@@ -13,6 +12,7 @@
 
 from review.common.consumers import Answer, send, send_stream
 from review.common.gateways import Gateway, wait_until_ready
+from review.common.main import run_case
 from review.common.platform import start_store
 from review.common.record import Record
 from review.common.workers import Worker
@@ -176,8 +176,11 @@
     return is_broken and begun > 0
 
 
-def play(fleet: Fleet, record: Record, *, trouble: bool) -> bool:
+def play(stack: contextlib.ExitStack, record: Record, *, trouble: str) -> bool:
     """Returns whether the rule TIER held."""
+    folder = Path(stack.enter_context(tempfile.TemporaryDirectory()))
+    fleet = Fleet(folder=folder, record=record)
+    stack.callback(fleet.close)
     fleet.start_gateways()
     wait_until_ready(fleet.gateways)
     record.line("all gateways are ready")
@@ -185,7 +188,7 @@
     traffic.start()
     try:
         time.sleep(3)
-        if trouble:
+        if trouble == "1":
             fleet.write_unreadable_entry()
         time.sleep(1)
         fleet.release()
@@ -204,20 +207,5 @@
     return not any(broken)
 
 
-def main() -> int:
-    trouble = os.environ.get("TROUBLE") != "0"
-    record = Record(folder=Path(__file__).parent)
-    with tempfile.TemporaryDirectory() as folder, contextlib.ExitStack() as stack:
-        fleet = Fleet(folder=Path(folder), record=record)
-        stack.callback(fleet.close)
-        try:
-            held = play(fleet, record, trouble=trouble)
-        except RuntimeError as error:
-            record.line(f"the case could not run: {error}")
-            print(error)
-            return 2
-    return 0 if held else 1
-
-
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(run_case(play, folder=Path(__file__).parent))
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,13 +1,13 @@
 """The store turns a gateway away; streams of two versions begin there, and it dies."""
 
 import contextlib
-import os
 import sys
 import tempfile
 import time
 from pathlib import Path
 
 from review.common.gateways import Gateway, wait_until_ready
+from review.common.main import run_case
 from review.common.platform import Link, start_store
 from review.common.record import Record
 from review.common.take_ups import MOST_MIXED, StreamConsumers
@@ -62,18 +62,5 @@
     return mixed <= MOST_MIXED
 
 
-def main() -> int:
-    trouble = os.environ.get("TROUBLE", "1")
-    record = Record(folder=Path(__file__).parent)
-    with contextlib.ExitStack() as stack:
-        try:
-            held = play(stack, record, trouble=trouble)
-        except RuntimeError as error:
-            record.line(f"the case could not run: {error}")
-            print(error)
-            return 2
-    return 0 if held else 1
-
-
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(run_case(play, folder=Path(__file__).parent))
