Show the faults of taken-up streams with one disruption each

Callers get streams with events of two software versions. The gateway that began the streams is now stopped as planned instead of killed, so that a single disruption of the store is left in each of the cases 2, 3 and 4.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,8 +1,9 @@
-"""The store turns a gateway away; streams of two versions begin there, and it dies."""
+"""The store turns a gateway away, and that gateway is stopped as planned."""
 
 import contextlib
 import sys
 import tempfile
+import threading
 import time
 from pathlib import Path
 
@@ -13,12 +14,15 @@
 from review.common.take_ups import MOST_MIXED, StreamConsumers
 from review.common.versions import ZONES, add_engines
 
-# A stream of this many events lasts 8 s.
-EVENTS = 80
-STREAMS = 24
-STREAM_SPACING_S = 0.1
-# The store turns the gateway away this long before the first of the streams.
-AWAY_BEFORE_S = 1.0
+# A stream of this many events lasts 13 s, less than the timeout of its route.
+EVENTS = 130
+# The store turns the gateway away for this long; streams begin and the stop follows.
+AWAY_S = 9.0
+STOPPED_AFTER_S = 1.4
+# Streams a second that begin at the gateway, until shortly after the stop: of the
+# sheet's 13.7, the share of a zone that has a single machine.
+STREAMS_PER_S = 4.4
+BEGUN_S = 3.3
 
 
 def play(stack: contextlib.ExitStack, record: Record, *, trouble: str) -> bool:
@@ -43,18 +47,20 @@
     workers += add_engines(store, "v2", stack, events=EVENTS)
     record.line("workers of version v2 serve too")
     time.sleep(2)
+    consumers = StreamConsumers(record=record, port=gateways[2].port, other=gateways[0])
     if trouble == "1":
         link.reject()
         record.line(f"the store turns {gateways[2].name} away")
-    time.sleep(AWAY_BEFORE_S)
-    consumers = StreamConsumers(record=record, port=gateways[2].port, other=gateways[0])
-    for _ in range(STREAMS):
+        threading.Timer(AWAY_S, link.accept).start()
+    began_at = time.monotonic()
+    is_stopped = trouble == "0"
+    while time.monotonic() < began_at + BEGUN_S:
+        if not is_stopped and time.monotonic() >= began_at + STOPPED_AFTER_S:
+            is_stopped = True
+            gateways[2].stop()
+            record.line(f"{gateways[2].name} is stopped as planned")
         consumers.begin()
-        time.sleep(STREAM_SPACING_S)
-    time.sleep(1)
-    if trouble != "0":
-        gateways[2].kill()
-        record.line(f"{gateways[2].name} is killed")
+        time.sleep(1 / STREAMS_PER_S)
     mixed = consumers.mixed()
     for worker in workers:
         for at, request, after in worker.runs:
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,4 +1,4 @@
-"""Answers of the store are lost and writes come late; then a gateway dies."""
+"""Answers of the store are lost and writes come late; a gateway is stopped."""
 
 import contextlib
 import os
@@ -8,15 +8,15 @@
 from pathlib import Path
 
 from review.common.gateways import Gateway, wait_until_ready
-from review.common.lossy_store import MAX_LATE_S, start_lossy_store
+from review.common.lossy_store import start_lossy_store
 from review.common.main import run_case
 from review.common.record import Record
 from review.common.take_ups import MOST_MIXED, StreamConsumers
 from review.common.versions import ZONES, add_engines
 
 SEED = int(os.environ.get("SEED", "14"))
-# A stream of this many events lasts 13 s, less than the timeout of its route.
-EVENTS = 130
+# A stream of this many events lasts 14 s, less than the timeout of its route.
+EVENTS = 140
 LOST_S = 4.5
 # The gateway keeps the records of five seconds of the time of day in one object. The
 # disruption begins this long after the begin of such a span.
@@ -25,8 +25,10 @@
 # Streams a second that begin at one gateway: of the sheet's 13.7, the share of a zone
 # that has a single machine.
 STREAMS_PER_S = 4.4
-# Streams go on beginning for this long after the disruption of the store.
-AFTER_S = 4.0
+# The gateway is stopped after this time, and streams begin until shortly after that. It
+# ends the streams when its time is over, after the last of the late writes.
+STOPPED_AFTER_S = 4.6
+BEGUN_S = 6.5
 
 
 def play(stack: contextlib.ExitStack, record: Record, *, trouble: str) -> bool:
@@ -51,15 +53,16 @@
     consumers = StreamConsumers(record=record, port=gateways[2].port, other=gateways[0])
     began_at = time.monotonic()
     store.loses = trouble == "1"
-    while time.monotonic() < began_at + LOST_S + AFTER_S:
-        if time.monotonic() >= began_at + LOST_S:
+    is_stopped = trouble == "0"
+    while (now := time.monotonic()) < began_at + BEGUN_S:
+        if now >= began_at + LOST_S:
             store.loses = False
+        if not is_stopped and now >= began_at + STOPPED_AFTER_S:
+            is_stopped = True
+            gateways[2].stop()
+            record.line(f"{gateways[2].name} is stopped as planned")
         consumers.begin()
         time.sleep(1 / STREAMS_PER_S)
-    time.sleep(max(0.0, began_at + LOST_S + MAX_LATE_S + 0.5 - time.monotonic()))
-    if trouble != "0":
-        gateways[2].kill()
-        record.line(f"{gateways[2].name} is killed")
     mixed = consumers.mixed()
     for worker in workers:
         for at, request, after in worker.runs:
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,4 +1,4 @@
-"""The store comes back from an older copy; a gateway dies while the store is away."""
+"""The store comes back from an older copy, while a gateway is stopped as planned."""
 
 import contextlib
 import sys
@@ -13,15 +13,17 @@
 from review.common.take_ups import MOST_MIXED, StreamConsumers
 from review.common.versions import ZONES, add_engines
 
-# A stream of this many events lasts 10 s.
-EVENTS = 100
-STREAMS = 14
-STREAM_SPACING_S = 0.25
-# The store is away for this long, and comes back from a copy of this age.
-AWAY_S = 1.0
-COPY_AGE_S = 5.0
-# The gateway dies in the middle of that time.
-KILLED_AFTER_S = 0.5
+# A stream of this many events lasts 13 s, less than the timeout of its route.
+EVENTS = 130
+# Times after the planned stop of a gateway, which ends its streams after 7.1 to 7.4 s.
+# The store is away for a moment around that end, and comes back from a copy that is
+# some seconds old.
+STREAMS_FROM_S, STREAMS_UNTIL_S = -1.0, 1.9
+AWAY_FROM_S, AWAY_UNTIL_S = 6.6, 7.8
+COPY_AGE_S = 9.0
+# Streams a second that begin at the gateway: of the sheet's 13.7, the share of a zone
+# that has a single machine.
+STREAMS_PER_S = 4.4
 
 
 def play(stack: contextlib.ExitStack, record: Record, *, trouble: str) -> bool:
@@ -42,23 +44,24 @@
     time.sleep(2)
     workers += add_engines(store, "v2", stack, events=EVENTS)
     record.line("workers of version v2 serve too")
-    # Their entries are older than the copy from which the store comes back.
-    time.sleep(COPY_AGE_S)
+    time.sleep(3)
     consumers = StreamConsumers(
         record=record, port=gateways[2].port, other=gateways[0], tries=4
     )
-    for _ in range(STREAMS):
+    stopped_at = time.monotonic() - STREAMS_FROM_S
+    is_stopped = trouble == "0"
+    while (now := time.monotonic()) < stopped_at + STREAMS_UNTIL_S:
+        if not is_stopped and now >= stopped_at:
+            is_stopped = True
+            gateways[2].stop()
+            record.line(f"{gateways[2].name} is stopped as planned")
         consumers.begin()
-        time.sleep(STREAM_SPACING_S)
+        time.sleep(1 / STREAMS_PER_S)
+    time.sleep(stopped_at + AWAY_FROM_S - time.monotonic())
     if trouble == "1":
         store.refusal_status = 503
         record.line("the store is away")
-    time.sleep(KILLED_AFTER_S)
-    if trouble != "0":
-        gateways[2].kill()
-        record.line(f"{gateways[2].name} is killed")
-    time.sleep(AWAY_S - KILLED_AFTER_S)
-    if trouble == "1":
+        time.sleep(stopped_at + AWAY_UNTIL_S - time.monotonic())
         store.restore(COPY_AGE_S)
         store.put("config", "main", configuration())
         for worker in workers:
--- a/review/common/gateways.py
+++ b/review/common/gateways.py
@@ -70,6 +70,10 @@
                 stderr=subprocess.STDOUT,
             )
 
+    def stop(self) -> None:
+        """Asks the process to end, as the platform does for planned work."""
+        self.process.send_signal(signal.SIGTERM)
+
     def kill(self) -> None:
         """Kills the process and waits for its end."""
         if self.process is not None and self.process.poll() is None:
