--- a/review/1/case.py
+++ b/review/1/case.py
@@ -139,6 +139,7 @@
         for id in [id for id in self.workers if id.startswith("i-old-")][:RELEASED]:
             old = self.workers[id]
             self.add_worker(id.replace("old", "new"), "models", old.zone)
+            old.leaving = True
             self.store.put("servers", id, old.entry(state="draining"))
             self.record.line(f"{id} drains, another one has started")
             threading.Timer(DRAIN_S + 0.5, self.remove, (id,)).start()
--- a/review/common/workers.py
+++ b/review/common/workers.py
@@ -17,8 +17,8 @@
     """Serves one service; each event names the software version of the worker.
 
     A stream has `events` events, `pause_s` apart, and goes on after `Last-Event-Id`. A
-    run ends when its channel closes. `runs` holds what has run: the time, the id of the
-    request and the event after which a stream goes on.
+    run ends when its channel closes, or at its time limit. `runs` holds what has run:
+    the time, the id of the request and the event after which a stream goes on.
     """
 
     def __init__(
@@ -39,6 +39,8 @@
         self.pause_s = pause_s
         self.lock = threading.Lock()
         self.runs: list[tuple[float, str, int]] = []
+        # Whether all answers say that the worker leaves.
+        self.leaving = False
         self.born = int(time.time() * 1000)
         self.listener = ThreadedListener(serve=self.serve)
         self.address = self.listener.address
@@ -76,12 +78,16 @@
             )
             return
         after = int(request.header("Last-Event-Id") or 0)
+        limit_s = int(request.header("Deadline-Ms") or 15_000) / 1000
+        ends_at = time.monotonic() + limit_s
         with self.lock:
             self.runs.append((time.monotonic(), id, after))
         head = (
             f"HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\n"
             f"Response-Signature: {SIGNATURE}\r\n"
         )
+        if self.leaving:
+            head += "Server-Leaving: 1\r\nConnection: close\r\n"
         if request.header("Prompt-Prefix") is None:
             body = f"answer to {id}"
             head += f"Content-Length: {len(body)}\r\n\r\n{body}"
@@ -93,4 +99,6 @@
             data = f"id: {number}\ndata: {self.version}\n\n"
             sock.sendall(f"{len(data):x}\r\n{data}\r\n".encode())
             time.sleep(self.pause_s)
+            if time.monotonic() >= ends_at:
+                raise ConnectionError("the time limit of the run is reached")
         sock.sendall(b"0\r\n\r\n")
