--- a/review/1/case.py
+++ b/review/1/case.py
@@ -157,15 +157,15 @@
         self.server.close()
 
 
-def is_served(answer: Answer) -> bool:
-    return answer.status == 200 and answer.complete
+def got_nothing(answer: Answer) -> bool:
+    return answer.status != 200 or not answer.events()
 
 
 def breaks_tier(traffic: Traffic, record: Record, since: float) -> bool:
     """Returns whether urgent streams get nothing while less urgent ones begin."""
     asks, plans = traffic.sent("ask", since), traffic.sent("plan", since)
-    unserved = sum(not is_served(answer) for answer in asks)
-    begun = sum(answer.status == 200 for answer in plans)
+    unserved = sum(got_nothing(answer) for answer in asks)
+    begun = sum(not got_nothing(answer) for answer in plans)
     text = (
         f"five calm seconds from {since - record.began_at:.1f} s: {unserved} of "
         f"{len(asks)} urgent streams got nothing; {begun} of {len(plans)} less urgent "
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -47,13 +47,15 @@
     workers += add_engines(store, "v2", stack, events=EVENTS)
     record.line("workers of version v2 serve too")
     time.sleep(2)
-    consumers = StreamConsumers(record=record, port=gateways[2].port, other=gateways[0])
+    consumers = StreamConsumers(
+        record=record, port=gateways[2].port, other=gateways[0], tries=1
+    )
     if trouble == "1":
         link.reject()
         record.line(f"the store turns {gateways[2].name} away")
         threading.Timer(AWAY_S, link.accept).start()
     began_at = time.monotonic()
-    is_stopped = trouble == "0"
+    is_stopped = False
     while time.monotonic() < began_at + BEGUN_S:
         if not is_stopped and time.monotonic() >= began_at + STOPPED_AFTER_S:
             is_stopped = True
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -14,7 +14,7 @@
 from review.common.take_ups import MOST_MIXED, StreamConsumers
 from review.common.versions import ZONES, add_engines
 
-SEED = int(os.environ.get("SEED", "14"))
+SEED = int(os.environ.get("SEED", "5"))
 # A stream of this many events lasts 14 s, less than the timeout of its route.
 EVENTS = 140
 LOST_S = 4.5
@@ -50,10 +50,12 @@
     workers += add_engines(store, "v2", stack, events=EVENTS)
     record.line("workers of version v2 serve too")
     time.sleep(2 + (PHASE_S - 2 - time.time()) % SPAN_S)
-    consumers = StreamConsumers(record=record, port=gateways[2].port, other=gateways[0])
+    consumers = StreamConsumers(
+        record=record, port=gateways[2].port, other=gateways[0], tries=1
+    )
     began_at = time.monotonic()
     store.loses = trouble == "1"
-    is_stopped = trouble == "0"
+    is_stopped = False
     while (now := time.monotonic()) < began_at + BEGUN_S:
         if now >= began_at + LOST_S:
             store.loses = False
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -15,12 +15,12 @@
 
 # A stream of this many events lasts 13 s, less than the timeout of its route.
 EVENTS = 130
-# Times after the planned stop of a gateway, which ends its streams after 7.1 to 7.4 s.
-# The store is away for a moment around that end, and comes back from a copy that is
-# some seconds old.
-STREAMS_FROM_S, STREAMS_UNTIL_S = -1.0, 1.9
-AWAY_FROM_S, AWAY_UNTIL_S = 6.6, 7.8
-COPY_AGE_S = 9.0
+# Times after the planned stop of a gateway, which ends its streams after 7.14 s. The
+# store is away for a moment around that end, and comes back from a copy that is some
+# seconds old.
+STREAMS_FROM_S, STREAMS_UNTIL_S = 0.2, 1.9
+AWAY_FROM_S, AWAY_UNTIL_S = 6.3, 7.35
+COPY_AGE_S = 7.2
 # Streams a second that begin at the gateway: of the sheet's 13.7, the share of a zone
 # that has a single machine.
 STREAMS_PER_S = 4.4
@@ -42,19 +42,17 @@
     wait_until_ready(gateways)
     record.line("all gateways are ready; all workers have version v1")
     time.sleep(2)
-    workers += add_engines(store, "v2", stack, events=EVENTS)
+    workers += add_engines(store, "v2", stack, events=EVENTS, in_zone=3)
     record.line("workers of version v2 serve too")
     time.sleep(3)
     consumers = StreamConsumers(
-        record=record, port=gateways[2].port, other=gateways[0], tries=4
+        record=record, port=gateways[2].port, other=gateways[0], tries=1
     )
-    stopped_at = time.monotonic() - STREAMS_FROM_S
-    is_stopped = trouble == "0"
-    while (now := time.monotonic()) < stopped_at + STREAMS_UNTIL_S:
-        if not is_stopped and now >= stopped_at:
-            is_stopped = True
-            gateways[2].stop()
-            record.line(f"{gateways[2].name} is stopped as planned")
+    gateways[2].stop()
+    stopped_at = time.monotonic()
+    record.line(f"{gateways[2].name} is stopped as planned")
+    time.sleep(STREAMS_FROM_S)
+    while time.monotonic() < stopped_at + STREAMS_UNTIL_S:
         consumers.begin()
         time.sleep(1 / STREAMS_PER_S)
     time.sleep(stopped_at + AWAY_FROM_S - time.monotonic())
--- a/review/common/lossy_store.py
+++ b/review/common/lossy_store.py
@@ -3,9 +3,9 @@
 import random
 import threading
 
-from review.common.platform import configuration
+from review.common.platform import EntryStore, configuration
 from review.common.record import Record
-from standins.metadata_store import MetadataStore, MetadataStoreServer
+from standins.metadata_store import MetadataStoreServer
 
 # Of the writes during the disruption, this share gets no answer; each is executed late.
 LOST_SHARE = 0.35
@@ -13,17 +13,17 @@
 OPERATORS_KINDS = frozenset(("config", "servers"))
 
 
-class LossyStore(MetadataStore):
+class LossyStore(EntryStore):
     """Executes some writes of the system late, and never answers them.
 
     The channel of such a write stays open and silent.
     """
 
     def __init__(self, *, record: Record, seed: int):
-        super().__init__()
         self.record = record
         self.random = random.Random(seed)
         self.loses = False
+        super().__init__()
 
     def put(self, kind: str, name: str, spec: object) -> None:
         if kind in OPERATORS_KINDS:
@@ -34,11 +34,23 @@
             super().put(kind, name, spec)
             return
         late_s = self.random.uniform(MIN_LATE_S, MAX_LATE_S)
+        # Without an object of the name this is a create, else a replacement.
+        creates = name not in self.kinds.get(kind, {})
         self.record.line(f"no answer to that; it is executed {late_s:.3f} s later")
-        threading.Timer(late_s, self.put_late, (kind, name, spec)).start()
+        late = threading.Timer(late_s, self.put_late, (kind, name, spec, creates))
+        late.daemon = True
+        late.start()
         self.closed.wait()
 
-    def put_late(self, kind: str, name: str, spec: object) -> None:
+    def put_late(self, kind: str, name: str, spec: object, creates: bool) -> None:
+        """Executes a write late, if its condition still holds.
+
+        A create is refused if the object exists meanwhile.
+        """
+        exists = name in self.kinds.get(kind, {})
+        if creates == exists:
+            self.record.line(f"late write of {kind} {name} is refused")
+            return
         self.record.line(f"late write of {kind} {name}: {spec}")
         super().put(kind, name, spec)
 
--- a/review/common/platform.py
+++ b/review/common/platform.py
@@ -2,7 +2,9 @@
 
 import contextlib
 import socket
+import struct
 import threading
+import time
 
 from review.common.consumers import HOST, KEY
 from standins.metadata_store import MetadataStore, MetadataStoreServer
@@ -80,6 +82,45 @@
     }
 
 
+# Writers of entries write them again at this interval, and the store removes an entry
+# after three intervals of silence. An entry changes only when more than its `Sequence`
+# changes, so that nobody but the store sees these writes.
+HEARTBEAT_S = 1.2
+SILENT_HEARTBEATS = 3
+# Value of SO_LINGER with which a close resets the connection.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
+
+class EntryStore(MetadataStore):
+    """A store in which the entries of silent writers expire."""
+
+    def __init__(self):
+        super().__init__()
+        self.heard_at: dict[str, float] = {}
+        # Names of the entries that their writers write again.
+        self.beating: set[str] = set()
+        threading.Thread(target=self.run_heartbeats, daemon=True).start()
+
+    def put(self, kind: str, name: str, spec: object) -> None:
+        if kind == "servers":
+            self.heard_at[name] = time.monotonic()
+            self.beating.add(name)
+        super().put(kind, name, spec)
+
+    def run_heartbeats(self) -> None:
+        """Hears the writers while the store takes calls; removes silent entries."""
+        while not self.closed.wait(HEARTBEAT_S / 4):
+            now = time.monotonic()
+            if not self.refusal_status:
+                for name in list(self.beating):
+                    if now - self.heard_at[name] >= HEARTBEAT_S:
+                        self.heard_at[name] = now
+            for name, at in list(self.heard_at.items()):
+                if now - at > SILENT_HEARTBEATS * HEARTBEAT_S:
+                    del self.heard_at[name]
+                    self.delete("servers", name)
+
+
 class Link:
     """Loopback proxy between one gateway and the store, or callers and a gateway."""
 
@@ -111,6 +152,7 @@
 
     def relay(self, client: socket.socket) -> None:
         if self.rejects:
+            client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
             client.close()
             return
         try:
@@ -140,8 +182,8 @@
             sink.shutdown(socket.SHUT_WR)
 
 
-def start_store() -> tuple[MetadataStore, MetadataStoreServer]:
+def start_store() -> tuple[EntryStore, MetadataStoreServer]:
     """Returns a running store with the configuration."""
-    store = MetadataStore()
+    store = EntryStore()
     store.put("config", "main", configuration())
     return store, MetadataStoreServer(store)
