Let peers store the records of streams that the store does not take

Cause: note_begun passed the first event on after 0.2 s without a record, while a stream without a record counts as one of the default version everywhere. The log of the stopped instance has stream_unrecorded for the five, and the store has no object with their keys. Ruled out: a late write (the instance ended first), and a take-up without a look at the store (its list is logged).

Now an unconfirmed record goes to two peers, which write it and answer once the store has confirmed it, or keep it while the store serves nobody. If no peer takes it, the stream begins anew at the default version, which needs no record, and so do the next ones. Streams that begin while a write waits for its turn share that write; one that arrived during the wait needed a second turn before.

A first form sent one request for each record: the eight handler threads of the peer were all waiting for its store, and 8 of 16 streams got no event in time. Records that wait together now share a request.

--- a/src/lagoonrill/_internal/coordination/forwarding.py
+++ b/src/lagoonrill/_internal/coordination/forwarding.py
@@ -71,6 +71,9 @@
 TIME_LIMIT_SLACK_S = 0.5
 # Statuses that tell the caller "not run"; only the router itself may return them.
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
+# Outcomes that say nothing about the engine that was sent the request.
+ORIGIN_UNRECORDED = "origin_unrecorded"
+SOUND_ENGINE_REASONS = frozenset(("time_limit", ORIGIN_UNRECORDED))
 # Callers may send ids of any length.
 MAX_LOGGED_ID_CHARACTERS = 64
 
@@ -144,6 +147,7 @@
                 retry_after_s=RETRY_AFTER_S,
             )
         sending.version = version
+        sending.origin_known = True
         if not any(map(sending.may_use, self.registry.ready(request.service))):
             raise Refusal(
                 503,
@@ -247,10 +251,25 @@
 
     def _send_once(self, sending: Sending) -> Outcome | None:
         """Sends to one endpoint; returns None once the caller has its answer."""
+        self._choose_version(sending)
         if sending.request.route.uses_engine:
             return self._send_to_engine(sending)
         return self._send_to_service(sending)
 
+    def _choose_version(self, sending: Sending) -> None:
+        """Lets a resumable stream begin where its origin can be recorded, if it can."""
+        if sending.origin_known or not sending.request.route.resumable:
+            return
+        sending.version = None
+        required = self.origins.required_version(sending.request.service)
+        if required is not None and self._is_served(sending, required):
+            sending.version = required
+
+    def _is_served(self, sending: Sending, version: str) -> bool:
+        """Returns whether the request may be sent to an endpoint of a version."""
+        ready = self.registry.ready(sending.request.service)
+        return any(item.version == version and sending.may_use(item) for item in ready)
+
     def _send_to_engine(self, sending: Sending) -> Outcome | None:
         request = sending.request
         generation = Generation.from_headers(
@@ -292,8 +311,8 @@
                     on_event=lambda: self._begun(sending, admission, generation),
                 )
                 complete = outcome is None
-                broken = outcome is not None and outcome.reason != "time_limit"
-                broken = broken and outcome.may_have_run
+                broken = outcome is not None and outcome.may_have_run
+                broken = broken and outcome.reason not in SOUND_ENGINE_REASONS
             return outcome
         finally:
             self.admission.ended(
@@ -640,7 +659,9 @@
             if not new_events:
                 continue
             if not sending.stream_started:
-                self._note_origin(sending, record)
+                if not self._note_origin(sending, record):
+                    sending.last_event = number
+                    return Outcome(reason=ORIGIN_UNRECORDED, may_have_run=True)
                 self._start_stream(sending, head)
             on_event()
             sending.begun = True
@@ -655,14 +676,36 @@
         self._log_answered(sending, 200)
         return None
 
-    def _note_origin(self, sending: Sending, record: EndpointRecord) -> None:
-        """Notes where a stream begins, before its caller gets the first event."""
+    def _note_origin(self, sending: Sending, record: EndpointRecord) -> bool:
+        """Notes where a stream begins, before its caller gets the first event.
+
+        Returns False if nobody has taken the record and the stream can begin at a
+        version that needs none; if no such endpoint serves, it begins all the same.
+        """
         request = sending.request
-        if sending.version is not None or not request.route.resumable:
-            return
+        if sending.origin_known or not request.route.resumable:
+            return True
+        if request.id and not self.origins.note_begun(
+            request.service, request.id, record.version
+        ):
+            required = self.origins.required_version(request.service)
+            if required not in (None, record.version) and self._may_begin_at(
+                sending, required
+            ):
+                return False
+            self.event_log.emit(
+                "stream_unrecorded",
+                request=request.id,
+                service=request.service,
+                version=record.version,
+            )
         sending.version = record.version
-        if request.id:
-            self.origins.note_begun(request.service, request.id, record.version)
+        sending.origin_known = True
+        return True
+
+    def _may_begin_at(self, sending: Sending, version: str) -> bool:
+        sending.version = None
+        return self._is_served(sending, version)
 
     def _start_stream(self, sending: Sending, head: ResponseHead) -> None:
         request = sending.request
--- a/src/lagoonrill/_internal/coordination/policy/stream_history.py
+++ b/src/lagoonrill/_internal/coordination/policy/stream_history.py
@@ -36,6 +36,9 @@
 # A list of endpoints that is older than this counts as old.
 MAX_LIST_LAG_S = 5.0
 MAX_RECORDS = 100_000
+# Two times of one begin, from a message or from the store, differ by less than this. A
+# second begin of a request is later, since the first one has waited for its record.
+MAX_AGE_ERROR_S = 0.05
 
 
 class StreamRecord(msgspec.Struct, kw_only=True, frozen=True):
@@ -106,13 +109,27 @@
         self.is_life_known = True
 
     def add(self, record: StreamRecord, *, age_s: float = 0.0) -> None:
-        """Adds a record, unless the stream is known."""
+        """Adds a record; of two of a stream, the one that began later holds."""
+        begun_at = self.clock() - age_s
         now = self.clock()
         with self.lock:
-            self.records.setdefault(record.key, (record, now - age_s))
+            known = self.records.get(record.key)
+            if known is None or begun_at > known[1] + MAX_AGE_ERROR_S:
+                self.records[record.key] = record, begun_at
             while len(self.records) > MAX_RECORDS or self._oldest_is_over(now):
                 self.records.popitem(last=False)
 
+    def replace(self, record: StreamRecord) -> bool:
+        """Records where a stream of this instance begins now.
+
+        Returns whether it was known to begin at another version: no caller has got that
+        begin, which may be stored all the same.
+        """
+        with self.lock:
+            known, _ = self.records.pop(record.key, (record, 0.0))
+        self.add(record)
+        return known.version != record.version
+
     def _oldest_is_over(self, now: float) -> bool:
         if not self.records:
             return False
--- a/src/lagoonrill/_internal/coordination/sending.py
+++ b/src/lagoonrill/_internal/coordination/sending.py
@@ -56,9 +56,10 @@
         self.last_reason = ""
         self.last_event = request.resume_after
         self.stream_started = False
-        # Version of the endpoint that began the stream, which others cannot go on with;
-        # None if any version will do.
+        # Version of the endpoints that may be sent the request; None for any. Once a
+        # stream has begun it is fixed, since other versions cannot go on with it.
         self.version: str | None = None
+        self.origin_known = False
         # Times of the first and latest relayed event on the monotonic clock; 0 before.
         self.first_event_at = 0.0
         self.last_event_at = 0.0
--- /dev/null
+++ b/src/lagoonrill/_internal/coordination/stream_holders.py
@@ -0,0 +1,152 @@
+"""Hands records of streams to peers, which store what this instance cannot.
+
+Load pattern: the store turns an instance away, resets its connections or is silent to
+it, while streams begin there that have to be recorded. Its peers reach the store. Each
+record goes to a few peers only, so the messages that an instance receives don't grow
+with the number of instances.
+"""
+
+import threading
+import time
+from collections.abc import Callable, Iterable
+
+from returns.result import Failure
+
+from ..event_log import EventLog
+from ..protocol.messages import (
+    BegunStream,
+    GatewayDigest,
+    StreamsBegun,
+    StreamsBegunReply,
+)
+from ..transport.peer_link import PeerLink
+from .policy.engine_placement import highest_ranked
+from .policy.stream_history import StreamRecord
+from .stream_origins import HandOver, StoredStream, StreamOrigins
+
+# Peers that are handed a record; one of them may end or lose the store too.
+HOLDERS = 2
+# A peer answers once its store has confirmed the record, or after its own limit, 0.2 s.
+HAND_OVER_TIMEOUT_S = 0.3
+# After a failure, records are not handed over for this long: a peer that has ended
+# counts as live until its digests are missed.
+FAILED_PAUSE_S = 1.5
+
+
+class WaitingStream:
+    """A record that waits for its hand-over."""
+
+    __slots__ = ("outcome", "stream")
+
+    def __init__(self, *, stream: StoredStream):
+        self.stream = stream
+        self.outcome: HandOver | None = None
+
+
+class StreamHolders:
+    """Exchanges records of streams with the live peers of a `StreamOrigins`."""
+
+    def __init__(
+        self,
+        *,
+        instance: str,
+        link: PeerLink,
+        live_digests: Callable[[], list[GatewayDigest]],
+        origins: StreamOrigins,
+        event_log: EventLog,
+        clock: Callable[[], float] = time.monotonic,
+    ):
+        self.instance = instance
+        self.link = link
+        self.live_digests = live_digests
+        self.origins = origins
+        self.event_log = event_log
+        self.clock = clock
+        self.failed_at = float("-inf")
+        self.lock = threading.Lock()
+        self.waiting: list[WaitingStream] = []
+        # Held during a hand-over; records that come meanwhile share the next one.
+        self.turn = threading.Lock()
+        link.register_handler(StreamsBegun, self.handle_begun)
+
+    def is_reachable(self) -> bool:
+        """Returns whether a peer is likely to take a record."""
+        is_paused = self.clock() < self.failed_at + FAILED_PAUSE_S
+        return not is_paused and bool(self.live_digests())
+
+    def hand_over(self, stream: StoredStream) -> HandOver:
+        """Lets peers store a record, and returns once one has confirmed that.
+
+        Without a peer that can store it, the record is kept in the memory of peers,
+        which store it later.
+        """
+        own = WaitingStream(stream=stream)
+        with self.lock:
+            self.waiting.append(own)
+        with self.turn:
+            if own.outcome is None:
+                with self.lock:
+                    batch, self.waiting = self.waiting, []
+                outcome = self._hand_over([item.stream for item in batch])
+                for item in batch:
+                    item.outcome = outcome
+        return own.outcome
+
+    def _hand_over(self, streams: list[StoredStream]) -> HandOver:
+        message = self._message(streams)
+        outcome = HandOver.FAILED
+        for digest in self._holders(streams[0].record.key):
+            reply = self.link.request(digest.address, message, HAND_OVER_TIMEOUT_S)
+            answer = reply.value_or(None)
+            if not isinstance(answer, StreamsBegunReply):
+                reason = "another message"
+                if isinstance(reply, Failure):
+                    reason = str(reply.failure())
+                self.event_log.emit(
+                    "stream_hand_over_failed", peer=digest.instance, reason=reason
+                )
+                continue
+            if answer.stored:
+                return HandOver.STORED
+            outcome = HandOver.HELD
+        if outcome is HandOver.FAILED:
+            self.failed_at = self.clock()
+        return outcome
+
+    def _holders(self, key: str) -> list[GatewayDigest]:
+        """Returns the peers for a record, those that reach the store first."""
+        digests = {digest.instance: digest for digest in self.live_digests()}
+        in_touch = [name for name, item in digests.items() if item.store_in_touch]
+        names = highest_ranked(key, in_touch, HOLDERS)
+        others = [name for name in digests if name not in in_touch]
+        names += highest_ranked(key, others, HOLDERS)[: HOLDERS - len(names)]
+        return [digests[name] for name in names]
+
+    def _message(self, streams: Iterable[StoredStream]) -> StreamsBegun:
+        now = self.origins.wall_clock()
+        return StreamsBegun(
+            instance=self.instance,
+            streams=[
+                BegunStream(
+                    key=item.record.key,
+                    service=item.record.service,
+                    version=item.record.version,
+                    age_s=now - item.begun_at,
+                )
+                for item in streams
+            ],
+        )
+
+    def handle_begun(self, message: StreamsBegun) -> StreamsBegunReply:
+        """Stores the records of a peer; replies whether the store has confirmed it."""
+        now = self.origins.wall_clock()
+        streams = [
+            StoredStream(
+                record=StreamRecord(
+                    key=item.key, service=item.service, version=item.version
+                ),
+                begun_at=now - item.age_s,
+            )
+            for item in message.streams
+        ]
+        return StreamsBegunReply(stored=self.origins.store_for_peer(streams))
--- a/src/lagoonrill/_internal/coordination/stream_origins.py
+++ b/src/lagoonrill/_internal/coordination/stream_origins.py
@@ -4,6 +4,7 @@
 to the store, so that records of streams that begin together share a call.
 """
 
+import enum
 import hashlib
 import math
 import threading
@@ -68,6 +69,34 @@
     slots: list[StoredSlot] = []
 
 
+class HandOver(enum.Enum):
+    """What peers did with a record that they were handed."""
+
+    # The store has confirmed it to a peer.
+    STORED = "stored"
+    # A peer keeps it in memory and stores it later.
+    HELD = "held"
+    FAILED = "failed"
+
+
+class RecordHolders(Protocol):
+    """Peers that store records for an instance that cannot."""
+
+    def is_reachable(self) -> bool: ...
+
+    def hand_over(self, stream: StoredStream) -> HandOver: ...
+
+
+class NoHolders:
+    """The holders of an instance without peers."""
+
+    def is_reachable(self) -> bool:
+        return False
+
+    def hand_over(self, stream: StoredStream) -> HandOver:
+        return HandOver.FAILED
+
+
 class OriginStore(Protocol):
     """Origins in the store; all calls may be repeated."""
 
@@ -133,6 +162,10 @@
         self.slots: dict[int, list[StoredStream]] = {}
         self.stored: dict[int, int] = {}
         self.written_at = -math.inf
+        self.holders: RecordHolders = NoHolders()
+        # Whether the store confirms records in time, as far as is known.
+        self.is_confirming = True
+        # Begins of streams whose record nobody has taken.
         self.unrecorded = 0
 
     def start(self) -> None:
@@ -158,45 +191,99 @@
         self.history.note_endpoints(self.registry.records.values())
         self.wake.set()
 
-    def note_begun(self, service: str, request_id: str, version: str) -> None:
+    def note_begun(self, service: str, request_id: str, version: str) -> bool:
         """Records a stream before its caller gets the first event.
 
-        Waits for the store only for a stream that began at another version than the
-        default one.
+        Waits only for a stream that began at another version than the default one.
+        Returns whether the stream is recorded where its version will be looked up.
         """
         record = StreamRecord(
             key=stream_key(request_id), service=service, version=version
         )
-        self.history.add(record)
+        is_corrected = self.history.replace(record)
+        stream = StoredStream(record=record, begun_at=self.wall_clock())
+        if is_corrected:
+            self._withdraw(record.key)
         if not self.history.needs_record(service, version):
-            return
-        if not self._store(record):
-            self.unrecorded += 1
+            if is_corrected:
+                # The earlier record may have been stored without an answer.
+                self._add([stream])
+            return True
+        waited_from = self.clock()
+        is_stored = self._store([stream])
+        handed_over = HandOver.STORED if is_stored else self.holders.hand_over(stream)
+        if not is_stored:
             self.event_log.emit(
-                "stream_unrecorded",
+                "stream_handed_over",
                 request=request_id,
                 service=service,
                 version=version,
-                waited_s=MAX_HOLD_S,
+                outcome=handed_over.value,
+                waited_s=round(self.clock() - waited_from, 3),
             )
+        if handed_over is HandOver.FAILED:
+            self.unrecorded += 1
+        return handed_over is not HandOver.FAILED
+
+    def store_for_peer(self, streams: list[StoredStream]) -> bool:
+        """Stores records of a peer; returns whether that was confirmed in time."""
+        now = self.wall_clock()
+        for stream in streams:
+            self.history.add(stream.record, age_s=now - stream.begun_at)
+        return self._store(streams)
 
-    def _store(self, record: StreamRecord) -> bool:
-        """Stores a record; returns whether that was confirmed in time."""
-        begun_at = self.wall_clock()
-        slot = self._slot(begun_at)
+    def required_version(self, service: str) -> str | None:
+        """Returns the version at which new streams have to begin, or None for any.
+
+        While nobody confirms records, only streams of the default version need none.
+        """
+        if self.is_confirming or self.holders.is_reachable():
+            return None
+        version = self.history.default_version(service)
+        if version is None or self.history.needs_record(service, version):
+            return None
+        return version
+
+    def _store(self, streams: list[StoredStream]) -> bool:
+        """Stores records; returns whether that was confirmed in time.
+
+        A store that has not confirmed the records before is not waited for if peers can
+        store them.
+        """
         with self.condition:
-            streams = self.slots.setdefault(slot, [])
-            oldest = begun_at - self.history.stream_life_s
-            kept = [item for item in streams if item.begun_at > oldest]
-            if len(kept) < len(streams):
-                self.slots[slot] = streams = kept
+            slot, number = self._add(streams)
+            can_wait = self.is_confirming or not self.holders.is_reachable()
+            is_stored = self.condition.wait_for(
+                lambda: self.stored.get(slot, 0) >= number,
+                MAX_HOLD_S if can_wait else 0.0,
+            )
+            if not is_stored:
+                self.is_confirming = False
+            return is_stored
+
+    def _add(self, streams: list[StoredStream]) -> tuple[int, int]:
+        """Adds records to be stored; returns their slot and how many it has then."""
+        now = self.wall_clock()
+        slot = self._slot(now)
+        with self.condition:
+            found = self.slots.setdefault(slot, [])
+            oldest = now - self.history.stream_life_s
+            kept = [item for item in found if item.begun_at > oldest]
+            if len(kept) < len(found):
+                self.slots[slot] = found = kept
                 self.stored[slot] = 0
-            streams.append(StoredStream(record=record, begun_at=begun_at))
-            number = len(streams)
+            found.extend(streams)
             self.wake.set()
-            return self.condition.wait_for(
-                lambda: self.stored.get(slot, 0) >= number, MAX_HOLD_S
-            )
+            return slot, len(found)
+
+    def _withdraw(self, key: str) -> None:
+        """Removes the records of a stream whose begin no caller has got."""
+        with self.condition:
+            for slot, streams in self.slots.items():
+                kept = [item for item in streams if item.record.key != key]
+                if len(kept) < len(streams):
+                    self.slots[slot] = kept
+                    self.stored[slot] = 0
 
     def _slot_s(self) -> float:
         return self.history.stream_life_s / SLOTS_PER_LIFE
@@ -283,6 +370,7 @@
         result = self.store.list()
         if self._has_failed(result):
             return False
+        self.is_confirming = True
         found = result.unwrap()
         wall_now = self.wall_clock()
         for default in found.defaults:
@@ -320,21 +408,26 @@
 
     def _write_slots(self) -> bool:
         with self.condition:
-            due = {
-                slot: tuple(streams)
+            due = [
+                slot
                 for slot, streams in self.slots.items()
                 if self.stored.get(slot, 0) < len(streams)
-            }
-        for slot, streams in due.items():
+            ]
+        for slot in due:
             spacing_s = self.instances() / (WRITE_SHARE * self.writes_per_s)
             self.stopping.wait(max(0.0, self.written_at + spacing_s - self.clock()))
             self.written_at = self.clock()
+            # Streams that began during the wait share the write.
+            with self.condition:
+                streams = tuple(self.slots[slot])
             stored = StoredSlot(instance=self.instance, slot=slot, streams=streams)
             if self._has_failed(self.store.write(stored)):
+                self.is_confirming = False
                 return False
             with self.condition:
                 if self.slots[slot][: len(streams)] == list(streams):
                     self.stored[slot] = len(streams)
+                self.is_confirming = True
                 self.condition.notify_all()
         return True
 
@@ -381,4 +474,5 @@
             return self.history.dump() | {
                 "own_records": sum(map(len, self.slots.values())),
                 "unrecorded": self.unrecorded,
+                "is_confirming": self.is_confirming,
             }
--- a/src/lagoonrill/_internal/gateway_daemon.py
+++ b/src/lagoonrill/_internal/gateway_daemon.py
@@ -25,6 +25,7 @@
 from .coordination.send_permits import SendPermits
 from .coordination.store_follower import ObjectSource, StoreFollower
 from .coordination.store_freshness import StoreFreshness
+from .coordination.stream_holders import StreamHolders
 from .coordination.stream_origins import OriginStore, StreamOrigins
 from .event_log import EventLog, EventLogHandler
 from .protocol.errors import SettingsError
@@ -216,6 +217,13 @@
             instances=self.peers.instances,
             writes_per_s=self.settings.store_writes_per_s,
         )
+        self.origins.holders = StreamHolders(
+            instance=self.settings.instance,
+            link=self.link,
+            live_digests=self.peers.live_digests,
+            origins=self.origins,
+            event_log=self.event_log,
+        )
         self.routing.subscribers.append(self.origins.install)
 
     def _build_request_path(self, header_names: HeaderNames) -> None:
--- a/src/lagoonrill/_internal/protocol/messages.py
+++ b/src/lagoonrill/_internal/protocol/messages.py
@@ -318,6 +318,29 @@
     limit: ReportedLimit | None = None
 
 
+class BegunStream(msgspec.Struct, kw_only=True, array_like=True):
+    """A stream that began at a software version; `key` is the digest of its id."""
+
+    key: str
+    service: str
+    version: str
+    # Time since its begin when the message was sent.
+    age_s: float
+
+
+class StreamsBegun(PeerMessage):
+    """Asks a peer to store records that the sender cannot store."""
+
+    instance: str
+    streams: list[BegunStream]
+
+
+class StreamsBegunReply(PeerMessage):
+    """Reply to `StreamsBegun`; whether the store has confirmed the records."""
+
+    stored: bool
+
+
 class RoutingRequest(PeerMessage):
     """Requests a configuration and endpoints that are newer than the sender's."""
 
@@ -365,6 +388,8 @@
     | LimitReport
     | PermitRequest
     | PermitReply
+    | StreamsBegun
+    | StreamsBegunReply
 )
 
 
--- /dev/null
+++ b/tests/platform/test_stream_records.py
@@ -0,0 +1,175 @@
+"""Guards against streams that go on at another software version than they began at.
+
+Real gateways and a store that does not serve all of them, or loses what it had. What
+callers hold at the end is checked, from the version that each event names.
+"""
+
+import contextlib
+import http.client
+import re
+import threading
+import time
+
+import pytest
+
+from bench.soak.endpoints import Proxy, SoakEndpoint
+from bench.soak.history import History
+from standins.metadata_store import MetadataStore, MetadataStoreServer
+from standins.platform_objects import configuration, server
+from tests.gateway_kit import wait_until
+from tests.platform.test_daemon_process import PLATFORM_HEADERS, Instance
+
+EVENT = re.compile(rb"id: (\d+)\ndata: (\S+)\n\n")
+STREAMS = 16
+# Streams begin at this interval.
+SPACING_S = 0.04
+# Time for a change of endpoints to reach all instances.
+FOLLOW_S = 1.5
+
+
+class Stream:
+    """A stream that begins at one instance and is taken up at another."""
+
+    def __init__(self, id: str):
+        self.id = id
+        self.body = b""
+        self.status = 0
+        self.taken_up_status = 0
+
+    def begin(self, instance) -> None:
+        self.status = self.send(instance, self.id)
+
+    def take_up(self, instance) -> None:
+        """Goes on after the first two events, as if the stream had broken there."""
+        events = EVENT.findall(self.body)[:2]
+        self.body = b"".join(b"id: %b\ndata: %b\n\n" % item for item in events)
+        self.taken_up_status = self.send(
+            instance,
+            f"{self.id}-again",
+            **{"Last-Event-Id": events[-1][0].decode(), "Resumes": self.id},
+        )
+
+    def send(self, instance, id: str, **headers) -> int:
+        host, _, port = instance.settings["callers_address"].rpartition(":")
+        connection = http.client.HTTPConnection(host, int(port), timeout=3)
+        sent = {**PLATFORM_HEADERS, "Attempt-Id": id, "Deadline-Ms": "8000"}
+        sent |= {"Model": "m", "Token-Usage": "100,20", "Prompt-Prefix": f"{id}:100"}
+        status = 0
+        with (
+            contextlib.closing(connection),
+            contextlib.suppress(OSError, http.client.HTTPException),
+        ):
+            connection.request("POST", "/ask/1", headers=sent | headers)
+            response = connection.getresponse()
+            status = response.status
+            while status == 200 and (data := response.read1(65_536)):
+                self.body += data
+        return status
+
+    def versions(self) -> set[bytes]:
+        return {version for _, version in EVENT.findall(self.body)}
+
+
+class Fleet:
+    """Three instances; the store of the last one is behind a proxy."""
+
+    def __init__(self, folder):
+        self.store = MetadataStore()
+        self.server = MetadataStoreServer(self.store)
+        host, _, port = self.server.address.rpartition(":")
+        self.link = Proxy(target=(host, int(port)))
+        self.history = History()
+        self.endpoints: list[SoakEndpoint] = []
+        self.store.put("config", "main", configuration())
+        self.serve("v1")
+        self.instances = []
+        stores = (self.server.address, self.server.address, self.link.address)
+        for name, store in zip("abc", stores, strict=True):
+            seeds = [item.settings["peer_address"] for item in self.instances]
+            self.instances.append(Instance(folder, name, store, seeds).start())
+        self.taker, _, self.beginner = self.instances
+        self.streams: list[Stream] = []
+        self.threads: list[threading.Thread] = []
+
+    def serve(self, version: str, count: int = 2) -> None:
+        for _ in range(count):
+            endpoint = SoakEndpoint(
+                id=f"i-{len(self.endpoints)}",
+                service="models",
+                version=version,
+                history=self.history,
+                seed=len(self.endpoints),
+            )
+            self.endpoints.append(endpoint)
+            self.register(endpoint)
+
+    def register(self, endpoint) -> None:
+        entry = server(Address=endpoint.listener.address, Version=endpoint.version)
+        self.store.put("servers", endpoint.id, entry)
+
+    def settle(self) -> None:
+        """Waits until streams of the default version need no record any more."""
+        assert wait_until(lambda: all(item.ready() for item in self.instances), 15)
+        assert wait_until(lambda: len(self.taker.state()["peers"]) == 2, 5)
+        time.sleep(FOLLOW_S)
+
+    def begin(self, count: int = STREAMS) -> None:
+        for _ in range(count):
+            stream = Stream(f"s{len(self.streams)}")
+            self.streams.append(stream)
+            thread = threading.Thread(target=stream.begin, args=(self.beginner,))
+            thread.start()
+            self.threads.append(thread)
+            time.sleep(SPACING_S)
+
+    def kill_beginner(self) -> None:
+        self.beginner.process.kill()
+        self.beginner.process.wait()
+        for thread in self.threads:
+            thread.join()
+
+    def take_up(self) -> None:
+        for stream in self.streams:
+            if stream.versions():
+                stream.take_up(self.taker)
+
+    def mixed(self) -> list[str]:
+        return [item.id for item in self.streams if len(item.versions()) > 1]
+
+    def went_on(self) -> int:
+        return sum(item.taken_up_status == 200 for item in self.streams)
+
+    def close(self) -> None:
+        for instance in self.instances:
+            instance.process.kill()
+            instance.process.wait()
+        for endpoint in self.endpoints:
+            endpoint.close()
+        self.link.close()
+        self.server.close()
+
+
+@pytest.fixture
+def fleet(tmp_path):
+    built = Fleet(tmp_path)
+    yield built
+    built.close()
+
+
+@pytest.mark.parametrize("mode", ["reset", "silent"])
+def test_streams_of_an_instance_that_the_store_turns_away_go_on_at_their_version(
+    fleet, mode
+):
+    """The instance ends before the store serves it again."""
+    fleet.settle()
+    fleet.serve("v2")
+    time.sleep(FOLLOW_S)
+    fleet.link.set_mode(mode)
+    fleet.begin()
+    time.sleep(0.3)
+    begun = {version for item in fleet.streams for version in item.versions()}
+    assert begun == {b"v1", b"v2"}
+    fleet.kill_beginner()
+    fleet.take_up()
+    assert not fleet.mixed()
+    assert fleet.went_on() >= STREAMS / 2
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -15,6 +15,7 @@
 from lagoonrill._internal.coordination.stream_origins import (
     KEY_BYTES,
     SLOTS,
+    HandOver,
     StreamOrigins,
     stream_key,
 )
@@ -261,6 +262,55 @@
     assert instance.version_of("of another instance") == "v1"
 
 
+class Holders:
+    """Hands records over to another instance without messages."""
+
+    def __init__(self, peer: Instance):
+        self.peer = peer
+
+    def is_reachable(self) -> bool:
+        return True
+
+    def hand_over(self, stream) -> HandOver:
+        stored = self.peer.origins.store_for_peer([stream])
+        return HandOver.STORED if stored else HandOver.HELD
+
+
+@pytest.mark.parametrize("peer_down", [False, True], ids=["in-touch", "all-away"])
+def test_peers_store_what_the_store_does_not_take_from_this_instance(world, peer_down):
+    """The instance may end before the store serves it again."""
+    store, turned_away = MemoryOrigins(), MemoryOrigins()
+    turned_away.down = True
+    peer = Instance(store, world, name="i2")
+    peer.serve("v1", "v2")
+    store.down = peer_down
+    away = Instance(turned_away, world)
+    away.origins.holders = Holders(peer)
+    away.serve("v1", "v2")
+    away.begin("r1", "v2")
+    assert away.origins.unrecorded == 0
+    world.now += 1.0
+    store.down = False
+    peer.origins.make_calls()
+    third = Instance(store, world, name="i3")
+    third.serve("v1", "v2")
+    assert third.version_of("r1") == "v2"
+
+
+def test_a_stream_that_began_anew_goes_on_at_its_latest_version(store, world):
+    """No caller got the first begin, but its record may be stored."""
+    instance = Instance(store, world)
+    instance.serve("v1", "v2")
+    instance.settle()
+    instance.begin("r1", "v2")
+    world.now += 0.3
+    instance.begin("r1", "v1")
+    for name in ("i2", "i1"):
+        other = Instance(store, world, name=name)
+        other.serve("v1", "v2")
+        assert other.version_of("r1") == "v1"
+
+
 def test_a_process_that_starts_again_keeps_the_records_of_the_one_before(store, world):
     before = Instance(store, world)
     before.serve("v1", "v2")
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -3,8 +3,11 @@
 What two versions write does not fit together, and endpoints do not check it.
 """
 
+import time
+
 import pytest
 
+from lagoonrill._internal.coordination.policy.stream_history import MAX_LIST_LAG_S
 from lagoonrill._internal.protocol.headers import HeaderNames
 from lagoonrill._internal.protocol.routing import RouteKind
 from standins.scripted_endpoint import ScriptedEndpoint
@@ -168,6 +171,61 @@
     assert not gateway.events("stream_unrecorded")
 
 
+def settled_gateway(fleet, old, *, origins) -> Gateway:
+    """Returns a gateway at which streams of `old` need no record."""
+    gateway = fleet.gateway(old, origin_store=origins)
+    assert wait_until(lambda: has_default(gateway))
+    gateway.origins.history.note_list(time.monotonic() + MAX_LIST_LAG_S)
+    return gateway
+
+
+def test_a_stream_that_nobody_can_record_begins_at_the_default_version(fleet):
+    """Its version would be lost with this instance."""
+    origins = MemoryOrigins()
+    old, new = fleet.endpoint("v1", "stream"), fleet.endpoint("v2", "stream")
+    gateway = settled_gateway(fleet, old, origins=origins)
+    origins.down = True
+    # The first one finds out; the others are not sent to the new version at all.
+    emit = gateway.event_log.emit
+
+    def add_old_after_first_send(event, **fields):
+        emit(event, **fields)
+        if event == "request_sent":
+            fleet.serve(gateway, old, new)
+
+    leaving = record(old, "models", version="v1", leaving=True)
+    gateway.install_records([leaving, record(new, "models", version="v2")])
+    gateway.event_log.emit = add_old_after_first_send
+    for number in range(6):
+        response, body = gateway.ask("/ask/1", id=f"r{number}")
+        assert response.status == 200 and response.whole
+        assert body.count(b"id: 1\n") == 1
+    assert len(new.runs) == 1
+    assert len(old.runs) == 6
+    assert not gateway.events("stream_unrecorded")
+    # A take-up elsewhere goes on at the version of the begin that the caller got.
+    origins.down = False
+    assert wait_until(lambda: gateway.origins.is_confirming)
+    fleet.serve(gateway, old, new)
+    second = fleet.gateway(old, new, origin_store=origins)
+    assert resume(second, "/ask/1", of="r0")[0].status == 200
+    assert len(new.runs) == 1
+
+
+def test_new_versions_are_used_again_once_the_store_takes_records(fleet):
+    origins = MemoryOrigins()
+    old, new = fleet.endpoint("v1", "stream"), fleet.endpoint("v2", "stream")
+    gateway = settled_gateway(fleet, old, origins=origins)
+    origins.down = True
+    fleet.serve(gateway, new)
+    # No endpoint of the default version serves, so the stream begins all the same.
+    assert gateway.ask("/ask/1", id="r1")[0].status == 200
+    assert gateway.events("stream_unrecorded")
+    origins.down = False
+    fleet.serve(gateway, old, new)
+    assert wait_until(lambda: gateway.origins.required_version("models") is None)
+
+
 @pytest.mark.parametrize("after", ["9" * 5_000, "²", "-1", "1.5"], ids=len)
 def test_an_odd_event_number_is_refused(fleet, after):
     """Such a number cannot be converted, or names no event."""
