Keep a write that is executed late from removing records of streams

Cause: all records of five seconds shared an object that each write replaced. A write without an answer was followed by others, and when the store executed it late it put the older content back; the instance still counted the records as stored. The log of the store shows both writes. Ruled out: records that were never acknowledged, and old lists at the taker.

Records are now written in batches. A batch has a name of its own, which one process uses and never again, and is replaced only while each of its writes got an answer; after one without, all its records move to a new batch. A late write changes an object that nobody relies on, and a late create replaces nothing. Batches that are over are removed once lists have shown them unchanged for the life of a stream, by the remover's monotonic clock.

The new test forces the order: a write without an answer, later ones, then the late one.

The check of the adapter's objects names batches instead of slots and is no weaker: it also checks that a create does not replace a batch, and that a lost one is created again. The bounds on stored records are unchanged.

--- a/src/lagoonrill/_internal/coordination/stream_holders.py
+++ b/src/lagoonrill/_internal/coordination/stream_holders.py
@@ -22,7 +22,8 @@
 from ..transport.peer_link import PeerLink
 from .policy.engine_placement import highest_ranked
 from .policy.stream_history import StreamRecord
-from .stream_origins import HandOver, StoredStream, StreamOrigins
+from .record_batches import StoredStream
+from .stream_origins import HandOver, StreamOrigins
 
 # Peers that are handed a record; one of them may end or lose the store too.
 HOLDERS = 2
--- a/src/lagoonrill/_internal/coordination/stream_origins.py
+++ b/src/lagoonrill/_internal/coordination/stream_origins.py
@@ -7,6 +7,7 @@
 import enum
 import hashlib
 import math
+import secrets
 import threading
 import time
 from collections.abc import Callable
@@ -16,7 +17,7 @@
 from returns.result import Failure, Result
 
 from ..event_log import EventLog
-from ..protocol.errors import StoreError
+from ..protocol.errors import StoreError, StoreRejected, StoreUnavailable
 from ..protocol.routing import RoutingConfig
 from ..state.endpoint_registry import EndpointRegistry
 from .policy.stream_history import (
@@ -25,6 +26,13 @@
     StreamHistory,
     StreamRecord,
 )
+from .record_batches import (
+    OwnRecord,
+    RecordBatches,
+    SeenBatches,
+    StoredBatch,
+    StoredStream,
+)
 
 # The first event of a stream waits this long for its record. A store that is slower is
 # in trouble, and a caller should not wait for it.
@@ -39,34 +47,17 @@
 DEFAULT_LIST_INTERVAL_S = 3.0
 # All instances together use this share of the writes that the store takes.
 WRITE_SHARE = 0.25
-# Records of this many seconds of a stream's life share an object of the store. One slot
-# more than a life has is used in turn, so that no object has to be removed.
-SLOTS_PER_LIFE = 6
-SLOTS = SLOTS_PER_LIFE + 2
 KEY_BYTES = 12
-
-
-class StoredStream(msgspec.Struct, kw_only=True, frozen=True):
-    """Record of a stream in the store."""
-
-    record: StreamRecord
-    # Unix time in seconds.
-    begun_at: float
-
-
-class StoredSlot(msgspec.Struct, kw_only=True, frozen=True):
-    """Records of one instance in one object of the store."""
-
-    instance: str
-    slot: int
-    streams: tuple[StoredStream, ...]
+PROCESS_BYTES = 6
+# Failures of a write that is not executed later either.
+NOT_EXECUTED = (StoreRejected, StoreUnavailable)
 
 
 class StoredOrigins(msgspec.Struct, kw_only=True, frozen=True):
     """Everything that the store holds about the origins of streams."""
 
     defaults: list[DefaultVersion] = []
-    slots: list[StoredSlot] = []
+    batches: list[StoredBatch] = []
 
 
 class HandOver(enum.Enum):
@@ -102,7 +93,13 @@
 
     def list(self) -> Result[StoredOrigins, StoreError]: ...
 
-    def write(self, slot: StoredSlot) -> Result[object, StoreError]: ...
+    def write(
+        self, batch: StoredBatch, *, is_created: bool
+    ) -> Result[object, StoreError]:
+        """Replaces the object of a batch, or creates it."""
+
+    def remove(self, name: str) -> Result[object, StoreError]:
+        """Removes the object of a batch."""
 
     def add_default(self, default: DefaultVersion) -> Result[object, StoreError]:
         """Fails with `StoreConflict` if the service has a default of this number."""
@@ -158,9 +155,13 @@
         self.stopping = threading.Event()
         # Time at which a list was asked for.
         self.list_wanted_at = clock()
-        # Records of this instance by slot, and how many of each slot are stored.
-        self.slots: dict[int, list[StoredStream]] = {}
-        self.stored: dict[int, int] = {}
+        self.batches = RecordBatches(
+            instance=instance,
+            process=secrets.token_hex(PROCESS_BYTES),
+            life_s=lambda: self.history.stream_life_s,
+            clock=clock,
+        )
+        self.seen = SeenBatches(clock=clock)
         self.written_at = -math.inf
         self.holders: RecordHolders = NoHolders()
         # Whether the store confirms records in time, as far as is known.
@@ -203,11 +204,12 @@
         is_corrected = self.history.replace(record)
         stream = StoredStream(record=record, begun_at=self.wall_clock())
         if is_corrected:
-            self._withdraw(record.key)
+            with self.condition:
+                self.batches.withdraw(record.key)
         if not self.history.needs_record(service, version):
             if is_corrected:
                 # The earlier record may have been stored without an answer.
-                self._add([stream])
+                self._store([stream])
             return True
         waited_from = self.clock()
         is_stored = self._store([stream])
@@ -251,45 +253,22 @@
         store them.
         """
         with self.condition:
-            slot, number = self._add(streams)
+            records = self._add(streams)
             can_wait = self.is_confirming or not self.holders.is_reachable()
             is_stored = self.condition.wait_for(
-                lambda: self.stored.get(slot, 0) >= number,
+                lambda: all(record.is_stored for record in records),
                 MAX_HOLD_S if can_wait else 0.0,
             )
             if not is_stored:
                 self.is_confirming = False
             return is_stored
 
-    def _add(self, streams: list[StoredStream]) -> tuple[int, int]:
-        """Adds records to be stored; returns their slot and how many it has then."""
-        now = self.wall_clock()
-        slot = self._slot(now)
+    def _add(self, streams: list[StoredStream]) -> list[OwnRecord]:
+        """Adds records that are to be stored."""
         with self.condition:
-            found = self.slots.setdefault(slot, [])
-            oldest = now - self.history.stream_life_s
-            kept = [item for item in found if item.begun_at > oldest]
-            if len(kept) < len(found):
-                self.slots[slot] = found = kept
-                self.stored[slot] = 0
-            found.extend(streams)
+            records = self.batches.add(streams)
             self.wake.set()
-            return slot, len(found)
-
-    def _withdraw(self, key: str) -> None:
-        """Removes the records of a stream whose begin no caller has got."""
-        with self.condition:
-            for slot, streams in self.slots.items():
-                kept = [item for item in streams if item.record.key != key]
-                if len(kept) < len(streams):
-                    self.slots[slot] = kept
-                    self.stored[slot] = 0
-
-    def _slot_s(self) -> float:
-        return self.history.stream_life_s / SLOTS_PER_LIFE
-
-    def _slot(self, begun_at: float) -> int:
-        return int(begun_at / self._slot_s()) % SLOTS
+            return records
 
     def version_of(self, service: str, request_id: str | None) -> str | None:
         """Returns the version at which a stream began, or None if that is not known.
@@ -326,7 +305,7 @@
     def write_again(self) -> None:
         """Writes all records again after the store lost some."""
         with self.condition:
-            self.stored.clear()
+            self.batches.renew()
             self.list_wanted_at = self.clock()
         self.wake.set()
 
@@ -349,7 +328,9 @@
         """Makes the calls that are due; returns whether all succeeded."""
         now = self.clock()
         self._watch_list_age()
-        if self.history.list_due(self.services):
+        if self.history.list_due(self.services) or self.seen.is_list_due(
+            self.history.stream_life_s
+        ):
             self.list_wanted_at = now
         if self.history.listed_at < self.list_wanted_at:
             self.stopping.wait(
@@ -357,7 +338,7 @@
             )
             if not self._list():
                 return False
-        return self._write_slots() and self._review_defaults()
+        return self._write_batches() and self._review_defaults() and self._remove_over()
 
     def _watch_list_age(self) -> None:
         is_old = self.list_age_s() > MAX_LIST_LAG_S
@@ -375,14 +356,19 @@
         wall_now = self.wall_clock()
         for default in found.defaults:
             self.history.add_default(default)
-        for slot in found.slots:
-            for stream in slot.streams:
+        for batch in found.batches:
+            for stream in batch.streams:
                 age_s = max(0.0, wall_now - stream.begun_at)
                 if age_s <= self.history.stream_life_s:
                     self.history.add(stream.record, age_s=age_s)
+        # One instance removes what those that have ended have left.
+        is_writer = self.is_writer()
+        self.seen.note_list(
+            item
+            for item in found.batches
+            if is_writer or item.instance == self.instance
+        )
         with self.condition:
-            if self.history.listed_at == -math.inf:
-                self._adopt(found)
             self.history.note_list(began_at)
             self.condition.notify_all()
         return self._restore_defaults(found.defaults)
@@ -399,36 +385,49 @@
                 return False
         return True
 
-    def _adopt(self, found: StoredOrigins) -> None:
-        """Takes over the records of an earlier process of this instance."""
-        for slot in found.slots:
-            if slot.instance == self.instance:
-                own = self.slots.get(slot.slot, [])
-                self.slots[slot.slot] = [*slot.streams, *own]
-
-    def _write_slots(self) -> bool:
-        with self.condition:
-            due = [
-                slot
-                for slot, streams in self.slots.items()
-                if self.stored.get(slot, 0) < len(streams)
-            ]
-        for slot in due:
-            spacing_s = self.instances() / (WRITE_SHARE * self.writes_per_s)
-            self.stopping.wait(max(0.0, self.written_at + spacing_s - self.clock()))
-            self.written_at = self.clock()
+    def _write_batches(self) -> bool:
+        while True:
+            with self.condition:
+                if (batch := self.batches.next_due()) is None:
+                    return True
+            self._wait_for_turn()
             # Streams that began during the wait share the write.
             with self.condition:
-                streams = tuple(self.slots[slot])
-            stored = StoredSlot(instance=self.instance, slot=slot, streams=streams)
-            if self._has_failed(self.store.write(stored)):
-                self.is_confirming = False
-                return False
+                written = self.batches.begin_write(batch)
+            result = self.store.write(
+                StoredBatch(
+                    name=batch.name,
+                    instance=self.instance,
+                    streams=tuple(item.stream for item in written),
+                ),
+                is_created=batch.is_created,
+            )
+            has_failed = self._has_failed(result)
             with self.condition:
-                if self.slots[slot][: len(streams)] == list(streams):
-                    self.stored[slot] = len(streams)
-                self.is_confirming = True
+                if not has_failed:
+                    self.batches.note_stored(batch, written)
+                elif isinstance(result.failure(), NOT_EXECUTED):
+                    self.batches.note_refused(batch)
+                else:
+                    self.batches.note_in_doubt(batch)
+                self.is_confirming = not has_failed
                 self.condition.notify_all()
+            if has_failed:
+                return False
+
+    def _wait_for_turn(self) -> None:
+        """Waits until this instance may write to the store again."""
+        spacing_s = self.instances() / (WRITE_SHARE * self.writes_per_s)
+        self.stopping.wait(max(0.0, self.written_at + spacing_s - self.clock()))
+        self.written_at = self.clock()
+
+    def _remove_over(self) -> bool:
+        """Removes batches in which no stream can live any more from the store."""
+        for name in self.seen.over(self.history.stream_life_s):
+            self._wait_for_turn()
+            if self._has_failed(self.store.remove(name)):
+                return False
+            self.seen.forget(name)
         return True
 
     def _review_defaults(self) -> bool:
@@ -472,7 +471,7 @@
     def dump(self) -> dict:
         with self.condition:
             return self.history.dump() | {
-                "own_records": sum(map(len, self.slots.values())),
+                "own_records": self.batches.count(),
                 "unrecorded": self.unrecorded,
                 "is_confirming": self.is_confirming,
             }
--- a/src/lagoonrill/platform/_store.py
+++ b/src/lagoonrill/platform/_store.py
@@ -15,16 +15,13 @@
     DefaultVersion,
     StreamRecord,
 )
+from .._internal.coordination.record_batches import StoredBatch, StoredStream
 from .._internal.coordination.store_follower import (
     ObjectChanges,
     ObjectList,
     StoreObject,
 )
-from .._internal.coordination.stream_origins import (
-    StoredOrigins,
-    StoredSlot,
-    StoredStream,
-)
+from .._internal.coordination.stream_origins import StoredOrigins
 from .._internal.protocol import lenient_json
 from .._internal.protocol.errors import StoreConflict, StoreError, StoreInDoubt
 from .._internal.protocol.headers import parse_positive_int
@@ -403,17 +400,16 @@
     begun: list[tuple[str, UnixMs]]
 
 
-class WireSlot(msgspec.Struct, rename="pascal", tag="streams"):
+class WireBatch(msgspec.Struct, rename="pascal", tag="streams"):
     """Records of streams that one instance wrote."""
 
     instance: str
-    slot: int
     streams: list[WireStreams]
 
 
-def decode_origins(name: str, spec: object) -> DefaultVersion | StoredSlot:
+def decode_origins(name: str, spec: object) -> DefaultVersion | StoredBatch:
     """Returns what an object says of origins; raises `ValueError` if it is invalid."""
-    wire = msgspec.convert(spec, WireDefaultVersion | WireSlot)
+    wire = msgspec.convert(spec, WireDefaultVersion | WireBatch)
     if isinstance(wire, WireDefaultVersion):
         return DefaultVersion(
             service=wire.service, version=wire.version, number=wire.number
@@ -426,26 +422,24 @@
         for group in wire.streams
         for key, begun_ms in group.begun
     )
-    return StoredSlot(instance=wire.instance, slot=wire.slot, streams=streams)
+    return StoredBatch(name=name, instance=wire.instance, streams=streams)
 
 
-def encode_slot(slot: StoredSlot) -> WireSlot:
-    """Groups the records of a slot, so that versions are not repeated."""
+def encode_batch(batch: StoredBatch) -> WireBatch:
+    """Groups the records of a batch, so that versions are not repeated."""
     groups: dict[tuple[str, str], WireStreams] = {}
-    for stream in slot.streams:
+    for stream in batch.streams:
         record = stream.record
         group = groups.setdefault(
             (record.service, record.version),
             WireStreams(service=record.service, version=record.version, begun=[]),
         )
         group.begun.append((record.key, round(stream.begun_at * 1000)))
-    return WireSlot(
-        instance=slot.instance, slot=slot.slot, streams=list(groups.values())
-    )
+    return WireBatch(instance=batch.instance, streams=list(groups.values()))
 
 
 class StoreOrigins:
-    """Origins of streams: objects for the slots of instances, and for defaults."""
+    """Origins of streams: objects for batches of records, and for defaults."""
 
     def __init__(self, *, client: StoreClient):
         self.client = client
@@ -460,17 +454,24 @@
         contents = [item.content for item in found.objects]
         return StoredOrigins(
             defaults=[item for item in contents if isinstance(item, DefaultVersion)],
-            slots=[item for item in contents if isinstance(item, StoredSlot)],
+            batches=[item for item in contents if isinstance(item, StoredBatch)],
         )
 
-    def write(self, slot: StoredSlot) -> Result[object, StoreError]:
-        """Replaces the object of a slot, or creates it."""
-        name = f"{object_name(slot.instance)}.{slot.slot}"
-        wire = encode_slot(slot)
-        result = self._call("PUT", f"{self.path}/{name}", name, wire)
-        if isinstance(result, Success) and result.unwrap().status == 404:
-            return self._call("POST", self.path, name, wire)
-        return result
+    def write(
+        self, batch: StoredBatch, *, is_created: bool
+    ) -> Result[object, StoreError]:
+        """Replaces the object of a batch, or creates it."""
+        wire = encode_batch(batch)
+        if is_created:
+            path = f"{self.path}/{batch.name}"
+            result = self._call("PUT", path, batch.name, wire)
+            if not isinstance(result, Success) or result.unwrap().status != 404:
+                return result
+        return self._call("POST", self.path, batch.name, wire)
+
+    def remove(self, name: str) -> Result[object, StoreError]:
+        """Removes a batch; it is no error if the store does not have it."""
+        return self._delete(name)
 
     def add_default(self, default: DefaultVersion) -> Result[object, StoreError]:
         """Creates the object of a default; fails if one of this number exists."""
@@ -481,7 +482,10 @@
 
     def remove_default(self, default: DefaultVersion) -> Result[object, StoreError]:
         """Removes a replaced default; it is no error if the store does not have it."""
-        path = f"{self.path}/{default_name(default)}"
+        return self._delete(default_name(default))
+
+    def _delete(self, name: str) -> Result[StoreResponse, StoreError]:
+        path = f"{self.path}/{quote(name, safe='')}"
         return self.client.call(f"delete {ORIGIN_KIND}", "DELETE", path)
 
     def _call(
--- a/tests/gateway_kit.py
+++ b/tests/gateway_kit.py
@@ -17,10 +17,10 @@
     SharedRetryBudget,
 )
 from lagoonrill._internal.coordination.policy.stream_history import DefaultVersion
+from lagoonrill._internal.coordination.record_batches import StoredBatch
 from lagoonrill._internal.coordination.send_permits import SendPermits
 from lagoonrill._internal.coordination.stream_origins import (
     StoredOrigins,
-    StoredSlot,
     StreamOrigins,
 )
 from lagoonrill._internal.event_log import EventLog
@@ -108,7 +108,7 @@
     def __init__(self):
         self.lock = threading.Lock()
         self.defaults: dict[tuple[str, int], DefaultVersion] = {}
-        self.slots: dict[tuple[str, int], StoredSlot] = {}
+        self.batches: dict[str, StoredBatch] = {}
         self.down = False
         self.calls: list[str] = []
 
@@ -125,18 +125,25 @@
             lambda: Success(
                 StoredOrigins(
                     defaults=list(self.defaults.values()),
-                    slots=list(self.slots.values()),
+                    batches=list(self.batches.values()),
                 )
             ),
         )
 
-    def write(self, slot):
+    def write(self, batch, *, is_created):
         def replace():
-            self.slots[slot.instance, slot.slot] = slot
+            self.batches[batch.name] = batch
             return Success(None)
 
         return self._call("write", replace)
 
+    def remove(self, name):
+        def remove():
+            self.batches.pop(name, None)
+            return Success(None)
+
+        return self._call("remove", remove)
+
     def add_default(self, default):
         def create():
             key = (default.service, default.number)
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -12,7 +12,7 @@
     DefaultVersion,
     StreamRecord,
 )
-from lagoonrill._internal.coordination.stream_origins import StoredSlot, StoredStream
+from lagoonrill._internal.coordination.record_batches import StoredBatch, StoredStream
 from lagoonrill._internal.protocol.errors import (
     StoreCallInterrupted,
     StoreConflict,
@@ -207,14 +207,23 @@
         for number, version in enumerate(("v1", "", "v1"))
     )
     for count in (1, 3):
-        slot = StoredSlot(instance="i 1", slot=2, streams=streams[:count])
-        assert isinstance(origins.write(slot), Success)
-    store.put("stream-origins", "unreadable", {"type": "streams", "Slot": "x"})
+        batch = StoredBatch(name="b.1", instance="i 1", streams=streams[:count])
+        assert isinstance(origins.write(batch, is_created=count > 1), Success)
+    # A create that may be executed late must not replace a batch.
+    assert isinstance(origins.write(batch, is_created=False).failure(), StoreConflict)
+    store.put("stream-origins", "unreadable", {"type": "streams", "Instance": 1})
     found = origins.list().unwrap()
     assert found.defaults == [default]
-    (stored,) = found.slots
-    assert (stored.instance, stored.slot) == ("i 1", 2)
+    (stored,) = found.batches
+    assert (stored.instance, stored.name) == ("i 1", "b.1")
     assert set(stored.streams) == set(streams)
+    store.delete("stream-origins", "b.1")
+    # A restored store may have lost it.
+    assert isinstance(origins.write(batch, is_created=True), Success)
+    assert origins.list().unwrap().batches == [stored]
+    for _ in range(2):
+        assert isinstance(origins.remove("b.1"), Success)
+    assert origins.list().unwrap().batches == []
     for _ in range(2):
         assert isinstance(origins.remove_default(default), Success)
     assert origins.list().unwrap().defaults == []
--- a/tests/test_stream_holders.py
+++ b/tests/test_stream_holders.py
@@ -6,10 +6,10 @@
 import pytest
 
 from lagoonrill._internal.coordination.policy.stream_history import StreamRecord
+from lagoonrill._internal.coordination.record_batches import StoredStream
 from lagoonrill._internal.coordination.stream_holders import StreamHolders
 from lagoonrill._internal.coordination.stream_origins import (
     HandOver,
-    StoredStream,
     StreamOrigins,
 )
 from lagoonrill._internal.event_log import EventLog
@@ -88,8 +88,8 @@
 
 
 def stored_keys(member) -> set[str]:
-    slots = member.origins.store.list().value_or(None).slots
-    return {item.record.key for slot in slots for item in slot.streams}
+    batches = member.origins.store.list().value_or(None).batches
+    return {item.record.key for batch in batches for item in batch.streams}
 
 
 def test_records_of_many_streams_at_once_reach_a_peer_in_touch(members):
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -4,6 +4,7 @@
 
 import msgspec
 import pytest
+from returns.result import Failure
 
 from lagoonrill._internal.coordination.policy.stream_history import (
     MAX_LIST_LAG_S,
@@ -14,17 +15,19 @@
 )
 from lagoonrill._internal.coordination.stream_origins import (
     KEY_BYTES,
-    SLOTS,
     HandOver,
     StreamOrigins,
     stream_key,
 )
 from lagoonrill._internal.event_log import EventLog
+from lagoonrill._internal.protocol.errors import StoreInDoubt
 from lagoonrill._internal.protocol.routing import EndpointRecord
 from lagoonrill._internal.state.endpoint_registry import EndpointRegistry
 from tests.gateway_kit import MemoryOrigins, config
 
 SERVICE = "models"
+# Objects of one instance, with records of streams that may live or are just over.
+MAX_BATCHES = 8
 TIMEOUT_S = max(route.timeout_s for route in config().routes if route.resumable)
 LIFE_S = STREAM_TIMEOUTS * TIMEOUT_S
 
@@ -181,8 +184,8 @@
     store.calls.clear()
     instance.origins.make_calls()
     assert store.calls == ["write"]
-    (slot,) = store.slots.values()
-    assert len(slot.streams) == 5
+    (batch,) = store.batches.values()
+    assert len(batch.streams) == 5
 
 
 def test_the_default_changes_only_after_the_last_old_stream(store, world):
@@ -282,32 +285,32 @@
     store, turned_away = MemoryOrigins(), MemoryOrigins()
     turned_away.down = True
     peer = Instance(store, world, name="i2")
-    peer.serve("v1", "v2")
+    peer.serve("v1", "v1", "v2")
     store.down = peer_down
     away = Instance(turned_away, world)
     away.origins.holders = Holders(peer)
-    away.serve("v1", "v2")
+    away.serve("v1", "v1", "v2")
     away.begin("r1", "v2")
     assert away.origins.unrecorded == 0
     world.now += 1.0
     store.down = False
     peer.origins.make_calls()
     third = Instance(store, world, name="i3")
-    third.serve("v1", "v2")
+    third.serve("v1", "v1", "v2")
     assert third.version_of("r1") == "v2"
 
 
 def test_a_stream_that_began_anew_goes_on_at_its_latest_version(store, world):
     """No caller got the first begin, but its record may be stored."""
     instance = Instance(store, world)
-    instance.serve("v1", "v2")
+    instance.serve("v1", "v1", "v2")
     instance.settle()
     instance.begin("r1", "v2")
     world.now += 0.3
     instance.begin("r1", "v1")
     for name in ("i2", "i1"):
         other = Instance(store, world, name=name)
-        other.serve("v1", "v2")
+        other.serve("v1", "v1", "v2")
         assert other.version_of("r1") == "v1"
 
 
@@ -329,7 +332,7 @@
     instance.serve("v1")
     instance.serve("v1", "v2")
     instance.begin("r1", "v2")
-    store.slots.clear()
+    store.batches.clear()
     store.defaults.clear()
     world.now += 1.0
     instance.origins.write_again()
@@ -343,14 +346,85 @@
 def test_records_of_streams_that_are_over_leave_the_store(store, world):
     instance = Instance(store, world)
     instance.serve("v1", "v2")
-    for number in range(20 * SLOTS):
+    for number in range(20 * MAX_BATCHES):
         instance.begin(f"r{number}", "v2")
         world.now += LIFE_S / 10
-        assert len(store.slots) <= SLOTS
-        assert sum(len(slot.streams) for slot in store.slots.values()) <= 20
+        assert len(store.batches) <= MAX_BATCHES
+        assert sum(len(item.streams) for item in store.batches.values()) <= 20
     assert len(instance.origins.history.records) <= 20
 
 
+def test_records_of_instances_that_have_ended_leave_the_store(store, world):
+    ended = Instance(store, world, name="i2")
+    ended.serve("v1", "v1", "v2")
+    ended.begin("r1", "v2")
+    instance = Instance(store, world)
+    instance.serve("v1", "v1", "v2")
+    assert len(store.batches) == 1
+    for _ in range(25):
+        world.now += LIFE_S / 10
+        instance.origins.make_calls()
+    assert not store.batches
+    # An instance whose clock is ahead removes no record of a living stream.
+    ended.begin("r2", "v2")
+    instance.origins.wall_clock = lambda: 1_700_000_000 + world.now + 100 * LIFE_S
+    for _ in range(5):
+        world.now += LIFE_S / 10
+        instance.version_of("unknown")
+    assert len(store.batches) == 1
+
+
+class LateStore(MemoryOrigins):
+    """A store that executes writes late, without an answer, while `is_lossy`."""
+
+    def __init__(self):
+        super().__init__()
+        self.is_lossy = False
+        self.late = []
+
+    def write(self, batch, *, is_created):
+        if not self.is_lossy:
+            return super().write(batch, is_created=is_created)
+        self.late.append((batch, is_created))
+        return Failure(StoreInDoubt(message="no answer"))
+
+    def execute_late(self) -> None:
+        """Executes the writes if their condition still holds."""
+        for batch, is_created in self.late:
+            if is_created == (batch.name in self.batches):
+                super().write(batch, is_created=is_created)
+        self.late = []
+
+
+@pytest.mark.parametrize("before", [0, 1], ids=["create", "replace"])
+def test_a_write_that_is_executed_late_removes_no_record(world, before):
+    """It gets no answer, and later ones are executed before it."""
+    store = LateStore()
+    instance = Instance(store, world)
+    instance.serve("v1", "v1", "v2")
+    for number in range(before):
+        instance.begin(f"before-{number}", "v2")
+    store.is_lossy = True
+    instance.begin("lost", "v2")
+    store.is_lossy = False
+    for number in range(3):
+        instance.begin(f"after-{number}", "v2")
+    store.execute_late()
+    instance.origins.make_calls()
+    names = [f"before-{n}" for n in range(before)] + ["lost"]
+    names += [f"after-{n}" for n in range(3)]
+    for _ in range(2):
+        other = Instance(store, world, name="i2")
+        other.serve("v1", "v1", "v2")
+        assert {name: other.version_of(name) for name in names} == dict.fromkeys(
+            names, "v2"
+        )
+        # The next process of the instance writes to other objects.
+        again = Instance(store, world)
+        again.serve("v1", "v1", "v2")
+        again.begin("again", "v2")
+
+
 @pytest.mark.parametrize("longer", [True, False], ids=["longer", "shorter"])
 def test_a_change_of_timeouts_loses_no_record(store, world, longer):
     instance = Instance(store, world)
@@ -405,7 +479,7 @@
     def __init__(self, seed: int):
         self.rng = random.Random(seed)
         self.world = World()
-        self.store = MemoryOrigins()
+        self.store = LateStore()
         self.instances: list[Instance] = []
         # Versions in service, with the times since when.
         self.served: list[tuple[float, tuple[str, ...]]] = [(0.0, ("v1",))]
@@ -431,9 +505,19 @@
     def step(self) -> None:
         self.world.now += self.rng.choice((0.1, 0.5, 1.0, LIFE_S / 3))
         action = self.rng.choice(
-            (self.change, self.kill, self.cut, self.begin, self.begin, self.take_up)
+            (
+                self.change,
+                self.kill,
+                self.cut,
+                self.lose,
+                self.begin,
+                self.begin,
+                self.take_up,
+            )
         )
         action()
+        if self.rng.random() < 0.2:
+            self.store.execute_late()
         for instance in self.instances:
             self.see(instance, lag_s=self.MAX_LAG_S)
 
@@ -451,6 +535,9 @@
     def cut(self) -> None:
         self.store.down = not self.store.down
 
+    def lose(self) -> None:
+        self.store.is_lossy = not self.store.is_lossy
+
     def begin(self) -> None:
         instance = self.rng.choice(self.instances)
         version = self.rng.choice(self.see(instance, lag_s=self.MAX_LAG_S))
