Keep records of streams at peers for a store that loses them

Cause: after a restore an instance wrote its own records again, and those of an instance that had ended existed nowhere else. A list of the restored store was also taken for complete before anybody could have written. Evidence: the log of the store has the acknowledged records before the restore, and only objects of the living instances after it. Ruled out: records that were never stored.

Each record now goes to two peers with the write that stores it, and to two peers again when an instance leaves; they write it to a restored store together with their own. For 3 s after a new era, what is found nowhere is unknown and gets 503 with the time that is left, unless one version has served for the life of a stream.

--- a/src/lagoonrill/_internal/coordination/forwarding.py
+++ b/src/lagoonrill/_internal/coordination/forwarding.py
@@ -144,7 +144,7 @@
                 503,
                 "stream_origin_unknown",
                 remedy="Retry after the time given, or begin a new stream.",
-                retry_after_s=RETRY_AFTER_S,
+                retry_after_s=max(RETRY_AFTER_S, self.origins.known_after_s()),
             )
         sending.version = version
         sending.origin_known = True
--- a/src/lagoonrill/_internal/coordination/record_batches.py
+++ b/src/lagoonrill/_internal/coordination/record_batches.py
@@ -7,6 +7,7 @@
 """
 
 import hashlib
+from collections import OrderedDict
 from collections.abc import Callable, Iterable
 
 import msgspec
@@ -18,6 +19,8 @@
 BATCH_SHARE_OF_LIFE = 1 / 6
 # At about 45 bytes a record, well below the size that the store accepts.
 MAX_BATCH_RECORDS = 5_000
+# At about 300 bytes a record in memory.
+MAX_HELD_RECORDS = 20_000
 NAME_BYTES = 12
 
 
@@ -40,13 +43,15 @@
 class OwnRecord:
     """A record that this instance stores."""
 
-    __slots__ = ("added_at", "is_stored", "stream")
+    __slots__ = ("added_at", "is_shared", "is_stored", "stream")
 
     def __init__(self, *, stream: StoredStream, added_at: float):
         self.stream = stream
         # On the monotonic clock.
         self.added_at = added_at
         self.is_stored = False
+        # Whether peers have been sent it to hold.
+        self.is_shared = False
 
 
 class RecordBatch:
@@ -139,6 +144,13 @@
         batch.is_changed = False
         return list(batch.records)
 
+    def take_unshared(self, records: list[OwnRecord]) -> list[StoredStream]:
+        """Returns the records that peers have not been sent yet."""
+        found = [item for item in records if not item.is_shared]
+        for record in found:
+            record.is_shared = True
+        return [record.stream for record in found]
+
     def note_stored(self, batch: RecordBatch, written: list[OwnRecord]) -> None:
         """Records that the store has confirmed a write."""
         batch.is_created = True
@@ -169,11 +181,57 @@
             record.is_stored = False
         self._append(kept)
 
+    def living(self) -> list[StoredStream]:
+        """Returns the records of streams that may live."""
+        oldest = self.clock() - self.life_s()
+        return [
+            record.stream
+            for batch in self.batches
+            for record in batch.records
+            if record.added_at > oldest
+        ]
+
     def count(self) -> int:
         """Returns how many records there are."""
         return sum(len(batch.records) for batch in self.batches)
 
 
+class HeldRecords:
+    """Records of peers, for a store that loses them; not thread-safe.
+
+    A store that comes back from an older copy may have lost the records of an instance
+    that has ended since. Its peers write them again.
+    """
+
+    def __init__(self, *, life_s: Callable[[], float], clock: Callable[[], float]):
+        self.life_s = life_s
+        self.clock = clock
+        # By key, with the times at which they came, oldest first.
+        self.records: OrderedDict[str, tuple[StoredStream, float]] = OrderedDict()
+
+    def add(self, streams: Iterable[StoredStream]) -> None:
+        now = self.clock()
+        for stream in streams:
+            self.records.pop(stream.record.key, None)
+            self.records[stream.record.key] = stream, now
+        while len(self.records) > MAX_HELD_RECORDS or self._is_oldest_over(now):
+            self.records.popitem(last=False)
+
+    def _is_oldest_over(self, now: float) -> bool:
+        if not self.records:
+            return False
+        _, added_at = next(iter(self.records.values()))
+        return added_at < now - self.life_s()
+
+    def __len__(self) -> int:
+        return len(self.records)
+
+    def living(self) -> list[StoredStream]:
+        """Returns the records of streams that may live."""
+        self.add(())
+        return [stream for stream, _ in self.records.values()]
+
+
 class SeenBatches:
     """Batches in the store, to find those in which no stream can live any more.
 
--- a/src/lagoonrill/_internal/coordination/stream_holders.py
+++ b/src/lagoonrill/_internal/coordination/stream_holders.py
@@ -18,6 +18,7 @@
     GatewayDigest,
     StreamsBegun,
     StreamsBegunReply,
+    StreamsShared,
 )
 from ..transport.peer_link import PeerLink
 from .policy.engine_placement import highest_ranked
@@ -29,6 +30,8 @@
 HOLDERS = 2
 # A peer answers once its store has confirmed the record, or after its own limit, 0.2 s.
 HAND_OVER_TIMEOUT_S = 0.3
+# Records in one message, which has 40 kB then.
+MAX_SHARED_RECORDS = 500
 # After a failure, records are not handed over for this long: a peer that has ended
 # counts as live until its digests are missed.
 FAILED_PAUSE_S = 1.5
@@ -69,6 +72,7 @@
         # Held during a hand-over; records that come meanwhile share the next one.
         self.turn = threading.Lock()
         link.register_handler(StreamsBegun, self.handle_begun)
+        link.register_handler(StreamsShared, self.handle_shared, inline=True)
 
     def is_reachable(self) -> bool:
         """Returns whether a peer is likely to take a record."""
@@ -94,7 +98,7 @@
         return own.outcome
 
     def _hand_over(self, streams: list[StoredStream]) -> HandOver:
-        message = self._message(streams)
+        message = StreamsBegun(instance=self.instance, streams=self._encoded(streams))
         outcome = HandOver.FAILED
         for digest in self._holders(streams[0].record.key):
             reply = self.link.request(digest.address, message, HAND_OVER_TIMEOUT_S)
@@ -114,6 +118,17 @@
             self.failed_at = self.clock()
         return outcome
 
+    def share(self, streams: list[StoredStream]) -> None:
+        """Sends records to peers, which write them again if the store loses them."""
+        encoded = self._encoded(streams)
+        addresses = {item.address for item in self._holders(streams[0].record.key)}
+        for start in range(0, len(encoded), MAX_SHARED_RECORDS):
+            message = StreamsShared(
+                instance=self.instance,
+                streams=encoded[start : start + MAX_SHARED_RECORDS],
+            )
+            self.link.send_to(addresses, message)
+
     def _holders(self, key: str) -> list[GatewayDigest]:
         """Returns the peers for a record, those that reach the store first."""
         digests = {digest.instance: digest for digest in self.live_digests()}
@@ -123,31 +138,35 @@
         names += highest_ranked(key, others, HOLDERS)[: HOLDERS - len(names)]
         return [digests[name] for name in names]
 
-    def _message(self, streams: Iterable[StoredStream]) -> StreamsBegun:
+    def _encoded(self, streams: Iterable[StoredStream]) -> list[BegunStream]:
         now = self.origins.wall_clock()
-        return StreamsBegun(
-            instance=self.instance,
-            streams=[
-                BegunStream(
-                    key=item.record.key,
-                    service=item.record.service,
-                    version=item.record.version,
-                    age_s=now - item.begun_at,
-                )
-                for item in streams
-            ],
-        )
+        return [
+            BegunStream(
+                key=item.record.key,
+                service=item.record.service,
+                version=item.record.version,
+                age_s=now - item.begun_at,
+            )
+            for item in streams
+        ]
 
-    def handle_begun(self, message: StreamsBegun) -> StreamsBegunReply:
-        """Stores the records of a peer; replies whether the store has confirmed it."""
+    def _decoded(self, streams: Iterable[BegunStream]) -> list[StoredStream]:
         now = self.origins.wall_clock()
-        streams = [
+        return [
             StoredStream(
                 record=StreamRecord(
                     key=item.key, service=item.service, version=item.version
                 ),
                 begun_at=now - item.age_s,
             )
-            for item in message.streams
+            for item in streams
         ]
-        return StreamsBegunReply(stored=self.origins.store_for_peer(streams))
+
+    def handle_begun(self, message: StreamsBegun) -> StreamsBegunReply:
+        """Stores the records of a peer; replies whether the store has confirmed it."""
+        stored = self.origins.store_for_peer(self._decoded(message.streams))
+        return StreamsBegunReply(stored=stored)
+
+    def handle_shared(self, message: StreamsShared) -> None:
+        """Keeps the records of a peer."""
+        self.origins.hold_for_peer(self._decoded(message.streams))
--- a/src/lagoonrill/_internal/coordination/stream_origins.py
+++ b/src/lagoonrill/_internal/coordination/stream_origins.py
@@ -27,6 +27,7 @@
     StreamRecord,
 )
 from .record_batches import (
+    HeldRecords,
     OwnRecord,
     RecordBatches,
     SeenBatches,
@@ -40,6 +41,9 @@
 # A take-up waits this long for a list of the store.
 LOOKUP_TIMEOUT_S = 0.5
 MIN_LIST_INTERVAL_S = 0.1
+# All instances know by then that the store is back from an older copy, and have written
+# again what it lost: a call that got no answer lasts 1.5 s, a pause after it 0.8 s.
+REWRITTEN_AFTER_S = 3.0
 RETRY_PAUSE_S = 0.3
 # Interval of the checks for a new default version, and of the lists that show whether
 # another instance has set it.
@@ -54,8 +58,12 @@
 
 
 class StoredOrigins(msgspec.Struct, kw_only=True, frozen=True):
-    """Everything that the store holds about the origins of streams."""
+    """Everything that the store holds about the origins of streams.
 
+    The era rises each time the store comes back from an older copy; 0 if it names none.
+    """
+
+    era: int = 0
     defaults: list[DefaultVersion] = []
     batches: list[StoredBatch] = []
 
@@ -71,12 +79,15 @@
 
 
 class RecordHolders(Protocol):
-    """Peers that store records for an instance that cannot."""
+    """Peers that keep records, and store them for an instance that cannot."""
 
     def is_reachable(self) -> bool: ...
 
     def hand_over(self, stream: StoredStream) -> HandOver: ...
 
+    def share(self, streams: list[StoredStream]) -> None:
+        """Sends records to peers, which write them again if the store loses them."""
+
 
 class NoHolders:
     """The holders of an instance without peers."""
@@ -87,6 +98,9 @@
     def hand_over(self, stream: StoredStream) -> HandOver:
         return HandOver.FAILED
 
+    def share(self, streams: list[StoredStream]) -> None:
+        pass
+
 
 class OriginStore(Protocol):
     """Origins in the store; all calls may be repeated."""
@@ -161,7 +175,11 @@
             life_s=lambda: self.history.stream_life_s,
             clock=clock,
         )
+        self.held = HeldRecords(life_s=lambda: self.history.stream_life_s, clock=clock)
         self.seen = SeenBatches(clock=clock)
+        # Latest known era of the store, and when this instance saw that it had risen.
+        self.era = 0
+        self.restored_at = -math.inf
         self.written_at = -math.inf
         self.holders: RecordHolders = NoHolders()
         # Whether the store confirms records in time, as far as is known.
@@ -234,6 +252,21 @@
             self.history.add(stream.record, age_s=now - stream.begun_at)
         return self._store(streams)
 
+    def hold_for_peer(self, streams: list[StoredStream]) -> None:
+        """Keeps records of a peer in case the store loses them."""
+        now = self.wall_clock()
+        for stream in streams:
+            self.history.add(stream.record, age_s=now - stream.begun_at)
+        with self.condition:
+            self.held.add(streams)
+
+    def hand_on(self) -> None:
+        """Sends all records to peers before this instance ends."""
+        with self.condition:
+            streams = [*self.batches.living(), *self.held.living()]
+        if streams:
+            self.holders.share(streams)
+
     def required_version(self, service: str) -> str | None:
         """Returns the version at which new streams have to begin, or None for any.
 
@@ -290,8 +323,19 @@
             return known
         if not key and self.history.has_other_versions(service):
             return None
+        if self.restored_for_s() < REWRITTEN_AFTER_S and not is_settled:
+            # The record may be among those that the store has lost.
+            return None
         return self.history.default_version(service)
 
+    def restored_for_s(self) -> float:
+        """Returns the time since the store was seen to have come back from a copy."""
+        return self.clock() - self.restored_at
+
+    def known_after_s(self) -> float:
+        """Returns after what time an unknown stream may be asked for again."""
+        return max(0.0, REWRITTEN_AFTER_S - self.restored_for_s())
+
     def _refresh(self) -> bool:
         """Waits for a list that begins from now on; returns whether there was one."""
         now = self.clock()
@@ -302,11 +346,18 @@
                 lambda: self.history.listed_at >= now, LOOKUP_TIMEOUT_S
             )
 
-    def write_again(self) -> None:
-        """Writes all records again after the store lost some."""
+    def note_era(self, era: int) -> None:
+        """Writes all records again once the store has come back from an older copy."""
         with self.condition:
+            is_restored = 0 < self.era < era
+            self.era = max(self.era, era)
+            if not is_restored:
+                return
+            self.restored_at = self.clock()
             self.batches.renew()
+            self.batches.add(self.held.living())
             self.list_wanted_at = self.clock()
+        self.event_log.emit("stream_records_renewed", era=era, records=len(self.held))
         self.wake.set()
 
     def run(self) -> None:
@@ -353,6 +404,7 @@
             return False
         self.is_confirming = True
         found = result.unwrap()
+        self.note_era(found.era)
         wall_now = self.wall_clock()
         for default in found.defaults:
             self.history.add_default(default)
@@ -394,6 +446,9 @@
             # Streams that began during the wait share the write.
             with self.condition:
                 written = self.batches.begin_write(batch)
+                unshared = self.batches.take_unshared(written)
+            if unshared:
+                self.holders.share(unshared)
             result = self.store.write(
                 StoredBatch(
                     name=batch.name,
@@ -473,5 +528,6 @@
             return self.history.dump() | {
                 "own_records": self.batches.count(),
                 "unrecorded": self.unrecorded,
+                "held_records": len(self.held),
                 "is_confirming": self.is_confirming,
             }
--- a/src/lagoonrill/_internal/gateway_daemon.py
+++ b/src/lagoonrill/_internal/gateway_daemon.py
@@ -315,7 +315,7 @@
 
         Findings are written by one instance of the fleet, as its peers have the same.
         """
-        self.origins.write_again()
+        self.origins.note_era(self.config_follower.position.era)
         if self.peers.store_rank() == 0:
             self.findings.write_again()
 
@@ -482,6 +482,7 @@
             selective_at=stop_started_at + ACCEPT_ALL_REQUESTS_S,
             stop_deadline=stop_deadline,
         )
+        self.origins.hand_on()
         self._accept_until_quiet(stop_started_at)
         self.listener.close()
         answer_at = stop_deadline - STOP_ANSWER_S
--- a/src/lagoonrill/_internal/protocol/messages.py
+++ b/src/lagoonrill/_internal/protocol/messages.py
@@ -341,6 +341,13 @@
     stored: bool
 
 
+class StreamsShared(PeerMessage):
+    """Records that the receiver keeps and writes again if the store loses them."""
+
+    instance: str
+    streams: list[BegunStream]
+
+
 class RoutingRequest(PeerMessage):
     """Requests a configuration and endpoints that are newer than the sender's."""
 
@@ -390,6 +397,7 @@
     | PermitReply
     | StreamsBegun
     | StreamsBegunReply
+    | StreamsShared
 )
 
 
--- a/src/lagoonrill/platform/_store.py
+++ b/src/lagoonrill/platform/_store.py
@@ -453,6 +453,7 @@
     def _origins(self, found: ObjectList) -> StoredOrigins:
         contents = [item.content for item in found.objects]
         return StoredOrigins(
+            era=found.era,
             defaults=[item for item in contents if isinstance(item, DefaultVersion)],
             batches=[item for item in contents if isinstance(item, StoredBatch)],
         )
--- a/tests/gateway_kit.py
+++ b/tests/gateway_kit.py
@@ -110,6 +110,7 @@
         self.defaults: dict[tuple[str, int], DefaultVersion] = {}
         self.batches: dict[str, StoredBatch] = {}
         self.down = False
+        self.era = 1
         self.calls: list[str] = []
 
     def _call(self, name: str, function):
@@ -119,11 +120,19 @@
                 return Failure(StoreInDoubt(message="no answer"))
             return function()
 
+    def restore_empty(self) -> None:
+        """Comes back from a copy that is older than everything."""
+        with self.lock:
+            self.era += 1
+            self.batches.clear()
+            self.defaults.clear()
+
     def list(self):
         return self._call(
             "list",
             lambda: Success(
                 StoredOrigins(
+                    era=self.era,
                     defaults=list(self.defaults.values()),
                     batches=list(self.batches.values()),
                 )
