Read escapes in the order in which they stand, and check text of entries

First of three causes: the strict parser refused the answer of the store, and the lenient one let the half pair pass, because its look behind took the text \ud83d after an escaped backslash for the other half. The text was accepted as a version and could not be encoded afterwards: for the checksum of the list, for peers and for the log. The same happened with names of objects.

Escapes are now read from the begin of the text, so an escaped backslash takes its character with it, and the adapter refuses entries whose name, service, zone, version or address cannot be encoded. An entry that cannot be decoded for any other reason no longer hides the others either.

The new test puts odd text into each field of an entry beside a sound one, and follows both into the registry and a message for peers.

--- a/src/lagoonrill/_internal/protocol/lenient_json.py
+++ b/src/lagoonrill/_internal/protocol/lenient_json.py
@@ -13,10 +13,13 @@
 MAX_DIGITS = 30
 
 _STRING_OR_BRACKET = re.compile(r'"(?:[^"\\]|\\.)*"|[\[\]{}]', re.DOTALL)
-# An unpaired surrogate escape does not encode a character.
-_LONE_SURROGATE = re.compile(
-    r"\\u[dD][89abAB][0-9a-fA-F]{2}(?!\\u[dD][c-fC-F])"
-    r"|(?<!\\u[dD][89abAB][0-9a-fA-F]{2})\\u[dD][c-fC-F][0-9a-fA-F]{2}"
+# One escape, or two that are the halves of a character. An escaped backslash is an
+# escape too: what follows it may look like one.
+_ESCAPE = re.compile(
+    r"\\u[dD][89abAB][0-9a-fA-F]{2}\\u[dD][c-fC-F][0-9a-fA-F]{2}"
+    r"|(?P<half>\\u[dD][89a-fA-F][0-9a-fA-F]{2})"
+    r"|\\.",
+    re.DOTALL,
 )
 
 
@@ -30,7 +33,7 @@
     >>> loads(b'{"a": "\\\\ud800", "b": NaN, "c": "\\xff"}')
     {'a': '\\ufffd', 'b': None, 'c': '\\ufffd'}
     """
-    text = _LONE_SURROGATE.sub(r"\\ufffd", data.decode("utf-8", "replace"))
+    text = _ESCAPE.sub(_without_half, data.decode("utf-8", "replace"))
     return json.loads(
         _without_deep_values(text),
         strict=False,
@@ -39,6 +42,11 @@
     )
 
 
+def _without_half(escape: re.Match) -> str:
+    """Returns an escape, or U+FFFD for one half of a character."""
+    return "\\ufffd" if escape["half"] else escape[0]
+
+
 def _without_deep_values(text: str) -> str:
     """Replaces values nested deeper than `MAX_DEPTH` with null, without recursion."""
     kept: list[str] = []
--- a/src/lagoonrill/platform/_store.py
+++ b/src/lagoonrill/platform/_store.py
@@ -62,6 +62,8 @@
 MAX_COLD_MS = 24 * 3_600 * 1000
 MAX_UNIX_MS = 2**53
 MAX_VERSION_CHARACTERS = 200
+# An error may quote text of an entry, which can have any length.
+MAX_LOGGED_ERROR_CHARACTERS = 200
 
 LEAVING_BY_STATE = {"ready": False, "draining": True}
 
@@ -166,9 +168,26 @@
     return era
 
 
+def check_encodable(*texts: str) -> None:
+    r"""Raises `ValueError` for text that cannot be encoded, as in messages and logs.
+
+    >>> check_encodable("caf\u00e9")
+    >>> check_encodable("\ud83d")
+    Traceback (most recent call last):
+    ...
+    ValueError: '\ud83d' has one half of a character
+    """
+    for text in texts:
+        try:
+            text.encode()
+        except UnicodeEncodeError as error:
+            raise ValueError(f"{text[:40]!r} has one half of a character") from error
+
+
 def decode_endpoint(name: str, spec: object) -> EndpointRecord:
     """Returns the endpoint of an entry; raises `ValueError` if it is invalid."""
     wire = msgspec.convert(spec, WireServer)
+    check_encodable(name, wire.service, wire.zone, wire.version, wire.address)
     if wire.state not in LEAVING_BY_STATE:
         raise ValueError(f"unknown state {wire.state!r}")
     host, _ = parse_address(wire.address)
@@ -295,21 +314,25 @@
         """Decodes an object; invalid content is returned as None with the name."""
         try:
             wire = msgspec.convert(found, WireObject)
-        except msgspec.ValidationError as error:
+            check_encodable(wire.metadata.name)
+        except ValueError as error:
+            # msgspec.ValidationError is a ValueError.
             log.warning(
-                "ignored an object of kind {} without a name: {}", self.kind, error
+                "ignored an object of kind {} without a name: {}",
+                self.kind,
+                repr(error)[:MAX_LOGGED_ERROR_CHARACTERS],
             )
             return None
         content = None
         try:
             content = self.decode(wire.metadata.name, wire.spec)
-        except ValueError as error:
-            # msgspec.ValidationError is a ValueError.
+        except Exception as error:
+            # Whatever one entry holds, the others have to be read.
             log.warning(
                 "ignored invalid content of {} {}: {}",
                 self.kind,
                 quote(wire.metadata.name),
-                error,
+                repr(error)[:MAX_LOGGED_ERROR_CHARACTERS],
             )
         return StoreObject(name=wire.metadata.name, content=content)
 
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -4,6 +4,7 @@
 
 import msgspec
 import pytest
+from hypothesis import example, given, settings, strategies as st
 from returns.result import Failure, Success
 
 from lagoonrill._internal.coordination.crash_findings import CrashFinding
@@ -18,7 +19,13 @@
     StoreConflict,
     StoreHistoryGone,
 )
+from lagoonrill._internal.protocol.messages import (
+    RoutingReply,
+    decode_message,
+    encode_message,
+)
 from lagoonrill._internal.protocol.routing import RouteKind
+from lagoonrill._internal.state.endpoint_registry import EndpointRegistry
 from lagoonrill.platform._configuration import decode_configuration
 from lagoonrill.platform._headers import VOCABULARY
 from lagoonrill.platform._store import (
@@ -317,6 +324,57 @@
     assert found.complete
 
 
+# Pieces of JSON strings: escapes, halves of characters, and bytes that are no UTF-8.
+STRING_PIECES = (
+    b"a",
+    b"0",
+    rb"\\",
+    rb"\"",
+    rb"\n",
+    rb"\u0041",
+    rb"\ud83d",
+    rb"\ude00",
+    rb"\uDBFF",
+    b"ud83d",
+    b"ude00",
+    b"\xff",
+    b"\xed\xa0\xbd",
+    b"\x00",
+    "\U0001f600".encode(),
+)
+
+
+@example(text=rb"\\ud83d\ude00", field="Version")
+@example(text=rb"\\ud83d\ude00", field="Name")
+@settings(max_examples=1_000, deadline=None)
+@given(
+    text=st.lists(st.sampled_from(STRING_PIECES), max_size=6).map(b"".join),
+    field=st.sampled_from(("Version", "Service", "Zone", "State", "Address", "Name")),
+)
+def test_text_of_one_entry_keeps_no_other_from_peers(text, field):
+    """An accepted half of a character failed in the middle of a change of endpoints."""
+    raw = msgspec.Raw(b'"%b"' % text)
+    sound = msgspec.json.encode(server(Address="10.0.0.2:80"))
+    name = text if field == "Name" else b"i-odd"
+    odd = server() if field == "Name" else server(**{field: raw})
+    found = changes_in(
+        b'{"Object": {"Metadata": {"Name": "%b"}, "Spec": %b}}'
+        % (name, msgspec.json.encode(odd)),
+        wire_event("i-sound", sound),
+    )
+    records = {
+        item.name: item.content for item in found.changed if item.content is not None
+    }
+    assert records["i-sound"].address == "10.0.0.2:80"
+    registry = EndpointRegistry()
+    registry.replace(records)
+    assert "i-sound" in {item.id for item in registry.ready("models")}
+    reply = RoutingReply(
+        config=None, endpoint_revision=9, endpoints=list(records.values())
+    )
+    assert decode_message(encode_message(reply)) == reply
+
+
 def odd_entry(field: str, value: bytes) -> bytes:
     """Returns an entry that is valid except for one value."""
     return msgspec.json.encode(server(**{field: msgspec.Raw(value)}))
