Apply a change of endpoints whole, and again after an error

Second cause: the registry replaced its records, then failed in the checksum, and left the edition as it was, so placement went on with the engines of the last good one. The discovery had already taken the position of the change, and the follower its copy, so nothing tried again, and the parts that follow a change never heard of it. Nothing showed that in a metric or in the readiness.

The registry now builds everything before it replaces anything, and the discovery takes the position last. A follower whose copy was not applied lists and applies it again, is named by store_copy_not_applied and the gauges *_not_applied, and the instance is not ready meanwhile. An error in one part that hears of a change keeps it from no other.

--- a/src/lagoonrill/_internal/coordination/endpoint_discovery.py
+++ b/src/lagoonrill/_internal/coordination/endpoint_discovery.py
@@ -188,19 +188,22 @@
             if position < self.position:
                 return False
             is_restored = 0 < self.position.era < position.era
-            self.position = position
             before = self.registry.records
             hold_until = None
             if is_restored:
                 hold_until = self.expired_entries.held_after_restore(self.clock())
                 self._begin_doubt()
             self._doubt_departed(records)
-            after = {record.id: self._with_departure(record) for record in records}
+            after = {
+                record.id: self._with_departure(record, position) for record in records
+            }
             candidates = before | (new_records or {})
-            held = self._held(candidates, after, limit, hold_until)
+            held = self._held(candidates, after, limit, hold_until, position)
             after |= {endpoint_id: candidates[endpoint_id] for endpoint_id in held}
-            self._note_departed(before, after)
             self.registry.replace(after, held_until=held)
+            # Only now is the change in force; after an error it is applied again.
+            self.position = position
+            self._note_departed(before, after)
         self._log_changes(before, after, position.revision)
         self.changed()
         return True
@@ -239,7 +242,9 @@
             if departed_at <= self.restored_at:
                 self.doubted.setdefault(record.id, record)
 
-    def _with_departure(self, record: EndpointRecord) -> EndpointRecord:
+    def _with_departure(
+        self, record: EndpointRecord, position: StorePosition
+    ) -> EndpointRecord:
         """Returns the record, marked as leaving if its endpoint is known to leave.
 
         A delayed write by the endpoint may reach the store after a newer one and
@@ -262,7 +267,7 @@
             "endpoint_stays_leaving",
             endpoint=record.id,
             reason=reason,
-            revision=self.position.revision,
+            revision=position.revision,
         )
         return msgspec.structs.replace(record, leaving=True)
 
@@ -272,6 +277,7 @@
         after: dict[str, EndpointRecord],
         limit: Callable[[str], float | None],
         hold_until: float | None,
+        position: StorePosition,
     ) -> dict[str, float]:
         """Returns the hold end of each endpoint whose entry has disappeared.
 
@@ -295,7 +301,7 @@
                     endpoint=endpoint_id,
                     service=record.service,
                     hold_s=round(until - now, 3),
-                    revision=self.position.revision,
+                    revision=position.revision,
                 )
         return held
 
@@ -326,7 +332,7 @@
             trusted, self.doubted = self.doubted, {}
             before = self.registry.records
             after = before | {
-                name: self._with_departure(record)
+                name: self._with_departure(record, self.position)
                 for name, record in trusted.items()
                 if name in before
             }
--- a/src/lagoonrill/_internal/coordination/store_follower.py
+++ b/src/lagoonrill/_internal/coordination/store_follower.py
@@ -141,6 +141,8 @@
         self.waiting_since: float | None = None
         self.interrupted = False
         self.failures = 0
+        # Whether `apply` has taken the copy; after an error it is listed again.
+        self.is_applied = True
         # Answers in a row that were older than the copy.
         self.stale_answers = 0
         self.stopping = threading.Event()
@@ -337,17 +339,36 @@
             era=self.position.era,
             revision=self.revision,
         )
-        self.apply(self)
-        if is_restored:
-            self.event_log.emit(
-                "store_restored",
-                kind=self.kind,
-                era=answer.era,
-                revision=answer.revision,
-                known_era=known.era,
-                known=known.revision,
-            )
-            self.restored()
+        try:
+            self._apply_copy()
+        finally:
+            if is_restored:
+                self._note_restored(known)
+
+    def _note_restored(self, known: StorePosition) -> None:
+        self.event_log.emit(
+            "store_restored",
+            kind=self.kind,
+            era=self.position.era,
+            revision=self.revision,
+            known_era=known.era,
+            known=known.revision,
+        )
+        self.restored()
+
+    def _apply_copy(self) -> None:
+        """Calls `apply`; after an error the objects are listed and applied again."""
+        try:
+            self.apply(self)
+        except Exception:
+            self.listed = False
+            if self.is_applied:
+                self.is_applied = False
+                self.event_log.emit(
+                    "store_copy_not_applied", kind=self.kind, revision=self.revision
+                )
+            raise
+        self.is_applied = True
 
     def _apply_changes(self, answer: ObjectChanges) -> None:
         for item in answer.changed:
@@ -356,7 +377,7 @@
             self.objects.pop(name, None)
         self.position = answer.position
         if answer.changed or answer.removed:
-            self.apply(self)
+            self._apply_copy()
         if not answer.complete:
             # List again, because the incomplete change cannot be applied.
             self.listed = False
@@ -374,6 +395,7 @@
             "objects": len(self.objects),
             "unreadable": self.unreadable()[:DUMPED_NAMES],
             "in_touch": self.in_touch,
+            "is_applied": self.is_applied,
             "failures_in_a_row": self.failures,
             "age_s": round(self.age_s(), 3),
             "confirmed_by": self.confirmed_by,
--- a/src/lagoonrill/_internal/gateway_daemon.py
+++ b/src/lagoonrill/_internal/gateway_daemon.py
@@ -70,6 +70,7 @@
 SWITCH_INTERVAL_S = 0.001
 # Number of instances assumed for sharing fleet-wide budgets until peers are known.
 EXPECTED_INSTANCES = 4
+MAX_ERROR_CHARACTERS = 200
 # Minimum interval between fetches, which batches configurations that change in quick
 # succession. It is short, so that a new configuration takes effect at about the same
 # time for all callers.
@@ -279,6 +280,10 @@
                 f"{follower.kind}_unreadable",
                 lambda unreadable=follower.unreadable: len(unreadable()),
             )
+            self.metrics.register_gauge(
+                f"{follower.kind}_not_applied",
+                lambda follower=follower: int(not follower.is_applied),
+            )
         self.metrics.register_gauge(
             "endpoints_held", lambda: len(self.registry.held_until)
         )
@@ -346,13 +351,30 @@
         self.peers.note_change()
 
     def _endpoints_changed(self) -> None:
+        """Tells all parts about a change; an error in one keeps none of the others.
+
+        Raises the first error, after which the change is applied again.
+        """
         records = self.registry.records
-        self.pool.keep_only({record.address for record in records.values()})
-        self.load_table.keep_only(set(records))
-        self.permits.keep_only(list(records.values()))
-        self.origins.note_endpoints()
-        self.admission.note_change()
-        self.peers.note_change()
+        steps: tuple[Callable[[], None], ...] = (
+            lambda: self.pool.keep_only({item.address for item in records.values()}),
+            lambda: self.load_table.keep_only(set(records)),
+            lambda: self.permits.keep_only(list(records.values())),
+            self.origins.note_endpoints,
+            self.admission.note_change,
+            self.peers.note_change,
+        )
+        errors = []
+        for step in steps:
+            try:
+                step()
+            except Exception as error:
+                self.event_log.emit(
+                    "endpoint_change_failed", error=repr(error)[:MAX_ERROR_CHARACTERS]
+                )
+                errors.append(error)
+        if errors:
+            raise errors[0]
 
     def not_ready_reason(self) -> str:
         """Returns why the instance is not ready, or an empty string if it is."""
@@ -362,6 +384,9 @@
             return "no configuration"
         if not self.registry.known:
             return "no list of endpoints"
+        for follower in (self.config_follower, self.endpoint_follower):
+            if not follower.is_applied:
+                return f"{follower.kind} not applied"
         return ""
 
     def _readiness_page(self) -> tuple[int, str]:
--- a/src/lagoonrill/_internal/state/endpoint_registry.py
+++ b/src/lagoonrill/_internal/state/endpoint_registry.py
@@ -124,33 +124,48 @@
         *,
         held_until: dict[str, float] | None = None,
     ) -> None:
-        """Replaces all endpoints; those in `held_until` expire at the given times."""
+        """Replaces all endpoints; those in `held_until` expire at the given times.
+
+        Everything is built before anything is replaced, so an error leaves the registry
+        as it was.
+        """
+        found = dict(records)
+        held = dict(held_until or {})
         by_service: dict[str, list[EndpointRecord]] = {}
-        for record in records.values():
+        for record in found.values():
             if not record.leaving:
                 by_service.setdefault(record.service, []).append(record)
+        ready = {
+            name: tuple(sorted(items, key=lambda item: item.id))
+            for name, items in by_service.items()
+        }
+        checksum = checksum_of(
+            record for name, record in found.items() if name not in held
+        )
         with self.lock:
-            for endpoint_id, record in records.items():
-                before = self.records.get(endpoint_id)
-                if before is None or before.incarnation != record.incarnation:
-                    self.health[endpoint_id] = EndpointHealth()
-            for endpoint_id in set(self.health) - set(records):
-                del self.health[endpoint_id]
-            self.records = dict(records)
-            self.held_until = dict(held_until or {})
-            self.by_service = {
-                name: tuple(sorted(found, key=lambda item: item.id))
-                for name, found in by_service.items()
+            health = {
+                endpoint_id: self.health[endpoint_id]
+                if self._is_same_process(record)
+                else EndpointHealth()
+                for endpoint_id, record in found.items()
             }
-            self.checksum = checksum_of(
-                record
-                for name, record in records.items()
-                if name not in self.held_until
-            )
+            self.health = health
+            self.records = found
+            self.held_until = held
+            self.by_service = ready
+            self.checksum = checksum
             self.known = True
             self.edition += 1
             self.updated_at = self.clock()
 
+    def _is_same_process(self, record: EndpointRecord) -> bool:
+        before = self.records.get(record.id)
+        return (
+            before is not None
+            and before.incarnation == record.incarnation
+            and record.id in self.health
+        )
+
     def ready(self, service: str) -> tuple[EndpointRecord, ...]:
         """Returns the endpoints of a service that accept new work."""
         found = self.by_service.get(service, ())
--- a/tests/test_endpoint_discovery.py
+++ b/tests/test_endpoint_discovery.py
@@ -26,6 +26,7 @@
 from lagoonrill._internal.event_log import EventLog
 from lagoonrill._internal.protocol.errors import StoreHistoryGone, StoreUnavailable
 from lagoonrill._internal.protocol.routing import EndpointRecord, StorePosition
+from lagoonrill._internal.state import endpoint_registry
 from lagoonrill._internal.state.endpoint_registry import EndpointRegistry
 
 DOWN = Failure(StoreUnavailable(message="down"))
@@ -393,3 +394,37 @@
     simulation.run_steps(changes(*map(entry, names), revision=4, era=1))
     simulation.run_steps(changes(removed=names, revision=5, era=1))
     assert len(simulation.discovery.departed) == MAX_DEPARTED
+
+
+def test_a_change_that_fails_half_way_is_applied_again(simulation, monkeypatch):
+    """The registry had new records and the old edition, and nobody tried again."""
+    simulation.run_steps(listed(entry("a")))
+    edition = simulation.registry.edition
+
+    def fail(records):
+        raise UnicodeError("odd entry")
+
+    with monkeypatch.context() as patch:
+        patch.setattr(endpoint_registry, "checksum_of", fail)
+        with pytest.raises(UnicodeError):
+            simulation.run_steps(changes(entry("b"), removed=["a"]))
+    # Nothing is half in force.
+    assert simulation.ready() == ["a"]
+    assert set(simulation.registry.records) == {"a"}
+    assert simulation.registry.edition == edition
+    assert not simulation.follower.is_applied
+    simulation.run_steps(listed(entry("b"), revision=9))
+    assert simulation.source.calls[-1] == "list"
+    assert simulation.follower.is_applied
+    assert simulation.ready() == ["b"]
+    assert simulation.registry.edition > edition
+
+
+def test_a_part_that_fails_keeps_a_change_from_no_other(simulation):
+    simulation.discovery.changed = lambda: 1 / 0
+    with pytest.raises(ZeroDivisionError):
+        simulation.run_steps(listed(entry("a")))
+    simulation.discovery.changed = lambda: None
+    simulation.run_steps(listed(entry("a")))
+    assert simulation.source.calls[-1] == "list"
+    assert simulation.ready() == ["a"]
