Place a request at most once on an engine that has left

A request that was placed on an engine which had left meanwhile was not noted as tried there. As nothing had been sent, it was retried at once and placed on the same engine, without a pause and without a look at the caller, for as long as the placement's list had that engine.

It needs no odd entry: list and placement differ for a moment with each departure. The log shows send_failed (endpoint_left) for the same request and engine over and over; ruled out is a send, as the engine saw no request.

The engine now counts as tried, so each engine is placed at most once a request.

Both forms of the test (gone, leaving) failed before: requests got 504 at their limit although another engine served.

--- a/src/lagoonrill/_internal/coordination/forwarding.py
+++ b/src/lagoonrill/_internal/coordination/forwarding.py
@@ -313,6 +313,10 @@
                 complete = outcome is None
                 broken = outcome is not None and outcome.may_have_run
                 broken = broken and outcome.reason not in SOUND_ENGINE_REASONS
+            else:
+                # It must not be placed there again: the next decision may be made on
+                # the same list.
+                sending.tried.add(admission.engine)
             return outcome
         finally:
             self.admission.ended(
--- a/tests/test_gateway_sends.py
+++ b/tests/test_gateway_sends.py
@@ -5,6 +5,7 @@
 
 import time
 
+import msgspec
 import pytest
 
 from lagoonrill._internal.protocol.refusals import Refusal
@@ -326,3 +327,27 @@
     response, _ = gateway.ask("/slow/1", headers={"X-Deadline-Ms": "4000"})
     assert response.whole
     assert sum(len(endpoint.received) for endpoint in endpoints) == 1
+
+
+@pytest.mark.parametrize("left", ["gone", "leaving"])
+def test_a_request_is_placed_on_an_engine_that_has_left_at_most_once(gateway_for, left):
+    """Lists and placement differ for a moment; requests spun until their limit."""
+    gateway, (gone, _) = gateway_for("models", ["stream"], ["stream"])
+    records = dict(gateway.registry.records)
+    record = records.pop("e0")
+    if left == "leaving":
+        records["e0"] = msgspec.structs.replace(record, leaving=True)
+    # Placement goes by the edition, and still has both.
+    gateway.registry.records = records
+    for number in range(10):
+        response, _ = gateway.ask("/ask/1", id=f"r{number}")
+        assert response.status == 200
+    failures = gateway.events("send_failed")
+    assert failures, "no request was placed on the engine that has left"
+    assert len(failures) == len({item["request"] for item in failures})
+    assert not gone.runs
+    # With no other engine, a request waits for one and does not spin.
+    gateway.registry.records = {}
+    before = len(gateway.events("send_failed"))
+    assert gateway.ask("/ask/1", id="last")[0].status in (503, 504)
+    assert len(gateway.events("send_failed")) <= before + 2
