Ask peers where a stream began while the store does not answer

Reported by another operator: an instance that was out of step during a release went on with streams at another version.

Cause: the look-up had one source. An instance that it did not serve had either nothing to go by or its own list of endpoints, which others may know better.

Such an instance now asks up to two peers, which look the stream up and say whether the store answered them. Its own list counts only if peers live and the store answers none of them, since nobody can learn of a version then.

Ruled out, by the test: being cut off from the peers alone, as the store is asked at each take-up.

--- a/src/lagoonrill/_internal/coordination/stream_holders.py
+++ b/src/lagoonrill/_internal/coordination/stream_holders.py
@@ -1,7 +1,8 @@
-"""Hands records of streams to peers, which store what this instance cannot.
+"""Reaches the store through peers, for records of streams and for look-ups.
 
 Load pattern: the store turns an instance away, resets its connections or is silent to
-it, while streams begin there that have to be recorded. Its peers reach the store. Each
+it, while streams begin there that have to be recorded, or are taken up there. Its peers
+reach the store. Each
 record goes to a few peers only, so the messages that an instance receives don't grow
 with the number of instances.
 """
@@ -10,12 +11,14 @@
 import time
 from collections.abc import Callable, Iterable
 
-from returns.result import Failure
+from returns.result import Failure, Result
 
 from ..event_log import EventLog
 from ..protocol.messages import (
     BegunStream,
     GatewayDigest,
+    StreamOriginReply,
+    StreamOriginRequest,
     StreamsBegun,
     StreamsBegunReply,
     StreamsShared,
@@ -24,12 +27,14 @@
 from .policy.engine_placement import highest_ranked
 from .policy.stream_history import StreamRecord
 from .record_batches import StoredStream
-from .stream_origins import HandOver, StreamOrigins
+from .stream_origins import HandOver, LookUp, StreamOrigins
 
 # Peers that are handed a record; one of them may end or lose the store too.
 HOLDERS = 2
 # A peer answers once its store has confirmed the record, or after its own limit, 0.2 s.
 HAND_OVER_TIMEOUT_S = 0.3
+# A peer answers within its own limit for a list of the store, 0.5 s.
+LOOK_UP_TIMEOUT_S = 0.6
 # Records in one message, which has 40 kB then.
 MAX_SHARED_RECORDS = 500
 # After a failure, records are not handed over for this long: a peer that has ended
@@ -56,6 +61,7 @@
         instance: str,
         link: PeerLink,
         live_digests: Callable[[], list[GatewayDigest]],
+        has_peers: bool,
         origins: StreamOrigins,
         event_log: EventLog,
         clock: Callable[[], float] = time.monotonic,
@@ -63,6 +69,8 @@
         self.instance = instance
         self.link = link
         self.live_digests = live_digests
+        # Whether there should be peers, seen or not.
+        self.has_peers = has_peers
         self.origins = origins
         self.event_log = event_log
         self.clock = clock
@@ -72,6 +80,7 @@
         # Held during a hand-over; records that come meanwhile share the next one.
         self.turn = threading.Lock()
         link.register_handler(StreamsBegun, self.handle_begun)
+        link.register_handler(StreamOriginRequest, self.handle_look_up)
         link.register_handler(StreamsShared, self.handle_shared, inline=True)
 
     def is_reachable(self) -> bool:
@@ -104,11 +113,10 @@
             reply = self.link.request(digest.address, message, HAND_OVER_TIMEOUT_S)
             answer = reply.value_or(None)
             if not isinstance(answer, StreamsBegunReply):
-                reason = "another message"
-                if isinstance(reply, Failure):
-                    reason = str(reply.failure())
                 self.event_log.emit(
-                    "stream_hand_over_failed", peer=digest.instance, reason=reason
+                    "stream_hand_over_failed",
+                    peer=digest.instance,
+                    reason=failure_reason(reply),
                 )
                 continue
             if answer.stored:
@@ -129,6 +137,37 @@
             )
             self.link.send_to(addresses, message)
 
+    def look_up(self, service: str, key: str) -> LookUp | None:
+        """Asks peers where a stream began; None if there may be some and none answers.
+
+        The answer is not found out if no peer reaches the store either.
+        """
+        digests = self._holders(key)
+        if not digests:
+            return None if self.has_peers else LookUp()
+        request = StreamOriginRequest(service=service, key=key)
+        answers = []
+        for digest in digests:
+            reply = self.link.request(digest.address, request, LOOK_UP_TIMEOUT_S)
+            answer = reply.value_or(None)
+            if not isinstance(answer, StreamOriginReply):
+                self.event_log.emit(
+                    "stream_look_up_failed",
+                    peer=digest.instance,
+                    reason=failure_reason(reply),
+                )
+                continue
+            found = LookUp(version=answer.version, found_out=answer.found_out)
+            if found.found_out:
+                return found
+            answers.append(found)
+        return answers[0] if answers else None
+
+    def handle_look_up(self, message: StreamOriginRequest) -> StreamOriginReply:
+        """Looks a stream up for a peer."""
+        found = self.origins.look_up(message.service, message.key)
+        return StreamOriginReply(version=found.version, found_out=found.found_out)
+
     def _holders(self, key: str) -> list[GatewayDigest]:
         """Returns the peers for a record, those that reach the store first."""
         digests = {digest.instance: digest for digest in self.live_digests()}
@@ -170,3 +209,8 @@
     def handle_shared(self, message: StreamsShared) -> None:
         """Keeps the records of a peer."""
         self.origins.hold_for_peer(self._decoded(message.streams))
+
+
+def failure_reason(reply: Result) -> str:
+    """Returns why a reply is not the expected one."""
+    return str(reply.failure()) if isinstance(reply, Failure) else "another message"
--- a/src/lagoonrill/_internal/coordination/stream_origins.py
+++ b/src/lagoonrill/_internal/coordination/stream_origins.py
@@ -78,8 +78,19 @@
     FAILED = "failed"
 
 
+class LookUp(msgspec.Struct, kw_only=True, frozen=True):
+    """Answer to the question at which version a stream began.
+
+    `version` is None if that is not known. `found_out` is False if the store did not
+    answer whom it was asked by, so that nothing is known of streams without a record.
+    """
+
+    version: str | None = None
+    found_out: bool = False
+
+
 class RecordHolders(Protocol):
-    """Peers that keep records, and store them for an instance that cannot."""
+    """Peers that keep records, and reach the store for an instance that cannot."""
 
     def is_reachable(self) -> bool: ...
 
@@ -88,6 +99,12 @@
     def share(self, streams: list[StoredStream]) -> None:
         """Sends records to peers, which write them again if the store loses them."""
 
+    def look_up(self, service: str, key: str) -> LookUp | None:
+        """Asks peers where a stream began; None if there may be some and none answers.
+
+        The answer is not found out if no peer reaches the store either.
+        """
+
 
 class NoHolders:
     """The holders of an instance without peers."""
@@ -101,6 +118,9 @@
     def share(self, streams: list[StoredStream]) -> None:
         pass
 
+    def look_up(self, service: str, key: str) -> LookUp | None:
+        return LookUp()
+
 
 class OriginStore(Protocol):
     """Origins in the store; all calls may be repeated."""
@@ -310,23 +330,40 @@
         version is known only while no stream has begun at another one than the default.
         """
         key = stream_key(request_id) if request_id else ""
+        found = self.look_up(service, key)
+        if found.found_out:
+            return found.version
+        by_peer = self.holders.look_up(service, key)
+        if by_peer is None:
+            # This instance may be cut off from peers that know a newer version.
+            return None
+        if by_peer.found_out:
+            return by_peer.version
+        # While the store answers nobody, nobody learns of a new version.
+        is_settled = self.history.is_settled(service)
+        return self.history.default_version(service) if is_settled else None
+
+    def look_up(self, service: str, key: str) -> LookUp:
+        """Looks a stream up here and in the store."""
         known = self.history.begun_at_version(service, key)
         if known is not None:
-            return known
+            return LookUp(version=known, found_out=True)
         is_settled = self.history.is_settled(service)
         # Another instance may know of a version that is not in the list here yet.
         is_reachable = self.list_age_s() <= MAX_LIST_LAG_S
         if not (is_reachable and self._refresh()):
-            return self.history.default_version(service) if is_settled else None
+            return LookUp()
         known = self.history.begun_at_version(service, key)
-        if known is not None:
-            return known
+        if known is None and not self._is_any_lost(service, key, is_settled):
+            known = self.history.default_version(service)
+        return LookUp(version=known, found_out=True)
+
+    def _is_any_lost(self, service: str, key: str, is_settled: bool) -> bool:
+        """Returns whether a stream without a record may have begun elsewhere."""
         if not key and self.history.has_other_versions(service):
-            return None
-        if self.restored_for_s() < REWRITTEN_AFTER_S and not is_settled:
-            # The record may be among those that the store has lost.
-            return None
-        return self.history.default_version(service)
+            return True
+        # The record may be among those that a restored store has lost.
+        return self.restored_for_s() < REWRITTEN_AFTER_S and not is_settled
 
     def restored_for_s(self) -> float:
         """Returns the time since the store was seen to have come back from a copy."""
--- a/src/lagoonrill/_internal/gateway_daemon.py
+++ b/src/lagoonrill/_internal/gateway_daemon.py
@@ -222,6 +222,7 @@
             instance=self.settings.instance,
             link=self.link,
             live_digests=self.peers.live_digests,
+            has_peers=bool(self.peers.seeds),
             origins=self.origins,
             event_log=self.event_log,
         )
--- a/src/lagoonrill/_internal/protocol/messages.py
+++ b/src/lagoonrill/_internal/protocol/messages.py
@@ -348,6 +348,23 @@
     streams: list[BegunStream]
 
 
+class StreamOriginRequest(PeerMessage):
+    """Asks a peer that reaches the store where a stream began."""
+
+    service: str
+    # Digest of the id of its first request; empty if that is not known.
+    key: str
+
+
+class StreamOriginReply(PeerMessage):
+    """Reply to `StreamOriginRequest`."""
+
+    # None if it is not known.
+    version: str | None
+    # Whether the sender knows the stream or the store has just answered it.
+    found_out: bool
+
+
 class RoutingRequest(PeerMessage):
     """Requests a configuration and endpoints that are newer than the sender's."""
 
@@ -398,6 +415,8 @@
     | StreamsBegun
     | StreamsBegunReply
     | StreamsShared
+    | StreamOriginRequest
+    | StreamOriginReply
 )
 
 
--- a/tests/platform/test_stream_records.py
+++ b/tests/platform/test_stream_records.py
@@ -14,6 +14,7 @@
 
 from bench.soak.endpoints import Proxy, SoakEndpoint
 from bench.soak.history import History
+from lagoonrill._internal.coordination.policy.stream_history import MAX_LIST_LAG_S
 from standins.metadata_store import MetadataStore, MetadataStoreServer
 from standins.platform_objects import configuration, server
 from tests.gateway_kit import wait_until
@@ -200,6 +201,24 @@
     assert fleet.went_on() >= STREAMS / 2
 
 
+@pytest.mark.parametrize("mode", ["reset", "silent"])
+def test_streams_go_on_at_an_instance_that_the_store_turns_away(fleet, mode):
+    """It refused those without a record, as it could not look them up."""
+    fleet.settle()
+    # Streams of the default version need no record any more.
+    time.sleep(MAX_LIST_LAG_S)
+    fleet.serve("v2")
+    time.sleep(FOLLOW_S)
+    fleet.taker, fleet.beginner = fleet.beginner, fleet.taker
+    fleet.begin()
+    fleet.link.set_mode(mode)
+    time.sleep(0.3)
+    fleet.kill_beginner()
+    fleet.take_up()
+    assert not fleet.mixed()
+    assert fleet.went_on() == STREAMS
+
+
 @pytest.mark.parametrize("ends", ["planned", "killed"])
 def test_streams_of_an_ended_instance_go_on_after_the_store_has_lost_their_records(
     fleet, ends
--- a/tests/test_stream_holders.py
+++ b/tests/test_stream_holders.py
@@ -5,7 +5,10 @@
 
 import pytest
 
-from lagoonrill._internal.coordination.policy.stream_history import StreamRecord
+from lagoonrill._internal.coordination.policy.stream_history import (
+    DefaultVersion,
+    StreamRecord,
+)
 from lagoonrill._internal.coordination.record_batches import StoredStream
 from lagoonrill._internal.coordination.stream_holders import StreamHolders
 from lagoonrill._internal.coordination.stream_origins import (
@@ -42,6 +45,7 @@
             instance=name,
             link=self.link,
             live_digests=lambda: [member.digest() for member in self.live],
+            has_peers=True,
             origins=self.origins,
             event_log=self.event_log,
         )
@@ -124,3 +128,30 @@
         member.close()
     assert first.holders.hand_over(stream("k")) is HandOver.FAILED
     assert not first.holders.is_reachable()
+
+
+def test_an_instance_that_the_store_turns_away_asks_a_peer_where_a_stream_began(
+    members,
+):
+    """It refused each take-up, also of streams of the default version."""
+    first, second, third = members
+    record = stream("k").record
+    assert third.origins.store_for_peer([stream("k")])
+    second.origins.store.down = True
+    assert first.holders.look_up(record.service, "k").version == record.version
+    # An unknown stream began at the default version.
+    default = DefaultVersion(service="models", version="v1")
+    third.origins.store.add_default(default)
+    assert first.holders.look_up("models", "unknown").version == "v1"
+    third.origins.store.down = True
+    assert not first.holders.look_up("models", "unknown").found_out
+
+
+def test_an_instance_without_its_peers_guesses_no_version(members):
+    """Streams may have begun elsewhere at a version that it has not heard of."""
+    first, second, third = members
+    for member in (second, third):
+        member.close()
+    assert first.holders.look_up("models", "k") is None
+    first.live = []
+    assert first.holders.look_up("models", "k") is None
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -278,6 +278,9 @@
     def share(self, streams) -> None:
         self.peer.origins.hold_for_peer(streams)
 
+    def look_up(self, service, key):
+        return self.peer and self.peer.origins.look_up(service, key)
+
     def hand_over(self, stream) -> HandOver:
         stored = self.peer.origins.store_for_peer([stream])
         return HandOver.STORED if stored else HandOver.HELD
@@ -338,6 +341,29 @@
     assert taker.version_of("unrecorded") == "v1"
 
 
+@pytest.mark.parametrize("peer", ["none", "in-touch", "away"])
+def test_an_instance_that_is_out_of_step_guesses_no_version(world, peer):
+    """It has seen one version for long, and streams begin elsewhere at a new one."""
+    store, turned_away = MemoryOrigins(), MemoryOrigins()
+    away = Instance(turned_away, world, name="i1")
+    away.serve("v1")
+    other = Instance(store, world, name="i2")
+    other.serve("v1")
+    world.now += LIFE_S + 3 * MAX_LIST_LAG_S
+    away.origins.make_calls()
+    assert away.origins.history.is_settled(SERVICE)
+    other.serve("v1", "v2")
+    other.begin("r1", "v2")
+    world.now += 1.0
+    turned_away.down = True
+    store.down = peer == "away"
+    away.origins.holders = Holders(None if peer == "none" else other)
+    assert away.version_of("r1") == (None if peer == "none" else "v2")
+    # While the store answers nobody, nobody has learned of a version.
+    expected = {"none": None, "in-touch": "v1", "away": "v1"}
+    assert away.version_of("unrecorded") == expected[peer]
+
+
 def test_a_stream_that_began_anew_goes_on_at_its_latest_version(store, world):
     """No caller got the first begin, but its record may be stored."""
     instance = Instance(store, world)
