Let peers decode the message about sound requests

A request that had been on a crashed endpoint and was then answered stayed under suspicion at all other instances: their log has "dropped an undecodable message" for each SoundRequest, as the kind was missing in the union of messages. The sender and the handler were there, and the tests of both called the handler without the wire.

--- a/src/lagoonrill/_internal/protocol/messages.py
+++ b/src/lagoonrill/_internal/protocol/messages.py
@@ -408,6 +408,7 @@
     | RoutingRequest
     | RoutingReply
     | CrashReport
+    | SoundRequest
     | LeavingReport
     | LimitReport
     | PermitRequest
