Draw the disruptions of the review in the soak

The soak now also draws a store that turns one gateway away which is then stopped as planned, writes that are executed late without an answer, and an entry of another writer with odd bytes that stays. A further check looks from outside for urgent streams that get nothing in calm seconds while less urgent ones begin.

--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -17,7 +17,7 @@
 # Threads that inject faults concurrently, so that faults overlap.
 INJECTOR_THREADS = 2
 PAUSE_S = (0.1, 0.8)
-GATEWAY_FAULTS = ("kill", "kill_all", "pause", "stop", "reload")
+GATEWAY_FAULTS = ("kill", "kill_all", "pause", "stop", "store_turns_away", "reload")
 # Time after the recovery in which requests show whether service is restored.
 VERIFICATION_S = 3.0
 
--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -30,6 +30,10 @@
 DEADLY_EXTRA = 3
 # Streams that may hold events of two versions.
 MIXED_EXTRA = 2
+# In a calm span, this many urgent streams and this share of them may get nothing.
+CALM_S = 5.0
+MIN_UNSERVED = 10
+UNSERVED_SHARE = 1 / 12
 # Target name of faults that affect the store for all gateways.
 STORE = "store"
 # Departures, and faults during which an instance still has to learn of departures.
@@ -43,6 +47,7 @@
         "EndpointSaysItLeaves",
         "EndpointVanishes",
         "NewConfiguration",
+        "OddEntry",
         "Reload",
         "WatchCut",
     )
@@ -60,6 +65,7 @@
         *check_limits(history),
         *check_pauses(history),
         *check_stream_versions(history),
+        *check_urgent(history),
         *check_crashes(history),
         *check_versions(history),
         *check_in_force(history),
@@ -141,6 +147,32 @@
     return [f"{name}: events of {sorted(found)}" for name, found in mixed.items()]
 
 
+def check_urgent(history: History) -> list[str]:
+    """Checks that urgent streams begin while less urgent ones do, in calm spans."""
+    violations = []
+    begin = min((item.sent_at for item in history.outcomes), default=0.0)
+    last = max((item.sent_at for item in history.outcomes), default=0.0)
+    while begin <= last:
+        end = begin + CALM_S
+        asks, plans = (
+            [
+                bool(versions_in(item.body))
+                for item in history.outcomes
+                if item.kind == kind and begin <= item.sent_at < end
+            ]
+            for kind in ("ask", "plan")
+        )
+        unserved = asks.count(False)
+        starved = unserved >= MIN_UNSERVED and unserved > UNSERVED_SHARE * len(asks)
+        if starved and any(plans) and has_no_unplanned_fault(history, begin, end):
+            violations.append(
+                f"{unserved} of {len(asks)} urgent streams got nothing in {CALM_S:g} s "
+                f"while {plans.count(True)} less urgent ones began"
+            )
+        begin = end
+    return violations
+
+
 def versions_in(body: bytes) -> set[bytes]:
     """Returns the versions that whole events name."""
     return {event.rpartition(b" ")[2] for event in body.split(b"\n\n")[:-1]}
--- a/bench/soak/environment.py
+++ b/bench/soak/environment.py
@@ -180,6 +180,10 @@
         )
         self.store.put("servers", id, entry)
 
+    def write_odd_entry(self, fields: dict) -> None:
+        """Writes an entry that names no endpoint to use, and stays."""
+        self.store.put("servers", "i-odd", server(Service="elsewhere") | fields)
+
     def drain_endpoint(self, id: str) -> None:
         """Marks an endpoint as draining in the store."""
         self._register(id, "draining")
--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -4,6 +4,8 @@
 import signal
 import time
 
+import msgspec
+
 from bench.soak.checks import DRAIN_S, LIMIT_KNOWN_S, LIMIT_WINDOW_S, STORE
 from bench.soak.environment import GRACE_S, SoakEnvironment
 from bench.soak.history import Fault
@@ -12,6 +14,20 @@
 FAULTS = Registry(decision="fault")
 # Longest duration of a fault.
 MAX_FAULT_S = 3.0
+# Share of the writes that get no answer, and after what time they are executed.
+LATE_SHARE = 0.35
+LATE_S = (1.0, 6.0)
+# Pieces of JSON strings: escapes, halves of characters, bytes that are no UTF-8.
+ODD_PIECES = (
+    b"v1",
+    rb"\\",
+    b"ud83d",
+    rb"\ud83d",
+    rb"\ude00",
+    rb"\u0000",
+    b"\xff",
+    b"\xed\xa0\xbd",
+)
 
 
 def inject(environment: SoakEnvironment, name: str, rng: random.Random) -> None:
@@ -180,6 +196,47 @@
         environment.write_entries_again()
 
 
+@FAULTS.register("store_late")
+class StoreLate(WholeStoreFault):
+    """The store executes a third of the writes late, and never answers them."""
+
+    def inject(self, environment: SoakEnvironment, target, seconds: float) -> None:
+        rng = random.Random(seconds)
+        environment.store.late_s = lambda kind: (
+            rng.uniform(*LATE_S) if rng.random() < LATE_SHARE else None
+        )
+        time.sleep(seconds)
+        environment.store.late_s = lambda kind: None
+
+
+@FAULTS.register("store_turns_away")
+class StoreTurnsAway(StoreFault):
+    """The store turns a gateway away, and that gateway is stopped as planned."""
+
+    def inject(self, environment: SoakEnvironment, target, seconds: float) -> None:
+        gateway = next(item for item in environment.gateways if item.name == target)
+        environment.store_links[target].set_mode("reset")
+        time.sleep(seconds / 2)
+        process = gateway.process
+        gateway.signal(signal.SIGTERM)
+        process.wait(GRACE_S + 5)
+        environment.store_links[target].set_mode("pass")
+        gateway.start(environment.seeds())
+
+
+@FAULTS.register("odd_entry")
+class OddEntry(WholeStoreFault):
+    """Another writer leaves an entry with odd bytes in one field."""
+
+    planned = True
+
+    def inject(self, environment: SoakEnvironment, target, seconds: float) -> None:
+        rng = random.Random(seconds)
+        text = b"".join(rng.choices(ODD_PIECES, k=6))
+        field = rng.choice(("Version", "Service", "Zone", "State", "Address"))
+        environment.write_odd_entry({field: msgspec.Raw(b'"%b"' % text)})
+
+
 class EndpointFault(BaseFault):
     """Base class of faults of an endpoint that is not leaving."""
 
--- a/standins/metadata_store.py
+++ b/standins/metadata_store.py
@@ -8,6 +8,7 @@
 import sys
 import threading
 import time
+from collections.abc import Callable
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from urllib.parse import parse_qs, unquote, urlsplit
 
@@ -43,6 +44,9 @@
         # While set, no call is answered: connections stay open, and one on which an
         # answer was lost delivers nothing afterwards.
         self.silent = False
+        # Returns the time after which a write of a kind is executed without an answer,
+        # or None to answer it.
+        self.late_s: Callable[[str], float | None] = lambda kind: None
         self.closed = threading.Event()
         self.calls = 0
 
@@ -147,26 +151,50 @@
                 length = int(self.headers["Content-Length"])
                 found = msgspec.json.decode(self.rfile.read(length))
                 kind, name = self.kind_and_name(found["Metadata"]["Name"])
-                exists = name in store.kinds.get(kind, {})
-                if not (exists or store.refusal_status):
+
+                def create() -> int:
+                    if name in store.kinds.get(kind, {}):
+                        return 409
                     store.put(kind, name, found["Spec"])
-                self.send(store.refusal_status or (409 if exists else 201), {})
+                    return 201
+
+                self.execute(kind, create)
 
             def do_PUT(self):
                 length = int(self.headers["Content-Length"])
                 found = msgspec.json.decode(self.rfile.read(length))
                 kind, name = self.kind_and_name()
-                exists = name in store.kinds.get(kind, {})
-                if exists and not store.refusal_status:
+
+                def replace() -> int:
+                    if name not in store.kinds.get(kind, {}):
+                        return 404
                     store.put(kind, name, found["Spec"])
-                self.send(store.refusal_status or (200 if exists else 404), {})
+                    return 200
+
+                self.execute(kind, replace)
 
             def do_DELETE(self):
                 kind, name = self.kind_and_name()
-                exists = name in store.kinds.get(kind, {})
-                if exists and not store.refusal_status:
+
+                def remove() -> int:
+                    if name not in store.kinds.get(kind, {}):
+                        return 404
                     store.delete(kind, name)
-                self.send(store.refusal_status or (200 if exists else 404), {})
+                    return 200
+
+                self.execute(kind, remove)
+
+            def execute(self, kind: str, write: Callable[[], int]) -> None:
+                """Executes a write and answers it, or executes it late."""
+                late_s = store.late_s(kind)
+                if store.refusal_status or late_s is None:
+                    self.send(store.refusal_status or write(), {})
+                    return
+                timer = threading.Timer(late_s, write)
+                timer.daemon = True
+                timer.start()
+                # The connection returns nothing further.
+                store.closed.wait()
 
             def kind_and_name(self, name: str = "") -> tuple[str, str]:
                 names = [unquote(part) for part in self.path.split("/")[3:]]
--- a/tests/test_soak_checkers.py
+++ b/tests/test_soak_checkers.py
@@ -8,6 +8,7 @@
     check_crashes,
     check_pauses,
     check_stream_versions,
+    check_urgent,
 )
 from bench.soak.history import (
     LAST_EVENT,
@@ -237,3 +238,15 @@
     assert "e got 3 requests from g0" in check_pauses(history)[0]
     history.runs.pop(1)
     assert check_pauses(history) == []
+
+
+@pytest.mark.parametrize("unserved, begun, broken", [(12, 1, 1), (9, 1, 0), (12, 0, 0)])
+def test_urgent_streams_that_get_nothing_in_calm_seconds_are_reported(
+    unserved, begun, broken
+):
+    asks = [outcome(f"n{n}", "ask", status=503, body=b"") for n in range(unserved)]
+    plans = [outcome(f"p{n}", "plan", body=events(1)) for n in range(begun)]
+    history = history_of([*asks, *plans])
+    assert len(check_urgent(history)) == broken
+    history.add(fault("g1", 9.0, 11.0))
+    assert not check_urgent(history)
