Have peers write records only while the store does not answer

A record that only waits for its turn is now kept by peers, which answer from memory; they write it only if the sender's latest call to the store failed or a pending one has lasted for over 0.1 s. The same distinction decides whether the hold is skipped.

The new test checks that peers keep such a record and write nothing. In the soak, a gateway that the store turns away is now killed half of the time.

--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -211,15 +211,17 @@
 
 @FAULTS.register("store_turns_away")
 class StoreTurnsAway(StoreFault):
-    """The store turns a gateway away, and that gateway is stopped as planned."""
+    """The store turns a gateway away, and that gateway is stopped or killed."""
 
     def inject(self, environment: SoakEnvironment, target, seconds: float) -> None:
         gateway = next(item for item in environment.gateways if item.name == target)
         environment.store_links[target].set_mode("reset")
         time.sleep(seconds / 2)
-        process = gateway.process
-        gateway.signal(signal.SIGTERM)
-        process.wait(GRACE_S + 5)
+        if seconds < MAX_FAULT_S / 2:
+            gateway.end()
+        else:
+            gateway.signal(signal.SIGTERM)
+            gateway.process.wait(GRACE_S + 5)
         environment.store_links[target].set_mode("pass")
         gateway.start(environment.seeds())
 
--- a/src/lagoonrill/_internal/coordination/stream_holders.py
+++ b/src/lagoonrill/_internal/coordination/stream_holders.py
@@ -45,10 +45,11 @@
 class WaitingStream:
     """A record that waits for its hand-over."""
 
-    __slots__ = ("outcome", "stream")
+    __slots__ = ("outcome", "store", "stream")
 
-    def __init__(self, *, stream: StoredStream):
+    def __init__(self, *, stream: StoredStream, store: bool):
         self.stream = stream
+        self.store = store
         self.outcome: HandOver | None = None
 
 
@@ -88,26 +89,31 @@
         is_paused = self.clock() < self.failed_at + FAILED_PAUSE_S
         return not is_paused and bool(self.live_digests())
 
-    def hand_over(self, stream: StoredStream) -> HandOver:
-        """Lets peers store a record, and returns once one has confirmed that.
+    def hand_over(self, stream: StoredStream, *, store: bool) -> HandOver:
+        """Lets peers keep a record, and returns once they have confirmed that.
 
-        Without a peer that can store it, the record is kept in the memory of peers,
-        which store it later.
+        With `store`, the first one that can writes it to the store; those that cannot
+        do so in time do it later.
         """
-        own = WaitingStream(stream=stream)
+        own = WaitingStream(stream=stream, store=store)
         with self.lock:
             self.waiting.append(own)
         with self.turn:
             if own.outcome is None:
                 with self.lock:
                     batch, self.waiting = self.waiting, []
-                outcome = self._hand_over([item.stream for item in batch])
+                outcome = self._hand_over(
+                    [item.stream for item in batch],
+                    store=any(item.store for item in batch),
+                )
                 for item in batch:
                     item.outcome = outcome
         return own.outcome
 
-    def _hand_over(self, streams: list[StoredStream]) -> HandOver:
-        message = StreamsBegun(instance=self.instance, streams=self._encoded(streams))
+    def _hand_over(self, streams: list[StoredStream], *, store: bool) -> HandOver:
+        message = StreamsBegun(
+            instance=self.instance, streams=self._encoded(streams), store=store
+        )
         outcome = HandOver.FAILED
         for digest in self._holders(streams[0].record.key):
             reply = self.link.request(digest.address, message, HAND_OVER_TIMEOUT_S)
@@ -202,8 +208,13 @@
         ]
 
     def handle_begun(self, message: StreamsBegun) -> StreamsBegunReply:
-        """Stores the records of a peer; replies whether the store has confirmed it."""
-        stored = self.origins.store_for_peer(self._decoded(message.streams))
+        """Keeps or stores the records of a peer; replies whether they are stored."""
+        streams = self._decoded(message.streams)
+        stored = False
+        if message.store:
+            stored = self.origins.store_for_peer(streams)
+        else:
+            self.origins.hold_for_peer(streams)
         return StreamsBegunReply(stored=stored)
 
     def handle_shared(self, message: StreamsShared) -> None:
--- a/src/lagoonrill/_internal/coordination/stream_origins.py
+++ b/src/lagoonrill/_internal/coordination/stream_origins.py
@@ -5,6 +5,7 @@
 """
 
 import enum
+import functools
 import hashlib
 import math
 import secrets
@@ -38,6 +39,9 @@
 # The first event of a stream waits this long for its record. A store that is slower is
 # in trouble, and a caller should not wait for it.
 MAX_HOLD_S = 0.2
+# A store that has not answered a call after this time is not waited for; it responds
+# within a few milliseconds, and within some hundred when it is slow.
+SLOW_CALL_S = 0.1
 # A take-up waits this long for a list of the store.
 LOOKUP_TIMEOUT_S = 0.5
 MIN_LIST_INTERVAL_S = 0.1
@@ -94,7 +98,7 @@
 
     def is_reachable(self) -> bool: ...
 
-    def hand_over(self, stream: StoredStream) -> HandOver: ...
+    def hand_over(self, stream: StoredStream, *, store: bool) -> HandOver: ...
 
     def share(self, streams: list[StoredStream]) -> None:
         """Sends records to peers, which write them again if the store loses them."""
@@ -112,7 +116,7 @@
     def is_reachable(self) -> bool:
         return False
 
-    def hand_over(self, stream: StoredStream) -> HandOver:
+    def hand_over(self, stream: StoredStream, *, store: bool) -> HandOver:
         return HandOver.FAILED
 
     def share(self, streams: list[StoredStream]) -> None:
@@ -202,6 +206,9 @@
         self.restored_at = -math.inf
         self.written_at = -math.inf
         self.holders: RecordHolders = NoHolders()
+        # Whether the latest call failed, and when a pending one began.
+        self.has_failed_call = False
+        self.call_began_at = math.inf
         # Whether the store confirms records in time, as far as is known.
         self.is_confirming = True
         # Begins of streams whose record nobody has taken.
@@ -251,8 +258,10 @@
             return True
         waited_from = self.clock()
         is_stored = self._store([stream])
-        handed_over = HandOver.STORED if is_stored else self.holders.hand_over(stream)
+        handed_over = HandOver.STORED
         if not is_stored:
+            # A write that only waits for its turn is not made by peers as well.
+            handed_over = self.holders.hand_over(stream, store=self._is_turned_away())
             self.event_log.emit(
                 "stream_handed_over",
                 request=request_id,
@@ -302,12 +311,11 @@
     def _store(self, streams: list[StoredStream]) -> bool:
         """Stores records; returns whether that was confirmed in time.
 
-        A store that has not confirmed the records before is not waited for if peers can
-        store them.
+        A store that does not answer is not waited for if peers can store them.
         """
         with self.condition:
             records = self._add(streams)
-            can_wait = self.is_confirming or not self.holders.is_reachable()
+            can_wait = not (self._is_turned_away() and self.holders.is_reachable())
             is_stored = self.condition.wait_for(
                 lambda: all(record.is_stored for record in records),
                 MAX_HOLD_S if can_wait else 0.0,
@@ -316,6 +324,11 @@
                 self.is_confirming = False
             return is_stored
 
+    def _is_turned_away(self) -> bool:
+        """Returns whether the store does not answer this instance, as far as known."""
+        pending_s = self.clock() - self.call_began_at
+        return self.has_failed_call or pending_s > SLOW_CALL_S
+
     def _add(self, streams: list[StoredStream]) -> list[OwnRecord]:
         """Adds records that are to be stored."""
         with self.condition:
@@ -436,7 +449,7 @@
 
     def _list(self) -> bool:
         began_at = self.clock()
-        result = self.store.list()
+        result = self._call(self.store.list)
         if self._has_failed(result):
             return False
         self.is_confirming = True
@@ -486,14 +499,15 @@
                 unshared = self.batches.take_unshared(written)
             if unshared:
                 self.holders.share(unshared)
-            result = self.store.write(
-                StoredBatch(
-                    name=batch.name,
-                    instance=self.instance,
-                    streams=tuple(item.stream for item in written),
-                ),
-                is_created=batch.is_created,
+            stored = StoredBatch(
+                name=batch.name,
+                instance=self.instance,
+                streams=tuple(item.stream for item in written),
+            )
+            write = functools.partial(
+                self.store.write, stored, is_created=batch.is_created
             )
+            result = self._call(write)
             has_failed = self._has_failed(result)
             with self.condition:
                 if not has_failed:
@@ -553,6 +567,16 @@
                 return False
         return True
 
+    def _call(self, call: Callable[[], Result]) -> Result:
+        """Makes a call to the store, and notes whether it answers."""
+        self.call_began_at = self.clock()
+        try:
+            result = call()
+        finally:
+            self.call_began_at = math.inf
+        self.has_failed_call = isinstance(result, Failure)
+        return result
+
     def _has_failed(self, result: Result) -> bool:
         if not isinstance(result, Failure):
             return False
--- a/src/lagoonrill/_internal/protocol/messages.py
+++ b/src/lagoonrill/_internal/protocol/messages.py
@@ -329,10 +329,14 @@
 
 
 class StreamsBegun(PeerMessage):
-    """Asks a peer to store records that the sender cannot store."""
+    """Asks a peer to keep records that the sender has not stored in time.
+
+    With `store`, the store does not answer the sender, and the receiver stores them.
+    """
 
     instance: str
     streams: list[BegunStream]
+    store: bool
 
 
 class StreamsBegunReply(PeerMessage):
--- a/tests/test_stream_holders.py
+++ b/tests/test_stream_holders.py
@@ -102,7 +102,7 @@
     outcomes = []
 
     def hand_over(number: int) -> None:
-        outcomes.append(first.holders.hand_over(stream(f"k{number}")))
+        outcomes.append(first.holders.hand_over(stream(f"k{number}"), store=True))
 
     threads = [threading.Thread(target=hand_over, args=(n,)) for n in range(40)]
     for thread in threads:
@@ -116,7 +116,7 @@
 def test_a_record_is_held_by_peers_while_the_store_serves_nobody(members):
     first, second, third = members
     second.origins.store.down = third.origins.store.down = True
-    assert first.holders.hand_over(stream("k")) is HandOver.HELD
+    assert first.holders.hand_over(stream("k"), store=True) is HandOver.HELD
     second.origins.store.down = third.origins.store.down = False
     for member in (second, third):
         assert wait_until(lambda member=member: stored_keys(member) == {"k"})
@@ -126,7 +126,7 @@
     first, second, third = members
     for member in (second, third):
         member.close()
-    assert first.holders.hand_over(stream("k")) is HandOver.FAILED
+    assert first.holders.hand_over(stream("k"), store=True) is HandOver.FAILED
     assert not first.holders.is_reachable()
 
 
@@ -155,3 +155,12 @@
     assert first.holders.look_up("models", "k") is None
     first.live = []
     assert first.holders.look_up("models", "k") is None
+
+
+def test_a_record_whose_write_waits_for_its_turn_is_not_written_by_peers(members):
+    """With many instances each would write its records three times."""
+    first, second, third = members
+    assert first.holders.hand_over(stream("k"), store=False) is HandOver.HELD
+    for member in (second, third):
+        assert member.origins.history.begun_at_version("models", "k") == "v2"
+        assert not stored_keys(member)
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -281,7 +281,10 @@
     def look_up(self, service, key):
         return self.peer and self.peer.origins.look_up(service, key)
 
-    def hand_over(self, stream) -> HandOver:
+    def hand_over(self, stream, *, store) -> HandOver:
+        if not store:
+            self.share([stream])
+            return HandOver.HELD
         stored = self.peer.origins.store_for_peer([stream])
         return HandOver.STORED if stored else HandOver.HELD
 
