Start processes of tests in sessions of their own

test_frozen_member_is_suspected_dropped_and_returns failed once: the member that it had stopped ended with -1, SIGHUP, which nobody in the test sends.

Cause: when the last shell that links a process group to its session ends, a group with a stopped process gets SIGHUP.

--- a/bench/processes.py
+++ b/bench/processes.py
@@ -24,6 +24,9 @@
                 stdout=subprocess.PIPE,
                 stderr=log,
                 text=True,
+                # A process group whose shell ends gets SIGHUP if a process of it is
+                # stopped.
+                start_new_session=True,
             )
         self.ports = self._read_ports()
         self.port = self.ports[0]
--- a/bench/soak/environment.py
+++ b/bench/soak/environment.py
@@ -67,6 +67,8 @@
                 env={**os.environ, SETTINGS_VARIABLE: str(self.path)},
                 stdout=output,
                 stderr=subprocess.STDOUT,
+                # As in `bench.processes`.
+                start_new_session=True,
             )
 
     def signal(self, number: int) -> None:
--- a/tests/platform/test_daemon_process.py
+++ b/tests/platform/test_daemon_process.py
@@ -54,6 +54,8 @@
                 env=environment,
                 stdout=output,
                 stderr=subprocess.STDOUT,
+                # As in `bench.processes`.
+                start_new_session=True,
             )
         return self
 
