Remove a process's own batches without lists, and explain holders

Records are shared with peers only while there are some, so one that came before its peers is shared with the next write.

The bound of eight objects is checked by test_records_of_streams_that_are_over_leave_the_store, unchanged.

--- a/src/lagoonrill/_internal/coordination/record_batches.py
+++ b/src/lagoonrill/_internal/coordination/record_batches.py
@@ -89,6 +89,8 @@
         self.life_s = life_s
         self.clock = clock
         self.batches: list[RecordBatch] = []
+        # Objects in which no stream can live any more.
+        self.over: list[str] = []
         self.opened = 0
 
     def add(self, streams: Iterable[StoredStream]) -> list[OwnRecord]:
@@ -125,7 +127,14 @@
         """Forgets batches in which no stream can live any more."""
         longest_s = self.life_s() * (1 + BATCH_SHARE_OF_LIFE)
         oldest = self.clock() - longest_s
+        over = [item for item in self.batches if item.opened_at <= oldest]
         self.batches = [item for item in self.batches if item.opened_at > oldest]
+        self.over.extend(item.name for item in over if item.is_created)
+
+    def next_over(self) -> str | None:
+        """Returns an object to remove from the store, or None."""
+        self._forget_over()
+        return self.over[0] if self.over else None
 
     def withdraw(self, key: str) -> None:
         """Removes the records of a stream."""
--- a/src/lagoonrill/_internal/coordination/stream_holders.py
+++ b/src/lagoonrill/_internal/coordination/stream_holders.py
@@ -2,9 +2,8 @@
 
 Load pattern: the store turns an instance away, resets its connections or is silent to
 it, while streams begin there that have to be recorded, or are taken up there. Its peers
-reach the store. Each
-record goes to a few peers only, so the messages that an instance receives don't grow
-with the number of instances.
+reach the store. Each record goes to a few peers only, so the messages that an instance
+receives don't grow with the number of instances.
 """
 
 import threading
--- a/src/lagoonrill/_internal/coordination/stream_origins.py
+++ b/src/lagoonrill/_internal/coordination/stream_origins.py
@@ -77,7 +77,7 @@
 
     # The store has confirmed it to a peer.
     STORED = "stored"
-    # A peer keeps it in memory and stores it later.
+    # Only peers have it, in memory.
     HELD = "held"
     FAILED = "failed"
 
@@ -496,9 +496,7 @@
             # Streams that began during the wait share the write.
             with self.condition:
                 written = self.batches.begin_write(batch)
-                unshared = self.batches.take_unshared(written)
-            if unshared:
-                self.holders.share(unshared)
+            self._share(written)
             stored = StoredBatch(
                 name=batch.name,
                 instance=self.instance,
@@ -521,6 +519,15 @@
             if has_failed:
                 return False
 
+    def _share(self, records: list[OwnRecord]) -> None:
+        """Sends records to peers that have not been sent to any yet."""
+        if not self.holders.is_reachable():
+            return
+        with self.condition:
+            streams = self.batches.take_unshared(records)
+        if streams:
+            self.holders.share(streams)
+
     def _wait_for_turn(self) -> None:
         """Waits until this instance may write to the store again."""
         spacing_s = self.instances() / (WRITE_SHARE * self.writes_per_s)
@@ -529,13 +536,25 @@
 
     def _remove_over(self) -> bool:
         """Removes batches in which no stream can live any more from the store."""
-        for name in self.seen.over(self.history.stream_life_s):
+        while (name := self._next_over()) is not None:
             self._wait_for_turn()
             if self._has_failed(self.store.remove(name)):
                 return False
+            with self.condition:
+                if name in self.batches.over:
+                    self.batches.over.remove(name)
             self.seen.forget(name)
         return True
 
+    def _next_over(self) -> str | None:
+        with self.condition:
+            own = self.batches.next_over()
+        if own is not None:
+            return own
+        # Batches of earlier processes and of instances that have ended, and those whose
+        # last write was in doubt.
+        return next(iter(self.seen.over(self.history.stream_life_s)), None)
+
     def _review_defaults(self) -> bool:
         for service in self.services:
             default = self.history.next_default(service)
