--- a/src/lagoonrill/_internal/coordination/forwarding.py
+++ b/src/lagoonrill/_internal/coordination/forwarding.py
@@ -28,6 +28,7 @@
 from ..state.answer_memory import AnswerMemory, AnswerShare
 from ..state.endpoint_registry import EndpointRegistry
 from ..state.gateway_metrics import GatewayMetrics
+from ..state.route_table import RoutingState
 from ..transport.caller_connection import CallerConnection
 from ..transport.endpoint_connection import (
     MIN_CHUNK_COST_BYTES,
@@ -45,7 +46,7 @@
 from .engine_admission import EngineAdmission
 from .engine_requests import Admission, Generation
 from .policy.shared_retry_budget import SharedRetryBudget
-from .routed_request import RoutedRequest
+from .routed_request import RequestResolver, RoutedRequest
 from .sending import Answer, CallerBreak, Outcome, Sending, Silent
 from .service_selection import ServiceSelection
 from .stream_origins import StreamOrigins
@@ -100,10 +101,13 @@
         instances,
         list_age_s: Callable[[], float],
         list_confirmed_by: Callable[[], str],
+        routing: RoutingState,
         metrics: GatewayMetrics,
         event_log: EventLog,
     ):
         self.header_names = header_names
+        self.resolver = RequestResolver(header_names=header_names)
+        self.routing = routing
         self.registry = registry
         self.pool = pool
         self.admission = admission
@@ -395,6 +399,9 @@
     ) -> Outcome | None:
         """Sends to `record` and relays its answer if it is valid."""
         request = sending.request
+        if not sending.may_have_run and self.routing.table is not None:
+            # The request may have waited while its key was revoked.
+            self.resolver.check_key(request, self.routing.table)
         sending.tried.add(record.id)
         sending.endpoint = record.id
         sending.begun = False
--- a/src/lagoonrill/_internal/coordination/gateway_peers.py
+++ b/src/lagoonrill/_internal/coordination/gateway_peers.py
@@ -119,6 +119,7 @@
         self.stopping = threading.Event()
         self.leaving = False
         self.catch_up = RoutingCatchUp(
+            instance=instance,
             link=link,
             routing=routing,
             discovery=discovery,
--- a/src/lagoonrill/_internal/coordination/routed_request.py
+++ b/src/lagoonrill/_internal/coordination/routed_request.py
@@ -129,6 +129,11 @@
             config_version=table.config.version,
         )
 
+    def check_key(self, request: RoutedRequest, table: RouteTable) -> None:
+        """Raises `Refusal` if a request's key was revoked after it was accepted."""
+        if table.config.version != request.config_version:
+            self._team(request.incoming, table, request.route)
+
     def _resume_after(self, text: str | None, route: Route) -> int | None:
         if not text:
             return None
--- a/src/lagoonrill/_internal/coordination/routing_catch_up.py
+++ b/src/lagoonrill/_internal/coordination/routing_catch_up.py
@@ -2,7 +2,10 @@
 
 Load pattern: the store rejects the calls of one instance, or delivers nothing to it,
 while other instances reach the store. More frequent store calls are expensive and would
-not help.
+not help. Also: versions follow each other within a second, each takes a slow instance
+longer than that to fetch, and many instances are behind at the same moment. A peer
+therefore answers with the changes alone if it knows them, and the instances that are
+behind spread their requests over the peers that are ahead.
 """
 
 import time
@@ -11,10 +14,13 @@
 from returns.result import Failure
 
 from ..event_log import EventLog
+from ..protocol.config_changes import apply_change
 from ..protocol.messages import GatewayDigest, RoutingReply, RoutingRequest
+from ..protocol.routing import RoutingConfig, StorePosition
 from ..state.route_table import RoutingState
 from ..transport.peer_link import PeerLink
 from .endpoint_discovery import EndpointDiscovery
+from .policy.engine_placement import hash_rank
 from .store_freshness import StoreFreshness
 
 # Interval between checks of the peer digests.
@@ -25,6 +31,12 @@
 # not change for longer although a peer has a newer list, the store does not deliver.
 DEAD_WATCH_S = 1.0
 REQUEST_TIMEOUT_S = 0.6
+# A whole configuration of 300 kB takes a quarter of a second over 10 Mbit/s, and more
+# beside other traffic. A late reply has to be sent and received all the same, so a
+# shorter timeout only adds traffic.
+MAX_TIMEOUT_S = 2.4
+# A peer that did not answer is asked last for this long.
+AVOID_PEER_S = 3.0
 
 
 class RoutingCatchUp:
@@ -38,6 +50,7 @@
     def __init__(
         self,
         *,
+        instance: str,
         link: PeerLink,
         routing: RoutingState,
         discovery: EndpointDiscovery,
@@ -46,6 +59,7 @@
         event_log: EventLog,
         clock=time.monotonic,
     ):
+        self.instance = instance
         self.link = link
         self.routing = routing
         self.discovery = discovery
@@ -54,9 +68,22 @@
         self.event_log = event_log
         self.clock = clock
         self.behind_since: float | None = None
+        # Timeout of the next request; it doubles after each one without a reply.
+        self.timeout_s = REQUEST_TIMEOUT_S
+        # Times until which peers that did not answer are asked last.
+        self.avoided_until: dict[str, float] = {}
+        # The longest time for which a peer had a newer configuration.
+        self.max_config_lag_s = 0.0
+        self.config_behind_since: float | None = None
+
+    def config_lag_s(self) -> float:
+        """Returns for how long a peer has had a newer configuration."""
+        since = self.config_behind_since
+        return 0.0 if since is None else self.clock() - since
 
     def review(self) -> None:
         """Checks the digests and queries a peer that has been ahead for long enough."""
+        self._note_config_lag()
         ahead = self._most_advanced_peer()
         if ahead is None:
             self.behind_since = None
@@ -65,8 +92,20 @@
         elif self.clock() - self.behind_since >= ASK_AFTER_S:
             self._ask(ahead)
 
+    def _note_config_lag(self) -> None:
+        version = self.routing.version
+        if any(digest.config_version > version for digest in self.digests()):
+            if self.config_behind_since is None:
+                self.config_behind_since = self.clock()
+            self.max_config_lag_s = max(self.max_config_lag_s, self.config_lag_s())
+        else:
+            self.config_behind_since = None
+
     def _most_advanced_peer(self) -> GatewayDigest | None:
-        """Returns the digest of the most up-to-date peer ahead of this instance."""
+        """Returns the digest of the most up-to-date peer ahead of this instance.
+
+        Instances choose different peers among those that are equally up to date.
+        """
         needs_list = self._needs_list()
         version = self.routing.version
         position = self.discovery.position
@@ -76,9 +115,15 @@
             if digest.config_version > version
             or (needs_list and digest.endpoint_position > position)
         ]
+        now = self.clock()
         return max(
             ahead,
-            key=lambda digest: (digest.config_version, digest.endpoint_position),
+            key=lambda digest: (
+                self.avoided_until.get(digest.instance, 0.0) <= now,
+                digest.config_version,
+                digest.endpoint_position if needs_list else StorePosition(),
+                hash_rank(self.instance, digest.instance),
+            ),
             default=None,
         )
 
@@ -95,24 +140,31 @@
                 endpoint_revision=self.discovery.position.revision,
                 store_era=self.discovery.position.era,
             ),
-            REQUEST_TIMEOUT_S,
+            self.timeout_s,
         )
         if isinstance(result, Failure):
+            self.timeout_s = min(MAX_TIMEOUT_S, 2 * self.timeout_s)
+            self.avoided_until[ahead.instance] = self.clock() + AVOID_PEER_S
             self.event_log.emit(
                 "peer_did_not_answer", peer=ahead.instance, reason=str(result.failure())
             )
             return
+        self.timeout_s = REQUEST_TIMEOUT_S
         reply = result.unwrap()
         if isinstance(reply, RoutingReply):
             self._apply_reply(reply, ahead.instance)
 
     def _apply_reply(self, reply: RoutingReply, peer: str) -> None:
-        if reply.config is not None and self.routing.install(reply.config):
+        self.avoided_until.pop(peer, None)
+        config = self._newest_config(reply)
+        if config is not None and self.routing.install(config):
             self.event_log.emit(
                 "config_installed",
-                version=reply.config.version,
+                version=config.version,
                 source="peer",
                 peer=peer,
+                changes=len(reply.changes),
+                lag_ms=round(self.config_lag_s() * 1000),
             )
         if reply.endpoints is not None and self._needs_list():
             self.event_log.emit(
@@ -132,16 +184,35 @@
             )
         self.behind_since = None
 
+    def _newest_config(self, reply: RoutingReply) -> RoutingConfig | None:
+        """Returns the configuration of a reply; None if it has none to install.
+
+        The active configuration may have changed since the request. The changes then
+        have another base, and the next review asks again.
+        """
+        table = self.routing.table
+        if not reply.changes or table is None:
+            return reply.config
+        config = table.config
+        for change in reply.changes:
+            if change.version > config.version:
+                if change.base_version != config.version:
+                    return None
+                config = apply_change(config, change)
+        return config
+
     def answer(self, request: RoutingRequest) -> RoutingReply:
         """Returns the configuration and endpoints that are newer than the peer's."""
+        changes = self.routing.changes_since(request.config_version)
         table = self.routing.table
-        config = table.config if table else None
+        config = table.config if table and not changes else None
         if config is not None and config.version <= request.config_version:
             config = None
         position, endpoints, held_for_s = self.discovery.snapshot()
         newer = position > request.endpoint_position
         return RoutingReply(
             config=config,
+            changes=changes,
             endpoint_revision=position.revision,
             store_era=position.era,
             endpoints=endpoints if newer else None,
--- a/src/lagoonrill/_internal/gateway_daemon.py
+++ b/src/lagoonrill/_internal/gateway_daemon.py
@@ -260,6 +260,7 @@
             instances=self.peers.instances,
             list_age_s=self.endpoint_follower.age_s,
             list_confirmed_by=lambda: self.endpoint_follower.confirmed_by,
+            routing=self.routing,
             metrics=self.metrics,
             event_log=self.event_log,
         )
@@ -284,6 +285,14 @@
         self.metrics.register_gauge(
             "store_in_touch", lambda: int(self.freshness.in_touch())
         )
+        self.metrics.register_gauge(
+            "config_behind_seconds",
+            lambda: round(self.peers.catch_up.config_lag_s(), 3),
+        )
+        self.metrics.register_gauge(
+            "config_behind_seconds_max",
+            lambda: round(self.peers.catch_up.max_config_lag_s, 3),
+        )
         for follower in (self.config_follower, self.endpoint_follower):
             self.metrics.register_gauge(
                 f"{follower.kind}_unconfirmed_seconds",
--- a/src/lagoonrill/_internal/protocol/messages.py
+++ b/src/lagoonrill/_internal/protocol/messages.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from .codec import from_msgpack, to_msgpack
+from .config_changes import ConfigChange
 from .objects import ConfigRecord
 from .routing import EndpointRecord, PromptPart, RoutingConfig, StorePosition
 
@@ -382,7 +383,11 @@
 
 
 class RoutingReply(PeerMessage):
-    """Newer configuration and endpoints; a given list of endpoints is complete."""
+    """Newer configuration and endpoints; a given list of endpoints is complete.
+
+    `changes` lead from the version of the request to the newest one. `config` is given
+    only if they are not known.
+    """
 
     config: RoutingConfig | None
     endpoint_revision: int
@@ -390,6 +395,7 @@
     # Remaining time for which endpoints without an entry in the store are kept.
     held_for_s: dict[str, float] = {}
     store_era: int = 0
+    changes: list[ConfigChange] = []
 
     @property
     def endpoint_position(self) -> StorePosition:
--- a/src/lagoonrill/_internal/state/route_table.py
+++ b/src/lagoonrill/_internal/state/route_table.py
@@ -3,12 +3,16 @@
 import threading
 import time
 import zlib
+from collections import deque
 from collections.abc import Callable
 
+from ..protocol.config_changes import ConfigChange, difference
 from ..protocol.routing import Route, RoutedTeam, RoutingConfig
 
 # Engines accept the ranks 0 to 9.
 LAST_RANK = 9
+# Changes kept for peers that are some versions behind.
+MAX_KEPT_CHANGES = 16
 
 
 class RouteTable:
@@ -89,6 +93,8 @@
         self.lock = threading.Lock()
         self.table: RouteTable | None = None
         self.subscribers: list[Callable[[RoutingConfig], None]] = []
+        # The latest changes without a gap; each is based on the version before it.
+        self.changes: deque[ConfigChange] = deque(maxlen=MAX_KEPT_CHANGES)
 
     @property
     def version(self) -> int:
@@ -100,7 +106,27 @@
         with self.lock:
             if config.version <= self.version:
                 return False
+            self._keep_change(config)
             self.table = RouteTable(config=config)
         for subscriber in self.subscribers:
             subscriber(config)
         return True
+
+    def _keep_change(self, config: RoutingConfig) -> None:
+        change = difference(self.table.config, config) if self.table else None
+        if change is None:
+            self.changes.clear()
+        else:
+            self.changes.append(change)
+
+    def changes_since(self, version: int) -> list[ConfigChange]:
+        """Returns the changes from a version to the active one.
+
+        The list is empty if they are not known without a gap.
+        """
+        with self.lock:
+            changes = list(self.changes)
+        for index, change in enumerate(changes):
+            if change.base_version == version:
+                return changes[index:]
+        return []
--- a/src/lagoonrill/_internal/transport/bounded_body.py
+++ b/src/lagoonrill/_internal/transport/bounded_body.py
@@ -1,5 +1,6 @@
 """Reads response bodies with limits on their size and duration."""
 
+import math
 import time
 
 import urllib3
@@ -16,10 +17,14 @@
     *,
     max_bytes: int,
     timeout_s: float,
+    least_bytes_per_s: float = math.inf,
     decode_content: bool | None = None,
 ) -> bytes:
     """Returns the complete body of a response that was not preloaded.
 
+    A body that arrives at `least_bytes_per_s` or faster may take longer than
+    `timeout_s`, so that a large body is not fetched again and again over a slow link.
+
     Raises `BodyLimitError` after closing the connection, and the errors of urllib3 if
     the body is truncated or a read times out.
     """
@@ -27,7 +32,8 @@
     body = bytearray()
     while data := response.read1(READ_BYTES, decode_content=decode_content):
         body += data
-        if len(body) > max_bytes or time.monotonic() > deadline:
+        late = time.monotonic() > deadline + len(body) / least_bytes_per_s
+        if late or len(body) > max_bytes:
             response.close()
             raise BodyLimitError(
                 f"the body goes on after {len(body)} bytes and at most {timeout_s} s"
--- a/src/lagoonrill/_internal/transport/store_client.py
+++ b/src/lagoonrill/_internal/transport/store_client.py
@@ -26,6 +26,8 @@
 # Request line and the headers that http.client adds: Host, Accept-Encoding, lengths.
 REQUEST_OVERHEAD_BYTES = 110
 STATUS_LINE_BYTES = 17
+# A tenth of a link of 10 Mbit/s, the smallest of the instances.
+LEAST_BYTES_PER_S = 125_000
 
 # A proxy may return 408 after it forwarded the call, so the outcome is in doubt.
 IN_DOUBT_STATUSES = frozenset({408})
@@ -168,6 +170,7 @@
                 response,
                 max_bytes=MAX_RESPONSE_BYTES,
                 timeout_s=self.call_timeout_s,
+                least_bytes_per_s=LEAST_BYTES_PER_S,
             ),
         )
         self._count_received(answer)
--- a/src/lagoonrill/_internal/transport/store_connection.py
+++ b/src/lagoonrill/_internal/transport/store_connection.py
@@ -3,12 +3,17 @@
 import contextlib
 import socket
 import threading
+import time
 
 import urllib3
 from urllib3.connection import HTTPConnection
 
 from .sockets import STORE_KEEPALIVE_OPTIONS
 
+# A call whose response has begun to arrive is not interrupted for this long: a large
+# response over a slow link would have to be sent again.
+RECEIVING_S = 1.5
+
 
 class StoreConnection:
     """Makes the calls of one thread over one connection, opened when needed.
@@ -17,15 +22,25 @@
     `interrupt` ends it at once; the next call opens a new connection.
     """
 
-    __slots__ = ("connection", "interrupted", "lock", "pending")
+    __slots__ = (
+        "clock",
+        "connection",
+        "interrupted",
+        "lock",
+        "pending",
+        "receiving_since",
+    )
 
-    def __init__(self, *, host: str, port: int):
+    def __init__(self, *, host: str, port: int, clock=time.monotonic):
+        self.clock = clock
         self.connection = HTTPConnection(
             host, port, socket_options=STORE_KEEPALIVE_OPTIONS
         )
         self.lock = threading.Lock()
         self.pending = False
         self.interrupted = False
+        # Time at which the head of the pending call's response arrived.
+        self.receiving_since: float | None = None
 
     def send(
         self,
@@ -45,24 +60,35 @@
         with self.lock:
             self.interrupted = False
             self.pending = True
+            self.receiving_since = None
         connection.request(method, path, headers=headers, preload_content=False)
         connection.timeout = timeout.read_timeout
-        return connection.getresponse()
+        response = connection.getresponse()
+        with self.lock:
+            self.receiving_since = self.clock()
+        return response
 
     def finish(self, *, reusable: bool) -> bool:
         """Ends a call; returns whether it was interrupted."""
         with self.lock:
             interrupted = self.interrupted
             self.pending = self.interrupted = False
+            self.receiving_since = None
         if interrupted or not reusable:
             self.connection.close()
         return interrupted
 
     def interrupt(self) -> bool:
-        """Ends the pending call; returns False if none is pending."""
+        """Ends the pending call.
+
+        Returns False if none is pending, or if its response is arriving.
+        """
         with self.lock:
+            since = self.receiving_since
             if not self.pending:
                 return False
+            if since is not None and self.clock() - since < RECEIVING_S:
+                return False
             self.interrupted = True
             sock = self.connection.sock
             # http.client gives the socket to a response that closes the connection.
--- a/src/lagoonrill/platform/_store.py
+++ b/src/lagoonrill/platform/_store.py
@@ -288,33 +288,39 @@
         return answer
 
     def _changes(self, wire: WireChanges) -> ObjectChanges:
-        changed: dict[str, StoreObject] = {}
-        removed: dict[str, None] = {}
+        last: dict[str, tuple[bool, WireObject]] = {}
         has_unnamed = False
         for event in wire.events:
-            item = self._object(event.subject)
+            item = self._named(event.subject)
             if item is None:
                 has_unnamed = True
                 continue
-            if event.removed:
-                changed.pop(item.name, None)
-                removed[item.name] = None
-            else:
-                removed.pop(item.name, None)
-                changed[item.name] = item
+            # Only the last state of an object is decoded: a configuration is large,
+            # and several versions may come at once.
+            last.pop(item.metadata.name, None)
+            last[item.metadata.name] = (event.removed, item)
+        changed = [
+            self._decoded(item) for removed, item in last.values() if not removed
+        ]
+        removed = [name for name, (removed, _) in last.items() if removed]
         return ObjectChanges(
-            changed=list(changed.values()),
-            removed=list(removed),
+            changed=changed,
+            removed=removed,
             revision=wire.store_revision,
             era=wire.era,
             complete=not has_unnamed,
         )
 
     def _object(self, found: object) -> StoreObject | None:
-        """Decodes an object; invalid content is returned as None with the name."""
+        wire = self._named(found)
+        return None if wire is None else self._decoded(wire)
+
+    def _named(self, found: object) -> WireObject | None:
+        """Returns an object whose content is not decoded; None if it has no name."""
         try:
             wire = msgspec.convert(found, WireObject)
             check_encodable(wire.metadata.name)
+            return wire
         except ValueError as error:
             # msgspec.ValidationError is a ValueError.
             log.warning(
@@ -323,6 +329,9 @@
                 repr(error)[:MAX_LOGGED_ERROR_CHARACTERS],
             )
             return None
+
+    def _decoded(self, wire: WireObject) -> StoreObject:
+        """Decodes an object; invalid content is returned as None with the name."""
         content = None
         try:
             content = self.decode(wire.metadata.name, wire.spec)
--- a/tests/gateway_kit.py
+++ b/tests/gateway_kit.py
@@ -244,6 +244,7 @@
             instances=lambda: 1,
             list_age_s=lambda: 0.0,
             list_confirmed_by=lambda: "store",
+            routing=self.routing,
             metrics=self.metrics,
             event_log=self.event_log,
         )
