--- a/src/lagoonrill/_internal/coordination/forwarding.py
+++ b/src/lagoonrill/_internal/coordination/forwarding.py
@@ -237,7 +237,7 @@
         if sending.last_failure is not None and not late:
             self._answer(sending, sending.last_failure)
             return
-        if late:
+        if late and sending.may_have_run:
             raise Refusal(504, "timeout", remedy="Allow more time.")
         if sending.may_have_run:
             raise Refusal(
@@ -438,7 +438,7 @@
         if not failure.may_have_run:
             sending.connect_failures += 1
         if time.monotonic() > sending.request.deadline - TIME_LIMIT_SLACK_S:
-            return Outcome(reason="time_limit", may_have_run=True)
+            return Outcome(reason="time_limit", may_have_run=failure.may_have_run)
         if self.registry.note_failure(record.id, unreachable=True):
             self.event_log.emit(
                 "endpoint_suspect",
--- a/tests/test_gateway_sends.py
+++ b/tests/test_gateway_sends.py
@@ -9,8 +9,9 @@
 import pytest
 
 from lagoonrill._internal.protocol.refusals import Refusal
+from standins.ports import free_port
 from standins.scripted_endpoint import STREAM_EVENT_COUNT, WHOLE_ANSWERS, event
-from tests.gateway_kit import config, engine_route, wait_until
+from tests.gateway_kit import config, engine_route, record, wait_until
 
 # Maps each endpoint behaviour to the status of a request that must not be repeated and
 # to whether the request ran.
@@ -351,3 +352,20 @@
     before = len(gateway.events("send_failed"))
     assert gateway.ask("/ask/1", id="last")[0].status in (503, 504)
     assert len(gateway.events("send_failed")) <= before + 2
+
+
+@pytest.mark.parametrize("path", ["/order/1", "/status/1"])
+@pytest.mark.parametrize("limit_ms", ["300", "2000"])
+def test_request_that_reached_no_endpoint_is_refused_as_not_run(
+    gateway_for, path, limit_ms
+):
+    """Failure: a failed connect close to the time limit was answered 502 or 504."""
+    gateway, (endpoint,) = gateway_for("app", ["answer"])
+    gone = msgspec.structs.replace(
+        record(endpoint, "app"), address=f"127.0.0.1:{free_port()}"
+    )
+    gateway.install_records([gone])
+    response, body = gateway.ask(path, headers={"X-Deadline-Ms": limit_ms})
+    assert response.status == 503, body
+    assert float(response.getheader("Retry-After")) > 0
+    assert not endpoint.runs
