--- a/src/lagoonrill/_internal/protocol/load.py
+++ b/src/lagoonrill/_internal/protocol/load.py
@@ -27,7 +27,7 @@
 
 
 class EndpointSilent(LoadError):
-    """The endpoint did not answer before the timeout or closed the connection."""
+    """The endpoint gave no valid answer before the timeout or closed the connection."""
 
     default_remedy = "Check the endpoint's load and the network to it"
 
--- a/src/lagoonrill/_internal/transport/endpoint_client.py
+++ b/src/lagoonrill/_internal/transport/endpoint_client.py
@@ -31,6 +31,8 @@
 )
 from ..protocol.manifest import Endpoint
 from .bounded_body import read_body
+from .sockets import is_fully_received
+from .statuses import MAX_STATUS
 
 T = TypeVar("T")
 
@@ -331,6 +333,9 @@
         if isinstance(sent, Failure):
             return sent
         response = sent.unwrap()
+        # urllib3 closes its socket at the end of a body that ends with the connection.
+        ends_by_close = response.length_remaining is None and not response.chunked
+        sock = handle.sock.dup() if ends_by_close else None
         try:
             content = read_body(
                 response,
@@ -338,6 +343,9 @@
                 timeout_s=timeout_s,
                 decode_content=False,
             )
+            if sock is not None and not is_fully_received(sock):
+                message = f"{endpoint.id} closed the connection during the upload"
+                return Failure(EndpointBroken(message=message))
         except (HTTPError, OSError) as error:
             response.close()
             message = f"{endpoint.id} broke off its answer: {error}"
@@ -345,6 +353,8 @@
         finally:
             handle.detach()
             response.release_conn()
+            if sock is not None:
+                sock.close()
             if fresh_connection:
                 pool.close()
         return Success(
@@ -506,6 +516,11 @@
                 preload_content=False,
                 decode_content=False,
             )
+            if response.status > MAX_STATUS:
+                handle.detach()
+                response.close()
+                message = f"{endpoint.id} sent the invalid status {response.status}"
+                return Failure(EndpointBroken(message=message))
             return Success(response)
         except CONNECT_ERRORS as error:
             message = f"{endpoint.id} cannot be reached: {error}"
--- a/src/lagoonrill/_internal/transport/endpoint_connection.py
+++ b/src/lagoonrill/_internal/transport/endpoint_connection.py
@@ -14,11 +14,13 @@
 from .sockets import (
     RECEIVE_BYTES,
     has_input,
+    is_fully_received,
     parse_address,
     send_all,
     set_options,
     wait_for,
 )
+from .statuses import MAX_STATUS
 
 CONNECT_TIMEOUT_S = 0.5
 MAX_HEAD_BYTES = 32_768
@@ -92,10 +94,11 @@
         self.idle_since = 0.0
         self.idle_limit_s = DEFAULT_IDLE_S
         self.served = 0
-        self.fully_sent = True
+        # The part of the request that has not been sent yet.
+        self.unsent = memoryview(b"")
         self.reusable = True
-        # The response body is delimited by the close of the connection.
-        self.close_delimited = False
+        # Whether the rest is sent while the response is read.
+        self.sends_rest = True
         self.ended_by_peer = False
 
     def _new_parser(self) -> h11.Connection:
@@ -136,9 +139,10 @@
     ) -> None:
         """Sends a complete request.
 
-        An endpoint may respond before it has read the whole body. The connection is
-        then not reused, because the endpoint would read the next request as the rest of
-        that body.
+        An endpoint may respond before it has read the whole body. The rest is then sent
+        while the response is awaited, unless the response has a length or chunks: it is
+        complete without the rest. The connection is then not reused, because the
+        endpoint would read the next request as the rest of that body.
         """
         request = h11.Request(method=method, target=target, headers=headers)
         data = self.parser.send(request)
@@ -146,7 +150,7 @@
             data += self.parser.send(h11.Data(data=body))
         data += self.parser.send(h11.EndOfMessage()) or b""
         try:
-            self.fully_sent = send_all(
+            self.unsent = send_all(
                 self.sock, data, deadline, caller, stop_on_input=True
             )
         except TimeoutError:
@@ -186,6 +190,10 @@
                 reason=bytes(event.reason),
                 headers=event.headers.raw_items(),
             )
+            if head.status > MAX_STATUS:
+                raise EndpointFailure(
+                    f"invalid status: {head.status}", may_have_run=True
+                )
             if head.value(id_header) not in (None, id):
                 others += 1
                 if not self.served or others > MAX_MISMATCHED_RESPONSES:
@@ -206,9 +214,10 @@
         if found:
             self.idle_limit_s = max(0.0, int(found.group(1)) - IDLE_MARGIN_S)
         framed = head.value("Content-Length") or head.value("Transfer-Encoding")
-        self.close_delimited = framed is None
-        if self.close_delimited:
+        if framed is None:
             self.reusable = False
+        else:
+            self.sends_rest = False
 
     def _skip_response(
         self, deadline: float, caller: socket.socket | None, share: AnswerShare
@@ -251,17 +260,31 @@
         if isinstance(event, h11.Data):
             return bytes(event.data)
         if isinstance(event, h11.EndOfMessage):
+            if self.ended_by_peer:
+                self._check_close()
             return None
         raise EndpointFailure("the answer ended early", may_have_run=True)
 
+    def _check_close(self) -> None:
+        """Raises `EndpointFailure` unless the close is the regular end of a response.
+
+        The close of an endpoint that has failed looks the same as that of one that has
+        finished. An endpoint that has read the whole request has acknowledged it before
+        its close arrives.
+        """
+        if self.unsent or not is_fully_received(self.sock):
+            raise EndpointFailure("closed during the upload", may_have_run=True)
+
     def _next_event(self, deadline: float, caller: socket.socket | None):
         try:
             while (event := self.parser.next_event()) is h11.NEED_DATA:
                 # Data has seldom arrived yet, so trying to receive first would cost an
                 # extra system call.
-                wait_for(self.sock, select.POLLIN, deadline, caller)
+                self._wait_for_input(deadline, caller)
                 with contextlib.suppress(BlockingIOError):
-                    self.parser.receive_data(self.sock.recv(RECEIVE_BYTES))
+                    received = self.sock.recv(RECEIVE_BYTES)
+                    self.ended_by_peer = not received
+                    self.parser.receive_data(received)
             return event
         except h11.RemoteProtocolError as error:
             raise EndpointFailure(
@@ -274,16 +297,32 @@
                 f"receive: {type(error).__name__}", may_have_run=True
             ) from error
 
+    def _wait_for_input(self, deadline: float, caller: socket.socket | None) -> None:
+        """Waits for input, and sends the rest of the request meanwhile."""
+        while self.unsent and self.sends_rest:
+            events = select.POLLIN | select.POLLOUT
+            if wait_for(self.sock, events, deadline, caller) != select.POLLOUT:
+                return
+            try:
+                self.unsent = self.unsent[self.sock.send(self.unsent) :]
+            except BlockingIOError:
+                continue
+            except OSError:
+                # A response that has arrived may be complete without the rest.
+                self.sends_rest = False
+        wait_for(self.sock, select.POLLIN, deadline, caller)
+
     def finish(self) -> bool:
         """Ends a call; returns whether the connection can be reused."""
         states = (self.parser.our_state, self.parser.their_state)
-        if not (self.reusable and self.fully_sent and states == (h11.DONE, h11.DONE)):
+        if self.unsent or not self.reusable or states != (h11.DONE, h11.DONE):
             self.close()
             return False
         if self.parser.trailing_data[0]:
             self.close()
             return False
         self.parser.start_next_cycle()
+        self.sends_rest = True
         self.served += 1
         self.idle_since = time.monotonic()
         return True
--- a/src/lagoonrill/_internal/transport/load_client.py
+++ b/src/lagoonrill/_internal/transport/load_client.py
@@ -14,6 +14,7 @@
     LoadReport,
     LoadUnsupported,
 )
+from .statuses import MAX_STATUS
 
 LOAD_TIMEOUT_S = 1.0
 MAX_REPORT_BYTES = 65_536
@@ -48,6 +49,9 @@
             return Failure(EndpointRefused(message=f"{url}: {error}"))
         except (urllib3.exceptions.HTTPError, OSError) as error:
             return Failure(EndpointSilent(message=f"{url}: {error}"))
+        if response.status > MAX_STATUS:
+            message = f"{url}: invalid status {response.status}"
+            return Failure(EndpointSilent(message=message))
         if response.status != 200:
             return Failure(LoadUnsupported(message=f"{url}: status {response.status}"))
         try:
--- a/src/lagoonrill/_internal/transport/sockets.py
+++ b/src/lagoonrill/_internal/transport/sockets.py
@@ -1,7 +1,10 @@
 """Socket options and polling helpers for the connections of the gateway."""
 
+import fcntl
 import select
 import socket
+import struct
+import termios
 import time
 
 MAX_PORT_DIGITS = 5
@@ -117,11 +120,11 @@
     caller: socket.socket | None = None,
     *,
     stop_on_input: bool = False,
-) -> bool:
+) -> memoryview:
     """Sends all of `data`; the socket is in non-blocking mode.
 
-    With `stop_on_input`, sending stops if the peer responds early. Returns whether all
-    data was sent.
+    With `stop_on_input`, sending stops if the peer responds early. Returns the data
+    that was not sent, which is otherwise empty.
     """
     view = memoryview(data)
     while view:
@@ -132,5 +135,22 @@
             events = select.POLLOUT | (select.POLLIN if stop_on_input else 0)
             found = wait_for(sock, events, deadline, caller)
             if stop_on_input and found & select.POLLIN and not found & select.POLLOUT:
-                return False
-    return True
+                return view
+    return view
+
+
+def is_fully_received(sock: socket.socket) -> bool:
+    """Returns whether the peer's kernel has received all that was sent to it.
+
+    A successful `send` only copies data to the send buffer of this host, which holds
+    several MB. After the peer has closed its side, a reset no longer makes `recv` fail,
+    but it stays visible in `SO_ERROR`.
+    """
+    if sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+        return False
+    # The kernel returns the number of unacknowledged bytes (SIOCOUTQ) as a C int.
+    size = struct.calcsize("i")
+    (unacknowledged,) = struct.unpack(
+        "i", fcntl.ioctl(sock, termios.TIOCOUTQ, bytes(size))
+    )
+    return unacknowledged == 0
