--- a/src/lagoonrill/_internal/coordination/forwarding.py
+++ b/src/lagoonrill/_internal/coordination/forwarding.py
@@ -9,6 +9,7 @@
 import zlib
 from collections.abc import Callable
 
+from ..duties.usage import UsageLedger
 from ..event_log import EventLog
 from ..protocol.answer_signals import read_signals
 from ..protocol.headers import (
@@ -127,6 +128,8 @@
         self.list_confirmed_by = list_confirmed_by
         self.metrics = metrics
         self.event_log = event_log
+        # Counts requests for usage reports; None if there are none.
+        self.usage: UsageLedger | None = None
 
     def serve(self, request: RoutedRequest, caller: CallerConnection) -> None:
         """Answers a request; raises `Refusal` or `CallerGone`."""
@@ -175,7 +178,24 @@
                 self._give_up(sending)
                 return
 
+    def _count_begun_stream(self, sending: Sending) -> None:
+        """Counts a stream at its first event; a resumed one was counted before."""
+        if sending.request.resume_after is None:
+            self._count_begun(sending, None)
+
+    def _count_begun_call(self, sending: Sending) -> None:
+        """Counts a plain call that has or may have run, at the time of its send."""
+        if sending.request.route.kind is not RouteKind.STREAM:
+            self._count_begun(sending, sending.sent_at)
+
+    def _count_begun(self, sending: Sending, at: float | None) -> None:
+        if self.usage is not None and not sending.is_counted:
+            sending.is_counted = True
+            self.usage.note_begun(sending.request.team, at)
+
     def _note_outcome(self, sending: Sending, outcome: Outcome) -> None:
+        if outcome.may_have_run:
+            self._count_begun_call(sending)
         sending.may_have_run |= outcome.may_have_run
         sending.last_reason = outcome.reason
         if outcome.answer is not None:
@@ -357,6 +377,7 @@
     ) -> None:
         if not sending.begun:
             self.crash_guard.note_begun(sending)
+            self._count_begun_stream(sending)
         self.admission.started(admission, generation)
 
     def _log_placed(
@@ -388,7 +409,9 @@
             self._give_up(sending)
             return None
         with self.registry.call(record.id):
-            return self._exchange(sending, record, on_event=lambda: None)
+            return self._exchange(
+                sending, record, on_event=lambda: self._count_begun_stream(sending)
+            )
 
     def _exchange(
         self, sending: Sending, record: EndpointRecord, on_event
@@ -398,6 +421,7 @@
         sending.tried.add(record.id)
         sending.endpoint = record.id
         sending.begun = False
+        begun_at = time.monotonic()
         connection = None
         try:
             connection = self._connect(sending, record)
@@ -421,6 +445,10 @@
             return self._failed(sending, record, failure)
         except TimeoutError:
             return Outcome(reason="timeout", may_have_run=sending.sends > 0)
+        except CallerGone:
+            if sending.sent_at >= begun_at:
+                self._count_begun_call(sending)
+            raise
         finally:
             if connection is not None and connection.finish():
                 self.pool.put(connection)
@@ -587,6 +615,7 @@
             unreachable = head.status == 421
             self.registry.note_failure(record.id, unreachable=unreachable)
             return Outcome(reason=f"not_run: {head.status}", may_have_run=False)
+        self._count_begun_call(sending)
         if head.status in NOT_RUN_STATUSES:
             self.registry.note_failure(record.id, unreachable=False)
             return Outcome(reason=f"status: {head.status}", may_have_run=True)
--- a/src/lagoonrill/_internal/coordination/sending.py
+++ b/src/lagoonrill/_internal/coordination/sending.py
@@ -50,6 +50,8 @@
         # Endpoint of the latest send, and whether it has sent an event.
         self.endpoint = ""
         self.begun = False
+        # Whether it is counted as begun in the usage reports; once, for all sends.
+        self.is_counted = False
         # Time of the latest send, on the monotonic clock.
         self.sent_at = 0.0
         # Ids of the prompt parts that other requests may have too.
--- a/src/lagoonrill/_internal/duties/lease.py
+++ b/src/lagoonrill/_internal/duties/lease.py
@@ -147,6 +147,8 @@
 
     def note_refused(self) -> None:
         """Gives up the current token, because the platform has seen a higher one."""
+        if self.held is None:
+            return
         self.event_log.emit("duty_token_refused", duty=self.name, token=self.held)
         self.was_refused = True
         self._suspend()
--- a/src/lagoonrill/_internal/gateway_daemon.py
+++ b/src/lagoonrill/_internal/gateway_daemon.py
@@ -28,6 +28,7 @@
 from .coordination.store_freshness import StoreFreshness
 from .coordination.stream_holders import StreamHolders
 from .coordination.stream_origins import OriginStore, StreamOrigins
+from .duties.assembly import DutyBackend, FleetDuties
 from .event_log import EventLog, EventLogHandler
 from .protocol.errors import SettingsError
 from .protocol.gateway_settings import (
@@ -92,6 +93,8 @@
     endpoints: ObjectSource
     findings: FindingStore
     origins: OriginStore
+    # Leases, reports and calls; None if the platform has none.
+    duties: DutyBackend | None = None
 
 
 class GatewayDaemon:
@@ -131,6 +134,7 @@
         self._build_peers(source.findings)
         self._build_origins(source.origins)
         self._build_request_path(header_names)
+        self._build_duties(source.duties)
         self._build_pages(readiness_path)
 
     def _build_admission(self) -> None:
@@ -275,6 +279,20 @@
             event_log=self.event_log,
         )
 
+    def _build_duties(self, backend: DutyBackend | None) -> None:
+        self.duties: FleetDuties | None = None
+        if backend is None or self.settings.duties is None:
+            return
+        self.duties = FleetDuties(
+            settings=self.settings,
+            backend=backend,
+            link=self.link,
+            peers=self.peers,
+            metrics=self.metrics,
+            event_log=self.event_log,
+        )
+        self.forwarder.usage = self.duties.ledger
+
     def _build_pages(self, readiness_path: str) -> None:
         self.metrics.register_gauge("config_version", lambda: self.routing.version)
         self.metrics.register_gauge(
@@ -431,6 +449,8 @@
             "retry_budget": self.budget.dump(),
             "threads": threading.active_count(),
         }
+        if self.duties is not None:
+            state["duties"] = self.duties.dump()
         return msgspec.json.format(msgspec.json.encode(state)).decode() + "\n"
 
     def start(self) -> None:
@@ -449,6 +469,8 @@
         self.findings.start()
         self.origins.start()
         self.peers.start()
+        if self.duties is not None:
+            self.duties.start()
         self.admission.start()
         self.listener.start()
         # Excludes objects that live as long as the process from garbage collection.
@@ -562,6 +584,8 @@
             time.sleep(0.1)
 
     def _close(self) -> None:
+        if self.duties is not None:
+            self.duties.stop()
         steps: tuple[Callable[[], None], ...] = (
             self.config_follower.stop,
             self.endpoint_follower.stop,
--- a/src/lagoonrill/_internal/protocol/errors.py
+++ b/src/lagoonrill/_internal/protocol/errors.py
@@ -73,6 +73,12 @@
     default_remedy = "Correct the call; the store's message names the reason"
 
 
+class StoreBusy(StoreRejected):
+    """The call was rejected because of the rate of calls; it did not take effect."""
+
+    default_remedy = "Make fewer calls; try again after a pause"
+
+
 class StoreUnavailable(StoreError):
     """The call was not sent, for example because the connection was refused."""
 
--- a/src/lagoonrill/_internal/protocol/gateway_settings.py
+++ b/src/lagoonrill/_internal/protocol/gateway_settings.py
@@ -15,6 +15,21 @@
 ADDRESS_REMEDY = "Write HOST:PORT with an IPv4 address, for example 10.1.0.19:8740"
 
 
+USAGE_REPORT = "usage_report"
+AUTOSCALE = "autoscale"
+
+
+class DutySettings(msgspec.Struct, kw_only=True):
+    """Calls to the platform that one instance makes for all."""
+
+    # Address of the platform's API, as HOST:PORT.
+    address: str
+    # Known names: `usage_report` and `autoscale`.
+    names: list[str] = []
+    # Calls that the platform takes per second from all instances together.
+    calls_per_s: float = 50.0
+
+
 class GatewayBounds(msgspec.Struct, kw_only=True):
     """Time limits and budgets set by the operator of the fleet."""
 
@@ -32,6 +47,15 @@
     # Time after an instance regains contact with the store until all time limits apply
     # to it again.
     contact_ms: Milliseconds = 3_000
+    # Whether the platform checks fencing tokens. The lease is held in any case.
+    require_fencing: bool = False
+    # Time after which an instance that does not renew its lease has lost it.
+    lease_ms: Milliseconds = 3_000
+    # Length of the windows of usage reports, the time after the end of a window until
+    # which its report is due, and the share by which counts may differ from the truth.
+    report_window_s: Seconds = 5.0
+    usage_late_s: Seconds = 10.0
+    usage_tolerance: float = 0.05
 
 
 class GatewaySettings(msgspec.Struct, kw_only=True):
@@ -49,6 +73,8 @@
     # Writes that the store takes from all instances together.
     store_writes_per_s: Count = 100
     bounds: GatewayBounds = msgspec.field(default_factory=GatewayBounds)
+    # None if the platform has no such calls.
+    duties: DutySettings | None = None
 
 
 def parse_gateway_settings(data: bytes) -> GatewaySettings:
@@ -63,6 +89,8 @@
             "store_address": settings.store_address,
         }
         addresses |= {f"seeds.{n}": seed for n, seed in enumerate(settings.seeds)}
+        if settings.duties is not None:
+            addresses["duties.address"] = settings.duties.address
         for key, value in addresses.items():
             _check_address(key, value, problems)
     raise_problems(problems, SettingsError)
--- a/src/lagoonrill/_internal/protocol/messages.py
+++ b/src/lagoonrill/_internal/protocol/messages.py
@@ -369,6 +369,39 @@
     found_out: bool
 
 
+class WindowUsage(msgspec.Struct, kw_only=True, array_like=True):
+    """Requests of each team that an instance has counted in a window so far.
+
+    Without counts, it only names a process that counts.
+    """
+
+    instance: str
+    # Random per process.
+    incarnation: int
+    # Time since which the process counts, in Unix seconds.
+    counted_from: float
+    window: int
+    counts: dict[str, int]
+
+
+class UsageCounts(PeerMessage, omit_defaults=True):
+    """Counts for the instances that collect them, and what the sender knows of reports.
+
+    With `asks`, the sender has become a collector and asks for all recent counts.
+    """
+
+    instance: str
+    address: str
+    # Time of the sender by which it numbers windows, in Unix seconds.
+    time_s: float
+    # Fencing token if the sender holds the lease.
+    token: int = 0
+    # Last window that is reported.
+    done: int = 0
+    asks: bool = False
+    usage: list[WindowUsage] = []
+
+
 class RoutingRequest(PeerMessage):
     """Requests a configuration and endpoints that are newer than the sender's."""
 
@@ -422,6 +455,7 @@
     | StreamsShared
     | StreamOriginRequest
     | StreamOriginReply
+    | UsageCounts
 )
 
 
--- a/src/lagoonrill/_internal/transport/store_client.py
+++ b/src/lagoonrill/_internal/transport/store_client.py
@@ -8,6 +8,7 @@
 from returns.result import Failure, Result, Success
 
 from ..protocol.errors import (
+    StoreBusy,
     StoreCallInterrupted,
     StoreConflict,
     StoreError,
@@ -31,6 +32,7 @@
 IN_DOUBT_STATUSES = frozenset({408})
 CONFLICT_STATUSES = frozenset({409, 412})
 HISTORY_GONE_STATUS = 410
+BUSY_STATUS = 429
 
 
 class StoreResponse(msgspec.Struct, kw_only=True):
@@ -208,6 +210,8 @@
     message = f"{kind}: status {status}: {answer.data[:200].decode(errors='replace')}"
     if status == HISTORY_GONE_STATUS:
         return StoreHistoryGone(message=message)
+    if status == BUSY_STATUS:
+        return StoreBusy(message=message)
     if status in CONFLICT_STATUSES:
         return StoreConflict(message=message)
     if 400 <= status < 500 and status not in IN_DOUBT_STATUSES:
--- a/src/lagoonrill/platform/__main__.py
+++ b/src/lagoonrill/platform/__main__.py
@@ -4,13 +4,18 @@
 import sys
 from pathlib import Path
 
+from .._internal.duties.assembly import DutyBackend
 from .._internal.gateway_daemon import (
     EXIT_INVALID_SETTINGS,
     GatewayDaemon,
     RoutingSource,
 )
 from .._internal.protocol.errors import SettingsError
-from .._internal.protocol.gateway_settings import parse_gateway_settings
+from .._internal.protocol.gateway_settings import (
+    GatewaySettings,
+    parse_gateway_settings,
+)
+from ._duties import open_calls, open_store_duties
 from ._headers import READINESS_PATH, VOCABULARY
 from ._store import open_sources
 
@@ -36,6 +41,7 @@
             endpoints=sources.endpoints,
             findings=sources.findings,
             origins=sources.origins,
+            duties=open_duties(settings),
         ),
         readiness_path=READINESS_PATH,
     )
@@ -48,5 +54,14 @@
     return daemon.run()
 
 
+def open_duties(settings: GatewaySettings) -> DutyBackend | None:
+    """Returns what duties need of the platform, if the settings ask for any."""
+    if settings.duties is None:
+        return None
+    store = open_store_duties(settings.store_address)
+    calls = open_calls(settings.duties.address, settings.instance)
+    return DutyBackend(leases=store, reports=store, caller=calls)
+
+
 if __name__ == "__main__":
     sys.exit(main())
--- a/standins/metadata_store.py
+++ b/standins/metadata_store.py
@@ -49,6 +49,7 @@
         self.late_s: Callable[[str], float | None] = lambda kind: None
         self.closed = threading.Event()
         self.calls = 0
+        self.writes = 0
 
     def put(self, kind: str, name: str, spec: object) -> None:
         with self.condition:
@@ -158,20 +159,24 @@
                     store.put(kind, name, found["Spec"])
                     return 201
 
-                self.execute(kind, create)
+                self.execute(kind, name, create)
 
             def do_PUT(self):
                 length = int(self.headers["Content-Length"])
                 found = msgspec.json.decode(self.rfile.read(length))
                 kind, name = self.kind_and_name()
+                condition = found["Metadata"].get("Revision")
 
                 def replace() -> int:
-                    if name not in store.kinds.get(kind, {}):
+                    current = store.kinds.get(kind, {}).get(name)
+                    if current is None:
                         return 404
+                    if condition not in (None, current["Metadata"]["Revision"]):
+                        return 409
                     store.put(kind, name, found["Spec"])
                     return 200
 
-                self.execute(kind, replace)
+                self.execute(kind, name, replace)
 
             def do_DELETE(self):
                 kind, name = self.kind_and_name()
@@ -182,13 +187,20 @@
                     store.delete(kind, name)
                     return 200
 
-                self.execute(kind, remove)
+                self.execute(kind, name, remove)
 
-            def execute(self, kind: str, write: Callable[[], int]) -> None:
+            def execute(self, kind: str, name: str, write: Callable[[], int]) -> None:
                 """Executes a write and answers it, or executes it late."""
+                store.writes += 1
                 late_s = store.late_s(kind)
-                if store.refusal_status or late_s is None:
-                    self.send(store.refusal_status or write(), {})
+                if store.refusal_status:
+                    self.send(store.refusal_status, {})
+                    return
+                if late_s is None:
+                    with store.condition:
+                        status = write()
+                        found = store.kinds.get(kind, {}).get(name, {})
+                    self.send(status, found)
                     return
                 timer = threading.Timer(late_s, write)
                 timer.daemon = True
@@ -204,7 +216,11 @@
                 store.calls += 1
                 parts = urlsplit(self.path)
                 query = {name: v[0] for name, v in parse_qs(parts.query).items()}
-                kind = unquote(parts.path.rpartition("/")[2])
+                names = [unquote(part) for part in parts.path.split("/")[3:]]
+                if len(names) == 2:
+                    self.send(*self.found(*names))
+                    return
+                kind = names[0]
                 status, answer = store.refusal_status, {}
                 if not status and "Watch" in query:
                     status, answer = store.watch(
@@ -214,6 +230,14 @@
                     status, answer = 200, store.list(kind, query.get("After", ""))
                 self.send(status, answer)
 
+            def found(self, kind: str, name: str) -> tuple[int, dict]:
+                """Returns the status and the content of the answer for one object."""
+                if store.refusal_status:
+                    return store.refusal_status, {}
+                with store.condition:
+                    found = store.kinds.get(kind, {}).get(name)
+                return (200, found) if found else (404, {})
+
             def send(self, status: int, answer: dict) -> None:
                 if store.silent:
                     store.closed.wait()
