--- a/src/lagoonrill/_internal/transport/store_client.py
+++ b/src/lagoonrill/_internal/transport/store_client.py
@@ -8,6 +8,7 @@
 from returns.result import Failure, Result, Success
 
 from ..protocol.errors import (
+    StoreBusy,
     StoreCallInterrupted,
     StoreConflict,
     StoreError,
@@ -33,6 +34,7 @@
 IN_DOUBT_STATUSES = frozenset({408})
 CONFLICT_STATUSES = frozenset({409, 412})
 HISTORY_GONE_STATUS = 410
+BUSY_STATUS = 429
 
 
 class StoreResponse(msgspec.Struct, kw_only=True):
@@ -211,6 +213,8 @@
     message = f"{kind}: status {status}: {answer.data[:200].decode(errors='replace')}"
     if status == HISTORY_GONE_STATUS:
         return StoreHistoryGone(message=message)
+    if status == BUSY_STATUS:
+        return StoreBusy(message=message)
     if status in CONFLICT_STATUSES:
         return StoreConflict(message=message)
     if 400 <= status < 500 and status not in IN_DOUBT_STATUSES:
