--- a/src/lagoonrill/_internal/coordination/engine_admission.py
+++ b/src/lagoonrill/_internal/coordination/engine_admission.py
@@ -20,6 +20,7 @@
     Route,
     RoutingConfig,
 )
+from ..state.arrival_counts import ArrivalCounts
 from ..state.endpoint_registry import EndpointRegistry
 from ..state.engine_load_table import EngineLoadTable
 from .engine_fleet import Fleet, NoPeers, PeerInfo, RouteMeans
@@ -110,6 +111,7 @@
         self.order = GoalFirstOrder()
         self.lock = threading.Lock()
         self.waiting: dict[str, list[Waiter]] = {}
+        self.arrivals = ArrivalCounts()
         self.means: dict[str, RouteMeans] = {}
         self.fleets: dict[str, Fleet] = {}
         self.config: RoutingConfig | None = None
@@ -152,6 +154,7 @@
         waiter = Waiter(
             generation=generation, view=self._view(generation), excluded=excluded
         )
+        self.arrivals.note(generation.service, tokens=waiter.view.prompt_tokens)
         while True:
             self.submit(waiter)
             if not self._await_decision(waiter, caller_disconnected):
--- a/src/lagoonrill/_internal/coordination/gateway_peers.py
+++ b/src/lagoonrill/_internal/coordination/gateway_peers.py
@@ -20,6 +20,7 @@
     PromptReply,
     PromptRequest,
     RoutingRequest,
+    ServiceDemand,
 )
 from ..state.endpoint_registry import EndpointRegistry
 from ..state.engine_load_table import EngineLoadTable
@@ -115,6 +116,8 @@
         self.clock = clock
         self.lock = threading.Lock()
         self.views: dict[str, PeerView] = {}
+        # Demand for the services whose endpoints are ordered by the load.
+        self.demand: Callable[[], list[ServiceDemand]] = list
         self.changed = threading.Event()
         self.stopping = threading.Event()
         self.leaving = False
@@ -394,6 +397,7 @@
             stream_engines=self.stream_engines(),
             doubtful=doubtful,
             known_addresses=addresses or [],
+            demand=[] if self.leaving else self.demand(),
         )
 
     def _far_addresses(self) -> set[str]:
--- a/src/lagoonrill/_internal/protocol/messages.py
+++ b/src/lagoonrill/_internal/protocol/messages.py
@@ -180,6 +180,23 @@
     failures: float
 
 
+class ServiceDemand(msgspec.Struct, kw_only=True, array_like=True):
+    """Requests of the sender's callers for a service whose endpoints are ordered.
+
+    The counts of arrivals only grow while the sender runs.
+    """
+
+    service: str
+    arrived: int
+    # Prompt tokens that engines have to read for the requests that arrived.
+    arrived_tokens: int
+    # Requests that wait for an engine, and their tokens.
+    waiting: int
+    waiting_tokens: int
+    # Calls to plain endpoints that have not been answered.
+    outstanding: int
+
+
 class GatewayDigest(PeerMessage, omit_defaults=True):
     """State of a gateway, sent to its peers after each change.
 
@@ -211,6 +228,8 @@
     # Calls to endpoints with recent failures; None if unchanged.
     doubtful: list[EndpointCalls] | None = None
     known_addresses: list[str] = []
+    # Only for services whose endpoints are ordered by the load.
+    demand: list[ServiceDemand] = []
 
     @property
     def endpoint_position(self) -> StorePosition:
--- a/src/lagoonrill/_internal/protocol/routing.py
+++ b/src/lagoonrill/_internal/protocol/routing.py
@@ -72,6 +72,22 @@
     link_bytes_per_s: float = 0.0
 
 
+class ScalingProfile(msgspec.Struct, kw_only=True, frozen=True):
+    """Limits and prices for the number of endpoints of a service.
+
+    The limits hold for each zone and for both kinds of endpoints together.
+    """
+
+    min_endpoints: int
+    max_endpoints: int
+    # Time from an order until the new endpoints serve.
+    startup_s: float
+    # Price of a spot endpoint as a fraction of the zone's price.
+    spot_price: float
+    # Price per second of an ordinary endpoint in each zone.
+    zone_prices: dict[str, float]
+
+
 class Service(msgspec.Struct, kw_only=True, frozen=True):
     """A service; `max_connections` bounds the connections of all callers together."""
 
@@ -79,6 +95,8 @@
     health_path: str = ""
     max_connections: int = 0
     engine: EngineProfile | None = None
+    # None if the number of endpoints is not changed by orders.
+    scaling: ScalingProfile | None = None
 
 
 class CallerLimits(msgspec.Struct, kw_only=True, frozen=True):
@@ -140,6 +158,10 @@
     cold_s: float = 0.0
     # Version of its software; versions have no order. Empty if it names none.
     version: str = ""
+    # Whether the endpoint is cheaper and may be withdrawn with a notice.
+    spot: bool = False
+    # Time until the endpoint is withdrawn, as its entry said; None without a notice.
+    leaves_s: float | None = None
 
 
 class PromptPart(msgspec.Struct, kw_only=True, frozen=True, array_like=True):
--- /dev/null
+++ b/src/lagoonrill/_internal/scaling/policy.py
@@ -0,0 +1,800 @@
+"""Decides how many endpoints of each kind a service should have in each zone.
+
+Load pattern: about half of the endpoints stand idle on calm days, the load swings
+within some seconds, and bursts of a few seconds need twice as many. An ordered endpoint
+serves only seconds later, so most of a burst has to be served by endpoints that exist
+before.
+
+Three numbers of endpoints follow from the load of the recent past:
+
+- the *mean need* serves the mean load at the target utilisation;
+- *required* are enough for the mean need after the loss of one zone, and for the
+  highest load of the hold time;
+- *wanted* is more, by a headroom for bursts that is only bought on spot capacity.
+
+Spot endpoints carry what may be lost: each zone keeps a floor of ordinary endpoints,
+and without the spot endpoints of any one zone the others serve the mean need.
+"""
+
+import math
+from collections import deque
+
+import msgspec
+
+from ..protocol.routing import ScalingProfile
+
+# Fraction of the first-event goal that may pass until the prompt has been read; the
+# same as in the placement of prompts.
+READ_SHARE_OF_GOAL = 0.6
+# Share of prompts that may find more work ahead of them than the goal allows.
+LATE_SHARE = 0.02
+MIN_UTILISATION = 0.3
+MAX_UTILISATION = 0.8
+# Target share of slots in use, for engines and for plain endpoints.
+SLOT_UTILISATION = 0.7
+# Prompts that wait should be read within this time, in addition to those that arrive.
+BACKLOG_S = 2.0
+
+# Times over which the mean load is taken: for the number of all endpoints, and for that
+# of ordinary ones, which a burst of seconds should not change.
+MEAN_S = 30.0
+FLOOR_MEAN_S = 60.0
+# Numbers fall only when the highest load of this time allows it. It is longer than the
+# period of swings in the load (11 s).
+HOLD_S = 15.0
+# Idle endpoints cost less on spot capacity and are kept longer, up to this time.
+MAX_MEMORY_S = 90.0
+# The headroom may cost this share of the mean need at ordinary prices, and is at most
+# this share of the mean need.
+HEADROOM_COST_SHARE = 0.2
+MAX_HEADROOM = 1.25
+# Minimum share of a zone's need on ordinary endpoints.
+ORDINARY_SHARE = 0.25
+# The rates of the demand meter cover less than its window before this time.
+FIRST_SAMPLE_S = 1.5
+# Before this time, only requests that wait show that endpoints are missing: the
+# measured rates may still be near their initial values.
+OBSERVE_S = 5.0
+
+# Differences up to this share are left alone, unless endpoints are required.
+GROWTH_BAND = 0.1
+SHRINK_BAND = 0.15
+# Numbers are lowered when they are still enough for a need this much higher, so that
+# small changes of the mean do not raise them again.
+KEEP_FACTOR = 1.1
+# At most this share of a zone's endpoints is removed in one step: their cached prompts
+# have to be read again elsewhere.
+SHRINK_STEP_SHARE = 0.25
+SHRINK_INTERVAL_S = 3.0
+
+# Spot capacity is not requested again for this time where there was none.
+SPOT_PAUSE_S = 5.0
+# Orders for the same endpoints within a growing load are batched.
+GROWTH_SPACING_S = 0.5
+# Pauses after a call that failed; they double with each failure.
+FIRST_PAUSE_S = 0.3
+MAX_PAUSE_S = 2.0
+# Endpoints in calls that fail are replaced by others after this time.
+FAILING_S = 3.0
+# A call without an answer may be executed this much later, over newer numbers.
+DOUBT_S = 10.0
+RESTATE_S = 3.0
+# Interval of repeated orders while the number of endpoints differs from the order.
+FIRST_REPAIR_S = 5.0
+MAX_REPAIR_S = 30.0
+# Time for new endpoints to be discovered, in addition to their start.
+DISCOVERY_S = 1.0
+STARTUP_MARGIN = 1.25
+
+
+class ZoneView(msgspec.Struct, kw_only=True, frozen=True):
+    """Endpoints of a service in one zone."""
+
+    # Endpoints that take new requests.
+    ordinary: int = 0
+    spot: int = 0
+    # Endpoints that finish their requests.
+    leaving: int = 0
+    # Spot endpoints that are leaving because their capacity is withdrawn.
+    withdrawn: int = 0
+
+    @property
+    def serving(self) -> int:
+        return self.ordinary + self.spot
+
+
+class ServiceView(msgspec.Struct, kw_only=True):
+    """Load and endpoints of a service in the whole fleet."""
+
+    service: str
+    profile: ScalingProfile
+    zones: dict[str, ZoneView] = {}
+    # Slots of one endpoint.
+    slots: float = 1.0
+    # Requests that run or wait.
+    requests: float = 0.0
+    waiting: int = 0
+    waiting_tokens: float = 0.0
+    requests_per_s: float = 0.0
+    # Prompt tokens per second that engines have to read, also for refused requests.
+    tokens_per_s: float = 0.0
+    # Prompt tokens per second that one engine reads; 0 if that is not known.
+    prefill_rate: float = 0.0
+    goal_s: float = 0.0
+
+
+class DemandView(msgspec.Struct, kw_only=True):
+    """All services whose endpoints are ordered."""
+
+    services: list[ServiceView] = []
+
+
+class Order(msgspec.Struct, kw_only=True, frozen=True):
+    """The number of endpoints of one kind that should exist, with the reasons."""
+
+    service: str
+    zone: str
+    spot: bool
+    count: int
+    # Number before; None if there was no order yet.
+    before: int | None
+    reason: str
+    need: float
+    required: int
+    wanted: int
+    ready: int
+    waiting: int
+    # Load relative to all ready endpoints.
+    utilisation: float
+
+    @property
+    def kind(self) -> str:
+        return "spot" if self.spot else "ordinary"
+
+    @property
+    def grows(self) -> bool:
+        return self.before is None or self.count > self.before
+
+
+def target_utilisation(*, goal_s: float, read_s: float) -> float:
+    """Returns the share of time that engines may read so that prompts meet their goal.
+
+    For random arrivals and equal prompts, the time that a prompt waits exceeds t with a
+    probability of about exp(-2 (1 - u) t / (u read_s)) at a utilisation u.
+
+    >>> round(target_utilisation(goal_s=0.8, read_s=0.1), 2)
+    0.66
+    >>> target_utilisation(goal_s=0.8, read_s=0.4)
+    0.3
+    """
+    if goal_s <= 0 or read_s <= 0:
+        return MAX_UTILISATION
+    slack_s = goal_s * READ_SHARE_OF_GOAL - read_s
+    if slack_s <= 0:
+        return MIN_UTILISATION
+    found = 1 / (1 - math.log(LATE_SHARE) * read_s / (2 * slack_s))
+    return min(MAX_UTILISATION, max(MIN_UTILISATION, found))
+
+
+class Subject:
+    """What is known of the orders for one kind of endpoints in one zone."""
+
+    __slots__ = (
+        "attempted",
+        "count",
+        "differs_since",
+        "doubt_until",
+        "failing_since",
+        "grown_at",
+        "is_confirmed",
+        "ordered_at",
+        "pause_s",
+        "paused_until",
+        "repair_at",
+        "repair_s",
+        "seen",
+    )
+
+    def __init__(self):
+        # The number in the last order that may have been executed.
+        self.count: int | None = None
+        # Most endpoints seen at once; the platform keeps them until the first order.
+        self.seen = 0
+        self.is_confirmed = True
+        # The number in the last order, if that was not executed.
+        self.attempted: int | None = None
+        self.ordered_at = -math.inf
+        self.grown_at = -math.inf
+        self.paused_until = -math.inf
+        self.pause_s = FIRST_PAUSE_S
+        self.doubt_until = -math.inf
+        # Time of the first of the last calls that all failed.
+        self.failing_since: float | None = None
+        # Time since which the number of endpoints differs from the order.
+        self.differs_since: float | None = None
+        self.repair_at = -math.inf
+        self.repair_s = FIRST_REPAIR_S
+
+    @property
+    def known(self) -> int:
+        """The number that should exist as far as is known."""
+        return self.seen if self.count is None else self.count
+
+    def note_done(self, order: Order, now: float) -> None:
+        if order.grows:
+            self.grown_at = now
+        self.count = order.count
+        self.is_confirmed = True
+        self.attempted = None
+        self.failing_since = None
+        self.pause_s = FIRST_PAUSE_S
+        self.ordered_at = now
+
+    def note_failure(self, order: Order, now: float, *, in_doubt: bool) -> None:
+        self.attempted = order.count
+        if self.failing_since is None:
+            self.failing_since = now
+        self.ordered_at = now
+        self.paused_until = now + self.pause_s
+        self.pause_s = min(MAX_PAUSE_S, 2 * self.pause_s)
+        if in_doubt:
+            self.count = order.count
+            self.is_confirmed = False
+            self.doubt_until = now + DOUBT_S
+
+    def expected(self, ready: int, now: float, startup_s: float) -> int:
+        """Returns how many endpoints serve, or will when ordered ones have started."""
+        if self.failing_since is not None and now < self.failing_since + FAILING_S:
+            return max(ready, self.attempted or 0)
+        if self.count is None:
+            return ready
+        if now < self.grown_at + startup_s * STARTUP_MARGIN + DISCOVERY_S:
+            return self.count
+        return min(ready, self.count)
+
+
+class Sample(msgspec.Struct, kw_only=True, frozen=True):
+    """Load at one time."""
+
+    at: float
+    tokens_per_s: float
+    # Including the prompts that wait.
+    demanded_tokens_per_s: float
+    requests: float
+    prefill_rate: float
+
+
+class Needs(msgspec.Struct, kw_only=True):
+    """Numbers of endpoints that follow from the load; see the module's comment."""
+
+    mean: float = 0.0
+    floor_mean: float = 0.0
+    required: int = 0
+    wanted: int = 0
+    utilisation: float = 0.0
+    target_utilisation: float = 0.0
+    # Prompt tokens per second that one engine is assumed to read.
+    prefill_rate: float = 0.0
+
+
+class ServicePlan:
+    """Load history, orders and decisions for one service."""
+
+    def __init__(self, *, service: str, now: float):
+        self.service = service
+        self.started_at = now
+        self.samples: deque[Sample] = deque()
+        # Recent wanted numbers, with their times.
+        self.wanted: deque[tuple[float, int]] = deque()
+        self.subjects: dict[tuple[str, bool], Subject] = {}
+        self.spot_paused_until: dict[str, float] = {}
+        self.shrunk_at = -math.inf
+        self.needs = Needs()
+        self.has_load = False
+        self.view: ServiceView | None = None
+
+    def subject(self, zone: str, spot: bool) -> Subject:
+        return self.subjects.setdefault((zone, spot), Subject())
+
+    def decide(self, view: ServiceView, now: float) -> list[Order]:
+        """Returns the orders that are due, the most urgent first."""
+        self.view = view
+        self._note_endpoints(view, now)
+        self._note_load(view, now)
+        self.needs = self._needs(view, now)
+        self.wanted.append((now, self.needs.wanted))
+        while self.wanted[0][0] < now - HOLD_S:
+            self.wanted.popleft()
+        if self.needs.mean > 0:
+            self.has_load = True
+        if not (self.has_load or now >= self.started_at + FLOOR_MEAN_S):
+            # The load is about to begin.
+            return []
+        orders = self._growth(view, now)
+        if not orders:
+            orders = self._shrinking(view, now)
+        return orders + self._repeated(view, now, orders)
+
+    def _zones(self, view: ServiceView) -> list[str]:
+        """Returns the zones in which endpoints are ordered."""
+        return sorted(view.profile.zone_prices or view.zones)
+
+    def _price(self, view: ServiceView, zone: str) -> float:
+        return view.profile.zone_prices.get(zone, 1.0)
+
+    def _note_endpoints(self, view: ServiceView, now: float) -> None:
+        for zone in self._zones(view):
+            found = view.zones.get(zone, ZoneView())
+            if found.withdrawn:
+                self.spot_paused_until[zone] = now + SPOT_PAUSE_S
+                subject = self.subject(zone, True)
+                if subject.count is not None:
+                    subject.count = min(subject.count, found.spot)
+                    subject.grown_at = -math.inf
+            for spot, ready in ((False, found.ordinary), (True, found.spot)):
+                subject = self.subject(zone, spot)
+                subject.seen = max(subject.seen, ready)
+                if subject.count is None or ready == subject.count:
+                    subject.differs_since = None
+                    subject.repair_s = FIRST_REPAIR_S
+                elif subject.differs_since is None:
+                    subject.differs_since = now
+
+    def _note_load(self, view: ServiceView, now: float) -> None:
+        if now < self.started_at + FIRST_SAMPLE_S:
+            return
+        waiting = view.waiting_tokens / BACKLOG_S
+        self.samples.append(
+            Sample(
+                at=now,
+                tokens_per_s=view.tokens_per_s,
+                demanded_tokens_per_s=view.tokens_per_s + waiting,
+                requests=view.requests,
+                prefill_rate=view.prefill_rate,
+            )
+        )
+        oldest = now - self._memory_s(view)
+        while self.samples[0].at < oldest:
+            self.samples.popleft()
+
+    def _memory_s(self, view: ServiceView) -> float:
+        price = max(view.profile.spot_price, HOLD_S / MAX_MEMORY_S)
+        return max(FLOOR_MEAN_S, HOLD_S / price)
+
+    def _needs(self, view: ServiceView, now: float) -> Needs:
+        if not self.samples:
+            return Needs()
+        profile = view.profile
+        # Late reports of other prompts lower the measured rate in bursts, and nothing
+        # raises it.
+        rate = max(i.prefill_rate for i in self.samples if i.at > now - MEAN_S)
+        read_s = 0.0
+        if rate > 0 and view.requests_per_s > 0:
+            read_s = view.tokens_per_s / view.requests_per_s / rate
+        target = target_utilisation(goal_s=view.goal_s, read_s=read_s)
+
+        def endpoints(tokens_per_s: float, requests: float) -> float:
+            by_slots = requests / (view.slots * SLOT_UTILISATION)
+            return max(by_slots, tokens_per_s / (rate * target) if rate else 0.0)
+
+        def mean(seconds: float) -> float:
+            found = [item for item in self.samples if item.at > now - seconds]
+            return endpoints(
+                sum(item.tokens_per_s for item in found) / len(found),
+                sum(item.requests for item in found) / len(found),
+            )
+
+        def highest(seconds: float) -> float:
+            found = [item for item in self.samples if item.at > now - seconds]
+            return endpoints(
+                max(item.demanded_tokens_per_s for item in found),
+                max(item.requests for item in found),
+            )
+
+        zones = self._zones(view)
+        limit = profile.max_endpoints * len(zones)
+        mean_need = mean(MEAN_S)
+        lost = [zone for zone in zones if self._is_lost(view, zone, now)]
+        after_loss = mean_need
+        if len(zones) > 1 and not lost:
+            after_loss *= len(zones) / (len(zones) - 1)
+        required = max(after_loss, highest(HOLD_S))
+        headroom = 0.0
+        if profile.spot_price < 1:
+            share = HEADROOM_COST_SHARE / max(profile.spot_price, 0.01)
+            headroom = min(MAX_HEADROOM, share)
+        wanted = max(required, mean_need * (1 + headroom))
+        if profile.spot_price < 1:
+            wanted = max(wanted, highest(self._memory_s(view)))
+        reading = view.tokens_per_s / rate if rate else 0.0
+        load = max(view.requests / view.slots, reading)
+        serving = sum(zone.serving for zone in view.zones.values())
+        return Needs(
+            mean=min(limit, mean_need),
+            floor_mean=min(limit, mean(FLOOR_MEAN_S)),
+            required=min(limit, math.ceil(required)),
+            wanted=min(limit, math.ceil(wanted)),
+            utilisation=load / max(1, serving),
+            target_utilisation=target,
+            prefill_rate=rate,
+        )
+
+    def _expected(self, view: ServiceView, zone: str, spot: bool, now: float) -> int:
+        found = view.zones.get(zone, ZoneView())
+        ready = found.spot if spot else found.ordinary
+        subject = self.subject(zone, spot)
+        return subject.expected(ready, now, view.profile.startup_s)
+
+    def _is_lost(self, view: ServiceView, zone: str, now: float) -> bool:
+        """Returns whether a zone had endpoints, and has none and starts none."""
+        if view.zones.get(zone, ZoneView()).serving:
+            return False
+        kinds = (False, True)
+        return any(self.subject(zone, spot).known for spot in kinds) and not any(
+            self._expected(view, zone, spot, now) for spot in kinds
+        )
+
+    def _floor(self, view: ServiceView, mean: float) -> int:
+        """Returns the minimum number of ordinary endpoints in each zone."""
+        zones = len(self._zones(view))
+        share = math.ceil(mean / zones * ORDINARY_SHARE) if zones > 1 else 0
+        if zones == 1:
+            # All spot endpoints may be lost at once.
+            share = math.ceil(mean)
+        least = max(view.profile.min_endpoints, share)
+        return min(view.profile.max_endpoints, least)
+
+    def _is_spot_paused(self, view: ServiceView, zone: str, now: float) -> bool:
+        if view.profile.spot_price >= 1:
+            return True
+        return now < self.spot_paused_until.get(zone, -math.inf)
+
+    def _outside(self, view: ServiceView) -> int:
+        """Returns the serving endpoints in zones where none can be ordered."""
+        zones = self._zones(view)
+        return sum(
+            found.serving for zone, found in view.zones.items() if zone not in zones
+        )
+
+    def _spot_targets(
+        self, view: ServiceView, wanted: float, mean: float, now: float
+    ) -> dict[str, int]:
+        """Returns the numbers of spot endpoints that would make up the wanted number.
+
+        Zones without spot capacity keep what they have; the others share the rest
+        evenly. No zone gets so many that the mean need depends on them.
+        """
+        most = view.profile.max_endpoints
+        most_lost = max(0, math.floor(wanted - mean))
+        totals: dict[str, int] = {}
+        room: dict[str, int] = {}
+        targets: dict[str, int] = {}
+        for zone in self._zones(view):
+            if self._is_lost(view, zone, now):
+                continue
+            floor = self._floor(view, self.needs.floor_mean)
+            has = self._expected(view, zone, True, now)
+            is_limited = self._is_spot_paused(view, zone, now) or (
+                # Ordered endpoints have not come; others stand in for them.
+                has < (self.subject(zone, True).count or 0)
+            )
+            limit = has if is_limited else most_lost
+            totals[zone] = floor
+            targets[zone] = 0
+            room[zone] = min(limit, most - floor)
+        missing = math.ceil(wanted) - sum(totals.values()) - self._outside(view)
+        for _ in range(max(0, missing)):
+            free = [zone for zone in totals if targets[zone] < room[zone]]
+            if not free:
+                break
+            zone = min(free, key=lambda item: (totals[item], self._price(view, item)))
+            targets[zone] += 1
+            totals[zone] += 1
+        return targets
+
+    def _ordinary_needed(
+        self, view: ServiceView, spots: dict[str, int], total: float, mean: float
+    ) -> int:
+        """Returns how many ordinary endpoints are needed beside the spot endpoints."""
+        spot = sum(spots.values()) + self._outside(view)
+        after_loss = max((mean - (spot - lost) for lost in spots.values()), default=0)
+        return max(0, math.ceil(total - spot), math.ceil(after_loss))
+
+    def _order(
+        self, view: ServiceView, zone: str, spot: bool, count: int, reason: str
+    ) -> Order:
+        found = view.zones.get(zone, ZoneView())
+        subject = self.subject(zone, spot)
+        before = None if spot and subject.count is None else subject.known
+        return Order(
+            service=self.service,
+            zone=zone,
+            spot=spot,
+            count=count,
+            before=before,
+            reason=reason,
+            need=round(self.needs.mean, 1),
+            required=self.needs.required,
+            wanted=self.needs.wanted,
+            ready=found.spot if spot else found.ordinary,
+            waiting=view.waiting,
+            utilisation=round(self.needs.utilisation, 3),
+        )
+
+    def _may_order(self, zone: str, spot: bool, now: float) -> bool:
+        subject = self.subject(zone, spot)
+        return now >= max(subject.paused_until, subject.ordered_at + GROWTH_SPACING_S)
+
+    def _growth(self, view: ServiceView, now: float) -> list[Order]:
+        is_observed = now >= self.started_at + OBSERVE_S
+        if not is_observed and view.waiting <= self._serving(view):
+            return []
+        needs = self.needs
+        profile = view.profile
+        zones = self._zones(view)
+        expected = {
+            (zone, spot): self._expected(view, zone, spot, now)
+            for zone in zones
+            for spot in (False, True)
+        }
+        is_short = sum(expected.values()) + self._outside(view) < needs.required
+        orders = []
+        targets = self._spot_targets(view, needs.wanted, needs.mean, now)
+        missing = sum(
+            max(0, target - expected[zone, True]) for zone, target in targets.items()
+        )
+        band = max(1.0, GROWTH_BAND * needs.wanted)
+        if is_short or missing > band or (missing and not self._has_spot(expected)):
+            reason = "load" if is_short else "headroom"
+            for zone, target in targets.items():
+                subject = self.subject(zone, True)
+                room = profile.max_endpoints - max(
+                    expected[zone, False], view.zones.get(zone, ZoneView()).ordinary
+                )
+                count = min(room, max(target, self._attempted(subject, now)))
+                if count <= max(expected[zone, True], subject.count or 0):
+                    continue
+                if self._is_spot_paused(view, zone, now):
+                    continue
+                expected[zone, True] = count
+                if self._may_order(zone, True, now):
+                    orders.append(self._order(view, zone, True, count, reason))
+        return orders + self._ordinary_growth(view, expected, now)
+
+    def _has_spot(self, expected: dict[tuple[str, bool], int]) -> bool:
+        return any(number for (_, spot), number in expected.items() if spot)
+
+    def _attempted(self, subject: Subject, now: float) -> int:
+        """Returns the number of a recent order that was not executed."""
+        if subject.attempted is None or now > subject.ordered_at + MAX_PAUSE_S + 1:
+            return 0
+        return subject.attempted
+
+    def _ordinary_growth(
+        self, view: ServiceView, expected: dict[tuple[str, bool], int], now: float
+    ) -> list[Order]:
+        """Orders ordinary endpoints for what spot endpoints cannot carry."""
+        needs = self.needs
+        zones = [z for z in self._zones(view) if not self._is_lost(view, z, now)]
+        most = view.profile.max_endpoints
+        floor = self._floor(view, needs.floor_mean)
+        subjects = {zone: self.subject(zone, False) for zone in zones}
+        # Endpoints that restart belong to the number that is ordered.
+        counts = {
+            zone: max(subjects[zone].known, expected[zone, False]) for zone in zones
+        }
+        reasons: dict[str, str] = {}
+        for zone in zones:
+            if counts[zone] < floor:
+                expected[zone, False] += floor - counts[zone]
+                counts[zone] = floor
+                reasons[zone] = "floor"
+        spots = {zone: expected[zone, True] for zone in zones}
+        needed = self._ordinary_needed(view, spots, needs.required, needs.mean)
+        needed -= sum(expected[zone, False] for zone in zones)
+
+        def rank(zone: str) -> tuple:
+            found = view.zones.get(zone, ZoneView())
+            is_failing = found.withdrawn > 0 or counts[zone] > expected[zone, False]
+            return is_failing, counts[zone] + spots[zone], self._price(view, zone)
+
+        for _ in range(max(0, needed)):
+            free = [zone for zone in zones if counts[zone] + spots[zone] < most]
+            if not free:
+                break
+            zone = min(free, key=rank)
+            counts[zone] += 1
+            expected[zone, False] += 1
+            reasons[zone] = "load"
+        orders = []
+        for zone, reason in reasons.items():
+            count = max(counts[zone], self._attempted(subjects[zone], now))
+            if self._may_order(zone, False, now):
+                orders.append(self._order(view, zone, False, count, reason))
+        return orders
+
+    def _shrinking(self, view: ServiceView, now: float) -> list[Order]:
+        if now < self.started_at + HOLD_S or now < self.shrunk_at + SHRINK_INTERVAL_S:
+            return []
+        if any(now < item.paused_until for item in self.subjects.values()):
+            return []
+        if view.tokens_per_s > 0 and not self.needs.prefill_rate:
+            # How much the engines can read is not known yet.
+            return []
+        order = self._ordinary_shrinking(view, now) or self._spot_shrinking(view, now)
+        return [order] if order else []
+
+    def _serving(self, view: ServiceView) -> int:
+        return sum(found.serving for found in view.zones.values())
+
+    def _step(self, view: ServiceView, zone: str) -> int:
+        serving = view.zones.get(zone, ZoneView()).serving
+        return max(1, int(SHRINK_STEP_SHARE * serving))
+
+    def _removable(self, view: ServiceView, zone: str, total: float) -> int:
+        """Returns how many endpoints a zone can lose, down to a total.
+
+        Whichever zone is lost then, the others serve the mean need.
+        """
+        serving = self._serving(view)
+        kept = KEEP_FACTOR * self.needs.mean
+        others = [found.serving for name, found in view.zones.items() if name != zone]
+        after_loss = math.floor(serving - max(others, default=0) - kept)
+        if not others:
+            after_loss = serving
+        return max(0, min(after_loss, math.floor(serving - total)))
+
+    def _ordinary_shrinking(self, view: ServiceView, now: float) -> Order | None:
+        """Lowers the number of ordinary endpoints that others replace already."""
+        needs = self.needs
+        zones = self._zones(view)
+        spots = {zone: view.zones.get(zone, ZoneView()).spot for zone in zones}
+        is_starting = any(
+            self._expected(view, zone, True, now) > spots[zone] for zone in zones
+        )
+        # Ordinary endpoints carry the headroom until the spot endpoints serve.
+        total = needs.wanted if is_starting else needs.required
+        needed = self._ordinary_needed(view, spots, total, KEEP_FACTOR * needs.mean)
+        floor = self._floor(view, KEEP_FACTOR * needs.floor_mean)
+        counts = {zone: self._expected(view, zone, False, now) for zone in zones}
+        surplus = sum(counts.values()) - max(needed, floor * len(zones))
+        if surplus <= 0:
+            return None
+        candidates = [zone for zone in zones if counts[zone] > floor]
+        candidates.sort(key=lambda zone: (-counts[zone], -self._price(view, zone)))
+        for zone in candidates:
+            removed = min(
+                surplus,
+                self._step(view, zone),
+                counts[zone] - floor,
+                self._removable(view, zone, total),
+            )
+            if removed > 0:
+                count = counts[zone] - removed
+                return self._order(view, zone, False, count, "surplus")
+        return None
+
+    def _spot_shrinking(self, view: ServiceView, now: float) -> Order | None:
+        needs = self.needs
+        highest = max(number for _, number in self.wanted)
+        wanted = KEEP_FACTOR * highest
+        targets = self._spot_targets(view, wanted, needs.mean, now)
+        counts = {zone: self._expected(view, zone, True, now) for zone in targets}
+        surplus = sum(counts.values()) - sum(targets.values())
+        if surplus <= max(2.0, SHRINK_BAND * highest):
+            return None
+        candidates = [zone for zone in targets if counts[zone] > targets[zone]]
+        candidates.sort(key=lambda zone: (-counts[zone], -self._price(view, zone)))
+        for zone in candidates:
+            removed = min(
+                surplus,
+                self._step(view, zone),
+                counts[zone] - targets[zone],
+                self._removable(view, zone, highest),
+            )
+            if removed > 0:
+                return self._order(view, zone, True, counts[zone] - removed, "surplus")
+        return None
+
+    def _repeated(
+        self, view: ServiceView, now: float, orders: list[Order]
+    ) -> list[Order]:
+        """Returns orders whose numbers have to be stated again."""
+        ordered = {(order.zone, order.spot) for order in orders}
+        settle_s = view.profile.startup_s * STARTUP_MARGIN + DISCOVERY_S + RESTATE_S
+        found = []
+        for (zone, spot), subject in sorted(self.subjects.items()):
+            if (zone, spot) in ordered or subject.count is None:
+                continue
+            if now < subject.paused_until:
+                continue
+            if spot and self._is_spot_paused(view, zone, now):
+                continue
+            reason = ""
+            if not subject.is_confirmed:
+                reason = "unconfirmed"
+            elif now < subject.doubt_until + RESTATE_S:
+                if now >= subject.ordered_at + RESTATE_S:
+                    reason = "call_in_doubt"
+            elif (
+                subject.differs_since is not None
+                and now >= subject.differs_since + settle_s
+                and now >= subject.grown_at + settle_s
+                and now >= subject.repair_at
+            ):
+                reason = "number_differs"
+                subject.repair_at = now + subject.repair_s
+                subject.repair_s = min(MAX_REPAIR_S, 2 * subject.repair_s)
+            if reason:
+                found.append(self._order(view, zone, spot, subject.count, reason))
+        return found
+
+    def note_done(self, order: Order, now: float) -> None:
+        """Records an order that the platform has confirmed."""
+        subject = self.subject(order.zone, order.spot)
+        if order.before is not None and order.count < order.before:
+            self.shrunk_at = now
+        subject.note_done(order, now)
+
+    def note_none_available(self, order: Order, now: float) -> None:
+        """Records that a zone has no spot capacity now."""
+        self.spot_paused_until[order.zone] = now + SPOT_PAUSE_S
+        subject = self.subject(order.zone, True)
+        subject.attempted = None
+        subject.is_confirmed = True
+
+    def note_failure(self, order: Order, now: float, *, in_doubt: bool) -> None:
+        """Records a call that was not executed, or `in_doubt` may be executed late."""
+        if order.before is not None and order.count < order.before:
+            self.shrunk_at = now
+        subject = self.subject(order.zone, order.spot)
+        subject.note_failure(order, now, in_doubt=in_doubt)
+
+    def dump(self, now: float) -> dict:
+        zones = {}
+        for (zone, spot), subject in sorted(self.subjects.items()):
+            zones.setdefault(zone, {})["spot" if spot else "ordinary"] = {
+                "ordered": subject.count,
+                "confirmed": subject.is_confirmed,
+                "paused_s": round(max(0.0, subject.paused_until - now), 2),
+            }
+        for zone, until in self.spot_paused_until.items():
+            zones.setdefault(zone, {})["no_spot_s"] = round(max(0.0, until - now), 2)
+        return {
+            "needs": msgspec.to_builtins(self.needs),
+            "view": msgspec.to_builtins(self.view),
+            "age_s": round(now - self.started_at, 1),
+            "zones": zones,
+        }
+
+
+class ScalingPolicy:
+    """Plans of all services; a new holder of the lease starts with `reset`."""
+
+    def __init__(self):
+        self.plans: dict[str, ServicePlan] = {}
+
+    def reset(self) -> None:
+        """Forgets all orders and hold times: another instance may have ordered."""
+        self.plans = {}
+
+    def decide(self, view: DemandView, now: float) -> list[Order]:
+        """Returns the orders that are due; `now` is in seconds of any clock."""
+        orders = []
+        known = {item.service for item in view.services}
+        for service in self.plans.keys() - known:
+            del self.plans[service]
+        for item in view.services:
+            plan = self.plans.get(item.service)
+            if plan is None:
+                plan = ServicePlan(service=item.service, now=now)
+                self.plans[item.service] = plan
+            orders += plan.decide(item, now)
+        return orders
+
+    def plan(self, order: Order) -> ServicePlan:
+        """Returns the plan to which the outcome of an order is reported."""
+        return self.plans[order.service]
+
+    def dump(self, now: float) -> dict:
+        return {name: plan.dump(now) for name, plan in self.plans.items()}
--- a/src/lagoonrill/platform/_configuration.py
+++ b/src/lagoonrill/platform/_configuration.py
@@ -9,6 +9,7 @@
     RoutedTeam,
     RouteKind,
     RoutingConfig,
+    ScalingProfile,
     Service,
     WeightedService,
 )
@@ -61,6 +62,17 @@
     link_mbps: float = 0.0
 
 
+class WireAutoscale(msgspec.Struct, rename="pascal"):
+    """Limits and prices for the number of endpoints in each zone."""
+
+    max_replicas: int
+    min_replicas: int = 1
+    startup_s: float = 0.0
+    # Fraction of the zone's price.
+    spot_price: float = 1.0
+    zone_prices: dict[str, float] = {}
+
+
 class WireService(msgspec.Struct, rename="pascal"):
     """A service; `engine` is set if model engines serve it."""
 
@@ -68,6 +80,7 @@
     health_path: str = ""
     max_conns: int = 0
     engine: WireEngine | None = None
+    autoscale: WireAutoscale | None = None
 
 
 class WireLimits(msgspec.Struct, rename="pascal"):
@@ -154,6 +167,18 @@
         health_path=wire.health_path,
         max_connections=wire.max_conns,
         engine=engine,
+        scaling=wire.autoscale and _scaling(wire.autoscale),
+    )
+
+
+def _scaling(wire: WireAutoscale) -> ScalingProfile:
+    least = max(0, wire.min_replicas)
+    return ScalingProfile(
+        min_endpoints=least,
+        max_endpoints=max(least, wire.max_replicas),
+        startup_s=max(0.0, wire.startup_s),
+        spot_price=max(0.0, wire.spot_price),
+        zone_prices=wire.zone_prices,
     )
 
 
--- a/src/lagoonrill/platform/_store.py
+++ b/src/lagoonrill/platform/_store.py
@@ -60,6 +60,7 @@
 # of 64 bits, and other writers may have stored any number.
 MAX_SLOTS = 1_000_000
 MAX_COLD_MS = 24 * 3_600 * 1000
+MAX_LEAVES_MS = 24 * 3_600 * 1000
 MAX_UNIX_MS = 2**53
 MAX_VERSION_CHARACTERS = 200
 # An error may quote text of an entry, which can have any length.
@@ -127,6 +128,12 @@
     version: Annotated[str, msgspec.Meta(max_length=MAX_VERSION_CHARACTERS)] = ""
     # Start time in Unix milliseconds; it distinguishes restarts under the same id.
     born: UnixMs = msgspec.field(name="born", default=0)
+    # Whether the endpoint runs on capacity that may be withdrawn.
+    spot: bool = False
+    # Time until the endpoint is withdrawn.
+    leaves_ms: (
+        Annotated[float, msgspec.Meta(ge=-MAX_LEAVES_MS, le=MAX_LEAVES_MS)] | None
+    ) = msgspec.field(name="leaves_ms", default=None)
 
 
 class WireFinding(msgspec.Struct, rename="pascal"):
@@ -203,6 +210,8 @@
         incarnation=wire.born,
         cold_s=max(0.0, wire.cold_remaining_ms / 1000),
         version=wire.version,
+        spot=wire.spot,
+        leaves_s=None if wire.leaves_ms is None else max(0.0, wire.leaves_ms / 1000),
     )
 
 
