--- a/src/lagoonrill/_internal/gateway_daemon.py
+++ b/src/lagoonrill/_internal/gateway_daemon.py
@@ -32,12 +32,14 @@
 from .event_log import EventLog, EventLogHandler
 from .protocol.errors import SettingsError
 from .protocol.gateway_settings import (
+    AUTOSCALE,
     GatewayBounds,
     GatewaySettings,
     parse_gateway_settings,
 )
 from .protocol.headers import HeaderNames
 from .protocol.routing import RoutingConfig
+from .scaling.orders import ScalingOrders, build_scaling
 from .state.answer_memory import AnswerMemory
 from .state.endpoint_registry import EndpointRegistry
 from .state.engine_load_table import EngineLoadTable
@@ -282,6 +284,7 @@
 
     def _build_duties(self, backend: DutyBackend | None) -> None:
         self.duties: FleetDuties | None = None
+        self.scaling: ScalingOrders | None = None
         if backend is None or self.settings.duties is None:
             return
         self.duties = FleetDuties(
@@ -293,6 +296,21 @@
             event_log=self.event_log,
         )
         self.forwarder.usage = self.duties.ledger
+        if AUTOSCALE not in self.settings.duties.names:
+            return
+        self.scaling = build_scaling(
+            instance=self.settings.instance,
+            routing=self.routing,
+            registry=self.registry,
+            load_table=self.load_table,
+            admission=self.admission,
+            peers=self.peers,
+            caller=self.duties.caller,
+            lease=self.duties.lease,
+            metrics=self.metrics,
+            event_log=self.event_log,
+        )
+        self.duties.runner.duties.append(self.scaling)
 
     def _build_pages(self, readiness_path: str) -> None:
         self.metrics.register_gauge("config_version", lambda: self.routing.version)
@@ -460,6 +478,8 @@
         }
         if self.duties is not None:
             state["duties"] = self.duties.dump()
+        if self.scaling is not None:
+            state["scaling"] = self.scaling.dump()
         return msgspec.json.format(msgspec.json.encode(state)).decode() + "\n"
 
     def start(self) -> None:
--- a/tests/platform/test_duties.py
+++ b/tests/platform/test_duties.py
@@ -172,22 +172,21 @@
     """Renders the template as the platform does, as far as the template needs it."""
     text = TEMPLATE.read_text()
 
-    def section(match: re.Match) -> str:
-        return render_names(match[2], fields[match[1]]) if match[1] in fields else ""
-
-    def render_names(text: str, entry: dict) -> str:
-        def value(match: re.Match) -> str:
-            found = entry
-            for name in match[1].split("."):
-                if name not in found:
-                    return match[0]
-                found = found[name]
-            return json.dumps(found)
+    def find(name: str):
+        found = fields
+        for part in name.split("."):
+            found = found.get(part) if isinstance(found, dict) else None
+        return found
 
-        return re.sub(r"\{\{([\w.]+)\|json\}\}", value, text)
-
-    text = re.sub(r"(?s)\{\{#(\w+)\}\}(.*?)\{\{/\1\}\}", section, text)
-    return render_names(text, fields).encode()
+    def section(match: re.Match) -> str:
+        found = find(match[1])
+        # The platform renders a section once for each entry of a list or table.
+        times = len(found) if isinstance(found, dict | list) else int(bool(found))
+        return match[2] * times
+
+    text = re.sub(r"(?s)\{\{#([\w.]+)\}\}(.*?)\{\{/\1\}\}", section, text)
+    names = re.compile(r"\{\{([\w.]+)\|json\}\}")
+    return names.sub(lambda match: json.dumps(find(match[1])), text).encode()
 
 
 FIELDS = {
