--- a/src/lagoonrill/_internal/coordination/engine_admission.py
+++ b/src/lagoonrill/_internal/coordination/engine_admission.py
@@ -630,6 +630,7 @@
             uncached_tokens=max(0, generation.prompt_tokens - expected - copied),
             copied_tokens=copied,
             suspect=engine.suspect,
+            speed=self.load_table.speeds.factor(generation.service, engine.record.id),
         )
 
     def _profile(self, service: str) -> EngineProfile:
@@ -679,6 +680,14 @@
             if (limit := self.permits.limit(fleet.records[name])) is not None
         ]
         free = len(fleet.ordered) - len(restricted)
+        speeds = self.load_table.speeds.factors(service)
+        if speeds:
+            # In units of engines of the service's rate.
+            free += sum(
+                speeds.get(name, 1.0) - 1
+                for name in fleet.ordered
+                if name not in restricted
+            )
         total = rate * max(1, free - 1) if free or not restricted else MIN_TOKENS_PER_S
         if limits:
             mean = self._mean_unread_tokens(service)
--- a/src/lagoonrill/_internal/coordination/gateway_peers.py
+++ b/src/lagoonrill/_internal/coordination/gateway_peers.py
@@ -20,6 +20,7 @@
     PromptReply,
     PromptRequest,
     RoutingRequest,
+    SpeedSample,
 )
 from ..state.endpoint_registry import EndpointRegistry
 from ..state.engine_load_table import EngineLoadTable
@@ -315,6 +316,7 @@
                 near=True,
                 doubtful=self._doubtful(now),
                 addresses=self._addresses_due(now),
+                speeds=self.load_table.speeds.take_unshared(),
             ),
         )
         self._send_addresses_to_new_peers(now)
@@ -376,6 +378,7 @@
         near: bool = False,
         doubtful: list[EndpointCalls] | None = None,
         addresses: list[str] | None = None,
+        speeds: dict[str, list[SpeedSample]] | None = None,
     ) -> GatewayDigest:
         return GatewayDigest(
             instance=self.instance,
@@ -392,6 +395,7 @@
             work=[] if self.leaving else self.load_table.own_work(),
             reads=reads,
             stream_engines=self.stream_engines(),
+            speeds=speeds or {},
             doubtful=doubtful,
             known_addresses=addresses or [],
         )
@@ -442,6 +446,8 @@
         if digest.reads:
             self.load_table.record_peer_reads(digest.reads)
             self.crash_reports.note_peer_reads(digest.reads)
+        if digest.speeds:
+            self.load_table.speeds.record_peer_samples(digest.speeds)
         if digest.doubtful is not None:
             self.registry.update_peer_calls(digest.instance, digest.doubtful)
         self._note_peer_evidence(digest)
--- a/src/lagoonrill/_internal/coordination/policy/engine_placement.py
+++ b/src/lagoonrill/_internal/coordination/policy/engine_placement.py
@@ -84,6 +84,8 @@
     uncached_tokens: int
     copied_tokens: int = 0
     suspect: bool = False
+    # Speed relative to the prefill rate of the service.
+    speed: float = 1.0
 
     @property
     def reserved(self) -> bool:
@@ -247,7 +249,8 @@
         """Places a job on a listed engine; `rate` is in prompt tokens per second.
 
         `delay_ratio` is the ratio of recent to predicted prefill times; the prefill
-        budget of each engine is divided by it.
+        budget of each engine is divided by it. Tokens are compared in the time that
+        the engine needs for them: an engine of speed 0.5 counts them twice.
         """
         if not main:
             return Placement(engine=None, reason="no_engine")
@@ -270,9 +273,8 @@
                 PENDING_WEIGHT * engine.pending_tokens
                 + engine.uncached_tokens
                 + RUNNING_TOKENS * (engine.light + 4 * engine.heavy)
-                + self._penalty_tokens(engine)
             )
-            return tokens, engine.id
+            return tokens / engine.speed + self._penalty_tokens(engine), engine.id
 
         return self._placed(min(engines, key=cost), "interactive")
 
@@ -291,13 +293,13 @@
             unread = engine.uncached_tokens
             if engine is expected:
                 unread -= min(unread, ASSUMED_CACHED_FRACTION * shared_prefix_tokens)
-            return (
+            tokens = (
                 engine.pending_tokens
                 + unread
                 + COPY_COST * engine.copied_tokens
                 + RUNNING_TOKENS * (engine.light + engine.heavy)
-                + self._penalty_tokens(engine)
             )
+            return tokens / engine.speed + self._penalty_tokens(engine)
 
         free = [
             (cost(engine), engine.id, engine, "cached_and_least_unread")
@@ -315,7 +317,7 @@
             for engine in paced
             if not engine.suspect
             and engine.pending_tokens == 0
-            and engine.uncached_tokens <= pause_tokens
+            and engine.uncached_tokens <= pause_tokens * engine.speed
             and engine.heavy < MAX_HEAVY_BESIDE_STREAMS
         ]
         if not free:
@@ -323,12 +325,12 @@
         _, _, best, reason = min(free)
         if reason == PACED_REASON:
             return self._placed(best, reason, most_heavy=MAX_HEAVY_BESIDE_STREAMS - 1)
-        return self._placed(best, reason, most_tokens=int(budget))
+        return self._placed(best, reason, most_tokens=int(budget * best.speed))
 
     def _fits(self, engine: EngineView, budget: float) -> bool:
         return (
             engine.ahead_tokens == 0
-            or engine.ahead_tokens + engine.uncached_tokens <= budget
+            or engine.ahead_tokens + engine.uncached_tokens <= budget * engine.speed
         )
 
     def _penalty_tokens(self, engine: EngineView) -> int:
--- a/src/lagoonrill/_internal/protocol/messages.py
+++ b/src/lagoonrill/_internal/protocol/messages.py
@@ -180,6 +180,18 @@
     failures: float
 
 
+class SpeedSample(msgspec.Struct, kw_only=True, array_like=True, frozen=True):
+    """Time to one first event of an engine, compared with the sender's other engines.
+
+    Both numbers are natural logarithms in hundredths: how much longer it took than
+    expected, and the standard deviation of such samples.
+    """
+
+    engine: str
+    slowness_pct: int
+    noise_pct: int
+
+
 class GatewayDigest(PeerMessage, omit_defaults=True):
     """State of a gateway, sent to its peers after each change.
 
@@ -208,6 +220,8 @@
     # For each service, number of engines that the sender reserves for interactive
     # streams.
     stream_engines: dict[str, int] = {}
+    # Samples of the engines' speeds since the last digest, by service; to near peers.
+    speeds: dict[str, list[SpeedSample]] = {}
     # Calls to endpoints with recent failures; None if unchanged.
     doubtful: list[EndpointCalls] | None = None
     known_addresses: list[str] = []
--- a/src/lagoonrill/_internal/state/engine_load_table.py
+++ b/src/lagoonrill/_internal/state/engine_load_table.py
@@ -14,6 +14,7 @@
 
 from ..protocol.messages import EngineWork, PromptReply, PromptRequest
 from ..protocol.routing import PromptPart
+from .engine_speeds import EngineSpeeds
 from .prefill_fit import PrefillFit
 
 # Share of an engine's KV memory assumed to hold the prompt parts known here. Peers
@@ -183,6 +184,8 @@
         self.idle_prefill_rates: dict[str, float] = {}
         self.prefill_fits: dict[str, PrefillFit] = {}
         self.delay_ratios: dict[str, float] = {}
+        # Factors of the engines on the rates of their services.
+        self.speeds = EngineSpeeds(clock=lambda: self.clock())
         # Called without the lock after this instance's own work has changed.
         self.changed = lambda: None
         # Reads not yet sent to the peers.
@@ -308,6 +311,7 @@
             for engine in set(self.caches) - engines:
                 del self.caches[engine]
                 self.incarnations.pop(engine, None)
+        self.speeds.keep_only(engines)
 
     def load(self, engine: str) -> EngineWork:
         """Returns an engine's work from this instance and its live peers."""
@@ -457,17 +461,28 @@
         job.started = True
         elapsed_s = max(1e-3, self.clock() - job.sent_at)
         work = job.ahead_tokens + job.tokens
+        factor = self.speeds.factor(service, job.engine)
+        expected_s = work / self.prefill_rate(service) + FIRST_TOKEN_S
         with self.lock:
             self._count_own(job, tokens=-job.tokens, requests=0)
             if not job.ahead_tokens:
-                self._note_idle_sample(service, job.tokens, elapsed_s)
+                self._note_idle_sample(service, job.tokens, elapsed_s * factor)
             if job.tokens >= MIN_SAMPLE_TOKENS:
-                rate = work / elapsed_s
+                rate = work / (elapsed_s * factor)
                 rate = min(MAX_PREFILL_RATE, max(MIN_PREFILL_RATE, rate))
                 before = self.prefill_rates.get(service, INITIAL_PREFILL_RATE)
                 step = PREFILL_STEP_UP if rate > before else -PREFILL_STEP_DOWN
                 self.prefill_rates[service] = before * (1 + step)
-                self._note_delay(service, elapsed_s, work / before + FIRST_TOKEN_S)
+                self._note_delay(
+                    service, elapsed_s, work / (before * factor) + FIRST_TOKEN_S
+                )
+        self.speeds.add(
+            service,
+            job.engine,
+            took_s=elapsed_s,
+            expected_s=expected_s,
+            long=job.tokens >= MIN_SAMPLE_TOKENS,
+        )
         self.changed()
 
     def end(self, job: EngineJob) -> None:
@@ -513,5 +528,6 @@
                 "jobs": sum(load.light + load.heavy for load in self.own.values()),
                 "prefill_tokens_per_s": dict(self.prefill_rates),
                 "idle_prefill_tokens_per_s": dict(self.idle_prefill_rates),
+                "speed_factors": self.speeds.dump(),
                 "cached_tokens": {n: c.tokens for n, c in self.caches.items()},
             }
