--- a/src/lagoonrill/_internal/cli.py
+++ b/src/lagoonrill/_internal/cli.py
@@ -51,11 +51,49 @@
 
 
 @app.command()
-def check(manifest: ManifestPath, as_json: Json = False) -> None:
-    """Checks a manifest and prints all errors."""
-    from .commands.check import CheckCommand
+def check(
+    manifest: ManifestPath,
+    current: Annotated[
+        str | None,
+        typer.Option(help="Manifest in force, to print the differences from it."),
+    ] = None,
+    committed: Annotated[
+        bool,
+        typer.Option("--committed", help="Read the manifest in force from the fleet."),
+    ] = False,
+    settings: Annotated[
+        str | None,
+        typer.Option(help="Settings of a daemon, to compare limits with."),
+    ] = None,
+    config: Config = None,
+    object_api_url: ObjectApiUrl = None,
+    instance_list_url: InstanceListUrl = None,
+    as_json: Json = False,
+) -> None:
+    """Checks a manifest and prints errors, warnings and differences."""
+    from .commands.check import (
+        CheckCommand,
+        read_committed,
+        read_current,
+        read_settings,
+    )
 
-    run_and_exit(CheckCommand(path=manifest, as_json=as_json))
+    if current and committed:
+        raise typer.BadParameter("give one of --current and --committed")
+    found = None
+    if current:
+        found = read_current(current)
+    elif committed:
+        store, _ = open_platform(config, object_api_url, instance_list_url)
+        found = read_committed(store)
+    run_and_exit(
+        CheckCommand(
+            path=manifest,
+            as_json=as_json,
+            current=found,
+            settings=read_settings(settings) if settings else None,
+        )
+    )
 
 
 @app.command()
--- a/src/lagoonrill/_internal/commands/exit_status.py
+++ b/src/lagoonrill/_internal/commands/exit_status.py
@@ -15,4 +15,6 @@
     NOT_RUN = 7
     OUTCOME_UNKNOWN = 8
     UNAUTHORIZED = 9
+    WARNING = 10
+    DIFFERENT = 11
     INTERRUPTED = 130
