--- a/src/lagoonrill/_internal/protocol/errors.py
+++ b/src/lagoonrill/_internal/protocol/errors.py
@@ -68,15 +68,13 @@
 
 
 class StoreRejected(StoreError):
-    """The store rejected the call; a write did not take effect."""
+    """The store rejected the call; a write did not take effect.
 
-    default_remedy = "Correct the call; the store's message names the reason"
-
-
-class StoreBusy(StoreRejected):
-    """The call was rejected because of the rate of calls; it did not take effect."""
+    `status` is the HTTP status of the answer, 0 if unknown.
+    """
 
-    default_remedy = "Make fewer calls; try again after a pause"
+    status = 0
+    default_remedy = "Correct the call; the store's message names the reason"
 
 
 class StoreUnavailable(StoreError):
--- a/src/lagoonrill/_internal/transport/store_client.py
+++ b/src/lagoonrill/_internal/transport/store_client.py
@@ -8,7 +8,6 @@
 from returns.result import Failure, Result, Success
 
 from ..protocol.errors import (
-    StoreBusy,
     StoreCallInterrupted,
     StoreConflict,
     StoreError,
@@ -32,7 +31,6 @@
 IN_DOUBT_STATUSES = frozenset({408})
 CONFLICT_STATUSES = frozenset({409, 412})
 HISTORY_GONE_STATUS = 410
-BUSY_STATUS = 429
 
 
 class StoreResponse(msgspec.Struct, kw_only=True):
@@ -210,10 +208,10 @@
     message = f"{kind}: status {status}: {answer.data[:200].decode(errors='replace')}"
     if status == HISTORY_GONE_STATUS:
         return StoreHistoryGone(message=message)
-    if status == BUSY_STATUS:
-        return StoreBusy(message=message)
     if status in CONFLICT_STATUSES:
         return StoreConflict(message=message)
     if 400 <= status < 500 and status not in IN_DOUBT_STATUSES:
-        return StoreRejected(message=message)
+        rejected = StoreRejected(message=message)
+        rejected.status = status
+        return rejected
     return StoreInDoubt(message=message)
--- a/src/lagoonrill/platform/_duties.py
+++ b/src/lagoonrill/platform/_duties.py
@@ -6,10 +6,10 @@
 from .._internal.duties.lease import LeaseState
 from .._internal.duties.platform_calls import CallOutcome
 from .._internal.protocol.errors import (
-    StoreBusy,
     StoreConflict,
     StoreError,
     StoreInDoubt,
+    StoreRejected,
     StoreUnavailable,
 )
 from .._internal.transport.store_client import StoreClient, StoreResponse
@@ -21,6 +21,7 @@
 SCALE_PATH = "/scale"
 HOLDER_HEADER = "Lease-Holder"
 TOKEN_HEADER = "Fencing-Token"
+BUSY_STATUS = 429
 JSON_HEADERS = {"Content-Type": "application/json"}
 # A renewal has to end well before the lease time; the store responds in milliseconds.
 STORE_TIMEOUT_S = 0.75
@@ -222,7 +223,7 @@
     error = result.failure()
     if isinstance(error, StoreConflict):
         return CallOutcome.REFUSED
-    if isinstance(error, StoreBusy):
+    if isinstance(error, StoreRejected) and error.status == BUSY_STATUS:
         return CallOutcome.BUSY
     if isinstance(error, StoreUnavailable):
         return CallOutcome.UNAVAILABLE
