--- a/src/lagoonrill/_internal/duties/assembly.py
+++ b/src/lagoonrill/_internal/duties/assembly.py
@@ -132,10 +132,10 @@
         self.runner.start()
 
     def stop(self) -> None:
-        """Releases the lease, and sends the last counts to the collectors."""
-        self.runner.stop()
+        """Sends the last counts to the collectors, and releases the lease."""
         if self.exchange is not None:
             self.exchange.stop()
+        self.runner.stop()
 
     def dump(self) -> dict:
         """Returns the state of the lease and of the reports."""
--- a/src/lagoonrill/_internal/duties/runner.py
+++ b/src/lagoonrill/_internal/duties/runner.py
@@ -17,8 +17,9 @@
 # The platform's limit holds in each second, as the platform counts it.
 RATE_WINDOW_S = 1.0
 RATE_SHARE = 0.9
-# On a planned stop, a call to the platform may take this long to end.
-STOP_TIMEOUT_S = 1.0
+# On a planned stop, the call that is made and the release may take this long. The
+# process is killed about half a second after the latest point at which it stops.
+STOP_TIMEOUT_S = 0.4
 MAX_ERROR_CHARACTERS = 200
 
 
@@ -114,14 +115,12 @@
         self.thread.start()
 
     def stop(self) -> None:
-        """Ends the calls and releases the lease, unless a call does not end."""
+        """Ends the calls and releases the lease, if that does not take too long."""
         self.stopping.set()
         if self.thread.is_alive():
             self.thread.join(STOP_TIMEOUT_S)
         if self.thread.is_alive():
             self.event_log.emit("duty_lease_not_released", duty=self.lease.name)
-            return
-        self.lease.release()
 
     def is_candidate(self) -> bool:
         return self.clock() >= self.started_at + START_DELAY_S and self.is_first()
@@ -158,3 +157,4 @@
                 )
                 pause_s = FAILURE_PAUSE_S
             self.stopping.wait(pause_s)
+        self.lease.release()
--- a/src/lagoonrill/_internal/duties/usage_report.py
+++ b/src/lagoonrill/_internal/duties/usage_report.py
@@ -9,7 +9,7 @@
 from typing import Protocol
 
 import msgspec
-from returns.result import Failure, Result
+from returns.result import Failure, Result, Success
 
 from ..event_log import EventLog
 from ..protocol.errors import StoreConflict, StoreError
@@ -29,6 +29,8 @@
 REMOVAL_INTERVAL_S = 2.0
 # Without counts, reports of earlier holders are looked for in this many windows.
 SEARCHED_WINDOWS = 12
+# Windows that are open at the same time; the ledger keeps the counts of later ones.
+MAX_OPEN = 20
 # Keys in the progress of the lease: the last window that is reported, and the last one
 # whose report object is removed.
 DONE = "usage_done"
@@ -50,8 +52,8 @@
     def remove_report(self, window: int) -> Result[object, StoreError]: ...
 
 
-class FixedReport(msgspec.Struct, kw_only=True):
-    """Counts of a window that do not change any more.
+class OpenReport(msgspec.Struct, kw_only=True):
+    """A window that is due, with counts that do not change any more.
 
     They are sent once the store has them; `token` is that of the check.
     """
@@ -59,12 +61,17 @@
     window: int
     counts: dict[str, int]
     token: int | None = None
+    is_done: bool = False
+    # Pause after the latest attempt, and its end on the boot clock.
+    pause_s: float = 0.0
+    next_at: float = float("-inf")
 
 
 class UsageReporter:
-    """Reports the windows in order; one step makes at most a few calls.
+    """Reports each window that is due; one step makes at most a few calls.
 
-    `is_complete` returns whether the counts of all reachable peers are here.
+    A window whose report got no answer does not hold up the next ones. `is_complete`
+    returns whether the counts of all reachable peers are here.
     """
 
     name = "usage_report"
@@ -89,9 +96,9 @@
         self.is_complete = is_complete
         self.late_s = late_s
         self.event_log = event_log
-        self.fixed: FixedReport | None = None
-        self.pause_s = 0.0
-        self.next_at = float("-inf")
+        # Due windows after the last one up to which all are reported.
+        self.open: dict[int, OpenReport] = {}
+        self.next_search_at = float("-inf")
         self.next_removal_at = float("-inf")
         self.reported = 0
         self.reported_late = 0
@@ -99,22 +106,23 @@
         self.repeats = 0
 
     def step(self, token: int) -> None:
-        """Reports the next window if it is due; raises `StaleToken`."""
-        now = self.clock.boot()
-        if now < self.next_at or not self.is_complete():
-            return
-        window = self._next_window(token)
-        if window is None:
-            self._remove_old(now)
+        """Reports the first window that is due; raises `StaleToken`."""
+        if not self.is_complete():
             return
-        fixed = self._fix(window, token)
-        if fixed is not None:
-            self._report(fixed, token)
+        now = self.clock.boot()
+        self._open_due(now, token)
+        for window in sorted(self.open):
+            report = self.open[window]
+            if not report.is_done and now >= report.next_at:
+                if self._fix(report, token):
+                    self._send(report, token)
+                return
+        self._remove_old(now)
 
     def dump(self) -> dict:
         return {
             "done": self.done(),
-            "fixed": self.fixed.window if self.fixed is not None else None,
+            "open": sorted(self.open.copy()),
             "reported": self.reported,
             "reported_late": self.reported_late,
             "repeats": self.repeats,
@@ -122,103 +130,113 @@
         }
 
     def done(self) -> int:
-        """Returns the last reported window; 0 if none is known."""
+        """Returns the last window up to which all are reported; 0 if none is known."""
         return max(self.lease.progress.get(DONE, 0), self.ledger.done)
 
-    def _next_window(self, token: int) -> int | None:
-        """Returns the first window that is not reported, if its counts are complete."""
+    def _open_due(self, now: float, token: int) -> None:
+        """Fixes the counts of the next window, if they are complete."""
         done = self.done()
+        for window in [item for item in self.open if item <= done]:
+            del self.open[window]
         first = self.clock.window(self.ledger.counted_from())
         # Without earlier reports the fleet is new, and served nobody before.
-        window = done + 1 if done else first
+        is_new = not done and not self.open
+        window = first if is_new else max([done, *self.open]) + 1
         report_at = self.clock.end_of(window) + REPORT_AFTER_SHARE * self.late_s
-        if self.clock.now() < report_at:
-            return None
-        if not done or self.ledger.is_observed(window) or self._is_fixed(window):
-            return window
-        return self._next_unobserved(window, first, token)
-
-    def _is_fixed(self, window: int) -> bool:
-        return self.fixed is not None and self.fixed.window == window
-
-    def _next_unobserved(self, window: int, first: int, token: int) -> int | None:
-        """Returns the window if an earlier holder left its report; else skips it."""
-        if window >= first - SEARCHED_WINDOWS:
+        if self.clock.now() < report_at or len(self.open) >= MAX_OPEN:
+            return
+        if is_new or self.ledger.is_observed(window):
+            counts = self.ledger.counts(window)
+            self.open[window] = OpenReport(window=window, counts=counts)
+        elif now >= self.next_search_at:
+            self._search(window, first, token)
+
+    def _search(self, window: int, first: int, token: int) -> None:
+        """Takes the report that an earlier holder left for a window, or skips it."""
+        last = window
+        if window < first - SEARCHED_WINDOWS:
+            last = first - SEARCHED_WINDOWS - 1
+        else:
             result = self.reports.read_report(window)
             if isinstance(result, Failure):
-                self._note_store_failure(result.failure())
-                return None
-            counts = result.unwrap()
-            if counts is not None:
-                self.fixed = FixedReport(window=window, counts=counts, token=token)
-                return window
-            last = window
-        else:
-            last = first - SEARCHED_WINDOWS - 1
+                self.next_search_at = self.clock.boot() + STORE_PAUSE_S
+                self._log_store_failure(window, result.failure())
+                return
+            if (counts := result.unwrap()) is not None:
+                report = OpenReport(window=window, counts=counts, token=token)
+                self.open[window] = report
+                return
         self.unknown += last - window + 1
         self.event_log.emit("usage_unknown", first=window, last=last)
-        self._note_done(last)
-        return None
-
-    def _fix(self, window: int, token: int) -> FixedReport | None:
-        """Returns the report of a window once the store has it."""
-        if not self._is_fixed(window):
-            self.fixed = FixedReport(window=window, counts=self.ledger.counts(window))
-        fixed = self.fixed
-        if fixed.token == token:
-            return fixed
-        result = self.reports.create_report(window, fixed.counts)
-        if isinstance(result, Failure):
-            error = result.failure()
-            if not isinstance(error, StoreConflict):
-                # The next attempt finds the object if the call was executed.
-                self._note_store_failure(error)
-                return None
-            found = self.reports.read_report(window)
-            if isinstance(found, Failure) or found.unwrap() is None:
-                self._note_store_failure(error)
-                return None
-            fixed.counts = found.unwrap()
-        fixed.token = token
-        return fixed
-
-    def _report(self, fixed: FixedReport, token: int) -> None:
-        window = fixed.window
+        self.open[last] = OpenReport(window=last, counts={}, is_done=True)
+        self._note_done()
+
+    def _fix(self, report: OpenReport, token: int) -> bool:
+        """Writes the counts to the store, or takes those that it has.
+
+        Returns whether the report may be sent.
+        """
+        if report.token == token:
+            return True
+        result = self.reports.create_report(report.window, report.counts)
+        if isinstance(result, Success):
+            report.token = token
+            return True
+        error = result.failure()
+        if isinstance(error, StoreConflict):
+            found = self.reports.read_report(report.window)
+            counts = found.value_or(None)
+            if counts is not None:
+                report.counts = counts
+                report.token = token
+                return True
+        # The next attempt finds the object if the call was executed.
+        report.next_at = self.clock.boot() + STORE_PAUSE_S
+        self._log_store_failure(report.window, error)
+        return False
+
+    def _send(self, report: OpenReport, token: int) -> None:
+        window = report.window
         outcome = self.caller.report_usage(
-            window=window, counts=fixed.counts, token=token
+            window=window, counts=report.counts, token=token
         )
         if outcome is CallOutcome.REFUSED:
             raise StaleToken(f"report of window {window}")
-        late_s = self.clock.now() - self.clock.end_of(window)
         if outcome is not CallOutcome.DONE:
             self.repeats += 1
-            self.pause_s = min(MAX_PAUSE_S, max(FIRST_PAUSE_S, 2 * self.pause_s))
-            self.next_at = self.clock.boot() + self.pause_s
+            report.pause_s = min(MAX_PAUSE_S, max(FIRST_PAUSE_S, 2 * report.pause_s))
+            report.next_at = self.clock.boot() + report.pause_s
             self.event_log.emit(
                 "usage_report_failed", window=window, outcome=outcome.name.lower()
             )
             return
-        self.pause_s = 0.0
+        after_s = self.clock.now() - self.clock.end_of(window)
         self.reported += 1
-        self.reported_late += late_s > self.late_s
-        self._note_done(window)
+        self.reported_late += after_s > self.late_s
+        report.is_done = True
+        self._note_done()
         self.event_log.emit(
             "usage_reported",
             window=window,
-            requests=sum(fixed.counts.values()),
-            teams=len(fixed.counts),
+            requests=sum(report.counts.values()),
+            teams=len(report.counts),
             token=token,
-            after_s=round(late_s, 2),
+            after_s=round(after_s, 2),
         )
 
-    def _note_done(self, window: int) -> None:
-        self.ledger.note_done(window)
-        self.lease.progress[DONE] = self.done()
+    def _note_done(self) -> None:
+        """Notes that all windows are reported up to the first one that is not."""
+        waiting = [item for item in self.open.values() if not item.is_done]
+        last = min((item.window - 1 for item in waiting), default=max(self.open))
+        if last >= self.done():
+            self.ledger.note_done(last)
+            self.lease.progress[DONE] = last
 
-    def _note_store_failure(self, error: StoreError) -> None:
-        self.next_at = self.clock.boot() + STORE_PAUSE_S
+    def _log_store_failure(self, window: int, error: StoreError) -> None:
         self.event_log.emit(
-            "usage_report_not_stored", reason=str(error)[:MAX_ERROR_CHARACTERS]
+            "usage_report_not_stored",
+            window=window,
+            reason=str(error)[:MAX_ERROR_CHARACTERS],
         )
 
     def _remove_old(self, now: float) -> None:
--- a/src/lagoonrill/platform/_duties.py
+++ b/src/lagoonrill/platform/_duties.py
@@ -25,8 +25,9 @@
 JSON_HEADERS = {"Content-Type": "application/json"}
 # A renewal has to end well before the lease time; the store responds in milliseconds.
 STORE_TIMEOUT_S = 0.75
-# A call to the API that takes longer is repeated. The lease must not end meanwhile.
-API_TIMEOUT_S = 0.8
+# A call to the API that takes longer is repeated. A renewal that waits for it must
+# still come before a candidate takes the lease.
+API_TIMEOUT_S = 1.5
 CONNECT_TIMEOUT_S = 0.5
 CONNECTIONS = 1
 
--- a/tests/test_usage.py
+++ b/tests/test_usage.py
@@ -32,6 +32,8 @@
     def __init__(self, clock):
         self.clock = clock
         self.outcome: CallOutcome | None = None
+        # Window whose reports get no answers.
+        self.stuck: int | None = None
         self.highest = 0
         # Counts of the accepted reports, and the time of the first one.
         self.reports: dict[int, list[dict[str, int]]] = {}
@@ -45,6 +47,8 @@
         self.highest = token
         self.reports.setdefault(window, []).append(dict(counts))
         self.times.setdefault(window, self.clock())
+        if window == self.stuck:
+            return CallOutcome.IN_DOUBT
         return self.outcome or CallOutcome.DONE
 
 
@@ -247,6 +251,18 @@
     fleet.check(late=True)
 
 
+def test_one_window_without_an_answer_does_not_hold_up_the_next(fleet):
+    fleet.run(20, teams=("t",))
+    stuck = max(fleet.platform.reports) + 1
+    fleet.platform.stuck = stuck
+    fleet.run(40, teams=("t",))
+    fleet.check()
+    assert fleet.gateways["a"].lease.progress["usage_done"] == stuck - 1
+    fleet.platform.stuck = None
+    fleet.run(3, teams=("t",))
+    assert fleet.gateways["a"].lease.progress["usage_done"] > stuck
+
+
 def test_a_report_without_an_answer_is_repeated_exactly_by_the_successor(fleet):
     fleet.run(20, teams=("t",))
     fleet.platform.outcome = CallOutcome.IN_DOUBT
