--- a/src/lagoonrill/_internal/duties/assembly.py
+++ b/src/lagoonrill/_internal/duties/assembly.py
@@ -95,6 +95,7 @@
             incarnation=self.incarnation,
             clock=clock,
             late_after_s=max(0.0, report_after_s - COUNT_MARGIN_S),
+            tolerance=bounds.usage_tolerance,
         )
         self.exchange = UsageExchange(
             ledger=self.ledger,
@@ -123,6 +124,7 @@
             ("usage_reports_repeated_total", lambda: self.reporter.repeats),
             ("usage_windows_unknown_total", lambda: self.reporter.unknown),
             ("usage_requests_late_total", lambda: self.ledger.late),
+            ("usage_windows_inaccurate_total", lambda: len(self.ledger.inaccurate)),
         ):
             self.metrics.register_gauge(name, read)
 
--- a/src/lagoonrill/_internal/duties/usage.py
+++ b/src/lagoonrill/_internal/duties/usage.py
@@ -92,7 +92,8 @@
     """Counts of this process and of those whose messages it gets; thread-safe.
 
     `late_after_s` is the time after the end of a window from which a request of that
-    window may miss its report.
+    window may miss its report. `tolerance` is the share by which a report may differ
+    from the truth.
     """
 
     def __init__(
@@ -102,9 +103,11 @@
         incarnation: int,
         clock: WindowClock,
         late_after_s: float,
+        tolerance: float = 0.0,
     ):
         self.clock = clock
         self.late_after_s = late_after_s
+        self.tolerance = tolerance
         self.own = (instance, incarnation)
         self.lock = threading.Lock()
         # Window, then instance and incarnation, then team.
@@ -114,10 +117,14 @@
         }
         # Windows with counts of this process that were not sent yet.
         self.changed: set[int] = set()
-        # Last window that is reported, as far as known.
+        # Last window up to which all are reported, as far as known.
         self.done = 0
-        # Requests that became known after the report of their window.
+        # Requests of each team that became known after this instance had fixed the
+        # report of a window, by window; and their number since the start.
+        self.late_in: dict[int, dict[str, int]] = {}
         self.late = 0
+        # Windows whose reports are further from the truth than `tolerance`.
+        self.inaccurate: set[int] = set()
 
     def note_begun(self, team: str | None, at: float | None = None) -> None:
         """Counts a request that an endpoint began to run at a time.
@@ -189,8 +196,17 @@
             added = count - known.get(team, 0)
             if added > 0:
                 known[team] = count
-                if entry.window <= self.done:
-                    self.late += added
+                self._note_late(entry.window, team, added)
+
+    def _note_late(self, window: int, team: str, added: int) -> None:
+        late = self.late_in.get(window)
+        if late is None:
+            return
+        self.late += added
+        late[team] = late.get(team, 0) + added
+        sources = self.windows[window].values()
+        if late[team] > self.tolerance * sum(item.get(team, 0) for item in sources):
+            self.inaccurate.add(window)
 
     def _counts_of(self, window: int, source: tuple[str, int]) -> dict[str, int]:
         return self.windows.setdefault(window, {}).setdefault(source, {})
@@ -198,6 +214,7 @@
     def _forget(self, current: int) -> None:
         for window in [item for item in self.windows if item < current - KEPT_WINDOWS]:
             del self.windows[window]
+            self.late_in.pop(window, None)
         kept = {self.own}.union(*self.windows.values())
         for key, source in list(self.sources.items()):
             if key not in kept and source.heard_in < current - KEPT_WINDOWS:
@@ -227,6 +244,12 @@
                     total[team] = total.get(team, 0) + count
         return total
 
+    def fix(self, window: int) -> dict[str, int]:
+        """Returns the counts for the report of a window; later ones are late."""
+        with self.lock:
+            self.late_in[window] = {}
+        return self.counts(window)
+
     def counted_from(self) -> float:
         """Returns the time since which any known instance has counted."""
         with self.lock:
--- a/src/lagoonrill/_internal/duties/usage_report.py
+++ b/src/lagoonrill/_internal/duties/usage_report.py
@@ -146,7 +146,7 @@
         if self.clock.now() < report_at or len(self.open) >= MAX_OPEN:
             return
         if is_new or self.ledger.is_observed(window):
-            counts = self.ledger.counts(window)
+            counts = self.ledger.fix(window)
             self.open[window] = OpenReport(window=window, counts=counts)
         elif now >= self.next_search_at:
             self._search(window, first, token)
--- a/tests/test_usage.py
+++ b/tests/test_usage.py
@@ -333,6 +333,16 @@
     assert min(window for window in reports if window > last + 1) >= last + 60
 
 
+def test_counts_that_come_after_the_report_are_told(fleet):
+    fleet.run(20, teams=("t",))
+    holder = fleet.gateways["a"].ledger
+    assert holder.late == 0
+    late = fleet.gateways["c"].ledger.own_usage({max(fleet.platform.reports)})
+    late[0].counts["t"] += 3
+    holder.merge(late)
+    assert (holder.late, len(holder.inaccurate)) == (3, 1)
+
+
 def test_a_step_of_one_clock_moves_no_window(fleet):
     fleet.run(20, teams=("t",))
     fleet.step_s["b"] = 7.0
