--- a/src/lagoonrill/_internal/duties/lease.py
+++ b/src/lagoonrill/_internal/duties/lease.py
@@ -284,7 +284,11 @@
         if state is None:
             return self._create()
         if self.attempted is not None and self._is_current(state, self.attempted):
-            return self._take(state, self.doubt_since or now)
+            # Without a time of the write, a renewal has to come first.
+            started_at = now - self.lease_s
+            if self.doubt_since is not None:
+                started_at = self.doubt_since
+            return self._take(state, started_at)
         known = self.state
         if known is None or (known.era, known.revision) != (state.era, state.revision):
             self.seen_at = now
--- a/src/lagoonrill/_internal/duties/usage.py
+++ b/src/lagoonrill/_internal/duties/usage.py
@@ -4,7 +4,6 @@
 maximum, so that repeated, late and lost messages do no harm.
 """
 
-import statistics
 import threading
 import time
 from collections.abc import Callable
@@ -46,7 +45,7 @@
         self.window_s = float(window_s)
         self.boot = boot
         self.offset_s = wall() - boot()
-        # Offset and time of the latest message, by the name of the peer.
+        # Offset by the name of the peer, and when it was heard.
         self.peer_offsets: dict[str, tuple[float, float]] = {}
 
     def now(self) -> float:
@@ -62,10 +61,18 @@
     def end_of(self, window: int) -> float:
         return (window + 1) * self.window_s
 
-    def note_peer(self, name: str, time_s: float) -> bool:
-        """Takes the time that a peer has sent; returns whether the offset changed."""
+    def note_peer(self, name: str, time_s: float) -> None:
+        """Takes the time that a peer has sent."""
+        now = self.boot()
+        offset = time_s - now
+        known, known_at = self.peer_offsets.get(name, (offset, now))
+        # A late message makes the offset look smaller, so the largest one counts.
+        if offset >= known or now - known_at >= PEER_OFFSET_LIFETIME_S:
+            self.peer_offsets[name] = (offset, now)
+
+    def review(self) -> bool:
+        """Corrects an offset that differs from most peers; returns whether it did."""
         now = self.boot()
-        self.peer_offsets[name] = (time_s - now, now)
         offsets = [
             offset
             for offset, heard_at in list(self.peer_offsets.values())
@@ -73,7 +80,7 @@
         ]
         if len(offsets) < MIN_PEERS_FOR_MEDIAN:
             return False
-        median = statistics.median([*offsets, self.offset_s])
+        median = sorted([*offsets, self.offset_s])[(len(offsets) + 1) // 2]
         if abs(median - self.offset_s) <= MAX_OFFSET_ERROR_S:
             return False
         self.offset_s = median
--- a/src/lagoonrill/_internal/duties/usage_exchange.py
+++ b/src/lagoonrill/_internal/duties/usage_exchange.py
@@ -129,6 +129,10 @@
 
     def tick(self) -> None:
         """Sends what has changed."""
+        if self.clock.review():
+            self.event_log.emit(
+                "usage_clock_changed", offset_s=round(self.clock.offset_s, 3)
+            )
         addresses = self._addresses()
         collectors = self._collectors(addresses)
         self._note_role(addresses)
@@ -148,10 +152,7 @@
         if message.instance == self.instance:
             return
         differs = abs(message.time_s - self.clock.now()) > MAX_OFFSET_ERROR_S
-        if self.clock.note_peer(message.instance, message.time_s):
-            self.event_log.emit(
-                "usage_clock_changed", offset_s=round(self.clock.offset_s, 3)
-            )
+        self.clock.note_peer(message.instance, message.time_s)
         with self.lock:
             if message.token and message.token >= self.holder_token:
                 self.holder_token = message.token
--- a/tests/test_usage.py
+++ b/tests/test_usage.py
@@ -360,6 +360,18 @@
     fleet.check()
 
 
+def test_a_late_message_is_no_sign_of_a_wrong_clock():
+    """A frozen peer sends its messages when it wakes up, with the time of before."""
+    clock = ManualClock()
+    windows = WindowClock(window_s=5, boot=clock, wall=lambda: UNIX_S + clock())
+    for delay_s in (0.01, 30.0, 0.01):
+        clock.now += 1
+        for name in ("a", "b", "c"):
+            windows.note_peer(name, UNIX_S + clock() - delay_s)
+            assert not windows.review()
+    assert windows.now() == pytest.approx(UNIX_S + clock())
+
+
 def test_a_request_is_counted_in_the_window_of_its_begin():
     clock = ManualClock()
     windows = WindowClock(window_s=5, boot=clock, wall=lambda: UNIX_S + clock())
