--- a/src/lagoonrill/_internal/duties/assembly.py
+++ b/src/lagoonrill/_internal/duties/assembly.py
@@ -98,6 +98,7 @@
             tolerance=bounds.usage_tolerance,
         )
         self.exchange = UsageExchange(
+            zone=self.settings.zone,
             ledger=self.ledger,
             clock=clock,
             link=link,
--- a/src/lagoonrill/_internal/duties/usage.py
+++ b/src/lagoonrill/_internal/duties/usage.py
@@ -132,6 +132,7 @@
         self.late = 0
         # Windows whose reports are further from the truth than `tolerance`.
         self.inaccurate: set[int] = set()
+        self.pruned_in = 0
 
     def note_begun(self, team: str | None, at: float | None = None) -> None:
         """Counts a request that an endpoint began to run at a time.
@@ -195,7 +196,6 @@
                 source.heard_in = current
                 if entry.counts and abs(entry.window - current) <= KEPT_WINDOWS:
                     self._merge_counts(entry, key)
-            self._forget(current)
 
     def _merge_counts(self, entry: WindowUsage, key: tuple[str, int]) -> None:
         known = self._counts_of(entry.window, key)
@@ -218,19 +218,21 @@
     def _counts_of(self, window: int, source: tuple[str, int]) -> dict[str, int]:
         return self.windows.setdefault(window, {}).setdefault(source, {})
 
-    def _forget(self, current: int) -> None:
-        for window in [item for item in self.windows if item < current - KEPT_WINDOWS]:
-            del self.windows[window]
-            self.late_in.pop(window, None)
-        kept = {self.own}.union(*self.windows.values())
-        for key, source in list(self.sources.items()):
-            if key not in kept and source.heard_in < current - KEPT_WINDOWS:
-                del self.sources[key]
-
     def prune(self) -> None:
-        """Forgets old windows; for instances that get no messages."""
+        """Forgets old windows and sources, once in each window."""
+        current = self.clock.window()
+        if current == self.pruned_in:
+            return
+        self.pruned_in = current
+        oldest = current - KEPT_WINDOWS
         with self.lock:
-            self._forget(self.clock.window())
+            for window in [item for item in self.windows if item < oldest]:
+                del self.windows[window]
+                self.late_in.pop(window, None)
+            kept = {self.own}.union(*self.windows.values())
+            for key, source in list(self.sources.items()):
+                if key not in kept and source.heard_in < oldest:
+                    del self.sources[key]
 
     def source_entry(self) -> WindowUsage:
         """Returns an entry that names this process and since when it counts."""
--- a/src/lagoonrill/_internal/duties/usage_exchange.py
+++ b/src/lagoonrill/_internal/duties/usage_exchange.py
@@ -1,8 +1,9 @@
 """Brings the counts of all instances to those that report them or may have to.
 
-The collectors are the holder of the lease and the first two live instances by name, so
-that a successor has the counts of killed instances. Each instance sends them its
-windows that have changed; a new collector asks for everything.
+The collectors are the holder of the lease, the first two live instances by name, and
+the first one of another zone than theirs, so that a successor has the counts of killed
+instances, also if a whole zone is lost. Each instance sends them its windows that have
+changed; a new collector asks for everything.
 """
 
 import threading
@@ -13,7 +14,7 @@
 from ..transport.peer_link import PeerLink
 from .usage import MAX_OFFSET_ERROR_S, UsageLedger, WindowClock
 
-# Collectors besides the holder.
+# Collectors besides the holder and the one of another zone.
 COLLECTORS = 2
 # Minimum interval between messages of an instance to the collectors, and the number of
 # instances from which on it grows: each collector gets at most 120 messages a second.
@@ -42,6 +43,7 @@
     def __init__(
         self,
         *,
+        zone: str,
         ledger: UsageLedger,
         clock: WindowClock,
         link: PeerLink,
@@ -50,6 +52,7 @@
         held_token: Callable[[], int | None],
         event_log: EventLog,
     ):
+        self.zone = zone
         self.ledger = ledger
         self.instance = ledger.own[0]
         self.clock = clock
@@ -88,7 +91,7 @@
             self.thread.join(SPACING_S)
         current = self.clock.window()
         self.ledger.take_changed()
-        self._send_own({current, current - 1}, self._collectors(self._addresses()))
+        self._send_own({current, current - 1}, self._collectors(self._peers()))
 
     def is_complete(self) -> bool:
         """Returns whether peers have had time to answer this instance."""
@@ -133,9 +136,9 @@
             self.event_log.emit(
                 "usage_clock_changed", offset_s=round(self.clock.offset_s, 3)
             )
-        addresses = self._addresses()
-        collectors = self._collectors(addresses)
-        self._note_role(addresses)
+        peers = self._peers()
+        collectors = self._collectors(peers)
+        self._note_role(peers)
         new = collectors.keys() - self.informed
         for name in new:
             self.link.send(collectors[name], self._everything())
@@ -144,7 +147,7 @@
         known = {name: collectors[name] for name in collectors.keys() - new}
         if windows or self._has_news():
             self._send_own(windows, known)
-        self._announce(addresses)
+        self._announce(peers)
         self.ledger.prune()
 
     def handle(self, message: UsageCounts) -> None:
@@ -166,21 +169,27 @@
         elif differs and self.asked_at is not None:
             self._send_time(message)
 
-    def _addresses(self) -> dict[str, str]:
-        return {item.instance: item.address for item in self.live_digests()}
+    def _peers(self) -> dict[str, GatewayDigest]:
+        return {item.instance: item for item in self.live_digests()}
 
-    def _first(self, addresses: dict[str, str]) -> list[str]:
-        return sorted([self.instance, *addresses])[:COLLECTORS]
+    def _first(self, peers: dict[str, GatewayDigest]) -> list[str]:
+        """Returns the collectors besides the holder, which may be this instance."""
+        zones = {name: item.zone for name, item in peers.items()}
+        zones[self.instance] = self.zone
+        names = sorted(zones)
+        first = names[:COLLECTORS]
+        near = {zones[name] for name in first}
+        return first + [name for name in names if zones[name] not in near][:1]
 
-    def _collectors(self, addresses: dict[str, str]) -> dict[str, str]:
+    def _collectors(self, peers: dict[str, GatewayDigest]) -> dict[str, str]:
         """Returns the addresses of the other instances that collect counts."""
-        names = {*self._first(addresses), self.holder}
-        return {name: addresses[name] for name in names if name in addresses}
+        names = {*self._first(peers), self.holder}
+        return {name: peers[name].address for name in names if name in peers}
 
-    def _note_role(self, addresses: dict[str, str]) -> None:
+    def _note_role(self, peers: dict[str, GatewayDigest]) -> None:
         now = self.clock.boot()
         is_holder = self.held_token() is not None
-        if not is_holder and self.instance not in self._first(addresses):
+        if not is_holder and self.instance not in self._first(peers):
             self.collector_since = self.asked_at = None
             return
         if self.collector_since is None:
@@ -188,7 +197,7 @@
         is_steady = now >= self.collector_since + STEADY_S
         if self.asked_at is None and (is_holder or is_steady):
             self.asked_at = now
-            self.link.send_to(set(addresses.values()), self._message(asks=True))
+            self._send_to_all(peers, self._message(asks=True))
 
     def _repeated_windows(self) -> set[int]:
         """Returns the last window if its counts are due to be sent again."""
@@ -211,18 +220,23 @@
         self.announced_done = done
         return self.held_token() is not None
 
-    def _announce(self, addresses: dict[str, str]) -> None:
+    def _announce(self, peers: dict[str, GatewayDigest]) -> None:
         """Tells all peers who holds the lease, if they would not know otherwise."""
         now = self.clock.boot()
         token = self.held_token() or 0
         is_due = token != self.announced_token
-        if token and self.instance not in self._first(addresses):
+        if token and self.instance not in self._first(peers):
             is_due = is_due or now >= self.announced_at + ANNOUNCE_INTERVAL_S
         if not is_due:
             return
         self.announced_at = now
         self.announced_token = token
-        self.link.send_to(set(addresses.values()), self._message())
+        self._send_to_all(peers, self._message())
+
+    def _send_to_all(
+        self, peers: dict[str, GatewayDigest], message: UsageCounts
+    ) -> None:
+        self.link.send_to({item.address for item in peers.values()}, message)
 
     def _send_own(self, windows: set[int], collectors: dict[str, str]) -> None:
         if collectors:
--- a/tests/test_usage.py
+++ b/tests/test_usage.py
@@ -77,11 +77,14 @@
             instance=name, incarnation=incarnation, clock=self.clock, late_after_s=3.0
         )
         self.exchange = UsageExchange(
+            zone=fleet.zones.get(name, "z"),
             ledger=self.ledger,
             clock=self.clock,
             link=self,
             live_digests=lambda: [
-                GatewayDigest(instance=other, zone="z", address=other)
+                GatewayDigest(
+                    instance=other, zone=fleet.zones.get(other, "z"), address=other
+                )
                 for other in fleet.believed_live()
                 if other != name
             ],
@@ -133,7 +136,8 @@
 
 
 class Fleet:
-    def __init__(self, *names: str):
+    def __init__(self, *names: str, zones: dict[str, str] | None = None):
+        self.zones = zones or {}
         self.clock = ManualClock()
         self.store = MemoryStore()
         self.platform = MemoryPlatform(self.clock)
@@ -223,6 +227,16 @@
     fleet.check()
 
 
+def test_a_lost_zone_loses_no_count_of_its_instances():
+    """Both first instances by name are in one zone, as names begin with the zone."""
+    fleet = Fleet("a", "b", "c", "d", "e", zones={"d": "y", "e": "y"})
+    fleet.run(22, teams=("t",))
+    for name in ("a", "b", "c"):
+        fleet.kill(name)
+    fleet.run(30, teams=("t",))
+    fleet.check()
+
+
 def test_both_collectors_may_be_killed_in_turn(fleet):
     for name in ("a", "b"):
         fleet.run(20.5, teams=("t",))
