--- a/src/lagoonrill/_internal/duties/assembly.py
+++ b/src/lagoonrill/_internal/duties/assembly.py
@@ -95,8 +95,10 @@
             incarnation=self.incarnation,
             clock=clock,
             late_after_s=max(0.0, report_after_s - COUNT_MARGIN_S),
+            tolerance=bounds.usage_tolerance,
         )
         self.exchange = UsageExchange(
+            zone=self.settings.zone,
             ledger=self.ledger,
             clock=clock,
             link=link,
@@ -123,6 +125,7 @@
             ("usage_reports_repeated_total", lambda: self.reporter.repeats),
             ("usage_windows_unknown_total", lambda: self.reporter.unknown),
             ("usage_requests_late_total", lambda: self.ledger.late),
+            ("usage_windows_inaccurate_total", lambda: len(self.ledger.inaccurate)),
         ):
             self.metrics.register_gauge(name, read)
 
@@ -132,10 +135,10 @@
         self.runner.start()
 
     def stop(self) -> None:
-        """Releases the lease, and sends the last counts to the collectors."""
-        self.runner.stop()
+        """Sends the last counts to the collectors, and releases the lease."""
         if self.exchange is not None:
             self.exchange.stop()
+        self.runner.stop()
 
     def dump(self) -> dict:
         """Returns the state of the lease and of the reports."""
--- a/src/lagoonrill/_internal/duties/usage.py
+++ b/src/lagoonrill/_internal/duties/usage.py
@@ -4,7 +4,6 @@
 maximum, so that repeated, late and lost messages do no harm.
 """
 
-import statistics
 import threading
 import time
 from collections.abc import Callable
@@ -46,7 +45,7 @@
         self.window_s = float(window_s)
         self.boot = boot
         self.offset_s = wall() - boot()
-        # Offset and time of the latest message, by the name of the peer.
+        # Offset by the name of the peer, and when it was heard.
         self.peer_offsets: dict[str, tuple[float, float]] = {}
 
     def now(self) -> float:
@@ -62,10 +61,18 @@
     def end_of(self, window: int) -> float:
         return (window + 1) * self.window_s
 
-    def note_peer(self, name: str, time_s: float) -> bool:
-        """Takes the time that a peer has sent; returns whether the offset changed."""
+    def note_peer(self, name: str, time_s: float) -> None:
+        """Takes the time that a peer has sent."""
+        now = self.boot()
+        offset = time_s - now
+        known, known_at = self.peer_offsets.get(name, (offset, now))
+        # A late message makes the offset look smaller, so the largest one counts.
+        if offset >= known or now - known_at >= PEER_OFFSET_LIFETIME_S:
+            self.peer_offsets[name] = (offset, now)
+
+    def review(self) -> bool:
+        """Corrects an offset that differs from most peers; returns whether it did."""
         now = self.boot()
-        self.peer_offsets[name] = (time_s - now, now)
         offsets = [
             offset
             for offset, heard_at in list(self.peer_offsets.values())
@@ -73,7 +80,7 @@
         ]
         if len(offsets) < MIN_PEERS_FOR_MEDIAN:
             return False
-        median = statistics.median([*offsets, self.offset_s])
+        median = sorted([*offsets, self.offset_s])[(len(offsets) + 1) // 2]
         if abs(median - self.offset_s) <= MAX_OFFSET_ERROR_S:
             return False
         self.offset_s = median
@@ -92,7 +99,8 @@
     """Counts of this process and of those whose messages it gets; thread-safe.
 
     `late_after_s` is the time after the end of a window from which a request of that
-    window may miss its report.
+    window may miss its report. `tolerance` is the share by which a report may differ
+    from the truth.
     """
 
     def __init__(
@@ -102,9 +110,11 @@
         incarnation: int,
         clock: WindowClock,
         late_after_s: float,
+        tolerance: float = 0.0,
     ):
         self.clock = clock
         self.late_after_s = late_after_s
+        self.tolerance = tolerance
         self.own = (instance, incarnation)
         self.lock = threading.Lock()
         # Window, then instance and incarnation, then team.
@@ -114,10 +124,15 @@
         }
         # Windows with counts of this process that were not sent yet.
         self.changed: set[int] = set()
-        # Last window that is reported, as far as known.
+        # Last window up to which all are reported, as far as known.
         self.done = 0
-        # Requests that became known after the report of their window.
+        # Requests of each team that became known after this instance had fixed the
+        # report of a window, by window; and their number since the start.
+        self.late_in: dict[int, dict[str, int]] = {}
         self.late = 0
+        # Windows whose reports are further from the truth than `tolerance`.
+        self.inaccurate: set[int] = set()
+        self.pruned_in = 0
 
     def note_begun(self, team: str | None, at: float | None = None) -> None:
         """Counts a request that an endpoint began to run at a time.
@@ -181,7 +196,6 @@
                 source.heard_in = current
                 if entry.counts and abs(entry.window - current) <= KEPT_WINDOWS:
                     self._merge_counts(entry, key)
-            self._forget(current)
 
     def _merge_counts(self, entry: WindowUsage, key: tuple[str, int]) -> None:
         known = self._counts_of(entry.window, key)
@@ -189,24 +203,36 @@
             added = count - known.get(team, 0)
             if added > 0:
                 known[team] = count
-                if entry.window <= self.done:
-                    self.late += added
+                self._note_late(entry.window, team, added)
+
+    def _note_late(self, window: int, team: str, added: int) -> None:
+        late = self.late_in.get(window)
+        if late is None:
+            return
+        self.late += added
+        late[team] = late.get(team, 0) + added
+        sources = self.windows[window].values()
+        if late[team] > self.tolerance * sum(item.get(team, 0) for item in sources):
+            self.inaccurate.add(window)
 
     def _counts_of(self, window: int, source: tuple[str, int]) -> dict[str, int]:
         return self.windows.setdefault(window, {}).setdefault(source, {})
 
-    def _forget(self, current: int) -> None:
-        for window in [item for item in self.windows if item < current - KEPT_WINDOWS]:
-            del self.windows[window]
-        kept = {self.own}.union(*self.windows.values())
-        for key, source in list(self.sources.items()):
-            if key not in kept and source.heard_in < current - KEPT_WINDOWS:
-                del self.sources[key]
-
     def prune(self) -> None:
-        """Forgets old windows; for instances that get no messages."""
+        """Forgets old windows and sources, once in each window."""
+        current = self.clock.window()
+        if current == self.pruned_in:
+            return
+        self.pruned_in = current
+        oldest = current - KEPT_WINDOWS
         with self.lock:
-            self._forget(self.clock.window())
+            for window in [item for item in self.windows if item < oldest]:
+                del self.windows[window]
+                self.late_in.pop(window, None)
+            kept = {self.own}.union(*self.windows.values())
+            for key, source in list(self.sources.items()):
+                if key not in kept and source.heard_in < oldest:
+                    del self.sources[key]
 
     def source_entry(self) -> WindowUsage:
         """Returns an entry that names this process and since when it counts."""
@@ -227,6 +253,12 @@
                     total[team] = total.get(team, 0) + count
         return total
 
+    def fix(self, window: int) -> dict[str, int]:
+        """Returns the counts for the report of a window; later ones are late."""
+        with self.lock:
+            self.late_in[window] = {}
+        return self.counts(window)
+
     def counted_from(self) -> float:
         """Returns the time since which any known instance has counted."""
         with self.lock:
