--- a/src/lagoonrill/_internal/duties/assembly.py
+++ b/src/lagoonrill/_internal/duties/assembly.py
@@ -6,7 +6,7 @@
 
 from ..coordination.gateway_peers import GatewayPeers
 from ..event_log import EventLog
-from ..protocol.gateway_settings import USAGE_REPORT, GatewaySettings
+from ..protocol.gateway_settings import AUTOSCALE, USAGE_REPORT, GatewaySettings
 from ..state.gateway_metrics import GatewayMetrics
 from ..transport.peer_link import PeerLink
 from .lease import DutyLease, LeaseStore
@@ -78,6 +78,9 @@
         self.reporter: UsageReporter | None = None
         if USAGE_REPORT in settings.duties.names:
             self._build_usage(backend.reports, link, peers)
+        unknown = set(settings.duties.names) - {USAGE_REPORT, AUTOSCALE}
+        if unknown:
+            event_log.emit("duties_unknown", names=sorted(unknown))
         metrics.register_gauge(
             "duty_lease_held", lambda: int(self.lease.token() is not None)
         )
--- a/src/lagoonrill/_internal/gateway_daemon.py
+++ b/src/lagoonrill/_internal/gateway_daemon.py
@@ -584,9 +584,8 @@
             time.sleep(0.1)
 
     def _close(self) -> None:
-        if self.duties is not None:
-            self.duties.stop()
         steps: tuple[Callable[[], None], ...] = (
+            *([self.duties.stop] if self.duties is not None else []),
             self.config_follower.stop,
             self.endpoint_follower.stop,
             self.findings.stop,
--- a/src/lagoonrill/_internal/protocol/gateway_settings.py
+++ b/src/lagoonrill/_internal/protocol/gateway_settings.py
@@ -19,15 +19,28 @@
 AUTOSCALE = "autoscale"
 
 
+def set_defaults(settings: msgspec.Struct) -> None:
+    """Sets fields that are null to their defaults.
+
+    A template renders a field as null if a deployment does not have it.
+    """
+    for field in msgspec.structs.fields(settings):
+        if getattr(settings, field.name) is None:
+            setattr(settings, field.name, field.default)
+
+
 class DutySettings(msgspec.Struct, kw_only=True):
     """Calls to the platform that one instance makes for all."""
 
     # Address of the platform's API, as HOST:PORT.
     address: str
     # Known names: `usage_report` and `autoscale`.
-    names: list[str] = []
+    names: tuple[str, ...] | None = ()
     # Calls that the platform takes per second from all instances together.
-    calls_per_s: float = 50.0
+    calls_per_s: float | None = 50.0
+
+    def __post_init__(self):
+        set_defaults(self)
 
 
 class GatewayBounds(msgspec.Struct, kw_only=True):
@@ -48,14 +61,17 @@
     # to it again.
     contact_ms: Milliseconds = 3_000
     # Whether the platform checks fencing tokens. The lease is held in any case.
-    require_fencing: bool = False
+    require_fencing: bool | None = False
     # Time after which an instance that does not renew its lease has lost it.
-    lease_ms: Milliseconds = 3_000
+    lease_ms: Milliseconds | None = 3_000
     # Length of the windows of usage reports, the time after the end of a window until
     # which its report is due, and the share by which counts may differ from the truth.
-    report_window_s: Seconds = 5.0
-    usage_late_s: Seconds = 10.0
-    usage_tolerance: float = 0.05
+    report_window_s: Seconds | None = 5.0
+    usage_late_s: Seconds | None = 10.0
+    usage_tolerance: float | None = 0.05
+
+    def __post_init__(self):
+        set_defaults(self)
 
 
 class GatewaySettings(msgspec.Struct, kw_only=True):
--- a/tests/platform/test_duties.py
+++ b/tests/platform/test_duties.py
@@ -10,7 +10,7 @@
 
 from lagoonrill._internal.duties.lease import LeaseState
 from lagoonrill._internal.duties.platform_calls import CallOutcome
-from lagoonrill._internal.protocol.errors import StoreConflict
+from lagoonrill._internal.protocol.errors import SettingsError, StoreConflict
 from lagoonrill._internal.protocol.gateway_settings import parse_gateway_settings
 from lagoonrill.platform._duties import open_calls, open_store_duties
 from standins.metadata_store import MetadataStore, MetadataStoreServer
@@ -215,6 +215,19 @@
     assert not re.search(r"\{\{\{|\}\}\}|\}\{\{", TEMPLATE.read_text())
 
 
+def test_null_values_are_defaults():
+    """A deployment may have the API without some of the bounds."""
+    data = json.loads(render(FIELDS))
+    data["duties"] = {"address": "127.0.0.1:3", "names": None, "calls_per_s": None}
+    data["bounds"] |= {"lease_ms": None, "usage_late_s": None, "require_fencing": None}
+    settings = parse_gateway_settings(json.dumps(data).encode())
+    assert settings.bounds.lease_ms == 3_000
+    assert settings.duties.names == ()
+    data["bounds"]["lease_ms"] = "no number"
+    with pytest.raises(SettingsError):
+        parse_gateway_settings(json.dumps(data).encode())
+
+
 def test_the_template_renders_duties():
     api = {"Address": "127.0.0.1:3", "Duties": ["usage_report"], "DutyPerS": 50}
     bounds = {"RequireFencing": True, "LeaseMs": 2_000, "ReportWindowS": 4}
