--- a/tests/test_usage.py
+++ b/tests/test_usage.py
@@ -332,6 +332,25 @@
             gateway.reporter.step(token)
 
 
+def test_no_call_is_made_without_the_lease_or_above_the_rate(fleet):
+    fleet.run(20, teams=("t",))
+    caller = fleet.gateways["a"].reporter.caller
+    token = fleet.gateways["a"].lease.token()
+
+    def report(token: int) -> CallOutcome:
+        return caller.report_usage(window=1, counts={}, token=token)
+
+    outcomes = [report(token) for _ in range(50)]
+    assert outcomes == [CallOutcome.DONE] * 45 + [CallOutcome.BUSY] * 5
+    made = len(fleet.platform.reports[1])
+    fleet.clock.now += 2
+    assert report(token + 1) is CallOutcome.UNAVAILABLE
+    fleet.store.mode = "down"
+    fleet.clock.now += 2.5
+    assert report(token) is CallOutcome.UNAVAILABLE
+    assert len(fleet.platform.reports[1]) == made
+
+
 def test_windows_that_nobody_has_counted_are_unknown(fleet):
     fleet.run(30, teams=("t",))
     last = max(fleet.platform.reports)
