--- a/src/lagoonrill/_internal/scaling/policy.py
+++ b/src/lagoonrill/_internal/scaling/policy.py
@@ -184,6 +184,7 @@
         "count",
         "differs_since",
         "doubt_until",
+        "doubted",
         "failing_since",
         "grown_at",
         "is_confirmed",
@@ -193,6 +194,7 @@
         "repair_at",
         "repair_s",
         "seen",
+        "stated",
     )
 
     def __init__(self):
@@ -200,6 +202,8 @@
         self.count: int | None = None
         # Most endpoints seen at once; the platform keeps them until the first order.
         self.seen = 0
+        # The number in the last order that was executed.
+        self.stated = 0
         self.is_confirmed = True
         # The number in the last order, if that was not executed.
         self.attempted: int | None = None
@@ -208,6 +212,8 @@
         self.paused_until = -math.inf
         self.pause_s = FIRST_PAUSE_S
         self.doubt_until = -math.inf
+        # The highest number of calls that may be executed until then.
+        self.doubted = 0
         # Time of the first of the last calls that all failed.
         self.failing_since: float | None = None
         # Time since which the number of endpoints differs from the order.
@@ -224,6 +230,7 @@
         if order.grows:
             self.grown_at = now
         self.count = order.count
+        self.stated = order.count
         self.is_confirmed = True
         self.attempted = None
         self.failing_since = None
@@ -240,8 +247,17 @@
         if in_doubt:
             self.count = order.count
             self.is_confirmed = False
+            if now >= self.doubt_until:
+                self.doubted = 0
+            self.doubted = max(self.doubted, order.count)
             self.doubt_until = now + DOUBT_S
 
+    def limited_number(self, now: float) -> int:
+        """Returns the highest number that may be in force, for the zone's limit."""
+        if self.count is None:
+            return self.seen
+        return max(self.stated, self.doubted if now < self.doubt_until else 0)
+
     def expected(self, ready: int, now: float, startup_s: float) -> int:
         """Returns how many endpoints serve, or will when ordered ones have started."""
         if self.failing_since is not None and now < self.failing_since + FAILING_S:
@@ -549,7 +565,9 @@
             for zone, target in targets.items():
                 subject = self.subject(zone, True)
                 room = profile.max_endpoints - max(
-                    expected[zone, False], view.zones.get(zone, ZoneView()).ordinary
+                    expected[zone, False],
+                    view.zones.get(zone, ZoneView()).ordinary,
+                    self.subject(zone, False).limited_number(now),
                 )
                 count = min(room, max(target, self._attempted(subject, now)))
                 if count <= max(expected[zone, True], subject.count or 0):
@@ -584,14 +602,20 @@
             zone: max(subjects[zone].known, expected[zone, False]) for zone in zones
         }
         reasons: dict[str, str] = {}
+        spots = {zone: expected[zone, True] for zone in zones}
+        room = {
+            zone: most - max(spots[zone], self.subject(zone, True).limited_number(now))
+            for zone in zones
+        }
         for zone in zones:
-            if counts[zone] < floor:
-                expected[zone, False] += floor - counts[zone]
-                counts[zone] = floor
+            least = min(floor, room[zone])
+            if counts[zone] < least:
+                expected[zone, False] += least - counts[zone]
+                counts[zone] = least
                 reasons[zone] = "floor"
-        spots = {zone: expected[zone, True] for zone in zones}
         needed = self._ordinary_needed(view, spots, needs.required, needs.mean)
-        needed -= sum(expected[zone, False] for zone in zones)
+        before = sum(expected[zone, False] for zone in zones)
+        needed -= before
 
         def rank(zone: str) -> tuple:
             found = view.zones.get(zone, ZoneView())
@@ -599,7 +623,7 @@
             return is_failing, counts[zone] + spots[zone], self._price(view, zone)
 
         for _ in range(max(0, needed)):
-            free = [zone for zone in zones if counts[zone] + spots[zone] < most]
+            free = [zone for zone in zones if counts[zone] < room[zone]]
             if not free:
                 break
             zone = min(free, key=rank)
@@ -609,10 +633,28 @@
         orders = []
         for zone, reason in reasons.items():
             count = max(counts[zone], self._attempted(subjects[zone], now))
+            count = min(count, max(counts[zone], room[zone]))
             if self._may_order(zone, False, now):
                 orders.append(self._order(view, zone, False, count, reason))
+        if needed > sum(expected[z, False] for z in zones) - before:
+            orders += self._freed(view, spots, now)
         return orders
 
+    def _freed(
+        self, view: ServiceView, spots: dict[str, int], now: float
+    ) -> list[Order]:
+        """Lowers numbers of spot endpoints that have not come.
+
+        They count for the limit of the zone, which keeps ordinary ones out.
+        """
+        return [
+            self._order(view, zone, True, count, "limit")
+            for zone, count in spots.items()
+            if self.subject(zone, True).limited_number(now) > count
+            and self._is_spot_paused(view, zone, now)
+            and now >= self.subject(zone, True).ordered_at + SPOT_PAUSE_S
+        ]
+
     def _shrinking(self, view: ServiceView, now: float) -> list[Order]:
         if now < self.started_at + HOLD_S or now < self.shrunk_at + SHRINK_INTERVAL_S:
             return []
@@ -741,7 +783,9 @@
         self.spot_paused_until[order.zone] = now + SPOT_PAUSE_S
         subject = self.subject(order.zone, True)
         subject.attempted = None
+        subject.failing_since = None
         subject.is_confirmed = True
+        subject.ordered_at = now
 
     def note_failure(self, order: Order, now: float, *, in_doubt: bool) -> None:
         """Records a call that was not executed, or `in_doubt` may be executed late."""
