--- a/src/lagoonrill/_internal/scaling/demand.py
+++ b/src/lagoonrill/_internal/scaling/demand.py
@@ -96,22 +96,23 @@
 
     def own(self) -> list[ServiceDemand]:
         """Returns the demand at this instance, which its digests carry."""
-        return [self._own(service.name) for service in self._services()]
+        return [self._own(service) for service in self._services()]
 
-    def _own(self, service: str) -> ServiceDemand:
-        arrived, arrived_tokens = self.admission.arrivals.of(service)
-        waiting = list(self.admission.waiting.get(service, ()))
-        records = self.registry.records.values()
+    def _own(self, service: Service) -> ServiceDemand:
+        arrived, arrived_tokens = self.admission.arrivals.of(service.name)
+        waiting = list(self.admission.waiting.get(service.name, ()))
+        # Calls to engines are counted by the load table.
+        records = [] if service.engine else list(self.registry.records.values())
         return ServiceDemand(
-            service=service,
+            service=service.name,
             arrived=arrived,
             arrived_tokens=arrived_tokens,
             waiting=len(waiting),
             waiting_tokens=sum(item.view.prompt_tokens for item in waiting),
             outstanding=sum(
                 self.registry.outstanding(record.id)
-                for record in list(records)
-                if record.service == service
+                for record in records
+                if record.service == service.name
             ),
         )
 
@@ -126,7 +127,7 @@
                 demand.setdefault(item.service, {})[digest.instance] = item
         for service in services:
             found = demand.setdefault(service.name, {})
-            found[self.instance] = self._own(service.name)
+            found[self.instance] = self._own(service)
         return DemandView(
             services=[
                 self._view(service, demand[service.name], now) for service in services
--- a/src/lagoonrill/_internal/scaling/policy.py
+++ b/src/lagoonrill/_internal/scaling/policy.py
@@ -796,13 +796,13 @@
 
     def dump(self, now: float) -> dict:
         zones = {}
-        for (zone, spot), subject in sorted(self.subjects.items()):
+        for (zone, spot), subject in sorted(dict(self.subjects).items()):
             zones.setdefault(zone, {})["spot" if spot else "ordinary"] = {
                 "ordered": subject.count,
                 "confirmed": subject.is_confirmed,
                 "paused_s": round(max(0.0, subject.paused_until - now), 2),
             }
-        for zone, until in self.spot_paused_until.items():
+        for zone, until in dict(self.spot_paused_until).items():
             zones.setdefault(zone, {})["no_spot_s"] = round(max(0.0, until - now), 2)
         return {
             "needs": msgspec.to_builtins(self.needs),
@@ -841,4 +841,4 @@
         return self.plans[order.service]
 
     def dump(self, now: float) -> dict:
-        return {name: plan.dump(now) for name, plan in self.plans.items()}
+        return {name: plan.dump(now) for name, plan in dict(self.plans).items()}
--- a/tests/test_scaling_orders.py
+++ b/tests/test_scaling_orders.py
@@ -1,5 +1,6 @@
 """Guards the calls of the scaling duty, and the view on which it decides."""
 
+import msgspec
 import pytest
 
 from lagoonrill._internal.duties.platform_calls import CallOutcome, StaleToken
@@ -177,7 +178,7 @@
         self.routing = RoutingState()
         self.routing.subscribers.append(self.admission.install)
         services = {
-            "app": Service(name="app"),
+            "app": Service(name="app", scaling=PROFILE),
             "models": Service(
                 name="models",
                 engine=EngineProfile(slots=8, cache_tokens=100_000),
@@ -195,7 +196,7 @@
         )
 
     def view(self, now: float) -> ServiceView:
-        (view,) = self.meter.collect(now).services
+        _, view = self.meter.collect(now).services
         return view
 
 
@@ -251,9 +252,13 @@
 def test_calls_to_plain_endpoints_are_counted():
     fleet = Fleet()
     registry = fleet.admission.registry
-    registry.replace({"e1": record("e1", "a")})
-    with registry.call("e1"):
-        assert fleet.meter.own()[0].outstanding == 1
+    calls = msgspec.structs.replace(record("c1", "a"), service="app")
+    registry.replace({"e1": record("e1", "a"), "c1": calls})
+    with registry.call("c1"):
+        found = {item.service: item.outstanding for item in fleet.meter.own()}
+        assert found == {"app": 1, "models": 0}
+        plain, _ = fleet.meter.collect(0.0).services
+        assert (plain.service, plain.requests) == ("app", 1)
 
 
 def test_an_instance_that_starts_again_is_not_counted_twice():
@@ -284,4 +289,4 @@
         event_log=EventLog(),
     )
     kit.peers._send_digest()
-    assert [item.service for item in kit.link.sent[-1].demand] == ["models"]
+    assert [item.service for item in kit.link.sent[-1].demand] == ["app", "models"]
--- a/tests/test_scaling_policy.py
+++ b/tests/test_scaling_policy.py
@@ -181,7 +181,9 @@
 
 def test_limits_of_a_zone_hold_for_both_kinds_together():
     platform = Platform(load=lambda now: 60.0)
-    for _ in range(200):
+    for step in range(400):
+        if step == 200:
+            platform.withdraw_spot("b")
         platform.run(STEP_S)
         for zone in PRICES:
             ordered = sum(platform.desired.get((zone, s), 0) for s in (False, True))
