--- a/src/lagoonrill/_internal/scaling/demand.py
+++ b/src/lagoonrill/_internal/scaling/demand.py
@@ -79,6 +79,9 @@
         self.admission = admission
         self.live_digests = live_digests
         self.rates: dict[str, ArrivalRate] = {}
+        # Times until which endpoints that have just started are slow, as their first
+        # entry said: later ones may repeat it unchanged.
+        self.cold_until: dict[tuple[str, int], float] = {}
 
     def reset(self) -> None:
         """Forgets earlier counts, after a time in which they were not collected."""
@@ -94,6 +97,9 @@
             return []
         return [item for item in config.services.values() if item.scaling]
 
+    def _records(self) -> list[EndpointRecord]:
+        return list(self.registry.records.values())
+
     def own(self) -> list[ServiceDemand]:
         """Returns the demand at this instance, which its digests carry."""
         return [self._own(service) for service in self._services()]
@@ -102,7 +108,7 @@
         arrived, arrived_tokens = self.admission.arrivals.of(service.name)
         waiting = list(self.admission.waiting.get(service.name, ()))
         # Calls to engines are counted by the load table.
-        records = [] if service.engine else list(self.registry.records.values())
+        records = [] if service.engine else self._records()
         return ServiceDemand(
             service=service.name,
             arrived=arrived,
@@ -121,6 +127,9 @@
         services = self._services()
         if not services:
             return DemandView()
+        known = {(item.id, item.incarnation) for item in self._records()}
+        for key in self.cold_until.keys() - known:
+            del self.cold_until[key]
         demand: dict[str, dict[str, ServiceDemand]] = {}
         for digest in self.live_digests():
             for item in digest.demand:
@@ -137,11 +146,7 @@
     def _view(
         self, service: Service, demand: dict[str, ServiceDemand], now: float
     ) -> ServiceView:
-        records = [
-            record
-            for record in list(self.registry.records.values())
-            if record.service == service.name
-        ]
+        records = [item for item in self._records() if item.service == service.name]
         rate = self.rates.setdefault(service.name, ArrivalRate())
         counts = {
             name: (item.arrived, item.arrived_tokens) for name, item in demand.items()
@@ -159,7 +164,7 @@
         return ServiceView(
             service=service.name,
             profile=service.scaling,
-            zones=self._zones(records),
+            zones=self._zones(records, now),
             slots=self._slots(service, records),
             requests=running + waiting,
             waiting=waiting,
@@ -170,7 +175,13 @@
             goal_s=self._goal_s(service.name),
         )
 
-    def _zones(self, records: list[EndpointRecord]) -> dict[str, ZoneView]:
+    def _is_cold(self, record: EndpointRecord, now: float) -> bool:
+        if record.cold_s <= 0:
+            return False
+        key = record.id, record.incarnation
+        return now < self.cold_until.setdefault(key, now + record.cold_s)
+
+    def _zones(self, records: list[EndpointRecord], now: float) -> dict[str, ZoneView]:
         zones = {}
         for zone in {record.zone for record in records}:
             found = [record for record in records if record.zone == zone]
@@ -184,6 +195,7 @@
             zones[zone] = ZoneView(
                 ordinary=sum(not record.spot for record in ready),
                 spot=sum(record.spot for record in ready),
+                cold=sum(self._is_cold(record, now) for record in ready),
                 leaving=len(leaving),
                 withdrawn=sum(
                     record.spot and record.leaves_s is not None for record in leaving
--- a/src/lagoonrill/_internal/scaling/policy.py
+++ b/src/lagoonrill/_internal/scaling/policy.py
@@ -66,6 +66,8 @@
 # have to be read again elsewhere.
 SHRINK_STEP_SHARE = 0.25
 SHRINK_INTERVAL_S = 3.0
+# Nothing is removed while more than this share of the endpoints is slow after a start.
+MAX_COLD_SHARE = 0.1
 
 # Spot capacity is not requested again for this time where there was none.
 SPOT_PAUSE_S = 5.0
@@ -93,6 +95,8 @@
     # Endpoints that take new requests.
     ordinary: int = 0
     spot: int = 0
+    # Those among them that are slow because they have just started.
+    cold: int = 0
     # Endpoints that finish their requests.
     leaving: int = 0
     # Spot endpoints that are leaving because their capacity is withdrawn.
@@ -660,6 +664,9 @@
             return []
         if any(now < item.paused_until for item in self.subjects.values()):
             return []
+        cold = sum(found.cold for found in view.zones.values())
+        if cold > MAX_COLD_SHARE * self._serving(view):
+            return []
         if view.tokens_per_s > 0 and not self.needs.prefill_rate:
             # How much the engines can read is not known yet.
             return []
--- a/tests/test_scaling_orders.py
+++ b/tests/test_scaling_orders.py
@@ -214,7 +214,7 @@
     fleet = Fleet()
     records = [
         record("e1", "a"),
-        record("e2", "a", spot=True),
+        record("e2", "a", spot=True, cold_s=1.5),
         record("e3", "a", spot=True, leaving=True, leaves_s=2.0),
         record("e4", "b", leaving=True),
         record("e5", "b"),
@@ -222,8 +222,10 @@
     fleet.admission.registry.replace({item.id: item for item in records})
     fleet.admission.registry.note_failure("e5", unreachable=True)
     zones = fleet.view(0.0).zones
-    assert zones["a"] == ZoneView(ordinary=1, spot=1, leaving=1, withdrawn=1)
+    assert zones["a"] == ZoneView(ordinary=1, spot=1, cold=1, leaving=1, withdrawn=1)
     assert zones["b"] == ZoneView(ordinary=0, leaving=1)
+    # Its entry is not written again.
+    assert fleet.view(2.0).zones["a"].cold == 0
 
 
 def test_the_view_adds_up_this_instance_and_its_peers():
--- a/tests/test_scaling_policy.py
+++ b/tests/test_scaling_policy.py
@@ -50,6 +50,8 @@
         # Outcome of calls other than an execution: "busy" or "doubt".
         self.fault = ""
         self.waiting = 0
+        # Slow endpoints of each zone.
+        self.cold = 0
         self.orders: list[tuple[float, Order]] = []
         self.cost = 0.0
         self.least_margin = math.inf
@@ -85,6 +87,7 @@
             zone: ZoneView(
                 ordinary=self.ready.get((zone, False), 0),
                 spot=self.ready.get((zone, True), 0),
+                cold=self.cold,
                 withdrawn=self.leaving.get(zone, 0),
             )
             for zone in PRICES
@@ -172,6 +175,14 @@
     assert (platform.cost - settled) / 10 < 0.35 * 45.75
 
 
+def test_ordinary_endpoints_stay_while_new_ones_are_slow():
+    platform = Platform()
+    platform.cold = 5
+    assert not ordinary(platform.run(40))
+    platform.cold = 0
+    assert ordinary(platform.run(1))
+
+
 def test_the_loss_of_any_zone_leaves_the_mean_need():
     platform = Platform().settled()
     for zone in PRICES:
