--- a/src/lagoonrill/_internal/scaling/policy.py
+++ b/src/lagoonrill/_internal/scaling/policy.py
@@ -66,6 +66,8 @@
 # have to be read again elsewhere.
 SHRINK_STEP_SHARE = 0.25
 SHRINK_INTERVAL_S = 3.0
+# Nothing is removed while more than this share of the endpoints is slow after a start.
+MAX_COLD_SHARE = 0.1
 
 # Spot capacity is not requested again for this time where there was none.
 SPOT_PAUSE_S = 5.0
@@ -93,6 +95,8 @@
     # Endpoints that take new requests.
     ordinary: int = 0
     spot: int = 0
+    # Those among them that are slow because they have just started.
+    cold: int = 0
     # Endpoints that finish their requests.
     leaving: int = 0
     # Spot endpoints that are leaving because their capacity is withdrawn.
@@ -184,6 +188,7 @@
         "count",
         "differs_since",
         "doubt_until",
+        "doubted",
         "failing_since",
         "grown_at",
         "is_confirmed",
@@ -193,6 +198,7 @@
         "repair_at",
         "repair_s",
         "seen",
+        "stated",
     )
 
     def __init__(self):
@@ -200,6 +206,8 @@
         self.count: int | None = None
         # Most endpoints seen at once; the platform keeps them until the first order.
         self.seen = 0
+        # The number in the last order that was executed.
+        self.stated = 0
         self.is_confirmed = True
         # The number in the last order, if that was not executed.
         self.attempted: int | None = None
@@ -208,6 +216,8 @@
         self.paused_until = -math.inf
         self.pause_s = FIRST_PAUSE_S
         self.doubt_until = -math.inf
+        # The highest number of calls that may be executed until then.
+        self.doubted = 0
         # Time of the first of the last calls that all failed.
         self.failing_since: float | None = None
         # Time since which the number of endpoints differs from the order.
@@ -224,6 +234,7 @@
         if order.grows:
             self.grown_at = now
         self.count = order.count
+        self.stated = order.count
         self.is_confirmed = True
         self.attempted = None
         self.failing_since = None
@@ -240,8 +251,17 @@
         if in_doubt:
             self.count = order.count
             self.is_confirmed = False
+            if now >= self.doubt_until:
+                self.doubted = 0
+            self.doubted = max(self.doubted, order.count)
             self.doubt_until = now + DOUBT_S
 
+    def limited_number(self, now: float) -> int:
+        """Returns the highest number that may be in force, for the zone's limit."""
+        if self.count is None:
+            return self.seen
+        return max(self.stated, self.doubted if now < self.doubt_until else 0)
+
     def expected(self, ready: int, now: float, startup_s: float) -> int:
         """Returns how many endpoints serve, or will when ordered ones have started."""
         if self.failing_since is not None and now < self.failing_since + FAILING_S:
@@ -549,7 +569,9 @@
             for zone, target in targets.items():
                 subject = self.subject(zone, True)
                 room = profile.max_endpoints - max(
-                    expected[zone, False], view.zones.get(zone, ZoneView()).ordinary
+                    expected[zone, False],
+                    view.zones.get(zone, ZoneView()).ordinary,
+                    self.subject(zone, False).limited_number(now),
                 )
                 count = min(room, max(target, self._attempted(subject, now)))
                 if count <= max(expected[zone, True], subject.count or 0):
@@ -584,14 +606,20 @@
             zone: max(subjects[zone].known, expected[zone, False]) for zone in zones
         }
         reasons: dict[str, str] = {}
+        spots = {zone: expected[zone, True] for zone in zones}
+        room = {
+            zone: most - max(spots[zone], self.subject(zone, True).limited_number(now))
+            for zone in zones
+        }
         for zone in zones:
-            if counts[zone] < floor:
-                expected[zone, False] += floor - counts[zone]
-                counts[zone] = floor
+            least = min(floor, room[zone])
+            if counts[zone] < least:
+                expected[zone, False] += least - counts[zone]
+                counts[zone] = least
                 reasons[zone] = "floor"
-        spots = {zone: expected[zone, True] for zone in zones}
         needed = self._ordinary_needed(view, spots, needs.required, needs.mean)
-        needed -= sum(expected[zone, False] for zone in zones)
+        before = sum(expected[zone, False] for zone in zones)
+        needed -= before
 
         def rank(zone: str) -> tuple:
             found = view.zones.get(zone, ZoneView())
@@ -599,7 +627,7 @@
             return is_failing, counts[zone] + spots[zone], self._price(view, zone)
 
         for _ in range(max(0, needed)):
-            free = [zone for zone in zones if counts[zone] + spots[zone] < most]
+            free = [zone for zone in zones if counts[zone] < room[zone]]
             if not free:
                 break
             zone = min(free, key=rank)
@@ -609,15 +637,36 @@
         orders = []
         for zone, reason in reasons.items():
             count = max(counts[zone], self._attempted(subjects[zone], now))
+            count = min(count, max(counts[zone], room[zone]))
             if self._may_order(zone, False, now):
                 orders.append(self._order(view, zone, False, count, reason))
+        if needed > sum(expected[z, False] for z in zones) - before:
+            orders += self._freed(view, spots, now)
         return orders
 
+    def _freed(
+        self, view: ServiceView, spots: dict[str, int], now: float
+    ) -> list[Order]:
+        """Lowers numbers of spot endpoints that have not come.
+
+        They count for the limit of the zone, which keeps ordinary ones out.
+        """
+        return [
+            self._order(view, zone, True, count, "limit")
+            for zone, count in spots.items()
+            if self.subject(zone, True).limited_number(now) > count
+            and self._is_spot_paused(view, zone, now)
+            and now >= self.subject(zone, True).ordered_at + SPOT_PAUSE_S
+        ]
+
     def _shrinking(self, view: ServiceView, now: float) -> list[Order]:
         if now < self.started_at + HOLD_S or now < self.shrunk_at + SHRINK_INTERVAL_S:
             return []
         if any(now < item.paused_until for item in self.subjects.values()):
             return []
+        cold = sum(found.cold for found in view.zones.values())
+        if cold > MAX_COLD_SHARE * self._serving(view):
+            return []
         if view.tokens_per_s > 0 and not self.needs.prefill_rate:
             # How much the engines can read is not known yet.
             return []
@@ -741,7 +790,9 @@
         self.spot_paused_until[order.zone] = now + SPOT_PAUSE_S
         subject = self.subject(order.zone, True)
         subject.attempted = None
+        subject.failing_since = None
         subject.is_confirmed = True
+        subject.ordered_at = now
 
     def note_failure(self, order: Order, now: float, *, in_doubt: bool) -> None:
         """Records a call that was not executed, or `in_doubt` may be executed late."""
@@ -752,13 +803,13 @@
 
     def dump(self, now: float) -> dict:
         zones = {}
-        for (zone, spot), subject in sorted(self.subjects.items()):
+        for (zone, spot), subject in sorted(dict(self.subjects).items()):
             zones.setdefault(zone, {})["spot" if spot else "ordinary"] = {
                 "ordered": subject.count,
                 "confirmed": subject.is_confirmed,
                 "paused_s": round(max(0.0, subject.paused_until - now), 2),
             }
-        for zone, until in self.spot_paused_until.items():
+        for zone, until in dict(self.spot_paused_until).items():
             zones.setdefault(zone, {})["no_spot_s"] = round(max(0.0, until - now), 2)
         return {
             "needs": msgspec.to_builtins(self.needs),
@@ -797,4 +848,4 @@
         return self.plans[order.service]
 
     def dump(self, now: float) -> dict:
-        return {name: plan.dump(now) for name, plan in self.plans.items()}
+        return {name: plan.dump(now) for name, plan in dict(self.plans).items()}
