--- a/tests/platform/test_memory_overload.py
+++ b/tests/platform/test_memory_overload.py
@@ -126,18 +126,17 @@
 UNREAD_KINDS = frozenset(("requests_whose_answers_are_not_read",))
 
 
-def answer_with(sock, request, body: bytes) -> bool:
-    attempt = (request.header("Attempt-Id") or "").encode()
-    head = b"HTTP/1.1 200 OK\r\nAttempt-Id: %b\r\nTicket: t-%b\r\n" % (attempt, attempt)
-    sock.sendall(head + b"Content-Length: %d\r\n\r\n" % len(body) + body)
-    return True
-
-
 @behaviour
 def large_platform_answer(sock, request, endpoint) -> bool:
-    if request.header("Attempt-Id") != "crowd":
+    attempt = request.header("Attempt-Id").encode()
+    if attempt != b"crowd":
         return BEHAVIOURS["platform_answer"](sock, request, endpoint)
-    return answer_with(sock, request, b"x" * MAX_BODY_BYTES)
+    sock.sendall(
+        b"HTTP/1.1 200 OK\r\nAttempt-Id: %b\r\nResponse-Signature: p\r\n"
+        b"Content-Length: %d\r\n\r\n%b"
+        % (attempt, MAX_BODY_BYTES, bytes(MAX_BODY_BYTES))
+    )
+    return True
 
 
 @behaviour
