--- a/src/lagoonrill/_internal/coordination/forwarding.py
+++ b/src/lagoonrill/_internal/coordination/forwarding.py
@@ -10,6 +10,8 @@
 from collections.abc import Callable
 
 from ..event_log import EventLog
+from ..memory.account import AccountPart
+from ..memory.answers import AnswerShare
 from ..protocol.answer_signals import read_signals
 from ..protocol.headers import (
     CONNECTION_HEADERS,
@@ -25,7 +27,6 @@
     RawEventSplitter,
     event_id,
 )
-from ..state.answer_memory import AnswerMemory, AnswerShare
 from ..state.endpoint_registry import EndpointRegistry
 from ..state.gateway_metrics import GatewayMetrics
 from ..transport.caller_connection import CallerConnection
@@ -96,7 +97,7 @@
         zone: str,
         budget: SharedRetryBudget,
         origins: StreamOrigins,
-        answer_memory: AnswerMemory,
+        answer_memory: AccountPart,
         instances,
         list_age_s: Callable[[], float],
         list_confirmed_by: Callable[[], str],
--- a/src/lagoonrill/_internal/coordination/sending.py
+++ b/src/lagoonrill/_internal/coordination/sending.py
@@ -5,9 +5,9 @@
 
 import msgspec
 
+from ..memory.answers import AnswerShare
 from ..protocol.headers import RawHeaders
 from ..protocol.routing import EndpointRecord
-from ..state.answer_memory import AnswerShare
 from ..transport.caller_connection import CallerConnection
 from .routed_request import RoutedRequest
 
--- a/src/lagoonrill/_internal/gateway_daemon.py
+++ b/src/lagoonrill/_internal/gateway_daemon.py
@@ -29,6 +29,10 @@
 from .coordination.stream_holders import StreamHolders
 from .coordination.stream_origins import OriginStore, StreamOrigins
 from .event_log import EventLog, EventLogHandler
+from .memory import allocator
+from .memory.account import Part
+from .memory.callers import CallerMemory
+from .memory.sizes import account_for, capacity_bytes
 from .protocol.errors import SettingsError
 from .protocol.gateway_settings import (
     GatewayBounds,
@@ -37,7 +41,6 @@
 )
 from .protocol.headers import HeaderNames
 from .protocol.routing import RoutingConfig
-from .state.answer_memory import AnswerMemory
 from .state.endpoint_registry import EndpointRegistry
 from .state.engine_load_table import EngineLoadTable
 from .state.gateway_metrics import GatewayMetrics
@@ -73,9 +76,6 @@
 # Number of instances assumed for sharing fleet-wide budgets until peers are known.
 EXPECTED_INSTANCES = 4
 MAX_ERROR_CHARACTERS = 200
-# Share of the memory of the process for unfinished answers. The process itself needs
-# about 40 MB and callers' connections some more.
-ANSWER_MEMORY_SHARE = 0.25
 # Minimum interval between fetches, which batches configurations that change in quick
 # succession. It is short, so that a new configuration takes effect at about the same
 # time for all callers.
@@ -243,9 +243,14 @@
             window_s=settings.bounds.retry_window_s,
             fixed=settings.bounds.retry_fixed,
         )
-        self.answer_memory = AnswerMemory(
-            limit_bytes=int(settings.memory_mb * 2**20 * ANSWER_MEMORY_SHARE)
+        capacity = capacity_bytes(settings.memory_mb, settings.memory)
+        self.memory = CallerMemory(
+            account=account_for(capacity_bytes=capacity, memory=settings.memory),
+            metrics=self.metrics,
+            event_log=self.event_log,
+            room_wait_s=settings.memory.room_wait_s,
         )
+        self.answer_memory = self.memory.account.parts[Part.ANSWERS]
         self.forwarder = Forwarder(
             header_names=header_names,
             registry=self.registry,
@@ -271,6 +276,7 @@
             routing=self.routing,
             config_age_s=self.config_follower.age_s,
             forwarder=self.forwarder,
+            memory=self.memory,
             metrics=self.metrics,
             event_log=self.event_log,
         )
@@ -319,6 +325,11 @@
         self.metrics.register_gauge(
             "answers_refused_for_memory_total", lambda: self.answer_memory.refused
         )
+        for name, part in self.memory.account.parts.items():
+            self.metrics.register_gauge(
+                f'memory_held_bytes{{part="{name}"}}',
+                lambda part=part: part.held_bytes,
+            )
         self.metrics.register_gauge(
             "streams_unrecorded_total", lambda: self.origins.unrecorded
         )
@@ -429,6 +440,7 @@
             "stream_origins": self.origins.dump(),
             "crash_evidence": self.crash_reports.evidence.dump(),
             "retry_budget": self.budget.dump(),
+            "memory": self.memory.dump(),
             "threads": threading.active_count(),
         }
         return msgspec.json.format(msgspec.json.encode(state)).decode() + "\n"
@@ -436,6 +448,7 @@
     def start(self) -> None:
         """Opens all sockets and starts following the store."""
         sys.setswitchinterval(SWITCH_INTERVAL_S)
+        allocator.limit_kept_memory()
         EventLogHandler(event_log=self.event_log).push_application()
         self.event_log.start()
         self.event_log.emit(
--- a/src/lagoonrill/_internal/state/answer_memory.py
+++ b/src/lagoonrill/_internal/memory/answers.py
@@ -2,46 +2,26 @@
 
 Load pattern: faulty endpoints send bytes without end, to many calls at once. A single
 answer is bounded, but the sum of them is not. Each call may hold a small answer at any
-time; what is beyond that comes out of one budget for all. A call that finds it used up
-fails alone, and calls with small answers go on.
+time; what is beyond that is reserved in one part of the account. A call that finds it
+used up fails alone, and calls with small answers go on.
 """
 
-import threading
+from .account import AccountPart
 
-# Answers up to this size need nothing of the budget; callers' connections bound how
-# many there are.
+# Answers up to this size need no reservation: the cost of a caller's connection covers
+# them.
 FREE_BYTES = 32_768
 # A body is held twice for a moment, in parts and as a whole.
 COPIES = 2
-
-
-class AnswerMemory:
-    """The budget in bytes that all calls share."""
-
-    def __init__(self, *, limit_bytes: int):
-        self.limit_bytes = limit_bytes
-        self.lock = threading.Lock()
-        self.held_bytes = 0
-        self.refused = 0
-
-    def take(self, count: int) -> bool:
-        """Takes bytes of the budget, if it has them."""
-        with self.lock:
-            if self.held_bytes + count > self.limit_bytes:
-                self.refused += 1
-                return False
-            self.held_bytes += count
-            return True
-
-    def give_back(self, count: int) -> None:
-        with self.lock:
-            self.held_bytes -= count
+# Time that a part of an answer waits for memory of others.
+ANSWER_WAIT_S = 0.3
 
 
 class AnswerShare:
-    """What the answers of one call take of the budget, until `close`.
+    """What the answers of one call take of the account, until `close`.
 
-    >>> memory = AnswerMemory(limit_bytes=100_000)
+    >>> from .sizes import account_for
+    >>> memory = account_for(capacity_bytes=100_000).parts["answers"]
     >>> share = AnswerShare(memory=memory)
     >>> share.grow(FREE_BYTES), memory.held_bytes
     (True, 0)
@@ -56,7 +36,7 @@
 
     __slots__ = ("bytes", "memory", "taken")
 
-    def __init__(self, *, memory: AnswerMemory):
+    def __init__(self, *, memory: AccountPart):
         self.memory = memory
         self.bytes = 0
         self.taken = 0
@@ -66,13 +46,26 @@
         size = self.bytes + count
         missing = max(0, size - FREE_BYTES) * COPIES - self.taken
         if missing > 0:
-            if not self.memory.take(missing):
+            if not (self.memory.take(missing) or self._wait_for(missing)):
                 return False
             self.taken += missing
         self.bytes = size
         return True
 
+    def _wait_for(self, count: int) -> bool:
+        """Waits until callers that do not read their answers have been ended."""
+
+        def while_waiting(is_first: bool) -> bool:
+            if is_first:
+                self.memory.relieve()
+            return True
+
+        return self.memory.wait_and_take(
+            count, timeout_s=ANSWER_WAIT_S, while_waiting=while_waiting
+        )
+
     def close(self) -> None:
         """Gives everything back."""
-        self.memory.give_back(self.taken)
-        self.taken = self.bytes = 0
+        taken, self.taken = self.taken, 0
+        self.bytes = 0
+        self.memory.give_back(taken)
--- a/src/lagoonrill/_internal/protocol/gateway_settings.py
+++ b/src/lagoonrill/_internal/protocol/gateway_settings.py
@@ -34,6 +34,37 @@
     contact_ms: Milliseconds = 3_000
 
 
+class MemorySettings(msgspec.Struct, kw_only=True):
+    """Division of `memory_mb`; shares are of what the process itself does not need.
+
+    A floor is kept free for its part: memory that the other parts cannot take.
+    """
+
+    # Memory in MB that the process takes without callers.
+    process_mb: int = 48
+    connection_floor: float = 0.15
+    connection_limit: float = 0.6
+    small_body_floor: float = 0.1
+    body_floor: float = 0.2
+    answer_floor: float = 0.2
+    answer_limit: float = 0.4
+    # Time that a body waits for memory before it is refused with 503.
+    room_wait_s: Seconds = 2.0
+
+    def shares(self) -> dict[str, float]:
+        """Returns the shares by the names of their settings.
+
+        >>> MemorySettings().shares()["answer_limit"]
+        0.4
+        """
+        values = msgspec.structs.asdict(self)
+        return {
+            name: value
+            for name, value in values.items()
+            if name.endswith(("_floor", "_limit"))
+        }
+
+
 class GatewaySettings(msgspec.Struct, kw_only=True):
     """Settings of one gateway; addresses are HOST:PORT."""
 
@@ -48,6 +79,7 @@
     memory_mb: int = 256
     # Writes that the store takes from all instances together.
     store_writes_per_s: Count = 100
+    memory: MemorySettings = msgspec.field(default_factory=MemorySettings)
     bounds: GatewayBounds = msgspec.field(default_factory=GatewayBounds)
 
 
@@ -65,6 +97,7 @@
         addresses |= {f"seeds.{n}": seed for n, seed in enumerate(settings.seeds)}
         for key, value in addresses.items():
             _check_address(key, value, problems)
+        _check_memory(settings.memory, problems)
     raise_problems(problems, SettingsError)
     return settings
 
@@ -73,3 +106,25 @@
     host, _, port = value.rpartition(":")
     if not (host and port.isdigit() and 0 < int(port) < 65_536):
         problems.append(Problem(key=key, found=f"{value!r}", remedy=ADDRESS_REMEDY))
+
+
+def _check_memory(memory: MemorySettings, problems: list[Problem]) -> None:
+    shares = memory.shares()
+    for name, value in shares.items():
+        if not 0.0 <= value <= 1.0:
+            problems.append(
+                Problem(
+                    key=f"memory.{name}",
+                    found=str(value),
+                    remedy="Write a share between 0 and 1.",
+                )
+            )
+    floors = sum(value for name, value in shares.items() if name.endswith("_floor"))
+    if floors > 1.0:
+        problems.append(
+            Problem(
+                key="memory",
+                found=f"floors of {floors:.2f} together",
+                remedy="Lower the floors until their sum is at most 1.",
+            )
+        )
--- a/src/lagoonrill/_internal/transport/caller_connection.py
+++ b/src/lagoonrill/_internal/transport/caller_connection.py
@@ -3,21 +3,36 @@
 import contextlib
 import select
 import socket
+import threading
 import time
 
 import h11
 import msgspec
 
+from ..memory.callers import CallerMemory, Upload, no_memory
 from ..protocol.headers import RawHeaders
 from ..protocol.routing import CallerLimits
-from .sockets import RECEIVE_BYTES, CallerGone, is_disconnected, send_all, wait_for
+from .sockets import (
+    CallerGone,
+    is_disconnected,
+    joined_if_small,
+    send_all,
+    wait_for,
+)
 
 # A caller that accepts no data for this long is treated as disconnected.
 WRITE_TIMEOUT_S = 10.0
+# Progress of a large answer is noted after each part of this size.
+SEND_BYTES = 65_536
 # Unread input is discarded before a close. Closing with unread input would reset the
 # connection, and the caller could lose the response.
 MAX_DISCARDED_BYTES = 262_144
 DISCARD_TIMEOUT_S = 0.2
+# Limit of all reads together; a caller that sends a byte at a time is not waited for.
+DISCARD_TOTAL_S = 1.0
+DISCARD_BYTES = 16_384
+# The parser holds received bytes twice for a moment, in each of the connections.
+RECEIVE_BYTES = 32_768
 
 
 class BadHead(Exception):
@@ -35,7 +50,7 @@
     method: bytes
     target: bytes
     headers: RawHeaders
-    body: bytes
+    body: bytes | bytearray
     # Time of the first byte, on the monotonic clock.
     arrived_at: float
 
@@ -43,10 +58,28 @@
 class CallerConnection:
     """Reads requests from a socket and writes their responses."""
 
-    def __init__(self, *, sock: socket.socket, limits: CallerLimits):
+    def __init__(
+        self,
+        *,
+        sock: socket.socket,
+        limits: CallerLimits,
+        memory: CallerMemory | None = None,
+    ):
         self.sock = sock
         self.sock.setblocking(False)
         self.limits = limits
+        # Accounts for bodies; without it, only their limit applies.
+        self.memory = memory
+        self.upload: Upload | None = None
+        # Head of the current request, also if its body was refused.
+        self.head: IncomingRequest | None = None
+        # Time since which no complete head has arrived (monotonic clock), or None.
+        self.idle_since: float | None = time.monotonic()
+        # Time of the latest progress of an answer that is being sent, or None.
+        self.sending_since: float | None = None
+        self.served = 0
+        self.lock = threading.Lock()
+        self.ended = False
         self.parser = h11.Connection(
             h11.SERVER, max_incomplete_event_size=limits.max_header_bytes
         )
@@ -76,12 +109,16 @@
             if not isinstance(head, h11.Request):
                 return None
             self._check_head_size(head)
-            if self.parser.they_are_waiting_for_100_continue:
-                continue_response = h11.InformationalResponse(
-                    status_code=100, headers=[]
-                )
-                self._send(self.parser.send(continue_response))
-            body = self._read_body()
+            if not self._leave_idle():
+                return None
+            self.head = IncomingRequest(
+                method=head.method,
+                target=head.target,
+                headers=head.headers.raw_items(),
+                body=b"",
+                arrived_at=arrived_at,
+            )
+            body = self._read_body(head)
         except h11.RemoteProtocolError as error:
             raise BadHead(
                 status=error.error_status_hint or 400, reason=str(error)
@@ -92,13 +129,7 @@
             ) from None
         if body is None:
             return None
-        return IncomingRequest(
-            method=head.method,
-            target=head.target,
-            headers=head.headers.raw_items(),
-            body=body,
-            arrived_at=arrived_at,
-        )
+        return msgspec.structs.replace(self.head, body=body)
 
     def _check_head_size(self, head: h11.Request) -> None:
         # h11 limits the size only of a head that is still incomplete.
@@ -108,21 +139,81 @@
         if size > self.limits.max_header_bytes:
             raise BadHead(status=431, reason="the header fields are too large")
 
-    def _read_body(self) -> bytes | None:
-        body = bytearray()
+    def _read_body(self, head: h11.Request) -> bytes | bytearray | None:
+        """Reads the body once there is room for it; raises `Refusal` if there is none.
+
+        A body over the limit is refused before it is read, if its length is announced.
+        """
+        length = announced_length(head)
+        if length is not None and length > self.limits.max_body_bytes:
+            raise BadHead(status=413, reason="the body is too large")
+        if length != 0 and self.memory is not None:
+            self.upload = self.memory.begin_upload(self._end_reading)
+        if length and self.upload is not None:
+            self.upload.reserve_length(length, self._is_waiting_caller)
+        if self.parser.they_are_waiting_for_100_continue:
+            continue_response = h11.InformationalResponse(status_code=100, headers=[])
+            self._send(self.parser.send(continue_response))
+        # Of a known length, it is not copied as it grows.
+        body = bytearray(length or 0)
+        received = 0
         # The idle timeout applies between reads of a body as it does between requests.
         while True:
             deadline = time.monotonic() + self.limits.idle_timeout_s
             event = self._next_event(deadline)
             if isinstance(event, h11.Data):
-                body += event.data
-                if len(body) > self.limits.max_body_bytes:
+                end = received + len(event.data)
+                if end > self.limits.max_body_bytes:
                     raise BadHead(status=413, reason="the body is too large")
+                if self.upload is not None:
+                    if length is None:
+                        self.upload.reserve_growth(end, self._is_waiting_caller)
+                    self.upload.note_received(len(event.data))
+                body[received:end] = event.data
+                received = end
             elif isinstance(event, h11.EndOfMessage):
-                return bytes(body)
+                if self.upload is not None:
+                    self.upload.complete()
+                return body
+            elif self.upload is not None and self.upload.aborted:
+                raise no_memory("slow_upload")
             else:
                 return None
 
+    def _is_waiting_caller(self) -> bool:
+        return not self.is_disconnected()
+
+    def _end_reading(self) -> None:
+        """Ends the reads of this connection, from another thread."""
+        with contextlib.suppress(OSError):
+            self.sock.shutdown(socket.SHUT_RD)
+
+    def _leave_idle(self) -> bool:
+        """Begins a request; returns False if the connection was ended just before."""
+        with self.lock:
+            self.idle_since = None
+            return not self.ended
+
+    def end_waiting(self) -> bool:
+        """Ends a connection that waits for its caller, from another thread.
+
+        Returns False if it has begun a request or sent its answer in the meantime.
+        """
+        with self.lock:
+            if self.idle_since is None and self.sending_since is None:
+                return False
+            self.ended = True
+        with contextlib.suppress(OSError):
+            self.sock.shutdown(socket.SHUT_RDWR)
+        return True
+
+    def release_body(self) -> None:
+        """Gives back the memory of the body of the current request."""
+        self.head = None
+        if self.upload is not None:
+            upload, self.upload = self.upload, None
+            upload.close()
+
     def _next_event(self, deadline: float):
         while (event := self.parser.next_event()) is h11.NEED_DATA:
             try:
@@ -148,11 +239,11 @@
             headers=[*headers, length, *self._connection_header()],
         )
         self.answer_started = True
-        data = self.parser.send(head)
+        parts = [self.parser.send(head)]
         if body:
-            data += self.parser.send(h11.Data(data=body)) or b""
-        data += self.parser.send(h11.EndOfMessage()) or b""
-        self._send(data)
+            parts += self.parser.send_with_data_passthrough(h11.Data(data=body))
+        parts.append(self.parser.send(h11.EndOfMessage()) or b"")
+        self._send(*joined_if_small(parts))
 
     def start_stream(self, status: int, reason: bytes, headers: RawHeaders) -> None:
         """Starts a response of unknown length; its head is sent with the first data."""
@@ -183,12 +274,19 @@
     def _connection_header(self) -> RawHeaders:
         return [(b"Connection", b"close")] if self.closing else []
 
-    def _send(self, data: bytes) -> None:
+    def _send(self, *parts: bytes) -> None:
+        deadline = time.monotonic() + WRITE_TIMEOUT_S
         try:
-            send_all(self.sock, data, time.monotonic() + WRITE_TIMEOUT_S)
+            for part in parts:
+                view = memoryview(part)
+                for start in range(0, len(view), SEND_BYTES):
+                    self.sending_since = time.monotonic()
+                    send_all(self.sock, view[start : start + SEND_BYTES], deadline)
         except (OSError, TimeoutError):
             self.closing = True
             raise CallerGone from None
+        finally:
+            self.sending_since = None
 
     def next_cycle(self) -> bool:
         """Prepares for the next request; returns False if the connection must close."""
@@ -198,10 +296,13 @@
             return False
         self.parser.start_next_cycle()
         self.answer_started = False
+        self.served += 1
+        self.idle_since = time.monotonic()
         return True
 
     def close(self, *, reset: bool = False) -> None:
         """Closes the connection; `reset` is set if a response is incomplete."""
+        self.release_body()
         with contextlib.suppress(OSError):
             if reset:
                 self.sock.shutdown(socket.SHUT_RDWR)
@@ -212,9 +313,22 @@
     def _discard_input(self) -> None:
         self.sock.shutdown(socket.SHUT_WR)
         self.sock.settimeout(DISCARD_TIMEOUT_S)
+        until = time.monotonic() + DISCARD_TOTAL_S
+        piece = bytearray(DISCARD_BYTES)
         discarded = 0
-        while discarded < MAX_DISCARDED_BYTES:
-            received = self.sock.recv(RECEIVE_BYTES)
+        while discarded < MAX_DISCARDED_BYTES and time.monotonic() < until:
+            received = self.sock.recv_into(piece)
             if not received:
                 return
-            discarded += len(received)
+            discarded += received
+
+
+def announced_length(head: h11.Request) -> int | None:
+    """Returns the announced length of a body, or None if it is chunked."""
+    length = 0
+    for name, value in head.headers:
+        if name == b"transfer-encoding":
+            return None
+        if name == b"content-length":
+            length = int(value)
+    return length
--- a/src/lagoonrill/_internal/transport/endpoint_connection.py
+++ b/src/lagoonrill/_internal/transport/endpoint_connection.py
@@ -9,11 +9,12 @@
 
 import h11
 
+from ..memory.answers import AnswerShare
 from ..protocol.headers import RawHeaders, first_value
-from ..state.answer_memory import AnswerShare
 from .sockets import (
     RECEIVE_BYTES,
     has_input,
+    joined_if_small,
     parse_address,
     send_all,
     set_options,
@@ -141,13 +142,15 @@
         that body.
         """
         request = h11.Request(method=method, target=target, headers=headers)
-        data = self.parser.send(request)
+        parts = [self.parser.send(request)]
         if body:
-            data += self.parser.send(h11.Data(data=body))
-        data += self.parser.send(h11.EndOfMessage()) or b""
+            data = h11.Data(data=body)
+            parts += self.parser.send_with_data_passthrough(data)
+        parts.append(self.parser.send(h11.EndOfMessage()) or b"")
         try:
-            self.fully_sent = send_all(
-                self.sock, data, deadline, caller, stop_on_input=True
+            self.fully_sent = all(
+                send_all(self.sock, part, deadline, caller, stop_on_input=True)
+                for part in joined_if_small(parts)
             )
         except TimeoutError:
             raise
--- a/src/lagoonrill/_internal/transport/gateway_listener.py
+++ b/src/lagoonrill/_internal/transport/gateway_listener.py
@@ -13,6 +13,10 @@
 from ..coordination.routed_request import RequestResolver, RoutedRequest
 from ..coordination.sending import CallerBreak
 from ..event_log import EventLog
+from ..memory import policy
+from ..memory.account import Part
+from ..memory.callers import CallerMemory
+from ..memory.sizes import CONNECTION_BYTES
 from ..protocol.headers import HeaderNames, first_value
 from ..protocol.refusals import Refusal
 from ..protocol.routing import CallerLimits
@@ -34,6 +38,13 @@
 # A request that arrives during a stop gets its final answer this long before the end.
 STOP_ANSWER_S = 0.3
 STOPPING_RETRY_S = 0.05
+# Time for which a new connection waits for the end of an idle one.
+CONNECTION_WAIT_S = 0.1
+CONNECTION_CHECK_S = 0.005
+# Monitoring needs a few connections to the pages; more would only take threads.
+MAX_PAGE_CONNECTIONS = 64
+# Requests for the pages have no body.
+PAGE_LIMITS = CallerLimits(max_body_bytes=8_192)
 
 
 class GatewayListener:
@@ -48,6 +59,7 @@
         routing: RoutingState,
         config_age_s: Callable[[], float],
         forwarder: Forwarder,
+        memory: CallerMemory,
         metrics: GatewayMetrics,
         event_log: EventLog,
     ):
@@ -59,11 +71,18 @@
         # Age of the evidence that the configuration is the newest.
         self.config_age_s = config_age_s
         self.forwarder = forwarder
+        self.memory = memory
+        self.connection_memory = memory.account.parts[Part.CONNECTIONS]
+        memory.account.parts[Part.ANSWERS].relieve = lambda: self.end_one(
+            readers_only=True
+        )
         self.metrics = metrics
         self.event_log = event_log
         self.socket: socket.socket | None = None
         self.lock = threading.Lock()
         self.connections = 0
+        # Connections with a thread that runs, by the id of their object.
+        self.served: dict[int, CallerConnection] = {}
         self.requests = 0
         self.stopping = threading.Event()
         self.closed = threading.Event()
@@ -126,15 +145,70 @@
                 time.sleep(0.05)
                 continue
             self.last_accepted_at = time.monotonic()
-            with self.lock:
-                full = self.connections >= self.max_connections
-                self.connections += not full
-            if full:
+            if not self._reserve_connection():
                 self.metrics.count("connections_refused")
+                self.memory.note_refusal("connections")
                 sock.close()
                 continue
             self._start_serving(sock)
 
+    def _reserve_connection(self) -> bool:
+        """Makes room for a connection, for which another may have to be closed."""
+        if not self._has_slot() and not (self.end_one() and self._wait_for_slot()):
+            return False
+        if not self.connection_memory.take_now(CONNECTION_BYTES) and not (
+            self.end_one()
+            and self.connection_memory.wait_and_take(
+                CONNECTION_BYTES, timeout_s=CONNECTION_WAIT_S
+            )
+        ):
+            return False
+        with self.lock:
+            self.connections += 1
+        return True
+
+    def _has_slot(self) -> bool:
+        with self.lock:
+            return self.connections < self.max_connections
+
+    def _wait_for_slot(self) -> bool:
+        until = time.monotonic() + CONNECTION_WAIT_S
+        while not (found := self._has_slot()) and time.monotonic() < until:
+            time.sleep(CONNECTION_CHECK_S)
+        return found
+
+    def end_one(self, *, readers_only: bool = False) -> bool:
+        """Ends the connection that has waited for its caller the longest.
+
+        Returns False if there is none. With `readers_only`, connections without an
+        answer to send are left.
+        """
+        with self.lock:
+            served = dict(self.served)
+        views = []
+        for key, item in served.items():
+            idle, sending = item.idle_since, item.sending_since
+            if item.ended:
+                continue
+            if sending is not None:
+                view = policy.WaitingView(key=key, since=sending, is_sending=True)
+            elif idle is not None and not readers_only:
+                view = policy.WaitingView(key=key, since=idle, served=item.served)
+            else:
+                continue
+            views.append(view)
+        chosen = policy.choose_waiting(views, now=time.monotonic())
+        if chosen is None or not served[chosen.key].end_waiting():
+            return False
+        reason = "slow_reader" if chosen.is_sending else "idle_connection"
+        self.memory.note_refusal(reason)
+        return True
+
+    def _end_connection(self) -> None:
+        with self.lock:
+            self.connections -= 1
+        self.connection_memory.give_back(CONNECTION_BYTES)
+
     def _accept_backlog(self) -> None:
         """Accepts the connections in the backlog, which `close` would reset.
 
@@ -149,8 +223,10 @@
                     log.warning("failed to accept the last connections: {}", error)
                 return
             sock.setblocking(True)
-            with self.lock:
-                self.connections += 1
+            if not self._reserve_connection():
+                self.metrics.count("connections_refused")
+                sock.close()
+                continue
             self._start_serving(sock)
 
     def _start_serving(self, sock: socket.socket) -> None:
@@ -165,13 +241,14 @@
             log.warning("connection refused, no thread can be started: {}", error)
             self.metrics.count("connections_refused")
             sock.close()
-            with self.lock:
-                self.connections -= 1
+            self._end_connection()
 
     def _serve_socket(self, sock: socket.socket) -> None:
         table = self.routing.table
         limits = table.config.limits if table else CallerLimits()
-        connection = CallerConnection(sock=sock, limits=limits)
+        connection = CallerConnection(sock=sock, limits=limits, memory=self.memory)
+        with self.lock:
+            self.served[id(connection)] = connection
         reset = False
         try:
             set_options(sock)
@@ -186,9 +263,12 @@
             log.exception("connection closed after an internal error")
             reset = True
         finally:
-            connection.close(reset=reset)
             with self.lock:
-                self.connections -= 1
+                del self.served[id(connection)]
+            try:
+                connection.close(reset=reset)
+            finally:
+                self._end_connection()
 
     def _wait_for_request(self, connection: CallerConnection) -> bool:
         idle_until = time.monotonic() + connection.limits.idle_timeout_s
@@ -212,11 +292,14 @@
                 raise Refusal(503, "stopping", retry_after_s=STOPPING_RETRY_S)
             self._answer(connection, incoming)
         except Refusal as refusal:
-            self._refuse(connection, incoming, refusal)
+            # If the body was not read, the next request cannot be found.
+            connection.closing |= incoming is None
+            self._refuse(connection, incoming or connection.head, refusal)
         except BadHead as error:
             connection.closing = True
             refusal = Refusal(error.status, error.reason)
-            self._refuse(connection, incoming, refusal)
+            self._refuse(connection, connection.head, refusal)
+        connection.release_body()
         # A response that started before the shutdown had no `Connection: close`.
         return connection.next_cycle() and not self.stopping.is_set()
 
@@ -341,6 +424,7 @@
         self.address = address
         self.pages = pages
         self.socket: socket.socket | None = None
+        self.free = threading.BoundedSemaphore(MAX_PAGE_CONNECTIONS)
 
     def start(self) -> None:
         """Binds the socket and serves each connection in its own thread."""
@@ -360,15 +444,24 @@
                 sock, _ = self.socket.accept()
             except OSError:
                 return
-            threading.Thread(
+            if not self.free.acquire(blocking=False):
+                sock.close()
+                continue
+            thread = threading.Thread(
                 target=self._serve, args=(sock,), name="page", daemon=True
-            ).start()
+            )
+            try:
+                thread.start()
+            except RuntimeError as error:
+                log.warning("page refused, no thread can be started: {}", error)
+                sock.close()
+                self.free.release()
 
     def _serve(self, sock: socket.socket) -> None:
-        connection = CallerConnection(sock=sock, limits=CallerLimits())
+        connection = CallerConnection(sock=sock, limits=PAGE_LIMITS)
         try:
             set_options(sock)
-            while connection.wait_for_request(CallerLimits().idle_timeout_s * 1.0):
+            while connection.wait_for_request(PAGE_LIMITS.idle_timeout_s):
                 request = connection.read_request()
                 if request is None:
                     break
@@ -379,6 +472,7 @@
             log.debug("request not served: {}", error)
         finally:
             connection.close()
+            self.free.release()
 
     def _answer(self, connection: CallerConnection, request: IncomingRequest) -> None:
         path = request.target.partition(b"?")[0].decode("latin-1")
--- a/src/lagoonrill/_internal/transport/sockets.py
+++ b/src/lagoonrill/_internal/transport/sockets.py
@@ -6,6 +6,9 @@
 
 MAX_PORT_DIGITS = 5
 RECEIVE_BYTES = 65_536
+# Messages up to this size are sent with one system call; the body of a larger one is
+# not copied behind its head.
+MAX_JOINED_BYTES = 65_536
 # The socket options accept whole seconds only.
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
@@ -110,6 +113,18 @@
             return found
 
 
+def joined_if_small(parts: list[bytes]) -> list[bytes]:
+    """Returns the parts of a message in one piece, unless that copies a large one.
+
+    >>> joined_if_small([b"head", b"body", b""])
+    [b'headbody']
+    """
+    parts = [part for part in parts if part]
+    if sum(map(len, parts)) <= MAX_JOINED_BYTES:
+        return [b"".join(parts)]
+    return parts
+
+
 def send_all(
     sock: socket.socket,
     data: bytes,
--- a/tests/gateway_kit.py
+++ b/tests/gateway_kit.py
@@ -24,6 +24,8 @@
     StreamOrigins,
 )
 from lagoonrill._internal.event_log import EventLog
+from lagoonrill._internal.memory.account import MemoryAccount, Part, PartBounds
+from lagoonrill._internal.memory.callers import CallerMemory
 from lagoonrill._internal.protocol.errors import StoreConflict, StoreInDoubt
 from lagoonrill._internal.protocol.headers import HeaderNames
 from lagoonrill._internal.protocol.routing import (
@@ -37,7 +39,6 @@
     Service,
     WeightedService,
 )
-from lagoonrill._internal.state.answer_memory import AnswerMemory
 from lagoonrill._internal.state.endpoint_registry import EndpointRegistry
 from lagoonrill._internal.state.engine_load_table import EngineLoadTable
 from lagoonrill._internal.state.gateway_metrics import GatewayMetrics
@@ -229,7 +230,14 @@
             writes_per_s=1_000,
         )
         self.routing.subscribers.append(self.origins.install)
-        self.answer_memory = AnswerMemory(limit_bytes=answer_memory_bytes)
+        bounds = {part: PartBounds(limit=64 * 2**20) for part in Part}
+        bounds[Part.ANSWERS] = PartBounds(limit=answer_memory_bytes)
+        self.memory = CallerMemory(
+            account=MemoryAccount(capacity_bytes=256 * 2**20, bounds=bounds),
+            metrics=self.metrics,
+            event_log=self.event_log,
+        )
+        self.answer_memory = self.memory.account.parts[Part.ANSWERS]
         forwarder = Forwarder(
             header_names=header_names,
             registry=self.registry,
@@ -255,6 +263,7 @@
             routing=self.routing,
             config_age_s=lambda: 0.0,
             forwarder=forwarder,
+            memory=self.memory,
             metrics=self.metrics,
             event_log=self.event_log,
         )
--- a/tests/test_gateway_listener.py
+++ b/tests/test_gateway_listener.py
@@ -316,6 +316,7 @@
         routing=gateway.routing,
         config_age_s=lambda: 0.0,
         forwarder=gateway.listener.forwarder,
+        memory=gateway.memory,
         metrics=gateway.metrics,
         event_log=gateway.event_log,
     )
