--- a/src/lagoonrill/_internal/memory/callers.py
+++ b/src/lagoonrill/_internal/memory/callers.py
@@ -103,11 +103,14 @@
     def _reserve(self, count: int, is_wanted: Callable[[], bool]) -> None:
         if not self.part.take_now(count):
             self.is_waiting = True
+            begun_at = time.monotonic()
             try:
                 self.memory.wait_for_room(self.part, count, is_wanted)
             finally:
-                self.is_waiting = False
+                # The caller could not send during the wait.
                 self.progress_at = time.monotonic()
+                self.started_at += self.progress_at - begun_at
+                self.is_waiting = False
         self.reserved_bytes += count
 
     def note_received(self, count: int) -> None:
--- a/tests/platform/test_memory_overload.py
+++ b/tests/platform/test_memory_overload.py
@@ -64,6 +64,11 @@
     yield from pieces(MAX_BODY_BYTES)
 
 
+@kind
+def whole_body_for_a_worker_that_does_not_read() -> Iterator[bytes | None]:
+    yield from whole_body()
+
+
 @kind
 def all_but_the_last_byte() -> Iterator[bytes | None]:
     yield with_length(MAX_BODY_BYTES)
@@ -145,6 +150,21 @@
     return BEHAVIOURS["platform_answer"](sock, request, endpoint)
 
 
+class UnreadingEndpoint(ScriptedEndpoint):
+    """An endpoint that leaves the requests of the crowd in its socket."""
+
+    def _serve(self, sock: socket.socket) -> None:
+        # The crowd has left before the ordinary request is sent.
+        if b"Attempt-Id: crowd" in sock.recv(4_096, socket.MSG_PEEK):
+            time.sleep(SECONDS)
+            sock.close()
+        else:
+            super()._serve(sock)
+
+
+ENDPOINTS = {"whole_body_for_a_worker_that_does_not_read": UnreadingEndpoint}
+
+
 class Caller:
     """One overloading caller."""
 
@@ -239,7 +259,7 @@
     store = MetadataStore()
     store_server = MetadataStoreServer(store)
     script = [SCRIPTS.get(kind, "reads_slowly")]
-    endpoint = ScriptedEndpoint(id="i-1", script=script)
+    endpoint = ENDPOINTS.get(kind, ScriptedEndpoint)(id="i-1", script=script)
     max_body_bytes = LARGER_MAX_BODY_BYTES if "over" in kind else MAX_BODY_BYTES
     limits = {**configuration()["Limits"], "MaxBodyBytes": max_body_bytes}
     store.put("config", "main", configuration(Limits=limits))
