--- a/src/lagoonrill/_internal/memory/account.py
+++ b/src/lagoonrill/_internal/memory/account.py
@@ -66,6 +66,16 @@
         # Ends the use of some memory of this part that its user does not need.
         self.relieve: Callable[[], object] = lambda: None
 
+    @property
+    def most_bytes(self) -> int:
+        """The most that this part can hold while others use nothing."""
+        floors = sum(
+            item.bounds.floor
+            for item in self.account.parts.values()
+            if item is not self
+        )
+        return min(self.bounds.limit, self.account.capacity_bytes - floors)
+
     def take(self, count: int) -> bool:
         """Reserves bytes if there is room now and nobody waits for room."""
         taken = self.take_now(count)
@@ -98,7 +108,7 @@
             if not self.waiting and self.account.fits(self, count):
                 self._hold(count)
                 return True
-            if count > self.bounds.limit:
+            if count > self.most_bytes:
                 self.refused += 1
                 return False
             waiter = _Waiter(count)
--- a/src/lagoonrill/_internal/memory/callers.py
+++ b/src/lagoonrill/_internal/memory/callers.py
@@ -192,6 +192,10 @@
                 self._end_slow_uploads(count)
             return is_wanted()
 
+        if count > part.most_bytes:
+            # No wait and no repeat would help.
+            self.note_refusal("body_over_memory")
+            raise Refusal(413, "body_over_memory", remedy="Send less, or in parts.")
         if not part.wait_and_take(
             count, timeout_s=self.room_wait_s, while_waiting=while_waiting
         ):
