--- a/src/lagoonrill/_internal/coordination/forwarding.py
+++ b/src/lagoonrill/_internal/coordination/forwarding.py
@@ -11,6 +11,8 @@
 
 from ..duties.usage import UsageLedger
 from ..event_log import EventLog
+from ..memory.account import AccountPart
+from ..memory.answers import AnswerShare
 from ..protocol.answer_signals import read_signals
 from ..protocol.headers import (
     CONNECTION_HEADERS,
@@ -26,7 +28,6 @@
     RawEventSplitter,
     event_id,
 )
-from ..state.answer_memory import AnswerMemory, AnswerShare
 from ..state.endpoint_registry import EndpointRegistry
 from ..state.gateway_metrics import GatewayMetrics
 from ..state.route_table import RoutingState
@@ -98,7 +99,7 @@
         zone: str,
         budget: SharedRetryBudget,
         origins: StreamOrigins,
-        answer_memory: AnswerMemory,
+        answer_memory: AccountPart,
         instances,
         list_age_s: Callable[[], float],
         list_confirmed_by: Callable[[], str],
--- a/src/lagoonrill/_internal/transport/endpoint_connection.py
+++ b/src/lagoonrill/_internal/transport/endpoint_connection.py
@@ -9,12 +9,13 @@
 
 import h11
 
+from ..memory.answers import AnswerShare
 from ..protocol.headers import RawHeaders, first_value
-from ..state.answer_memory import AnswerShare
 from .sockets import (
     RECEIVE_BYTES,
     has_input,
     is_fully_received,
+    joined_if_small,
     parse_address,
     send_all,
     set_options,
@@ -145,14 +146,13 @@
         endpoint would read the next request as the rest of that body.
         """
         request = h11.Request(method=method, target=target, headers=headers)
-        data = self.parser.send(request)
+        parts = [self.parser.send(request)]
         if body:
-            data += self.parser.send(h11.Data(data=body))
-        data += self.parser.send(h11.EndOfMessage()) or b""
+            data = h11.Data(data=body)
+            parts += self.parser.send_with_data_passthrough(data)
+        parts.append(self.parser.send(h11.EndOfMessage()) or b"")
         try:
-            self.unsent = send_all(
-                self.sock, data, deadline, caller, stop_on_input=True
-            )
+            self.unsent = self._send_parts(joined_if_small(parts), deadline, caller)
         except TimeoutError:
             raise
         except OSError as error:
@@ -160,6 +160,18 @@
                 f"send: {type(error).__name__}", may_have_run=True
             ) from error
 
+    def _send_parts(
+        self, parts: list[bytes], deadline: float, caller: socket.socket | None
+    ) -> memoryview:
+        """Sends until the endpoint responds; returns what was not sent."""
+        for index, part in enumerate(parts):
+            rest = send_all(self.sock, part, deadline, caller, stop_on_input=True)
+            if rest:
+                following = b"".join(parts[index + 1 :])
+                # The body comes last unless it is chunked, and is then not copied.
+                return memoryview(b"".join((rest, following))) if following else rest
+        return memoryview(b"")
+
     def read_head(
         self,
         *,
