--- a/src/lagoonrill/_internal/scaling/demand.py
+++ b/src/lagoonrill/_internal/scaling/demand.py
@@ -9,7 +9,7 @@
 from ..state.endpoint_registry import EndpointRegistry
 from ..state.engine_load_table import EngineLoadTable
 from ..state.route_table import RoutingState
-from .policy import DemandView, ServiceView, ZoneView
+from .views import DemandView, ServiceView, ZoneView
 
 # Arrivals are counted over this time: longer than the interval of digests from other
 # zones, and short enough to see a burst of seconds at its start.
--- a/src/lagoonrill/_internal/scaling/orders.py
+++ b/src/lagoonrill/_internal/scaling/orders.py
@@ -12,7 +12,8 @@
 from ..state.gateway_metrics import GatewayMetrics
 from ..state.route_table import RoutingState
 from .demand import DemandMeter
-from .policy import Order, ScalingPolicy, ServiceView
+from .policy import ScalingPolicy
+from .views import Order, ServiceView
 
 # Interval of decisions; the duty may be stepped more often.
 DECISION_INTERVAL_S = 0.25
--- a/src/lagoonrill/_internal/scaling/policy.py
+++ b/src/lagoonrill/_internal/scaling/policy.py
@@ -5,49 +5,26 @@
 serves only seconds later, so most of a burst has to be served by endpoints that exist
 before.
 
-Three numbers of endpoints follow from the load of the recent past:
-
-- the *mean need* serves the mean load at the target utilisation;
-- *required* are enough for the mean need after the loss of one zone, and for the
-  highest load of the hold time;
-- *wanted* is more, by a headroom for bursts that is only bought on spot capacity.
-
 Spot endpoints carry what may be lost: each zone keeps a floor of ordinary endpoints,
 and without the spot endpoints of any one zone the others serve the mean need.
 """
 
 import math
-from collections import deque
 
 import msgspec
 
-from ..protocol.routing import ScalingProfile
-
-# Fraction of the first-event goal that may pass until the prompt has been read; the
-# same as in the placement of prompts.
-READ_SHARE_OF_GOAL = 0.6
-# Share of prompts that may find more work ahead of them than the goal allows.
-LATE_SHARE = 0.02
-MIN_UTILISATION = 0.3
-MAX_UTILISATION = 0.8
-# Target share of slots in use, for engines and for plain endpoints.
-SLOT_UTILISATION = 0.7
-# Prompts that wait should be read within this time, in addition to those that arrive.
-BACKLOG_S = 2.0
-
-# Times over which the mean load is taken: for the number of all endpoints, and for that
-# of ordinary ones, which a burst of seconds should not change.
-MEAN_S = 30.0
-FLOOR_MEAN_S = 60.0
-# Numbers fall only when the highest load of this time allows it. It is longer than the
-# period of swings in the load (11 s).
-HOLD_S = 15.0
-# Idle endpoints cost less on spot capacity and are kept longer, up to this time.
-MAX_MEMORY_S = 90.0
-# The headroom may cost this share of the mean need at ordinary prices, and is at most
-# this share of the mean need.
-HEADROOM_COST_SHARE = 0.2
-MAX_HEADROOM = 1.25
+from .needs import FLOOR_MEAN_S, HOLD_S, LoadHistory, Needs
+from .subject import (
+    DISCOVERY_S,
+    FIRST_REPAIR_S,
+    MAX_PAUSE_S,
+    MAX_REPAIR_S,
+    RESTATE_S,
+    STARTUP_MARGIN,
+    Subject,
+)
+from .views import DemandView, Order, ServiceView, ZoneView
+
 # Minimum share of a zone's need on ordinary endpoints.
 ORDINARY_SHARE = 0.25
 # The rates of the demand meter cover less than its window before this time.
@@ -73,228 +50,6 @@
 SPOT_PAUSE_S = 5.0
 # Orders for the same endpoints within a growing load are batched.
 GROWTH_SPACING_S = 0.5
-# Pauses after a call that failed; they double with each failure.
-FIRST_PAUSE_S = 0.3
-MAX_PAUSE_S = 2.0
-# Endpoints in calls that fail are replaced by others after this time.
-FAILING_S = 3.0
-# A call without an answer may be executed this much later, over newer numbers.
-DOUBT_S = 10.0
-RESTATE_S = 3.0
-# Interval of repeated orders while the number of endpoints differs from the order.
-FIRST_REPAIR_S = 5.0
-MAX_REPAIR_S = 30.0
-# Time for new endpoints to be discovered, in addition to their start.
-DISCOVERY_S = 1.0
-STARTUP_MARGIN = 1.25
-
-
-class ZoneView(msgspec.Struct, kw_only=True, frozen=True):
-    """Endpoints of a service in one zone."""
-
-    # Endpoints that take new requests.
-    ordinary: int = 0
-    spot: int = 0
-    # Those among them that are slow because they have just started.
-    cold: int = 0
-    # Endpoints that finish their requests.
-    leaving: int = 0
-    # Spot endpoints that are leaving because their capacity is withdrawn.
-    withdrawn: int = 0
-
-    @property
-    def serving(self) -> int:
-        return self.ordinary + self.spot
-
-
-class ServiceView(msgspec.Struct, kw_only=True):
-    """Load and endpoints of a service in the whole fleet."""
-
-    service: str
-    profile: ScalingProfile
-    zones: dict[str, ZoneView] = {}
-    # Slots of one endpoint.
-    slots: float = 1.0
-    # Requests that run or wait.
-    requests: float = 0.0
-    waiting: int = 0
-    waiting_tokens: float = 0.0
-    requests_per_s: float = 0.0
-    # Prompt tokens per second that engines have to read, also for refused requests.
-    tokens_per_s: float = 0.0
-    # Prompt tokens per second that one engine reads; 0 if that is not known.
-    prefill_rate: float = 0.0
-    goal_s: float = 0.0
-
-
-class DemandView(msgspec.Struct, kw_only=True):
-    """All services whose endpoints are ordered."""
-
-    services: list[ServiceView] = []
-
-
-class Order(msgspec.Struct, kw_only=True, frozen=True):
-    """The number of endpoints of one kind that should exist, with the reasons."""
-
-    service: str
-    zone: str
-    spot: bool
-    count: int
-    # Number before; None if there was no order yet.
-    before: int | None
-    reason: str
-    need: float
-    required: int
-    wanted: int
-    ready: int
-    waiting: int
-    # Load relative to all ready endpoints.
-    utilisation: float
-
-    @property
-    def kind(self) -> str:
-        return "spot" if self.spot else "ordinary"
-
-    @property
-    def grows(self) -> bool:
-        return self.before is None or self.count > self.before
-
-
-def target_utilisation(*, goal_s: float, read_s: float) -> float:
-    """Returns the share of time that engines may read so that prompts meet their goal.
-
-    For random arrivals and equal prompts, the time that a prompt waits exceeds t with a
-    probability of about exp(-2 (1 - u) t / (u read_s)) at a utilisation u.
-
-    >>> round(target_utilisation(goal_s=0.8, read_s=0.1), 2)
-    0.66
-    >>> target_utilisation(goal_s=0.8, read_s=0.4)
-    0.3
-    """
-    if goal_s <= 0 or read_s <= 0:
-        return MAX_UTILISATION
-    slack_s = goal_s * READ_SHARE_OF_GOAL - read_s
-    if slack_s <= 0:
-        return MIN_UTILISATION
-    found = 1 / (1 - math.log(LATE_SHARE) * read_s / (2 * slack_s))
-    return min(MAX_UTILISATION, max(MIN_UTILISATION, found))
-
-
-class Subject:
-    """What is known of the orders for one kind of endpoints in one zone."""
-
-    __slots__ = (
-        "attempted",
-        "count",
-        "differs_since",
-        "doubt_until",
-        "doubted",
-        "failing_since",
-        "grown_at",
-        "is_confirmed",
-        "ordered_at",
-        "pause_s",
-        "paused_until",
-        "repair_at",
-        "repair_s",
-        "seen",
-        "stated",
-    )
-
-    def __init__(self):
-        # The number in the last order that may have been executed.
-        self.count: int | None = None
-        # Most endpoints seen at once; the platform keeps them until the first order.
-        self.seen = 0
-        # The number in the last order that was executed.
-        self.stated = 0
-        self.is_confirmed = True
-        # The number in the last order, if that was not executed.
-        self.attempted: int | None = None
-        self.ordered_at = -math.inf
-        self.grown_at = -math.inf
-        self.paused_until = -math.inf
-        self.pause_s = FIRST_PAUSE_S
-        self.doubt_until = -math.inf
-        # The highest number of calls that may be executed until then.
-        self.doubted = 0
-        # Time of the first of the last calls that all failed.
-        self.failing_since: float | None = None
-        # Time since which the number of endpoints differs from the order.
-        self.differs_since: float | None = None
-        self.repair_at = -math.inf
-        self.repair_s = FIRST_REPAIR_S
-
-    @property
-    def known(self) -> int:
-        """The number that should exist as far as is known."""
-        return self.seen if self.count is None else self.count
-
-    def note_done(self, order: Order, now: float) -> None:
-        if order.grows:
-            self.grown_at = now
-        self.count = order.count
-        self.stated = order.count
-        self.is_confirmed = True
-        self.attempted = None
-        self.failing_since = None
-        self.pause_s = FIRST_PAUSE_S
-        self.ordered_at = now
-
-    def note_failure(self, order: Order, now: float, *, in_doubt: bool) -> None:
-        self.attempted = order.count
-        if self.failing_since is None:
-            self.failing_since = now
-        self.ordered_at = now
-        self.paused_until = now + self.pause_s
-        self.pause_s = min(MAX_PAUSE_S, 2 * self.pause_s)
-        if in_doubt:
-            self.count = order.count
-            self.is_confirmed = False
-            if now >= self.doubt_until:
-                self.doubted = 0
-            self.doubted = max(self.doubted, order.count)
-            self.doubt_until = now + DOUBT_S
-
-    def limited_number(self, now: float) -> int:
-        """Returns the highest number that may be in force, for the zone's limit."""
-        if self.count is None:
-            return self.seen
-        return max(self.stated, self.doubted if now < self.doubt_until else 0)
-
-    def expected(self, ready: int, now: float, startup_s: float) -> int:
-        """Returns how many endpoints serve, or will when ordered ones have started."""
-        if self.failing_since is not None and now < self.failing_since + FAILING_S:
-            return max(ready, self.attempted or 0)
-        if self.count is None:
-            return ready
-        if now < self.grown_at + startup_s * STARTUP_MARGIN + DISCOVERY_S:
-            return self.count
-        return min(ready, self.count)
-
-
-class Sample(msgspec.Struct, kw_only=True, frozen=True):
-    """Load at one time."""
-
-    at: float
-    tokens_per_s: float
-    # Including the prompts that wait.
-    demanded_tokens_per_s: float
-    requests: float
-    prefill_rate: float
-
-
-class Needs(msgspec.Struct, kw_only=True):
-    """Numbers of endpoints that follow from the load; see the module's comment."""
-
-    mean: float = 0.0
-    floor_mean: float = 0.0
-    required: int = 0
-    wanted: int = 0
-    utilisation: float = 0.0
-    target_utilisation: float = 0.0
-    # Prompt tokens per second that one engine is assumed to read.
-    prefill_rate: float = 0.0
 
 
 class ServicePlan:
@@ -303,9 +58,7 @@
     def __init__(self, *, service: str, now: float):
         self.service = service
         self.started_at = now
-        self.samples: deque[Sample] = deque()
-        # Recent wanted numbers, with their times.
-        self.wanted: deque[tuple[float, int]] = deque()
+        self.history = LoadHistory()
         self.subjects: dict[tuple[str, bool], Subject] = {}
         self.spot_paused_until: dict[str, float] = {}
         self.shrunk_at = -math.inf
@@ -320,11 +73,15 @@
         """Returns the orders that are due, the most urgent first."""
         self.view = view
         self._note_endpoints(view, now)
-        self._note_load(view, now)
-        self.needs = self._needs(view, now)
-        self.wanted.append((now, self.needs.wanted))
-        while self.wanted[0][0] < now - HOLD_S:
-            self.wanted.popleft()
+        if now >= self.started_at + FIRST_SAMPLE_S:
+            self.history.add(view, now)
+        zones = self._zones(view)
+        self.needs = self.history.needs(
+            view,
+            now,
+            zones=len(zones),
+            is_zone_lost=any(self._is_lost(view, zone, now) for zone in zones),
+        )
         if self.needs.mean > 0:
             self.has_load = True
         if not (self.has_load or now >= self.started_at + FLOOR_MEAN_S):
@@ -360,85 +117,6 @@
                 elif subject.differs_since is None:
                     subject.differs_since = now
 
-    def _note_load(self, view: ServiceView, now: float) -> None:
-        if now < self.started_at + FIRST_SAMPLE_S:
-            return
-        waiting = view.waiting_tokens / BACKLOG_S
-        self.samples.append(
-            Sample(
-                at=now,
-                tokens_per_s=view.tokens_per_s,
-                demanded_tokens_per_s=view.tokens_per_s + waiting,
-                requests=view.requests,
-                prefill_rate=view.prefill_rate,
-            )
-        )
-        oldest = now - self._memory_s(view)
-        while self.samples[0].at < oldest:
-            self.samples.popleft()
-
-    def _memory_s(self, view: ServiceView) -> float:
-        price = max(view.profile.spot_price, HOLD_S / MAX_MEMORY_S)
-        return max(FLOOR_MEAN_S, HOLD_S / price)
-
-    def _needs(self, view: ServiceView, now: float) -> Needs:
-        if not self.samples:
-            return Needs()
-        profile = view.profile
-        # Late reports of other prompts lower the measured rate in bursts, and nothing
-        # raises it.
-        rate = max(i.prefill_rate for i in self.samples if i.at > now - MEAN_S)
-        read_s = 0.0
-        if rate > 0 and view.requests_per_s > 0:
-            read_s = view.tokens_per_s / view.requests_per_s / rate
-        target = target_utilisation(goal_s=view.goal_s, read_s=read_s)
-
-        def endpoints(tokens_per_s: float, requests: float) -> float:
-            by_slots = requests / (view.slots * SLOT_UTILISATION)
-            return max(by_slots, tokens_per_s / (rate * target) if rate else 0.0)
-
-        def mean(seconds: float) -> float:
-            found = [item for item in self.samples if item.at > now - seconds]
-            return endpoints(
-                sum(item.tokens_per_s for item in found) / len(found),
-                sum(item.requests for item in found) / len(found),
-            )
-
-        def highest(seconds: float) -> float:
-            found = [item for item in self.samples if item.at > now - seconds]
-            return endpoints(
-                max(item.demanded_tokens_per_s for item in found),
-                max(item.requests for item in found),
-            )
-
-        zones = self._zones(view)
-        limit = profile.max_endpoints * len(zones)
-        mean_need = mean(MEAN_S)
-        lost = [zone for zone in zones if self._is_lost(view, zone, now)]
-        after_loss = mean_need
-        if len(zones) > 1 and not lost:
-            after_loss *= len(zones) / (len(zones) - 1)
-        required = max(after_loss, highest(HOLD_S))
-        headroom = 0.0
-        if profile.spot_price < 1:
-            share = HEADROOM_COST_SHARE / max(profile.spot_price, 0.01)
-            headroom = min(MAX_HEADROOM, share)
-        wanted = max(required, mean_need * (1 + headroom))
-        if profile.spot_price < 1:
-            wanted = max(wanted, highest(self._memory_s(view)))
-        reading = view.tokens_per_s / rate if rate else 0.0
-        load = max(view.requests / view.slots, reading)
-        serving = sum(zone.serving for zone in view.zones.values())
-        return Needs(
-            mean=min(limit, mean_need),
-            floor_mean=min(limit, mean(FLOOR_MEAN_S)),
-            required=min(limit, math.ceil(required)),
-            wanted=min(limit, math.ceil(wanted)),
-            utilisation=load / max(1, serving),
-            target_utilisation=target,
-            prefill_rate=rate,
-        )
-
     def _expected(self, view: ServiceView, zone: str, spot: bool, now: float) -> int:
         found = view.zones.get(zone, ZoneView())
         ready = found.spot if spot else found.ordinary
@@ -725,7 +403,7 @@
 
     def _spot_shrinking(self, view: ServiceView, now: float) -> Order | None:
         needs = self.needs
-        highest = max(number for _, number in self.wanted)
+        highest = self.history.highest_wanted()
         wanted = KEEP_FACTOR * highest
         targets = self._spot_targets(view, wanted, needs.mean, now)
         counts = {zone: self._expected(view, zone, True, now) for zone in targets}
--- a/tests/test_scaling_orders.py
+++ b/tests/test_scaling_orders.py
@@ -20,12 +20,8 @@
 )
 from lagoonrill._internal.scaling.demand import ArrivalRate, DemandMeter
 from lagoonrill._internal.scaling.orders import ScalingOrders, build_scaling
-from lagoonrill._internal.scaling.policy import (
-    DemandView,
-    ScalingPolicy,
-    ServiceView,
-    ZoneView,
-)
+from lagoonrill._internal.scaling.policy import ScalingPolicy
+from lagoonrill._internal.scaling.views import DemandView, ServiceView, ZoneView
 from lagoonrill._internal.state.gateway_metrics import GatewayMetrics
 from lagoonrill._internal.state.route_table import RoutingState
 from tests.gateway_kit import config
--- a/tests/test_scaling_policy.py
+++ b/tests/test_scaling_policy.py
@@ -7,16 +7,9 @@
 import pytest
 
 from lagoonrill._internal.protocol.routing import ScalingProfile
-from lagoonrill._internal.scaling.policy import (
-    HOLD_S,
-    DemandView,
-    Order,
-    ScalingPolicy,
-    ServicePlan,
-    ServiceView,
-    ZoneView,
-    target_utilisation,
-)
+from lagoonrill._internal.scaling.needs import HOLD_S, target_utilisation
+from lagoonrill._internal.scaling.policy import ScalingPolicy, ServicePlan
+from lagoonrill._internal.scaling.views import DemandView, Order, ServiceView, ZoneView
 
 PRICES = {"a": 0.85, "b": 1.2, "c": 1.0}
 PROFILE = ScalingProfile(
