--- a/tests/test_scaling_policy.py
+++ b/tests/test_scaling_policy.py
@@ -7,16 +7,9 @@
 import pytest
 
 from lagoonrill._internal.protocol.routing import ScalingProfile
-from lagoonrill._internal.scaling.policy import (
-    HOLD_S,
-    DemandView,
-    Order,
-    ScalingPolicy,
-    ServicePlan,
-    ServiceView,
-    ZoneView,
-    target_utilisation,
-)
+from lagoonrill._internal.scaling.needs import HOLD_S, target_utilisation
+from lagoonrill._internal.scaling.policy import ScalingPolicy, ServicePlan
+from lagoonrill._internal.scaling.views import DemandView, Order, ServiceView, ZoneView
 
 PRICES = {"a": 0.85, "b": 1.2, "c": 1.0}
 PROFILE = ScalingProfile(
@@ -257,6 +250,20 @@
     assert platform.least_margin >= 0
 
 
+def test_a_zone_without_spot_capacity_gets_its_part_of_ordinary_endpoints():
+    """Failure: spot endpoints of two zones were withdrawn, and the ordinary ones there
+    were lowered, as the endpoints of the third zone were enough by number."""
+    platform = Platform().settled()
+    for zone in ("a", "b"):
+        platform.withdraw_spot(zone)
+    platform.run(12)
+    for zone in ("a", "b"):
+        assert platform.ready[zone, False] >= MEAN / 3
+    platform.run(30)
+    for zone in ("a", "b"):
+        assert platform.ready[zone, False] >= MEAN / 3
+
+
 def test_ordinary_endpoints_are_ordered_when_no_zone_has_spot_capacity():
     platform = Platform().settled()
     for zone in PRICES:
