--- a/src/lagoonrill/_internal/duties/assembly.py
+++ b/src/lagoonrill/_internal/duties/assembly.py
@@ -13,13 +13,13 @@
 from .platform_calls import DutyCaller
 from .runner import DutyRunner, LeasedCaller
 from .usage import UsageLedger, WindowClock
-from .usage_exchange import UsageExchange
+from .usage_exchange import CountStore, UsageExchange
 from .usage_report import REPORT_AFTER_SHARE, ReportStore, UsageReporter
 
 # One lease covers all duties.
 LEASE_NAME = "platform-calls"
-# Peers take integers of 63 bits.
-INCARNATION_BITS = 62
+# JSON numbers are exact up to 2**53.
+INCARNATION_BITS = 48
 # Counts have to reach the reporter this long before it reports their window.
 COUNT_MARGIN_S = 1.0
 
@@ -29,6 +29,7 @@
 
     leases: LeaseStore
     reports: ReportStore
+    counts: CountStore
     caller: DutyCaller
 
 
@@ -77,7 +78,7 @@
         self.exchange: UsageExchange | None = None
         self.reporter: UsageReporter | None = None
         if USAGE_REPORT in settings.duties.names:
-            self._build_usage(backend.reports, link, peers)
+            self._build_usage(backend, link, peers)
         unknown = set(settings.duties.names) - {USAGE_REPORT, AUTOSCALE}
         if unknown:
             event_log.emit("duties_unknown", names=sorted(unknown))
@@ -88,7 +89,7 @@
         metrics.register_gauge("duty_leases_lost_total", lambda: self.lease.losses)
 
     def _build_usage(
-        self, reports: ReportStore, link: PeerLink, peers: GatewayPeers
+        self, backend: DutyBackend, link: PeerLink, peers: GatewayPeers
     ) -> None:
         bounds = self.settings.bounds
         clock = WindowClock(window_s=bounds.report_window_s)
@@ -107,6 +108,8 @@
             link=link,
             live_digests=peers.live_digests,
             instances=peers.live_instances,
+            known_instances=lambda: 1 + len(peers.views),
+            counts=backend.counts,
             held_token=self.lease.token,
             event_log=self.event_log,
         )
@@ -114,9 +117,10 @@
             ledger=self.ledger,
             clock=clock,
             lease=self.lease,
-            reports=reports,
+            reports=backend.reports,
             caller=self.caller,
             is_complete=self.exchange.is_complete,
+            fetch=self.exchange.fetch,
             late_s=bounds.usage_late_s,
             event_log=self.event_log,
         )
--- a/src/lagoonrill/_internal/duties/usage_exchange.py
+++ b/src/lagoonrill/_internal/duties/usage_exchange.py
@@ -3,13 +3,18 @@
 The collectors are the holder of the lease, the first two live instances by name, and
 the first one of another zone than theirs, so that a successor has the counts of killed
 instances, also if a whole zone is lost. Each instance sends them its windows that have
-changed; a new collector asks for everything.
+changed; a new collector asks for everything. A group of instances that is cut off from
+the holder passes its counts on through the store.
 """
 
 import threading
 from collections.abc import Callable
+from typing import Protocol
+
+from returns.result import Failure, Result
 
 from ..event_log import EventLog
+from ..protocol.errors import StoreError
 from ..protocol.messages import GatewayDigest, UsageCounts, WindowUsage
 from ..transport.peer_link import PeerLink
 from .usage import MAX_OFFSET_ERROR_S, UsageLedger, WindowClock
@@ -34,11 +39,28 @@
 ANNOUNCE_INTERVAL_S = 2.0
 # Minimum interval between the messages that tell one peer of a different clock.
 TIME_INTERVAL_S = 1.0
+# A group that is cut off writes the counts of a window this long after its end, once
+# its members have sent them, and those of the window before again.
+RELAY_AFTER_S = 2.0
+RELAYED_WINDOWS = 2
 MAX_ERROR_CHARACTERS = 200
 
 
+class CountStore(Protocol):
+    """Counts in the store, one object for each instance that writes some."""
+
+    def write_counts(
+        self, instance: str, usage: list[WindowUsage]
+    ) -> Result[object, StoreError]: ...
+
+    def read_counts(self) -> Result[list[WindowUsage], StoreError]: ...
+
+
 class UsageExchange:
-    """Sends and receives `UsageCounts`; `held_token` is None without a lease."""
+    """Sends and receives `UsageCounts`; `held_token` is None without a lease.
+
+    `known_instances` returns the number of instances that were live lately.
+    """
 
     def __init__(
         self,
@@ -49,6 +71,8 @@
         link: PeerLink,
         live_digests: Callable[[], list[GatewayDigest]],
         instances: Callable[[], int],
+        known_instances: Callable[[], int],
+        counts: CountStore,
         held_token: Callable[[], int | None],
         event_log: EventLog,
     ):
@@ -59,6 +83,8 @@
         self.link = link
         self.live_digests = live_digests
         self.instances = instances
+        self.known_instances = known_instances
+        self.counts = counts
         self.held_token = held_token
         self.event_log = event_log
         self.lock = threading.Lock()
@@ -75,6 +101,8 @@
         self.announced_done = 0
         # Ended windows whose counts were sent again, and how many times.
         self.repeated: tuple[int, int] = (0, 0)
+        # Last window whose counts were written to the store, or did not have to be.
+        self.relayed = 0
         # When peers were told of a different clock.
         self.time_sent_at: dict[str, float] = {}
         self.stopping = threading.Event()
@@ -148,6 +176,7 @@
         if windows or self._has_news():
             self._send_own(windows, known)
         self._announce(peers)
+        self._relay(peers)
         self.ledger.prune()
 
     def handle(self, message: UsageCounts) -> None:
@@ -238,6 +267,35 @@
     ) -> None:
         self.link.send_to({item.address for item in peers.values()}, message)
 
+    def _relay(self, peers: dict[str, GatewayDigest]) -> None:
+        """Writes the last counts to the store if messages do not reach the holder.
+
+        One instance of a group writes for all of them.
+        """
+        ended = self.clock.window() - 1
+        if self.relayed >= ended:
+            return
+        if self.clock.now() < self.clock.end_of(ended) + RELAY_AFTER_S:
+            return
+        self.relayed = ended
+        if self.held_token() is not None or self.holder in peers:
+            return
+        if self.instance != min([self.instance, *peers]) or not self._has_lost_peers():
+            return
+        usage = self.ledger.usage_since(ended + 1 - RELAYED_WINDOWS)
+        result = self.counts.write_counts(self.instance, usage)
+        self.event_log.emit(
+            "usage_relayed", window=ended, stored=not isinstance(result, Failure)
+        )
+
+    def fetch(self) -> None:
+        """Takes counts from the store if peers were lost that may have written some."""
+        if self._has_lost_peers():
+            self.ledger.merge(self.counts.read_counts().value_or([]))
+
+    def _has_lost_peers(self) -> bool:
+        return self.known_instances() > 1 + len(self.live_digests())
+
     def _send_own(self, windows: set[int], collectors: dict[str, str]) -> None:
         if collectors:
             message = self._message(usage=self.ledger.own_usage(windows))
--- a/src/lagoonrill/_internal/duties/usage_report.py
+++ b/src/lagoonrill/_internal/duties/usage_report.py
@@ -71,7 +71,8 @@
     """Reports each window that is due; one step makes at most a few calls.
 
     A window whose report got no answer does not hold up the next ones. `is_complete`
-    returns whether the counts of all reachable peers are here.
+    returns whether the counts of all reachable peers are here; `fetch` takes those of
+    others.
     """
 
     name = "usage_report"
@@ -85,6 +86,7 @@
         reports: ReportStore,
         caller: DutyCaller,
         is_complete: Callable[[], bool],
+        fetch: Callable[[], None],
         late_s: float,
         event_log: EventLog,
     ):
@@ -94,6 +96,7 @@
         self.reports = reports
         self.caller = caller
         self.is_complete = is_complete
+        self.fetch = fetch
         self.late_s = late_s
         self.event_log = event_log
         # Due windows after the last one up to which all are reported.
@@ -146,6 +149,7 @@
         if self.clock.now() < report_at or len(self.open) >= MAX_OPEN:
             return
         if is_new or self.ledger.is_observed(window):
+            self.fetch()
             counts = self.ledger.fix(window)
             self.open[window] = OpenReport(window=window, counts=counts)
         elif now >= self.next_search_at:
--- a/src/lagoonrill/platform/__main__.py
+++ b/src/lagoonrill/platform/__main__.py
@@ -60,7 +60,7 @@
         return None
     store = open_store_duties(settings.store_address)
     calls = open_calls(settings.duties.address, settings.instance)
-    return DutyBackend(leases=store, reports=store, caller=calls)
+    return DutyBackend(leases=store, reports=store, counts=store, caller=calls)
 
 
 if __name__ == "__main__":
--- a/src/lagoonrill/platform/_duties.py
+++ b/src/lagoonrill/platform/_duties.py
@@ -12,11 +12,14 @@
     StoreRejected,
     StoreUnavailable,
 )
+from .._internal.protocol.messages import WindowUsage
 from .._internal.transport.store_client import StoreClient, StoreResponse
-from ._store import ERA_HEADER, OBJECTS_PATH, decode_era
+from ._store import ERA_HEADER, OBJECTS_PATH, decode_era, unwatched_source
 
 LEASE_KIND = "duties"
 REPORT_KIND = "usage-reports"
+# Counts of instances that are cut off from the holder of the lease.
+COUNTS_KIND = "usage-counts"
 USAGE_PATH = "/usage"
 SCALE_PATH = "/scale"
 HOLDER_HEADER = "Lease-Holder"
@@ -63,6 +66,12 @@
     counts: dict[str, int]
 
 
+class WireCounts(msgspec.Struct, rename="pascal"):
+    """Content of an object with counts."""
+
+    usage: list[WindowUsage]
+
+
 class WireReportObject(msgspec.Struct, rename="pascal"):
     """A report object."""
 
@@ -84,6 +93,7 @@
 
     def __init__(self, *, client: StoreClient):
         self.client = client
+        self.counts = unwatched_source(client, COUNTS_KIND, decode_counts)
 
     def read(self, name: str) -> Result[LeaseState | None, StoreError]:
         """Returns a lease, or None if it does not exist."""
@@ -105,16 +115,7 @@
         if revision is None:
             result = self._create(LEASE_KIND, name, wire)
         else:
-            label = f"write {LEASE_KIND}"
-            result = self.client.call(
-                label,
-                "PUT",
-                object_path(LEASE_KIND, name),
-                headers=JSON_HEADERS,
-                body=msgspec.json.encode(
-                    {"Metadata": {"Name": name, "Revision": revision}, "Spec": wire}
-                ),
-            )
+            result = self._replace(LEASE_KIND, name, wire, {"Revision": revision})
         return result.bind(lambda response: self._written(name, state, response))
 
     def _written(
@@ -159,6 +160,36 @@
         path = object_path(REPORT_KIND, str(window))
         return self.client.call(f"delete {REPORT_KIND}", "DELETE", path)
 
+    def write_counts(
+        self, instance: str, usage: list[WindowUsage]
+    ) -> Result[object, StoreError]:
+        """Replaces the counts that an instance has written, or creates the object."""
+        wire = WireCounts(usage=usage)
+        result = self._replace(COUNTS_KIND, instance, wire, {})
+        if isinstance(result, Success) and result.unwrap().status == 404:
+            return self._create(COUNTS_KIND, instance, wire)
+        return result
+
+    def read_counts(self) -> Result[list[WindowUsage], StoreError]:
+        """Returns the counts of all objects; those that are invalid are left out."""
+        return self.counts.list().map(
+            lambda found: [
+                entry for item in found.objects for entry in item.content or []
+            ]
+        )
+
+    def _replace(
+        self, kind: str, name: str, wire: msgspec.Struct, condition: dict
+    ) -> Result[StoreResponse, StoreError]:
+        metadata = {"Name": name, **condition}
+        return self.client.call(
+            f"write {kind}",
+            "PUT",
+            object_path(kind, name),
+            headers=JSON_HEADERS,
+            body=msgspec.json.encode({"Metadata": metadata, "Spec": wire}),
+        )
+
     def _create(
         self, kind: str, name: str, wire: msgspec.Struct
     ) -> Result[StoreResponse, StoreError]:
@@ -175,6 +206,11 @@
     return f"{OBJECTS_PATH}{kind}/{name}"
 
 
+def decode_counts(name: str, spec: object) -> list[WindowUsage]:
+    """Returns the counts in an object; raises `ValueError` if it is invalid."""
+    return msgspec.convert(spec, WireCounts).usage
+
+
 def decode_report(response: StoreResponse) -> dict[str, int] | None:
     """Returns the counts in an answer; raises `ValueError` if it has none."""
     if response.status == 404:
--- a/tests/duty_kit.py
+++ b/tests/duty_kit.py
@@ -28,6 +28,7 @@
         self.revision = 10
         self.leases: dict[str, object] = {}
         self.reports: dict[int, dict[str, int]] = {}
+        self.counts: dict[str, list] = {}
         # How the next calls end: "ok", "down", "lost" (no answer, executed) or "late"
         # (no answer, executed by `execute_late`).
         self.mode = "ok"
@@ -68,6 +69,16 @@
 
         return self._call("remove", execute)
 
+    def write_counts(self, instance, usage):
+        def execute():
+            self.counts[instance] = copy.deepcopy(usage)
+            return Success(None)
+
+        return self._call("write_counts", execute)
+
+    def read_counts(self):
+        return self._call("list", lambda: Success(sum(self.counts.values(), [])))
+
     def copy(self):
         return copy.deepcopy((self.revision, self.leases, self.reports))
 
--- a/tests/platform/test_duties.py
+++ b/tests/platform/test_duties.py
@@ -12,6 +12,7 @@
 from lagoonrill._internal.duties.platform_calls import CallOutcome
 from lagoonrill._internal.protocol.errors import SettingsError, StoreConflict
 from lagoonrill._internal.protocol.gateway_settings import parse_gateway_settings
+from lagoonrill._internal.protocol.messages import WindowUsage
 from lagoonrill.platform._duties import open_calls, open_store_duties
 from standins.metadata_store import MetadataStore, MetadataStoreServer
 from standins.platform_api import PlatformApiServer
@@ -141,6 +142,25 @@
     duties.remove_report(7).unwrap()
 
 
+def test_counts_of_several_instances_are_read_together(store):
+    duties = open_store_duties(store.server.address)
+    assert duties.read_counts().unwrap() == []
+    entries = {
+        name: WindowUsage(
+            instance=name,
+            incarnation=2**48,
+            counted_from=1.5,
+            window=7,
+            counts={"t": n},
+        )
+        for n, name in enumerate(("gw-1", "gw-2"))
+    }
+    for _ in range(2):
+        for name, entry in entries.items():
+            duties.write_counts(name, [entry]).unwrap()
+    assert duties.read_counts().unwrap() == list(entries.values())
+
+
 def test_outcomes_of_calls(api):
     calls = open_calls(api.address, "gw-1")
 
--- a/tests/test_usage.py
+++ b/tests/test_usage.py
@@ -85,10 +85,12 @@
                 GatewayDigest(
                     instance=other, zone=fleet.zones.get(other, "z"), address=other
                 )
-                for other in fleet.believed_live()
+                for other in fleet.believed_live(name)
                 if other != name
             ],
             instances=lambda: len(fleet.gateways),
+            known_instances=lambda: len(fleet.gateways) + len(fleet.killed_at),
+            counts=fleet.store,
             held_token=self.lease.token,
             event_log=EventLog(),
         )
@@ -102,7 +104,7 @@
         self.runner = DutyRunner(
             lease=self.lease,
             caller=caller,
-            is_first=lambda: min(fleet.believed_live()) == name,
+            is_first=lambda: min(fleet.believed_live(name)) == name,
             event_log=EventLog(),
             clock=fleet.clock,
         )
@@ -113,6 +115,7 @@
             reports=fleet.store,
             caller=caller,
             is_complete=self.exchange.is_complete,
+            fetch=self.exchange.fetch,
             late_s=LATE_S,
             event_log=EventLog(),
         )
@@ -125,7 +128,7 @@
 
     def send(self, address, message) -> None:
         self.fleet.sent += 1
-        if address in self.fleet.gateways:
+        if self.fleet.reaches(self.name, address):
             self.fleet.gateways[address].handler(
                 decode_message(encode_message(message))
             )
@@ -147,6 +150,8 @@
         self.incarnations = 0
         # When instances were killed; peers take them for live for a while.
         self.killed_at: dict[str, float] = {}
+        # Instances that reach each other and the store, but not the others.
+        self.cut_off: set[str] = set()
         # Requests by window, as endpoints began them.
         self.truth: dict[int, dict[str, int]] = {}
         for name in names:
@@ -160,10 +165,14 @@
         del self.gateways[name]
         self.killed_at[name] = self.clock()
 
-    def believed_live(self) -> set[str]:
+    def reaches(self, name: str, other: str) -> bool:
+        is_cut = (name in self.cut_off) != (other in self.cut_off)
+        return other in self.gateways and not is_cut
+
+    def believed_live(self, name: str) -> set[str]:
         since = self.clock() - LOST_AFTER_S
-        return {*self.gateways} | {
-            name for name, at in self.killed_at.items() if at > since
+        return {other for other in self.gateways if self.reaches(name, other)} | {
+            other for other, at in self.killed_at.items() if at > since
         }
 
     def begin(self, name: str, team: str, count: int = 1) -> None:
@@ -237,6 +246,18 @@
     fleet.check()
 
 
+@pytest.mark.parametrize("cut_off", [{"a"}, {"a", "b"}, {"d"}, {"c", "d"}])
+def test_counts_of_instances_that_are_cut_off_come_through_the_store(fleet, cut_off):
+    """With `a`, the holder is cut off from all others."""
+    fleet.run(20, teams=("t",))
+    assert "list" not in fleet.store.calls
+    fleet.cut_off = cut_off
+    fleet.run(30, teams=("t",))
+    fleet.cut_off = set()
+    fleet.run(30, teams=("t",))
+    fleet.check()
+
+
 def test_both_collectors_may_be_killed_in_turn(fleet):
     for name in ("a", "b"):
         fleet.run(20.5, teams=("t",))
