--- a/src/lagoonrill/_internal/duties/lease.py
+++ b/src/lagoonrill/_internal/duties/lease.py
@@ -106,7 +106,6 @@
         self.seen_at = 0.0
         # Token of the lease while this instance holds it.
         self.held: int | None = None
-        self.acquired_at = 0.0
         self.act_until = float("-inf")
         # Token of an acquisition whose outcome is unknown.
         self.attempted: int | None = None
@@ -351,7 +350,6 @@
         self.attempted = None
         self.must_read = False
         self.may_act = True
-        self.acquired_at = self.clock()
         self._note_renewed(started_at)
         self.event_log.emit(
             "duty_lease_acquired",
--- a/src/lagoonrill/_internal/duties/usage.py
+++ b/src/lagoonrill/_internal/duties/usage.py
@@ -187,14 +187,15 @@
         with self.lock:
             for entry in usage:
                 key = (entry.instance, entry.incarnation)
-                if key == self.own:
+                # The store may have counts of processes that ended long ago.
+                if key == self.own or abs(entry.window - current) > KEPT_WINDOWS:
                     continue
                 source = self.sources.setdefault(
                     key,
                     CountSource(counted_from=entry.counted_from, heard_in=current),
                 )
                 source.heard_in = current
-                if entry.counts and abs(entry.window - current) <= KEPT_WINDOWS:
+                if entry.counts:
                     self._merge_counts(entry, key)
 
     def _merge_counts(self, entry: WindowUsage, key: tuple[str, int]) -> None:
