--- a/src/lagoonrill/_internal/scaling/policy.py
+++ b/src/lagoonrill/_internal/scaling/policy.py
@@ -249,7 +249,7 @@
                 room = profile.max_endpoints - max(
                     expected[zone, False],
                     view.zones.get(zone, ZoneView()).ordinary,
-                    self.subject(zone, False).limited_number(now),
+                    self.subject(zone, False).highest,
                 )
                 count = min(room, max(target, self._attempted(subject, now)))
                 if count <= max(expected[zone, True], subject.count or 0):
@@ -286,7 +286,7 @@
         reasons: dict[str, str] = {}
         spots = {zone: expected[zone, True] for zone in zones}
         room = {
-            zone: most - max(spots[zone], self.subject(zone, True).limited_number(now))
+            zone: most - max(spots[zone], self.subject(zone, True).highest)
             for zone in zones
         }
         for zone in zones:
@@ -332,7 +332,7 @@
         return [
             self._order(view, zone, True, count, "limit")
             for zone, count in spots.items()
-            if self.subject(zone, True).limited_number(now) > count
+            if self.subject(zone, True).highest > count
             and self._is_spot_paused(view, zone, now)
             and now >= self.subject(zone, True).ordered_at + SPOT_PAUSE_S
         ]
--- a/src/lagoonrill/_internal/scaling/subject.py
+++ b/src/lagoonrill/_internal/scaling/subject.py
@@ -28,7 +28,6 @@
         "count",
         "differs_since",
         "doubt_until",
-        "doubted",
         "failing_since",
         "grown_at",
         "is_confirmed",
@@ -46,7 +45,7 @@
         self.count: int | None = None
         # Most endpoints seen at once; the platform keeps them until the first order.
         self.seen = 0
-        # The number in the last order that was executed.
+        # The highest number that may be in force by orders, also by late ones.
         self.stated = 0
         self.is_confirmed = True
         # The number in the last order, if that was not executed.
@@ -56,8 +55,6 @@
         self.paused_until = -math.inf
         self.pause_s = FIRST_PAUSE_S
         self.doubt_until = -math.inf
-        # The highest number of calls that may be executed until then.
-        self.doubted = 0
         # Time of the first of the last calls that all failed.
         self.failing_since: float | None = None
         # Time since which the number of endpoints differs from the order.
@@ -74,7 +71,9 @@
         if order.grows:
             self.grown_at = now
         self.count = order.count
-        self.stated = order.count
+        if now >= self.doubt_until:
+            self.stated = order.count
+        self.stated = max(self.stated, order.count)
         self.is_confirmed = True
         self.attempted = None
         self.failing_since = None
@@ -89,18 +88,15 @@
         self.paused_until = now + self.pause_s
         self.pause_s = min(MAX_PAUSE_S, 2 * self.pause_s)
         if in_doubt:
-            self.count = order.count
             self.is_confirmed = False
-            if now >= self.doubt_until:
-                self.doubted = 0
-            self.doubted = max(self.doubted, order.count)
+            self.stated = max(self.highest, order.count)
+            self.count = order.count
             self.doubt_until = now + DOUBT_S
 
-    def limited_number(self, now: float) -> int:
-        """Returns the highest number that may be in force, for the zone's limit."""
-        if self.count is None:
-            return self.seen
-        return max(self.stated, self.doubted if now < self.doubt_until else 0)
+    @property
+    def highest(self) -> int:
+        """The highest number that may be in force, which counts for the limit."""
+        return self.seen if self.count is None else self.stated
 
     def expected(self, ready: int, now: float, startup_s: float) -> int:
         """Returns how many endpoints serve, or will when ordered ones have started."""
--- a/tests/test_scaling_policy.py
+++ b/tests/test_scaling_policy.py
@@ -183,15 +183,33 @@
         assert left >= MEAN
 
 
-def test_limits_of_a_zone_hold_for_both_kinds_together():
-    platform = Platform(load=lambda now: 60.0)
-    for step in range(400):
-        if step == 200:
-            platform.withdraw_spot("b")
-        platform.run(STEP_S)
-        for zone in PRICES:
-            ordered = sum(platform.desired.get((zone, s), 0) for s in (False, True))
-            assert ordered <= 30
+@pytest.mark.parametrize("seed", range(6))
+def test_limits_of_a_zone_hold_for_both_kinds_together(seed):
+    # Numbers of spot endpoints that have not come, and those of calls without an
+    # answer, are in force all the same.
+    choose = random.Random(seed)
+    level = [MEAN]
+    platform = Platform(load=lambda now: level[0])
+    for _ in range(40):
+        level[0] = MEAN * choose.choice([0.5, 1, 2, 3])
+        platform.fault = choose.choice(["", "", "busy", "doubt"])
+        if choose.random() < 0.3:
+            platform.withdraw_spot(choose.choice("abc"))
+        else:
+            platform.no_spot.clear()
+            platform.leaving.clear()
+        for _ in range(choose.choice([4, 40])):
+            platform.run(STEP_S)
+            for zone in PRICES:
+                ordered = sum(platform.desired.get((zone, s), 0) for s in (False, True))
+                assert ordered <= 30
+    platform.fault = ""
+    platform.no_spot.clear()
+    platform.leaving.clear()
+    level[0] = MEAN
+    platform.run(200)
+    assert platform.serving(spot=False) <= 9
+    assert 1.9 * MEAN <= platform.serving() <= 3 * MEAN
 
 
 def test_oscillating_load_causes_no_orders():
