--- a/src/lagoonrill/_internal/scaling/policy.py
+++ b/src/lagoonrill/_internal/scaling/policy.py
@@ -29,8 +29,8 @@
 ORDINARY_SHARE = 0.25
 # The rates of the demand meter cover less than its window before this time.
 FIRST_SAMPLE_S = 1.5
-# Before this time, only requests that wait show that endpoints are missing: the
-# measured rates may still be near their initial values.
+# Before this time, only waiting requests and notices show that endpoints are missing:
+# the measured rates may still be near their initial values.
 OBSERVE_S = 5.0
 
 # Differences up to this share are left alone, unless endpoints are required.
@@ -224,8 +224,10 @@
         return now >= max(subject.paused_until, subject.ordered_at + GROWTH_SPACING_S)
 
     def _growth(self, view: ServiceView, now: float) -> list[Order]:
-        is_observed = now >= self.started_at + OBSERVE_S
-        if not is_observed and view.waiting <= self._serving(view):
+        is_urgent = view.waiting > self._serving(view) or any(
+            found.withdrawn for found in view.zones.values()
+        )
+        if now < self.started_at + OBSERVE_S and not is_urgent:
             return []
         needs = self.needs
         profile = view.profile
--- a/tests/test_scaling_policy.py
+++ b/tests/test_scaling_policy.py
@@ -259,11 +259,15 @@
     assert len(orders) <= 20
 
 
-def test_withdrawn_spot_endpoints_are_replaced_by_spot_elsewhere():
+@pytest.mark.parametrize("is_successor", [False, True])
+def test_withdrawn_spot_endpoints_are_replaced_by_spot_elsewhere(is_successor):
     platform = Platform().settled()
     platform.withdraw_spot("b")
+    if is_successor:
+        platform.policy.reset()
     orders = platform.run(10)
-    assert orders[0][0] <= 90 + 2 * STEP_S
+    # A new holder takes its first sample after 1.5 s.
+    assert orders[0][0] <= 90 + (2.0 if is_successor else 2 * STEP_S)
     assert platform.serving(spot=True) >= MEAN
     assert platform.least_margin >= 0
 
