--- a/src/lagoonrill/_internal/scaling/policy.py
+++ b/src/lagoonrill/_internal/scaling/policy.py
@@ -29,8 +29,8 @@
 ORDINARY_SHARE = 0.25
 # The rates of the demand meter cover less than its window before this time.
 FIRST_SAMPLE_S = 1.5
-# Before this time, only requests that wait show that endpoints are missing: the
-# measured rates may still be near their initial values.
+# Before this time, only waiting requests and notices show that endpoints are missing:
+# the measured rates may still be near their initial values.
 OBSERVE_S = 5.0
 
 # Differences up to this share are left alone, unless endpoints are required.
@@ -236,8 +236,10 @@
         return now >= max(subject.paused_until, subject.ordered_at + GROWTH_SPACING_S)
 
     def _growth(self, view: ServiceView, now: float) -> list[Order]:
-        is_observed = now >= self.started_at + OBSERVE_S
-        if not is_observed and view.waiting <= self._serving(view):
+        is_urgent = view.waiting > self._serving(view) or any(
+            found.withdrawn for found in view.zones.values()
+        )
+        if now < self.started_at + OBSERVE_S and not is_urgent:
             return []
         needs = self.needs
         profile = view.profile
@@ -261,7 +263,7 @@
                 room = profile.max_endpoints - max(
                     expected[zone, False],
                     view.zones.get(zone, ZoneView()).ordinary,
-                    self.subject(zone, False).limited_number(now),
+                    self.subject(zone, False).highest,
                 )
                 count = min(room, max(target, self._attempted(subject, now)))
                 if count <= max(expected[zone, True], subject.count or 0):
@@ -298,7 +300,7 @@
         reasons: dict[str, str] = {}
         spots = {zone: expected[zone, True] for zone in zones}
         room = {
-            zone: most - max(spots[zone], self.subject(zone, True).limited_number(now))
+            zone: most - max(spots[zone], self.subject(zone, True).highest)
             for zone in zones
         }
         for zone in zones:
@@ -344,7 +346,7 @@
         return [
             self._order(view, zone, True, count, "limit")
             for zone, count in spots.items()
-            if self.subject(zone, True).limited_number(now) > count
+            if self.subject(zone, True).highest > count
             and self._is_spot_paused(view, zone, now)
             and now >= self.subject(zone, True).ordered_at + SPOT_PAUSE_S
         ]
