--- a/bench/memory_peak.py
+++ b/bench/memory_peak.py
@@ -16,6 +16,7 @@
 import time
 from pathlib import Path
 
+from lagoonrill.platform._headers import VOCABULARY
 from standins.metadata_store import MetadataStore, MetadataStoreServer
 from standins.platform_objects import configuration, server
 from standins.ports import free_port
@@ -27,9 +28,10 @@
 CHUNK = b"%x\r\n%b\r\n" % (len(PIECE), PIECE)
 SECONDS = 6.0
 HEAD = (
-    b"POST /order/1 HTTP/1.1\r\nHost: shop.example\r\nAuthorization: Token key-1\r\n"
-    b"Attempt-Id: a\r\n"
-)
+    "POST /order/1 HTTP/1.1\r\nHost: shop.example\r\n"
+    f"Authorization: {VOCABULARY.key_scheme} key-1\r\n"
+    f"{VOCABULARY.request_id}: a\r\n"
+).encode()
 CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
 LENGTH = HEAD + b"Content-Length: %d\r\n\r\n"
 ALL_BUT_ONE = [PIECE] * 63 + [PIECE[1:]]
