--- a/src/lagoonrill/_internal/memory/account.py
+++ b/src/lagoonrill/_internal/memory/account.py
@@ -51,7 +51,7 @@
     """One part of a `MemoryAccount`.
 
     `held_bytes` is the memory reserved now, `refused` counts the reservations that
-    did not fit.
+    found no room in time.
     """
 
     def __init__(self, *, part: Part, bounds: PartBounds, account: "MemoryAccount"):
@@ -78,14 +78,6 @@
 
     def take(self, count: int) -> bool:
         """Reserves bytes if there is room now and nobody waits for room."""
-        taken = self.take_now(count)
-        if not taken:
-            with self.account.lock:
-                self.refused += 1
-        return taken
-
-    def take_now(self, count: int) -> bool:
-        """As `take`, but a failure does not count as refused: the caller waits."""
         with self.account.lock:
             if self.waiting or not self.account.fits(self, count):
                 return False
--- a/src/lagoonrill/_internal/memory/callers.py
+++ b/src/lagoonrill/_internal/memory/callers.py
@@ -101,7 +101,7 @@
             small.give_back(held)
 
     def _reserve(self, count: int, is_wanted: Callable[[], bool]) -> None:
-        if not self.part.take_now(count):
+        if not self.part.take(count):
             self.is_waiting = True
             begun_at = time.monotonic()
             try:
--- a/src/lagoonrill/_internal/transport/gateway_listener.py
+++ b/src/lagoonrill/_internal/transport/gateway_listener.py
@@ -156,7 +156,7 @@
         """Makes room for a connection, for which another may have to be closed."""
         if not self._has_slot() and not (self.end_one() and self._wait_for_slot()):
             return False
-        if not self.connection_memory.take_now(CONNECTION_BYTES) and not (
+        if not self.connection_memory.take(CONNECTION_BYTES) and not (
             self.end_one()
             and self.connection_memory.wait_and_take(
                 CONNECTION_BYTES, timeout_s=CONNECTION_WAIT_S
