--- a/tests/test_caller_memory.py
+++ b/tests/test_caller_memory.py
@@ -1,11 +1,14 @@
 """Guards what callers get when the memory of the process is used up."""
 
+import contextlib
 import socket
 import time
 
 import pytest
 
+from lagoonrill._internal.memory import policy
 from lagoonrill._internal.memory.account import Part
+from standins.scripted_endpoint import behaviour, encode_response
 from tests.gateway_kit import HOST, KEY, wait_until
 
 HEAD = (
@@ -93,3 +96,23 @@
         assert gateway.ask("/order/1")[0].status == 200
         first.settimeout(5)
         assert first.recv(1) == b""
+
+
+@behaviour
+def large_answer(sock, request, endpoint) -> bool:
+    with contextlib.suppress(OSError):
+        sock.sendall(encode_response(request, bytes(4_000_000)))
+    return True
+
+
+def test_caller_that_does_not_read_its_answer_gives_way(gateway_for, monkeypatch):
+    monkeypatch.setattr(policy, "STALLED_READ_S", 0.2)
+    gateway, _ = gateway_for("app", ["large_answer"])
+    listener = gateway.listener
+    with send(gateway, "Content-Length: 0"):
+        assert wait_until(lambda: gateway.answer_memory.held_bytes > 4_000_000)
+        # An idle connection holds no answer.
+        with socket.create_connection(("127.0.0.1", gateway.port)):
+            assert wait_until(lambda: listener.end_one(readers_only=True))
+            assert wait_until(lambda: not gateway.answer_memory.held_bytes)
+            assert len(listener.served) == 1
