--- a/src/lagoonrill/_internal/duties/lease.py
+++ b/src/lagoonrill/_internal/duties/lease.py
@@ -56,6 +56,16 @@
     revision: int = 0
     era: int = 0
 
+    def confirmed_by(
+        self, found: "LeaseState | None"
+    ) -> Result["LeaseState", StoreError]:
+        """Returns what was read after this state was written, if it is the same."""
+        if found is not None:
+            positions = {"revision": found.revision, "era": found.era}
+            if msgspec.structs.replace(self, **positions) == found:
+                return Success(found)
+        return Failure(StoreInDoubt(message="the lease has changed after the write"))
+
 
 class LeaseStore(Protocol):
     """Lease objects in the store."""
--- a/src/lagoonrill/_internal/protocol/checks.py
+++ b/src/lagoonrill/_internal/protocol/checks.py
@@ -402,3 +402,19 @@
         "title": title,
     } | schema
     return json.dumps(schema, indent=2).encode() + b"\n"
+
+
+def check_encodable(*texts: str) -> None:
+    r"""Raises `ValueError` for text that cannot be encoded, as in messages and logs.
+
+    >>> check_encodable("caf\u00e9")
+    >>> check_encodable("\ud83d")
+    Traceback (most recent call last):
+    ...
+    ValueError: '\ud83d' has one half of a character
+    """
+    for text in texts:
+        try:
+            text.encode()
+        except UnicodeEncodeError as error:
+            raise ValueError(f"{text[:40]!r} has one half of a character") from error
--- a/src/lagoonrill/_internal/protocol/headers.py
+++ b/src/lagoonrill/_internal/protocol/headers.py
@@ -159,3 +159,19 @@
             return ()
         parts.append(PromptPart(id=part_id, tokens=count))
     return tuple(parts)
+
+
+def decode_era(text: str | None) -> int:
+    """Returns the era that an answer names; 0 if it names none.
+
+    Raises `ValueError` if it is no number.
+
+    >>> decode_era("7"), decode_era(None)
+    (7, 0)
+    """
+    if text is None:
+        return 0
+    era = parse_positive_int(text.strip())
+    if era is None:
+        raise ValueError(f"invalid era {text[:40]!r}")
+    return era
--- a/src/lagoonrill/_internal/protocol/lenient_json.py
+++ b/src/lagoonrill/_internal/protocol/lenient_json.py
@@ -7,6 +7,11 @@
 import json
 import re
 
+import logbook
+import msgspec
+
+log = logbook.Logger("json")
+
 # Valid objects in the store are nested about five levels deep.
 MAX_DEPTH = 64
 # Valid counts, times and revisions are shorter.
@@ -64,3 +69,15 @@
                 begin = match.end()
             depth -= 1
     return "".join(kept) + text[begin:]
+
+
+def decode_response(data: bytes, kind: type):
+    """Decodes a response; invalid bytes in one entry do not affect the others.
+
+    Raises `ValueError` if the structure of the response is invalid.
+    """
+    try:
+        return msgspec.json.decode(data, type=kind)
+    except (msgspec.DecodeError, RecursionError) as error:
+        log.warning("invalid data in a store response was replaced: {}", error)
+        return msgspec.convert(loads(data), kind)
--- a/src/lagoonrill/platform/_duties.py
+++ b/src/lagoonrill/platform/_duties.py
@@ -3,18 +3,14 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
+from .._internal.duties.call_outcome import call_outcome
 from .._internal.duties.lease import LeaseState
 from .._internal.duties.platform_calls import CallOutcome
-from .._internal.protocol.errors import (
-    StoreConflict,
-    StoreError,
-    StoreInDoubt,
-    StoreRejected,
-    StoreUnavailable,
-)
+from .._internal.protocol.errors import StoreConflict, StoreError
+from .._internal.protocol.headers import decode_era
 from .._internal.protocol.messages import WindowUsage
 from .._internal.transport.store_client import StoreClient, StoreResponse
-from ._store import ERA_HEADER, OBJECTS_PATH, decode_era, unwatched_source
+from ._store import ERA_HEADER, OBJECTS_PATH, unwatched_source
 
 LEASE_KIND = "duties"
 REPORT_KIND = "usage-reports"
@@ -24,7 +20,6 @@
 SCALE_PATH = "/scale"
 HOLDER_HEADER = "Lease-Holder"
 TOKEN_HEADER = "Fencing-Token"
-BUSY_STATUS = 429
 JSON_HEADERS = {"Content-Type": "application/json"}
 # A renewal has to end well before the lease time; the store responds in milliseconds.
 STORE_TIMEOUT_S = 0.75
@@ -130,16 +125,7 @@
             written = None
         if written is not None and written.revision:
             return Success(written)
-        return self.read(name).bind(lambda found: self._compared(state, found))
-
-    def _compared(
-        self, state: LeaseState, found: LeaseState | None
-    ) -> Result[LeaseState, StoreError]:
-        if found is not None:
-            positions = {"revision": found.revision, "era": found.era}
-            if msgspec.structs.replace(state, **positions) == found:
-                return Success(found)
-        return Failure(StoreInDoubt(message="the lease has changed after the write"))
+        return self.read(name).bind(state.confirmed_by)
 
     def create_report(
         self, window: int, counts: dict[str, int]
@@ -252,21 +238,6 @@
         return call_outcome(result)
 
 
-def call_outcome(result: Result[StoreResponse, StoreError]) -> CallOutcome:
-    """Returns what is known of a call from its answer."""
-    if isinstance(result, Success):
-        done = result.unwrap().status == 200
-        return CallOutcome.DONE if done else CallOutcome.IN_DOUBT
-    error = result.failure()
-    if isinstance(error, StoreConflict):
-        return CallOutcome.REFUSED
-    if isinstance(error, StoreRejected) and error.status == BUSY_STATUS:
-        return CallOutcome.BUSY
-    if isinstance(error, StoreUnavailable):
-        return CallOutcome.UNAVAILABLE
-    return CallOutcome.IN_DOUBT
-
-
 def open_store_duties(store_address: str) -> StoreDuties:
     """Returns the leases and reports in the store at an address."""
     return StoreDuties(client=open_client(store_address, STORE_TIMEOUT_S))
--- a/src/lagoonrill/platform/_store.py
+++ b/src/lagoonrill/platform/_store.py
@@ -1,6 +1,5 @@
 """Configuration, endpoints and findings in the platform's metadata store."""
 
-import hashlib
 import ipaddress
 from typing import Annotated
 from urllib.parse import quote, urlencode
@@ -10,6 +9,7 @@
 from returns.result import Failure, Result, Success
 
 from .._internal.coordination.crash_findings import CrashFinding
+from .._internal.coordination.object_names import default_name, finding_name
 from .._internal.coordination.policy.crash_evidence import Cause
 from .._internal.coordination.policy.stream_history import (
     DefaultVersion,
@@ -22,9 +22,10 @@
     StoreObject,
 )
 from .._internal.coordination.stream_origins import StoredOrigins
-from .._internal.protocol import lenient_json
+from .._internal.protocol.checks import check_encodable
 from .._internal.protocol.errors import StoreConflict, StoreError, StoreInDoubt
-from .._internal.protocol.headers import parse_positive_int
+from .._internal.protocol.headers import decode_era
+from .._internal.protocol.lenient_json import decode_response
 from .._internal.protocol.routing import EndpointRecord
 from .._internal.transport.sockets import parse_address
 from .._internal.transport.store_client import StoreClient, StoreResponse
@@ -147,50 +148,6 @@
     parts: list[str] = []
 
 
-def decode_response(data: bytes, kind: type):
-    """Decodes a response; invalid bytes in one entry do not affect the others.
-
-    Raises `ValueError` if the structure of the response is invalid.
-    """
-    try:
-        return msgspec.json.decode(data, type=kind)
-    except (msgspec.DecodeError, RecursionError) as error:
-        log.warning("invalid data in a store response was replaced: {}", error)
-        return msgspec.convert(lenient_json.loads(data), kind)
-
-
-def decode_era(text: str | None) -> int:
-    """Returns the era that an answer names; 0 if it names none.
-
-    Raises `ValueError` if it is no number.
-
-    >>> decode_era("7"), decode_era(None)
-    (7, 0)
-    """
-    if text is None:
-        return 0
-    era = parse_positive_int(text.strip())
-    if era is None:
-        raise ValueError(f"invalid era {text[:40]!r}")
-    return era
-
-
-def check_encodable(*texts: str) -> None:
-    r"""Raises `ValueError` for text that cannot be encoded, as in messages and logs.
-
-    >>> check_encodable("caf\u00e9")
-    >>> check_encodable("\ud83d")
-    Traceback (most recent call last):
-    ...
-    ValueError: '\ud83d' has one half of a character
-    """
-    for text in texts:
-        try:
-            text.encode()
-        except UnicodeEncodeError as error:
-            raise ValueError(f"{text[:40]!r} has one half of a character") from error
-
-
 def decode_endpoint(name: str, spec: object) -> EndpointRecord:
     """Returns the endpoint of an entry; raises `ValueError` if it is invalid."""
     wire = msgspec.convert(spec, WireServer)
@@ -413,18 +370,6 @@
         return self.client.call(f"delete {FINDING_KIND}", "DELETE", path)
 
 
-def finding_name(finding: CrashFinding) -> str:
-    """Returns the name of a finding's object, the same at all instances.
-
-    >>> cause = Cause(service="s", parts=frozenset(("a", "b")))
-    >>> len(finding_name(CrashFinding(cause=cause, found_at=0.0)))
-    32
-    """
-    cause = finding.cause
-    text = "\n".join((cause.service, cause.request, *sorted(cause.parts)))
-    return hashlib.sha256(text.encode()).hexdigest()[:32]
-
-
 class WireDefaultVersion(msgspec.Struct, rename="pascal", tag="default"):
     """The version of streams of a service that are recorded nowhere."""
 
@@ -542,20 +487,6 @@
         )
 
 
-def default_name(default: DefaultVersion) -> str:
-    """Returns the name of a default's object, the same at all instances."""
-    return f"{object_name(default.service)}.default.{default.number}"
-
-
-def object_name(text: str) -> str:
-    """Returns a name for an object from any text.
-
-    >>> len(object_name("a service / with odd characters"))
-    24
-    """
-    return hashlib.sha256(text.encode()).hexdigest()[:24]
-
-
 class StoreSources(msgspec.Struct, kw_only=True):
     """Everything that the router reads from and writes to the store."""
 
--- a/src/lagoonrill/platform/check.py
+++ b/src/lagoonrill/platform/check.py
@@ -5,25 +5,14 @@
 """
 
 import re
-import sys
-from typing import Annotated
 
 import msgspec
-import typer
 
-from .._internal.commands.check import CheckReport, print_report
-from .._internal.commands.connection import read_file
-from .._internal.commands.exit_status import ExitStatus
-from .._internal.commands.output import CommandError, print_error
-from .._internal.protocol import lenient_json
+from .._internal.commands.check_configuration import ConfigurationReviewer, run_check
 from .._internal.protocol.checks import Problem, check_unique
 from .._internal.protocol.decode_errors import find_decode_errors
 from .._internal.protocol.differences import Difference, find_differences
-from .._internal.protocol.errors import SettingsError
-from .._internal.protocol.gateway_settings import (
-    GatewaySettings,
-    parse_gateway_settings,
-)
+from .._internal.protocol.gateway_settings import GatewaySettings
 from .._internal.protocol.review import Review
 from .._internal.protocol.routing_review import review_routing
 from ._configuration import WireConfiguration, decode_configuration
@@ -119,67 +108,14 @@
     return find_differences(*documents, names=NAME_FIELDS, secrets=SECRET_FIELDS)
 
 
-def _review_version(differences: list[Difference], old: dict, review: Review) -> None:
-    """Instances ignore a configuration whose version is not above the present one."""
-    changed = any(item.key != "Version" for item in differences)
-    version = next((item for item in differences if item.key == "Version"), None)
-    if changed and (version is None or version.new < version.old):
-        review.add_error(
-            "Version",
-            f"not above the version in force ({old['Version']}), so that the changes "
-            "are ignored",
-            "Raise the version",
-        )
-
-
-def read_configuration(path: str) -> object:
-    """Reads a configuration, or the object of the store that holds one."""
-    try:
-        document = lenient_json.loads(read_file(path))
-    except ValueError as error:
-        message = f"{path}: not JSON: {error}. Correct the syntax"
-        raise CommandError(status=ExitStatus.USAGE, message=message) from error
-    is_object = isinstance(document, dict) and "Spec" in document
-    return document["Spec"] if is_object else document
-
-
-def check(
-    file: Annotated[str, typer.Argument(help="The configuration (JSON).")],
-    current: Annotated[
-        str | None,
-        typer.Option(help="Configuration in force, to print the differences from it."),
-    ] = None,
-    settings: Annotated[
-        str | None, typer.Option(help="Settings of a gateway, to compare limits with.")
-    ] = None,
-    as_json: Annotated[
-        bool, typer.Option("--json", help="Print the result as JSON.")
-    ] = False,
-) -> None:
-    """Prints errors, warnings and differences of a configuration."""
-    limits = parse_gateway_settings(read_file(settings)) if settings else None
-    spec = read_configuration(file)
-    review = review_configuration(spec, limits)
-    differences = None
-    if current and not decode_errors(spec):
-        old = read_configuration(current)
-        if decode_errors(old):
-            message = f"{current}: cannot be decoded. Check it by itself first"
-            raise CommandError(status=ExitStatus.USAGE, message=message)
-        differences = compare_configurations(old, spec)
-        _review_version(differences, old, review)
-    report = CheckReport.from_review(review, differences)
-    raise typer.Exit(int(print_report(report, path=file, as_json=as_json)))
-
-
-def main() -> None:
-    """Runs the command; prints a message and exits with a status on errors."""
-    try:
-        typer.run(check)
-    except (CommandError, SettingsError) as error:
-        print_error(f"lagoonrill: {error.message}")
-        sys.exit(ExitStatus.USAGE)
-
+REVIEWER = ConfigurationReviewer(
+    # A file may have the object of the store that holds a configuration.
+    content_key="Spec",
+    version_key="Version",
+    decode_errors=decode_errors,
+    review=review_configuration,
+    compare=compare_configurations,
+)
 
 if __name__ == "__main__":
-    main()
+    run_check(REVIEWER)
--- a/tests/test_departures_reach_placement.py
+++ b/tests/test_departures_reach_placement.py
@@ -142,6 +142,9 @@
     version = 1
     table = None
 
+    def changes_since(self, version):
+        return []
+
 
 class Simulation:
     """Holds the simulated store and one instance that follows it."""
--- a/tests/test_store_connection.py
+++ b/tests/test_store_connection.py
@@ -2,8 +2,10 @@
 
 import http.server
 import threading
+import time
 
 from lagoonrill._internal.transport.store_client import StoreClient
+from lagoonrill._internal.transport.store_connection import RECEIVING_S
 from tests.gateway_kit import wait_until
 
 
@@ -41,6 +43,9 @@
     )
     call.start()
     assert wait_until(lambda: connection.pending and connection.connection.sock is None)
+    # A response that has just begun to arrive is left alone.
+    assert not connection.interrupt()
+    connection.clock = lambda: time.monotonic() + RECEIVING_S
     assert connection.interrupt()
     SlowBodyHandler.release.set()
     call.join(5)
