--- a/src/lagoonrill/_internal/transport/caller_connection.py
+++ b/src/lagoonrill/_internal/transport/caller_connection.py
@@ -77,6 +77,8 @@
         self.idle_since: float | None = time.monotonic()
         # Time of the latest progress of an answer that is being sent, or None.
         self.sending_since: float | None = None
+        # Unread input that is discarded before a close, in bytes.
+        self.discard_bytes = MAX_DISCARDED_BYTES
         self.served = 0
         self.lock = threading.Lock()
         self.ended = False
@@ -147,6 +149,8 @@
         length = announced_length(head)
         if length is not None and length > self.limits.max_body_bytes:
             raise BadHead(status=413, reason="the body is too large")
+        # Callers that send a whole body before they read still get a refusal.
+        self.discard_bytes = max(MAX_DISCARDED_BYTES, self.limits.max_body_bytes)
         if length != 0 and self.memory is not None:
             self.upload = self.memory.begin_upload(self._end_reading)
         if length and self.upload is not None:
@@ -316,7 +320,7 @@
         until = time.monotonic() + DISCARD_TOTAL_S
         piece = bytearray(DISCARD_BYTES)
         discarded = 0
-        while discarded < MAX_DISCARDED_BYTES and time.monotonic() < until:
+        while discarded < self.discard_bytes and time.monotonic() < until:
             received = self.sock.recv_into(piece)
             if not received:
                 return
--- a/tests/test_caller_memory.py
+++ b/tests/test_caller_memory.py
@@ -58,6 +58,14 @@
     assert gateway.events("memory_refused")[0]["reason"] == "no_memory"
 
 
+def test_caller_that_sends_its_whole_body_first_gets_the_refusal(gateway):
+    # Closed with unread input, the connection was reset, and the 503 was lost.
+    fill(gateway)
+    body = BODY * 4
+    with send(gateway, f"Content-Length: {len(body)}", body=body) as sock:
+        assert sock.recv(4_096).startswith(b"HTTP/1.1 503 ")
+
+
 def test_large_body_waits_for_room(gateway):
     gateway.memory.room_wait_s = 5.0
     fill(gateway)
