--- a/src/lagoonrill/_internal/coordination/engine_admission.py
+++ b/src/lagoonrill/_internal/coordination/engine_admission.py
@@ -575,6 +575,7 @@
             views(listed.paced),
             self.load_table.prefill_rate(generation.service),
             delay_ratio=delay_ratio,
+            expected=listed.expected,
         )
 
     def _far_shortlist(
--- a/src/lagoonrill/_internal/coordination/policy/engine_placement.py
+++ b/src/lagoonrill/_internal/coordination/policy/engine_placement.py
@@ -61,10 +61,12 @@
 SUSPECT_TOKENS = 10_000_000
 # In a fleet of up to this many engines, a request considers all of them.
 SMALL_FLEET = 16
-# Numbers of engines that a request considers in a larger fleet.
-SHARED_PREFIX_CHOICES = 4
+# Numbers of engines that a long prompt considers in a larger fleet, and that a stream
+# does (docs/design/even-load.md).
+SHARED_PREFIX_CHOICES = 6
 RANDOM_CHOICES = 4
 OWNED_CHOICES = 4
+STREAM_CHOICES = 3
 
 
 class EngineView(msgspec.Struct, kw_only=True):
@@ -132,6 +134,8 @@
     main: list[str]
     # Engines with interactive streams that may accept a long prompt.
     paced: list[str]
+    # Engine to which the prompts of this prefix go first; empty if `choose` finds it.
+    expected: str = ""
 
 
 def hash_rank(key: str, engine: str) -> int:
@@ -139,6 +143,20 @@
     return zlib.crc32(f"{key}/{engine}".encode())
 
 
+def spread_rank(key: str, engine: str) -> int:
+    """Returns the weight of an engine for a key, independent of its other weights.
+
+    A CRC is linear: for names of equal length, another key only inverts some bits of
+    all weights. Of 23 engines, the four with the largest weights were one of 22 sets,
+    and one engine had the largest weight for 2.9 times its share of the keys. The
+    multiplications (the finalizer of MurmurHash3) make the weights independent.
+    """
+    mixed = hash_rank(key, engine)
+    mixed = (mixed ^ mixed >> 16) * 0x85EBCA6B & 0xFFFFFFFF
+    mixed = (mixed ^ mixed >> 13) * 0xC2B2AE35 & 0xFFFFFFFF
+    return mixed ^ mixed >> 16
+
+
 def interactive_order(engines: list[EndpointRecord]) -> list[str]:
     """Orders engines for interactive streams, identically on every instance.
 
@@ -155,7 +173,11 @@
 
 
 def owner_of(engine: str, instances: list[str]) -> str:
-    """Returns the instance that owns an engine, by rendezvous hashing."""
+    """Returns the instance that owns an engine, by rendezvous hashing.
+
+    Instances of an older version must find the same owner, so that an endpoint with a
+    limit has one owner during an upgrade. This is why the weights are those of a CRC.
+    """
     return max(instances, key=lambda name: (hash_rank(engine, name), name))
 
 
@@ -166,11 +188,13 @@
     )
 
 
-def highest_ranked(key: str, engines: list[str], count: int) -> list[str]:
+def highest_ranked(
+    key: str, engines: list[str], count: int, *, rank=spread_rank
+) -> list[str]:
     """Returns the `count` engines with the largest weights for a key."""
     if len(engines) <= count:
         return engines
-    return sorted(engines, key=lambda item: -hash_rank(key, item))[:count]
+    return sorted(engines, key=lambda item: -rank(key, item))[:count]
 
 
 class PackedPlacement:
@@ -221,7 +245,7 @@
         ]
         large = len(ordered) > SMALL_FLEET
         if not job.heavy:
-            main = highest_ranked(job.id, light, RANDOM_CHOICES) if large else light
+            main = highest_ranked(job.id, light, STREAM_CHOICES) if large else light
             return Shortlist(main=main, paced=[])
         if not large:
             paced = [engine for engine in light if engine not in heavy]
@@ -231,12 +255,15 @@
         if job.goal_s <= 0:
             return Shortlist(main=own_heavy, paced=paced[:OWNED_CHOICES])
         shared_prefix, _ = job.shared_prefix()
-        main = highest_ranked(shared_prefix, heavy, SHARED_PREFIX_CHOICES)
+        main = list(highest_ranked(shared_prefix, heavy, SHARED_PREFIX_CHOICES))
+        expected = max(
+            heavy, key=lambda item: spread_rank(shared_prefix, item), default=""
+        )
         main += [
             e for e in highest_ranked(job.id, heavy, RANDOM_CHOICES) if e not in main
         ]
         main += [e for e in own_heavy if e not in main]
-        return Shortlist(main=main, paced=paced[:OWNED_CHOICES])
+        return Shortlist(main=main, paced=paced[:OWNED_CHOICES], expected=expected)
 
     def choose(
         self,
@@ -245,12 +272,14 @@
         paced: list[EngineView],
         rate: float,
         delay_ratio: float = 1.0,
+        expected: str = "",
     ) -> Placement:
         """Places a job on a listed engine; `rate` is in prompt tokens per second.
 
         `delay_ratio` is the ratio of recent to predicted prefill times; the prefill
         budget of each engine is divided by it. Tokens are compared in the time that
-        the engine needs for them: an engine of speed 0.5 counts them twice.
+        the engine needs for them: an engine of speed 0.5 counts them twice. `expected`
+        is the engine to which the prompts of this prefix go first.
         """
         if not main:
             return Placement(engine=None, reason="no_engine")
@@ -265,7 +294,7 @@
             paced = paced + reserved_engines
         budget = rate * job.goal_s * PREFILL_SHARE_OF_GOAL
         budget /= max(1.0, delay_ratio)
-        return self._place_heavy(job, trusted or main, paced, rate, budget)
+        return self._place_heavy(job, trusted or main, paced, rate, budget, expected)
 
     def _place_light(self, engines: list[EngineView]) -> Placement:
         def cost(engine: EngineView) -> tuple[float, str]:
@@ -285,13 +314,16 @@
         paced: list[EngineView],
         rate: float,
         budget: float,
+        expected: str,
     ) -> Placement:
         shared_prefix, shared_prefix_tokens = job.shared_prefix()
-        expected = max(engines, key=lambda item: hash_rank(shared_prefix, item.id))
+        if not expected:
+            names = [engine.id for engine in engines]
+            expected = max(names, key=lambda name: hash_rank(shared_prefix, name))
 
         def cost(engine: EngineView) -> float:
             unread = engine.uncached_tokens
-            if engine is expected:
+            if engine.id == expected:
                 unread -= min(unread, ASSUMED_CACHED_FRACTION * shared_prefix_tokens)
             tokens = (
                 engine.pending_tokens
--- a/src/lagoonrill/_internal/coordination/stream_holders.py
+++ b/src/lagoonrill/_internal/coordination/stream_holders.py
@@ -23,7 +23,7 @@
     StreamsShared,
 )
 from ..transport.peer_link import PeerLink
-from .policy.engine_placement import highest_ranked
+from .policy.engine_placement import hash_rank, highest_ranked
 from .policy.stream_history import StreamRecord
 from .record_batches import StoredStream
 from .stream_origins import HandOver, LookUp, StreamOrigins
@@ -177,9 +177,10 @@
         """Returns the peers for a record, those that reach the store first."""
         digests = {digest.instance: digest for digest in self.live_digests()}
         in_touch = [name for name, item in digests.items() if item.store_in_touch]
-        names = highest_ranked(key, in_touch, HOLDERS)
+        names = highest_ranked(key, in_touch, HOLDERS, rank=hash_rank)
         others = [name for name in digests if name not in in_touch]
-        names += highest_ranked(key, others, HOLDERS)[: HOLDERS - len(names)]
+        more = highest_ranked(key, others, HOLDERS, rank=hash_rank)
+        names += more[: HOLDERS - len(names)]
         return [digests[name] for name in names]
 
     def _encoded(self, streams: Iterable[StoredStream]) -> list[BegunStream]:
