--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -89,6 +89,10 @@
     print(f"seed {seed}: {len(environment.history.outcomes)} requests, {dict(faults)}")
     for (kind, status), count in sorted(statuses.items()):
         print(f"  {kind} {status or 'broken off'}: {count}")
+    calls = environment.history.duty_calls
+    windows = {call.body["Window"] for call in calls if call.subject == "/usage"}
+    tokens = {call.token for call in calls}
+    print(f"  usage: {len(windows)} windows reported with {len(tokens)} tokens")
     for line in violations:
         print(f"  BROKEN: {line}")
     print(f"soak: {'failed' if violations else 'ok'}")
--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -67,6 +67,7 @@
         *check_stream_versions(history),
         *check_urgent(history),
         *check_crashes(history),
+        *check_duties(history),
         *check_versions(history),
         *check_in_force(history),
         *check_planned_stops(history),
@@ -190,6 +191,24 @@
     return [f"the deadly request ran {len(times)} times, {late} after it was known"]
 
 
+def check_duties(history: History) -> list[str]:
+    """Checks that holders share no token, and that no window has two counts."""
+    violations = []
+    holders: dict[tuple[str, int], str] = {}
+    reports: dict[int, dict[str, int]] = {}
+    for call in history.duty_calls:
+        holder = holders.setdefault((call.subject, call.token), call.holder)
+        if holder != call.holder:
+            violations.append(
+                f"{holder} and {call.holder} used token {call.token} for {call.subject}"
+            )
+        if call.subject == "/usage" and call.status == 200:
+            window, counts = call.body["Window"], call.body["Counts"]
+            if reports.setdefault(window, counts) != counts:
+                violations.append(f"window {window} was reported with other counts")
+    return violations
+
+
 def check_leaving(history: History) -> list[str]:
     """Checks that an endpoint gets no requests later than `DRAIN_S` after it left.
 
--- a/bench/soak/environment.py
+++ b/bench/soak/environment.py
@@ -25,6 +25,7 @@
 from lagoonrill.platform.__main__ import SETTINGS_VARIABLE
 from lagoonrill.platform._headers import READINESS_PATH, VOCABULARY
 from standins.metadata_store import MetadataStore, MetadataStoreServer
+from standins.platform_api import PlatformApiServer
 from standins.platform_objects import server, versioned_configuration
 from standins.ports import free_port
 
@@ -33,12 +34,19 @@
 GRACE_S = 6.0
 CALLER_PAUSE_S = 0.05
 TIME_LIMIT_S = 3.0
+# Short, so that leases change hands and windows are reported within a run.
+DUTY_BOUNDS = {
+    "require_fencing": True,
+    "lease_ms": 1_500,
+    "report_window_s": 1,
+    "usage_late_s": 3,
+}
 
 
 class Gateway:
     """A gateway process; after an exit it is restarted on the same address."""
 
-    def __init__(self, *, name: str, zone: str, folder: Path, store: str):
+    def __init__(self, *, name: str, zone: str, folder: Path, store: str, api: str):
         self.name = name
         self.port = free_port()
         self.readiness_port = free_port()
@@ -52,7 +60,8 @@
             "readiness_address": f"127.0.0.1:{self.readiness_port}",
             "peer_address": self.peer,
             "store_address": store,
-            "bounds": {"grace_s": GRACE_S},
+            "bounds": {"grace_s": GRACE_S, **DUTY_BOUNDS},
+            "duties": {"address": api, "names": ["usage_report"]},
         }
         self.process: subprocess.Popen | None = None
         self.start_count = 0
@@ -102,6 +111,7 @@
         self.stopping = threading.Event()
         self.store = MetadataStore()
         self.server = MetadataStoreServer(self.store)
+        self.api = PlatformApiServer()
         self.version = 1
         self.next_endpoint = 0
         # Version of the software of endpoints that are started.
@@ -123,6 +133,7 @@
                     zone="ab"[number % 2],
                     folder=folder,
                     store=link.address,
+                    api=self.api.address,
                 )
             )
         self.callers = callers
@@ -382,3 +393,5 @@
             proxy.close()
             endpoint.close()
         self.server.close()
+        self.history.duty_calls = list(self.api.calls)
+        self.api.close()
--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -1,7 +1,9 @@
 """Faults of a soak test; each is a class that injects a fault and reverts it."""
 
+import contextlib
 import random
 import signal
+import socket
 import time
 
 import msgspec
@@ -10,6 +12,7 @@
 from bench.soak.environment import GRACE_S, SoakEnvironment
 from bench.soak.history import Fault
 from lagoonrill._internal.coordination.policy.registry import Registry
+from lagoonrill.platform._headers import VOCABULARY
 
 FAULTS = Registry(decision="fault")
 # Longest duration of a fault.
@@ -17,6 +20,8 @@
 # Share of the writes that get no answer, and after what time they are executed.
 LATE_SHARE = 0.35
 LATE_S = (1.0, 6.0)
+HELD_UPLOADS = 20
+UPLOAD_BYTES = 1_000_000
 # Pieces of JSON strings: escapes, halves of characters, bytes that are no UTF-8.
 ODD_PIECES = (
     b"v1",
@@ -418,3 +423,43 @@
 
     def inject(self, environment: SoakEnvironment, target, seconds: float) -> None:
         environment.put_configuration()
+
+
+@FAULTS.register("api_down")
+class ApiDown(WholeStoreFault):
+    """The platform's API refuses all calls."""
+
+    def inject(self, environment: SoakEnvironment, target, seconds: float) -> None:
+        environment.api.refusal_status = 503
+        time.sleep(seconds)
+        environment.api.refusal_status = 0
+
+
+@FAULTS.register("api_late")
+class ApiLate(WholeStoreFault):
+    """Calls to the platform's API get no answer and are executed late."""
+
+    def inject(self, environment: SoakEnvironment, target, seconds: float) -> None:
+        environment.api.late_s = seconds
+        time.sleep(seconds)
+        environment.api.late_s = None
+
+
+@FAULTS.register("held_uploads")
+class HeldUploads(BaseFault):
+    """Callers announce a body, send a part of it, and read nothing."""
+
+    def inject(self, environment: SoakEnvironment, target, seconds: float) -> None:
+        with contextlib.ExitStack() as opened:
+            for _ in range(HELD_UPLOADS):
+                with contextlib.suppress(OSError):
+                    sock = socket.create_connection(("127.0.0.1", target.port), 1)
+                    opened.enter_context(sock)
+                    sock.settimeout(1)
+                    head = (
+                        "POST /order/1 HTTP/1.1\r\nHost: shop.example\r\n"
+                        f"Authorization: {VOCABULARY.key_scheme} key-1\r\n"
+                        f"Content-Length: {UPLOAD_BYTES}\r\n\r\n"
+                    )
+                    sock.sendall(head.encode() + bytes(UPLOAD_BYTES // 2))
+            time.sleep(seconds)
--- a/bench/soak/history.py
+++ b/bench/soak/history.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from standins.platform_api import Call
+
 # Number of events of a whole stream.
 LAST_EVENT = 6
 # Body of the request that crashes endpoints.
@@ -111,6 +113,8 @@
         self.pauses: list[PauseRequest] = []
         self.take_ups: list[TakeUp] = []
         self.crashes: list[CrashByRequest] = []
+        # Calls to the platform's API in the order of their execution.
+        self.duty_calls: list[Call] = []
         # Time at which the store acknowledged each configuration version.
         self.acknowledged: dict[int, float] = {}
         # Time at which the store acknowledged the departure of an endpoint.
