--- a/tests/test_memory_account.py
+++ b/tests/test_memory_account.py
@@ -1,5 +1,6 @@
 """Guards the memory account against leaks, double returns and wrong choices."""
 
+import json
 import threading
 import time
 
@@ -17,6 +18,8 @@
 from lagoonrill._internal.memory.callers import CallerMemory
 from lagoonrill._internal.memory.policy import UploadView, choose_uploads
 from lagoonrill._internal.memory.sizes import account_for
+from lagoonrill._internal.protocol.errors import SettingsError
+from lagoonrill._internal.protocol.gateway_settings import parse_gateway_settings
 from lagoonrill._internal.protocol.refusals import Refusal
 from lagoonrill._internal.state.gateway_metrics import GatewayMetrics
 
@@ -202,3 +205,19 @@
     assert all(view.held_bytes and not view.is_waiting for view in chosen)
     # Without the last one, there would not be enough.
     assert not chosen or sum(view.held_bytes for view in chosen[:-1]) < needed
+
+
+@pytest.mark.parametrize(
+    ("memory", "key"),
+    [
+        ({"body_floor": 0.9}, "memory"),
+        ({"answer_limit": 1.5}, "memory.answer_limit"),
+        ({"room_wait_s": 0}, "room_wait_s"),
+    ],
+)
+def test_settings_that_cannot_be_met_are_refused_at_the_start(memory, key):
+    addresses = ("callers", "readiness", "peer", "store")
+    document = {f"{name}_address": "127.0.0.1:80" for name in addresses}
+    document |= {"instance": "a", "zone": "a", "memory": memory}
+    with pytest.raises(SettingsError, match=key):
+        parse_gateway_settings(json.dumps(document).encode())
