--- a/src/lagoonrill/_internal/coordination/forwarding.py
+++ b/src/lagoonrill/_internal/coordination/forwarding.py
@@ -388,6 +388,7 @@
     def _log_placed(
         self, request: RoutedRequest, admission: Admission, record: EndpointRecord
     ) -> None:
+        self.metrics.count("engine_choices", reason=admission.placement.reason)
         self.event_log.emit(
             "request_placed",
             request=request.id,
--- a/src/lagoonrill/_internal/coordination/gateway_peers.py
+++ b/src/lagoonrill/_internal/coordination/gateway_peers.py
@@ -246,6 +246,19 @@
             ]
         return sorted([self.instance, *near])
 
+    def oldest_near_report_s(self) -> float:
+        """Returns the age of the oldest digest of a near peer that is not lost."""
+        now = self.clock()
+        with self.lock:
+            return max(
+                (
+                    now - view.heard_at
+                    for view in self.views.values()
+                    if not view.lost and self._is_near(view)
+                ),
+                default=0.0,
+            )
+
     def owner_in_zone(self, zone: str, endpoint: str) -> tuple[str, str]:
         """Returns the name and the address of the instance that owns an endpoint.
 
--- a/src/lagoonrill/_internal/gateway_daemon.py
+++ b/src/lagoonrill/_internal/gateway_daemon.py
@@ -19,6 +19,7 @@
 from .coordination.engine_admission import EngineAdmission
 from .coordination.forwarding import Forwarder
 from .coordination.gateway_peers import GatewayPeers
+from .coordination.load_metrics import register_load_metrics
 from .coordination.policy.crash_evidence import CrashEvidence
 from .coordination.policy.expired_entries import ExpiredEntries
 from .coordination.policy.shared_retry_budget import SharedRetryBudget
@@ -320,6 +321,12 @@
 
     def _build_pages(self, readiness_path: str) -> None:
         self.metrics.register_gauge("config_version", lambda: self.routing.version)
+        register_load_metrics(
+            self.metrics,
+            load_table=self.load_table,
+            peers=self.peers,
+            budget=self.budget,
+        )
         self.metrics.register_gauge(
             "endpoint_list_age_seconds",
             lambda: round(time.monotonic() - self.registry.updated_at, 3),
--- a/src/lagoonrill/_internal/state/engine_load_table.py
+++ b/src/lagoonrill/_internal/state/engine_load_table.py
@@ -100,6 +100,22 @@
         self.at = at
 
 
+class ReplyErrors:
+    """Sums of the differences between owners' replies and what was known here."""
+
+    __slots__ = ("excess_tokens", "missed_tokens", "replies")
+
+    def __init__(self):
+        self.replies = 0
+        self.missed_tokens = 0
+        self.excess_tokens = 0
+
+    def add(self, reported: int, known: int) -> None:
+        self.replies += 1
+        self.missed_tokens += max(0, reported - known)
+        self.excess_tokens += max(0, known - reported)
+
+
 def add_by_rank(total: dict[int, int], change: dict[int, int]) -> None:
     """Adds a change of pending tokens by rank to a total, in place."""
     for rank, tokens in change.items():
@@ -186,6 +202,7 @@
         self.delay_ratios: dict[str, float] = {}
         # Factors of the engines on the rates of their services.
         self.speeds = EngineSpeeds(clock=lambda: self.clock())
+        self.reply_errors = ReplyErrors()
         # Called without the lock after this instance's own work has changed.
         self.changed = lambda: None
         # Reads not yet sent to the peers.
@@ -379,6 +396,7 @@
         with self.lock:
             self.owner_corrections.pop(job.engine, None)
             known = self._load(job.engine).pending_ahead(job.rank) - job.tokens
+            self.reply_errors.add(pending_tokens, known)
             until = self.clock() + OWNER_REPLY_TTL_S
             self.owner_corrections[job.engine] = (pending_tokens - known, until)
 
