--- a/standins/ending_endpoint.py
+++ b/standins/ending_endpoint.py
@@ -22,6 +22,7 @@
 MAX_HEAD_BYTES = 16_384
 # Far below an upload of some MB, so that the client is still writing.
 PARTLY_READ_BYTES = 262_144
+RECEIVE_BUFFER_BYTES = 65_536
 # Lets the answer and the close arrive before the reset.
 RESET_DELAY_S = 0.05
 # Pause of an endpoint that answers before it reads the upload.
@@ -92,6 +93,11 @@
         self.reset_delay_s = reset_delay_s
         self.released = threading.Event()
         self.listener = ThreadedListener(serve=self._serve)
+        # Accepted connections inherit it. Without a limit, the kernel can take a whole
+        # upload that this endpoint does not read.
+        self.listener.socket.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
+        )
         self.address = self.listener.address
 
     def close(self) -> None:
