--- a/tests/test_check.py
+++ b/tests/test_check.py
@@ -15,7 +15,7 @@
 )
 from lagoonrill._internal.protocol.routing_review import review_routing
 from tests.gateway_kit import ROUTES, config, engine_route, route
-from tests.test_cli import URLS, fleet, invoke, write_manifest  # noqa: F401
+from tests.test_cli import URLS, connect_fleet, invoke, write_manifest
 from tests.test_manifest import example, set_value
 from tests.test_settings import VALID
 
@@ -123,7 +123,8 @@
     assert len(report["differences"]) == 1
 
 
-def test_version_in_force_is_read_from_the_fleet(fleet, tmp_path):  # noqa: F811
+def test_version_in_force_is_read_from_the_fleet(monkeypatch, tmp_path):
+    fleet = connect_fleet(monkeypatch)
     path = write_manifest(tmp_path, 2)
     status, report = check(path, "--committed", *URLS)
     assert status == ExitStatus.DIFFERENT
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -39,6 +39,10 @@
 
 @pytest.fixture
 def fleet(monkeypatch):
+    return connect_fleet(monkeypatch)
+
+
+def connect_fleet(monkeypatch):
     """Connects the tool's clients to an in-memory fleet with a simulated clock."""
     fleet = start_fleet("a1", "b1")
     store = StoreClient(fleet.store)
