--- a/tests/test_platform_boundary.py
+++ b/tests/test_platform_boundary.py
@@ -20,6 +20,7 @@
     "KvTokens",
     "Length-Hint",
     "LinkMbps",
+    "MaxReplicas",
     "Not-Executed",
     '"PathPrefix"',
     "Pin-Ms",
@@ -33,7 +34,9 @@
     "TargetLatencyMs",
     "Token-Usage",
     "Weight-Versions",
+    "ZonePrices",
     "fleetbench",
+    "leaves_ms",
 )
 # The adapter, its tests, and the stand-ins that implement the platform's side.
 ALLOWED = (
