--- a/tests/test_platform_boundary.py
+++ b/tests/test_platform_boundary.py
@@ -22,6 +22,7 @@
     "Lease-Holder",
     "Length-Hint",
     "LinkMbps",
+    "MaxReplicas",
     "Not-Executed",
     '"PathPrefix"',
     "Pin-Ms",
@@ -35,7 +36,9 @@
     "TargetLatencyMs",
     "Token-Usage",
     "Weight-Versions",
+    "ZonePrices",
     "fleetbench",
+    "leaves_ms",
 )
 # The adapter, its tests, and the stand-ins that implement the platform's side.
 ALLOWED = (
