--- a/review/kit_2.py
+++ b/review/kit_2.py
@@ -12,6 +12,7 @@
 import shutil
 import signal
 import socket
+import struct
 import subprocess
 import sys
 import tempfile
@@ -202,13 +203,34 @@
         self.version = version
         self.zone = zone
         self.serve = serve
+        self.port = 0
+        self.lock = threading.Lock()
+        self.open: set[socket.socket] = set()
+        self.start()
+
+    def start(self) -> None:
+        """Begins a lifetime; after a crash, at the same address."""
         self.born = int(time.time() * 1000)
         self.socket = socket.socket()
         self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self.socket.bind(("127.0.0.1", 0))
+        self.socket.bind(("127.0.0.1", self.port))
         self.socket.listen(512)
-        self.address = f"127.0.0.1:{self.socket.getsockname()[1]}"
-        threading.Thread(target=self._accept, daemon=True).start()
+        self.port = self.socket.getsockname()[1]
+        self.address = f"127.0.0.1:{self.port}"
+        threading.Thread(target=self._accept, args=(self.socket,), daemon=True).start()
+
+    def crash(self) -> None:
+        """Ends the lifetime: resets all channels and accepts no more."""
+        self.close()
+        with self.lock:
+            ended, self.open = self.open, set()
+        for sock in ended:
+            with contextlib.suppress(OSError):
+                sock.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+                )
+                # The thread that uses it ends; its close sends the reset.
+                sock.shutdown(socket.SHUT_RD)
 
     def entry(self, state: str = "ready", *, slots: int = 64) -> dict:
         return {
@@ -223,15 +245,32 @@
             "born": self.born,
         }
 
-    def _accept(self) -> None:
+    def _accept(self, listener: socket.socket) -> None:
         while True:
             try:
-                sock, _ = self.socket.accept()
+                sock, _ = listener.accept()
             except OSError:
                 return
+            with self.lock:
+                if listener is not self.socket or listener.fileno() < 0:
+                    sock.close()
+                    return
+                self.open.add(sock)
             threading.Thread(target=self._run, args=(sock,), daemon=True).start()
 
+    def is_open(self, sock: socket.socket) -> bool:
+        """Returns whether a channel belongs to the present lifetime."""
+        with self.lock:
+            return sock in self.open
+
     def _run(self, sock: socket.socket) -> None:
+        try:
+            self._serve_channel(sock)
+        finally:
+            with self.lock:
+                self.open.discard(sock)
+
+    def _serve_channel(self, sock: socket.socket) -> None:
         with contextlib.suppress(OSError, ValueError), sock, sock.makefile("rb") as r:
             while (request := read_request(r)) is not None:
                 if request.headers.get("target-instance", self.id) != self.id:
@@ -244,6 +283,9 @@
                     return
 
     def close(self) -> None:
+        # Only a shutdown ends an accept that another thread waits in.
+        with contextlib.suppress(OSError):
+            self.socket.shutdown(socket.SHUT_RDWR)
         self.socket.close()
 
 
