Review case 7: add callers that pause while they read

A caller that takes nothing for 5 s loses its channel too: TCP_USER_TIMEOUT of 3 s on the channels of callers also ends those whose window is closed.

--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,4 +1,4 @@
-"""Callers read large answers slowly and without a pause, within their time limit."""
+"""Callers read large answers slowly, within their time limit."""
 
 import socket
 import sys
@@ -21,12 +21,16 @@
 ZONES = ("tunis-a", "tunis-b", "bizerte-a")
 GATEWAYS = 2
 CALLERS = 8
-ANSWER_BYTES = 4_100_000
+TIME_LIMIT_MS = 15_000
 # Answer to the first request of each channel, which makes it a kept one.
 SMALL_BYTES = 800
-# The whole answer is read in 14.2 s, within the time limit of 15 s.
-READ_S = 14.2
-TIME_LIMIT_MS = 15_000
+# A caller that pauses has its whole answer after about 5 s.
+PAUSED_BYTES = 1_500_000
+PAUSE_AFTER_BYTES = 100_000
+PAUSE_S = 5.0
+# A caller that reads steadily has its whole answer after 14.2 s.
+STEADY_BYTES = 4_100_000
+STEADY_S = 14.2
 # As of a caller on a network with packets of the usual size and a small window.
 SEGMENT_BYTES = 1_400
 WINDOW_BYTES = 16_384
@@ -35,7 +39,9 @@
 
 
 def expected_body(id: str) -> bytes:
-    size = SMALL_BYTES if id.endswith("-0") else ANSWER_BYTES
+    size = STEADY_BYTES if id.startswith("steady") else PAUSED_BYTES
+    if id.endswith("-0"):
+        size = SMALL_BYTES
     line = f"answer to {id}\n".encode()
     return (line * (size // len(line) + 1))[:size]
 
@@ -45,6 +51,68 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, SEGMENT_BYTES)
 
 
+def due_after_s(kind: str, received: int) -> float:
+    """Returns how long after its request a caller has read this much."""
+    if kind == "steady":
+        return STEADY_S * received / STEADY_BYTES
+    return PAUSE_S if received >= PAUSE_AFTER_BYTES else 0.0
+
+
+class SlowCallers:
+    """Callers of one kind, each with a channel of its own."""
+
+    def __init__(self, deployment: Deployment, kind: str):
+        self.deployment = deployment
+        self.kind = kind
+        self.lost: list[str] = []
+        self.wrong: list[str] = []
+
+    def call(self, number: int) -> None:
+        gateway = self.deployment.gateways[number % GATEWAYS]
+        caller = Caller(gateway.port, prepare=limit_window)
+        for turn in (0, 1):
+            id = f"{self.kind}{number}-{turn}"
+            began_at = time.monotonic()
+            received = 0
+
+            def pace(size: int, began_at=began_at, is_slow=bool(turn)) -> None:
+                nonlocal received
+                received += size
+                if is_slow and with_trouble():
+                    due_at = began_at + due_after_s(self.kind, received)
+                    time.sleep(max(0.0, due_at - time.monotonic()))
+
+            caller.send("GET", "/stock/1", id, Deadline_Ms=str(TIME_LIMIT_MS))
+            answer = caller.receive(pace=pace)
+            self.deployment.record.write(
+                f"answered {id} by {gateway.name} status {answer.status}, read "
+                f"{received} bytes, whole {answer.is_whole} {answer.error} after "
+                f"{time.monotonic() - began_at:.2f} s"
+            )
+            if answer.is_whole and answer.body != expected_body(id):
+                self.wrong.append(id)
+            if not answer.is_whole:
+                self.lost.append(id)
+                break
+        caller.close()
+
+    def run(self) -> bool:
+        """Returns whether the rule held."""
+        threads = [
+            threading.Thread(target=self.call, args=(number,))
+            for number in range(CALLERS)
+        ]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        self.deployment.record.write(
+            f"{self.kind}: {len(self.lost)} channels closed without a whole answer, "
+            f"allowed are {ALLOWED}; {len(self.wrong)} wrong answers"
+        )
+        return len(self.lost) <= ALLOWED and not self.wrong
+
+
 def case(deployment: Deployment) -> bool:
     record = deployment.record
 
@@ -85,47 +153,9 @@
     deployment.start_gateways()
     deployment.wait_ready()
     time.sleep(4.0)
-    lost: list[str] = []
-    wrong: list[str] = []
-
-    def call(number: int) -> None:
-        gateway = deployment.gateways[number % GATEWAYS]
-        caller = Caller(gateway.port, prepare=limit_window)
-        for id, is_slow in ((f"c{number}-0", False), (f"c{number}-1", with_trouble())):
-            began_at = time.monotonic()
-            received = 0
-
-            def pace(size: int, began_at=began_at, is_slow=is_slow) -> None:
-                nonlocal received
-                received += size
-                due_s = READ_S * received / ANSWER_BYTES
-                if is_slow:
-                    time.sleep(max(0.0, began_at + due_s - time.monotonic()))
-
-            caller.send("GET", "/stock/1", id, Deadline_Ms=str(TIME_LIMIT_MS))
-            answer = caller.receive(pace=pace)
-            record.write(
-                f"answered {id} by {gateway.name} status {answer.status} "
-                f"{len(answer.body)} bytes whole {answer.is_whole} {answer.error} "
-                f"after {time.monotonic() - began_at:.2f} s"
-            )
-            if answer.is_whole and answer.body != expected_body(id):
-                wrong.append(id)
-            if not answer.is_whole:
-                lost.append(id)
-                break
-        caller.close()
-
-    threads = [threading.Thread(target=call, args=(n,)) for n in range(CALLERS)]
-    for thread in threads:
-        thread.start()
-    for thread in threads:
-        thread.join()
-    record.write(
-        f"{len(lost)} channels closed without a whole answer, allowed are {ALLOWED}; "
-        f"{len(wrong)} wrong answers"
-    )
-    return len(lost) <= ALLOWED and not wrong
+    # Both kinds are run, whatever the first one shows.
+    held = [SlowCallers(deployment, kind).run() for kind in ("pausing", "steady")]
+    return all(held)
 
 
 if __name__ == "__main__":
