Review case 7: a gateway that starts as the store is restored joins versions

At fault is StreamOrigins._is_any_lost, which knows of a restored store only if the process saw its era rise.

--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,6 +1,6 @@
-"""Callers read large answers slowly, within their time limit."""
+"""The store comes back from an older copy while two of four gateways restart."""
 
-import socket
+import re
 import sys
 import threading
 import time
@@ -9,9 +9,11 @@
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
 from kit_2 import (  # noqa: E402
+    ENGINE,
     Caller,
     Deployment,
     answer_head,
+    chunk,
     configuration,
     routes,
     run_case,
@@ -19,115 +21,131 @@
 )
 
 ZONES = ("tunis-a", "tunis-b", "bizerte-a")
-GATEWAYS = 2
-CALLERS = 8
-TIME_LIMIT_MS = 15_000
-# Answer to the first request of each channel, which makes it a kept one.
-SMALL_BYTES = 800
-# A caller that pauses has its whole answer after about 5 s.
-PAUSED_BYTES = 1_500_000
-PAUSE_AFTER_BYTES = 100_000
-PAUSE_S = 5.0
-# A caller that reads steadily has its whole answer after 14.2 s.
-STEADY_BYTES = 4_100_000
-STEADY_S = 14.2
-# As of a caller on a network with packets of the usual size and a small window.
-SEGMENT_BYTES = 1_400
-WINDOW_BYTES = 16_384
-# The rule allows three such channels.
-ALLOWED = 3
-
-
-def expected_body(id: str) -> bytes:
-    size = STEADY_BYTES if id.startswith("steady") else PAUSED_BYTES
-    if id.endswith("-0"):
-        size = SMALL_BYTES
-    line = f"answer to {id}\n".encode()
-    return (line * (size // len(line) + 1))[:size]
-
-
-def limit_window(sock: socket.socket) -> None:
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, WINDOW_BYTES)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, SEGMENT_BYTES)
-
-
-def due_after_s(kind: str, received: int) -> float:
-    """Returns how long after its request a caller has read this much."""
-    if kind == "steady":
-        return STEADY_S * received / STEADY_BYTES
-    return PAUSE_S if received >= PAUSE_AFTER_BYTES else 0.0
-
-
-class SlowCallers:
-    """Callers of one kind, each with a channel of its own."""
-
-    def __init__(self, deployment: Deployment, kind: str):
-        self.deployment = deployment
-        self.kind = kind
-        self.lost: list[str] = []
-        self.wrong: list[str] = []
-
-    def call(self, number: int) -> None:
-        gateway = self.deployment.gateways[number % GATEWAYS]
-        caller = Caller(gateway.port, prepare=limit_window)
-        for turn in (0, 1):
-            id = f"{self.kind}{number}-{turn}"
-            began_at = time.monotonic()
-            received = 0
-
-            def pace(size: int, began_at=began_at, is_slow=bool(turn)) -> None:
-                nonlocal received
-                received += size
-                if is_slow and with_trouble():
-                    due_at = began_at + due_after_s(self.kind, received)
-                    time.sleep(max(0.0, due_at - time.monotonic()))
-
-            caller.send("GET", "/stock/1", id, Deadline_Ms=str(TIME_LIMIT_MS))
-            answer = caller.receive(pace=pace)
-            self.deployment.record.write(
-                f"answered {id} by {gateway.name} status {answer.status}, read "
-                f"{received} bytes, whole {answer.is_whole} {answer.error} after "
-                f"{time.monotonic() - began_at:.2f} s"
+GATEWAYS = 4
+STREAMS = 36
+EVENTS = 40
+EVENT_PAUSE_S = 0.25
+TIME_LIMIT_S = 15.0
+# All streams begin at the first gateway, and are taken up at the last one.
+BEGUN_AT, TAKEN_UP_AT = 0, 3
+KILL_AFTER_S = 4.0
+RESTART_AFTER_S = 4.3
+# The store is away for a moment, and its copy is some seconds old.
+AWAY_S = 1.0
+COPY_AGE_S = 7.0
+# After a start, the default version needs some seconds until it is settled.
+SETTLED_S = 8.0
+# A caller takes a broken stream up once (the sheet's `consumer's retries`), after a
+# pause of its own, which the pages leave open.
+TRIES = 2
+RETRY_PAUSE_S = (1.05, 1.3)
+# The rule allows two such streams.
+ALLOWED = 2
+VERSION = re.compile(rb"data: (\S+)")
+NUMBER = re.compile(rb"id: (\d+)")
+
+
+def serve_stream(deployment: Deployment):
+    def serve(endpoint, sock, request) -> bool:
+        after = int(request.headers.get("last-event-id", 0))
+        deployment.record.write(
+            f"run {request.id} at {endpoint.id} version {endpoint.version} "
+            f"after event {after}"
+        )
+        sock.sendall(
+            answer_head(
+                request,
+                "Content-Type: text/event-stream",
+                "Transfer-Encoding: chunked",
             )
-            if answer.is_whole and answer.body != expected_body(id):
-                self.wrong.append(id)
-            if not answer.is_whole:
-                self.lost.append(id)
-                break
-        caller.close()
-
-    def run(self) -> bool:
-        """Returns whether the rule held."""
-        threads = [
-            threading.Thread(target=self.call, args=(number,))
-            for number in range(CALLERS)
-        ]
-        for thread in threads:
-            thread.start()
-        for thread in threads:
-            thread.join()
-        self.deployment.record.write(
-            f"{self.kind}: {len(self.lost)} channels closed without a whole answer, "
-            f"allowed are {ALLOWED}; {len(self.wrong)} wrong answers"
         )
-        return len(self.lost) <= ALLOWED and not self.wrong
+        for number in range(after + 1, EVENTS + 1):
+            event = f"id: {number}\ndata: {endpoint.version}\n\n".encode()
+            sock.sendall(chunk(event))
+            time.sleep(EVENT_PAUSE_S)
+        sock.sendall(b"0\r\n\r\n")
+        return True
 
+    return serve
 
-def case(deployment: Deployment) -> bool:
-    record = deployment.record
 
-    def serve(endpoint, sock, request) -> bool:
-        record.write(f"run {request.id} at {endpoint.id}")
-        body = expected_body(request.id)
-        sock.sendall(answer_head(request, f"Content-Length: {len(body)}") + body)
-        return True
+class Stream:
+    """One stream of a caller, over all its tries."""
 
-    for number, zone in enumerate(ZONES):
+    def __init__(self, deployment: Deployment, number: int):
+        self.deployment = deployment
+        self.number = number
+        self.body = b""
+        # Id of the try that brought the first event.
+        self.origin = ""
+        self.is_whole = False
+
+    def versions(self) -> set[bytes]:
+        return set(VERSION.findall(self.body))
+
+    def run(self) -> None:
+        until = time.monotonic() + TIME_LIMIT_S
+        for number in range(TRIES):
+            left_s = until - time.monotonic()
+            if left_s <= 0:
+                return
+            place = TAKEN_UP_AT if number else BEGUN_AT
+            gateway = self.deployment.gateways[place]
+            id = f"s{self.number}-{number}"
+            self._try(gateway, id, left_s)
+            if self.is_whole:
+                return
+            least_s, most_s = RETRY_PAUSE_S
+            time.sleep(least_s + (most_s - least_s) * self.number / STREAMS)
+
+    def _try(self, gateway, id: str, left_s: float) -> None:
+        """Makes one try."""
+        headers = {
+            "Deadline_Ms": str(int(left_s * 1000)),
+            "Model": "m",
+            "Token_Usage": "900,200",
+            # Without shared parts, so that the streams are spread over all endpoints.
+            "Prompt_Prefix": f"{self.number:x}aa:600,{self.number:x}ff:300",
+        }
+        numbers = NUMBER.findall(self.body)
+        if numbers:
+            headers["Last_Event_Id"] = numbers[-1].decode()
+            headers["Resumes"] = self.origin
+        record = self.deployment.record
+        record.write(f"sent {id} to {gateway.name} {headers.get('Last_Event_Id', '')}")
+
+        def take(data: bytes) -> None:
+            self.origin = self.origin or id
+            self.body += data
+
+        try:
+            caller = Caller(gateway.port, timeout_s=left_s)
+        except OSError as error:
+            record.write(f"not connected {id} {type(error).__name__}")
+            return
+        try:
+            caller.send("POST", "/ask/1", id, body=b"{}", **headers)
+            answer = caller.receive(events=take)
+        except OSError as error:
+            record.write(f"broken {id} {type(error).__name__}")
+            return
+        finally:
+            caller.close()
+        self.is_whole = answer.status == 200 and answer.is_whole
+        record.write(
+            f"answered {id} status {answer.status} whole {self.is_whole} "
+            f"{answer.error} versions {sorted(self.versions())}"
+        )
+
+
+def case(deployment: Deployment) -> bool:
+    serve = serve_stream(deployment)
+    for number, version in enumerate(("v1", "v1", "v1", "v2", "v2", "v2")):
         deployment.add_endpoint(
             id=f"i-{number}",
-            service="comptoir-app",
-            version="v1",
-            zone=zone,
+            service="atelier-llm",
+            version=version,
+            zone=ZONES[number % 3],
             serve=serve,
         )
     deployment.store.put(
@@ -136,15 +154,18 @@
         configuration(
             routes=routes(
                 {
-                    "Name": "stock-look",
-                    "PathPrefix": "/stock/",
-                    "Type": "safe",
-                    "Service": "comptoir-app",
+                    "Name": "counter-ask",
+                    "PathPrefix": "/ask/",
+                    "Type": "streaming",
+                    "Service": "atelier-llm",
                     "Attempts": 2,
+                    "SessionAffinity": True,
+                    "StreamResume": True,
+                    "GapAimMs": 300,
                 }
             ),
             services=[
-                {"Name": "comptoir-app", "HealthPath": "/healthz", "MaxConns": 100}
+                {"Name": "atelier-llm", "HealthPath": "/healthz", "Engine": ENGINE}
             ],
         ),
     )
@@ -152,10 +173,39 @@
     deployment.add_gateways(GATEWAYS, ZONES)
     deployment.start_gateways()
     deployment.wait_ready()
-    time.sleep(4.0)
-    # Both kinds are run, whatever the first one shows.
-    held = [SlowCallers(deployment, kind).run() for kind in ("pausing", "steady")]
-    return all(held)
+    time.sleep(SETTLED_S)
+    streams = [Stream(deployment, number) for number in range(STREAMS)]
+    threads = [threading.Thread(target=stream.run) for stream in streams]
+    began_at = time.monotonic()
+
+    def wait_until(after_s: float) -> None:
+        time.sleep(max(0.0, began_at + after_s - time.monotonic()))
+
+    for thread in threads:
+        thread.start()
+    if with_trouble():
+        wait_until(KILL_AFTER_S)
+        deployment.record.write("the store is away, two gateways are killed")
+        deployment.refuse_store_calls(503)
+        restarted = [deployment.gateways[place] for place in (BEGUN_AT, TAKEN_UP_AT)]
+        for gateway in restarted:
+            gateway.kill()
+        wait_until(RESTART_AFTER_S)
+        for gateway in restarted:
+            gateway.start(deployment.seeds())
+        wait_until(KILL_AFTER_S + AWAY_S)
+        deployment.store.restore(COPY_AGE_S)
+        deployment.record.write("the store is back from an older copy")
+        deployment.refuse_store_calls(0)
+    for thread in threads:
+        thread.join()
+    mixed = [stream for stream in streams if len(stream.versions()) > 1]
+    whole = sum(stream.is_whole for stream in streams)
+    deployment.record.write(
+        f"{len(streams)} streams, {whole} whole, {len(mixed)} with events of two "
+        f"versions; allowed are {ALLOWED}"
+    )
+    return len(mixed) <= ALLOWED
 
 
 if __name__ == "__main__":
