--- a/review/kit_2.py
+++ b/review/kit_2.py
@@ -458,6 +458,8 @@
     """Runs `case(deployment)`, which returns whether the rule held, and exits."""
     deployment = Deployment(folder)
     status = NOT_RUN
+    # A case that is ended from outside ends what it started too.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))
     try:
         status = HELD if case(deployment) else BROKEN
     except CaseNotRun as error:
