--- a/review/7/case.py
+++ b/review/7/case.py
@@ -22,7 +22,7 @@
 
 ZONES = ("tunis-a", "tunis-b", "bizerte-a")
 GATEWAYS = 4
-STREAMS = 36
+STREAMS = 60
 EVENTS = 40
 EVENT_PAUSE_S = 0.25
 TIME_LIMIT_S = 15.0
