--- a/src/lagoonrill/_internal/coordination/forwarding.py
+++ b/src/lagoonrill/_internal/coordination/forwarding.py
@@ -51,7 +51,7 @@
 from .routed_request import RequestResolver, RoutedRequest
 from .sending import Answer, CallerBreak, Outcome, Sending, Silent
 from .service_selection import ServiceSelection
-from .stream_origins import StreamOrigins
+from .stream_origins import Begin, StreamOrigins
 
 # Maximum number of failed connection attempts per request; they do not count as sends.
 MAX_CONNECT_FAILURES = 4
@@ -71,6 +71,8 @@
 # goals; the caller times out after four.
 STALLED_FIRST_EVENT_GOALS = 2.0
 RETRY_AFTER_S = 0.3
+# While the store takes no records, callers of new streams return after this time.
+RECORD_RETRY_AFTER_S = 1.0
 EVENT_STREAM_TYPE = "text/event-stream"
 # An endpoint stops at the time limit that it was given. An answer cut off within this
 # time before the limit does not count as an endpoint failure.
@@ -260,6 +262,8 @@
             return
         if late and sending.may_have_run:
             raise Refusal(504, "timeout", remedy="Allow more time.")
+        if sending.last_reason.startswith(ORIGIN_UNRECORDED):
+            raise origin_not_recorded()
         if sending.may_have_run:
             raise Refusal(
                 502,
@@ -296,10 +300,14 @@
         """Lets a resumable stream begin where its origin can be recorded, if it can."""
         if sending.origin_known or not sending.request.route.resumable:
             return
-        sending.version = None
-        required = self.origins.required_version(sending.request.service)
-        if required is not None and self._is_served(sending, required):
-            sending.version = required
+        service = sending.request.service
+        sending.version = self.origins.required_version(service)
+        if sending.version is not None:
+            can_begin = self._is_served(sending, sending.version)
+        else:
+            can_begin = not sending.request.id or self.origins.may_begin(service)
+        if not can_begin:
+            raise origin_not_recorded()
 
     def _is_served(self, sending: Sending, version: str) -> bool:
         """Returns whether the request may be sent to an endpoint of a version."""
@@ -735,33 +743,36 @@
     def _note_origin(self, sending: Sending, record: EndpointRecord) -> bool:
         """Notes where a stream begins, before its caller gets the first event.
 
-        Returns False if nobody has taken the record and the stream can begin at a
-        version that needs none; if no such endpoint serves, it begins all the same.
+        Returns False if the stream has to begin anew, at the default version, and
+        raises `Refusal` if it may not begin at all now.
         """
         request = sending.request
         if sending.origin_known or not request.route.resumable:
             return True
-        if request.id and not self.origins.note_begun(
-            request.service, request.id, record.version
-        ):
-            required = self.origins.required_version(request.service)
-            if required not in (None, record.version) and self._may_begin_at(
-                sending, required
-            ):
+        if request.id:
+            begin = self.origins.note_begun(request.service, request.id, record.version)
+            if begin is Begin.UNRECORDED:
+                self.event_log.emit(
+                    "stream_unrecorded",
+                    request=request.id,
+                    service=request.service,
+                    version=record.version,
+                )
+            elif begin is Begin.NOT_RECORDED and self._may_begin_anew(sending, record):
                 return False
-            self.event_log.emit(
-                "stream_unrecorded",
-                request=request.id,
-                service=request.service,
-                version=record.version,
-            )
+            elif not begin.is_allowed:
+                raise origin_not_recorded()
         sending.version = record.version
         sending.origin_known = True
         return True
 
-    def _may_begin_at(self, sending: Sending, version: str) -> bool:
+    def _may_begin_anew(self, sending: Sending, record: EndpointRecord) -> bool:
+        """Returns whether a stream may begin at another version than a record's."""
+        required = self.origins.required_version(sending.request.service)
+        if required in (None, record.version):
+            return False
         sending.version = None
-        return self._is_served(sending, version)
+        return self._is_served(sending, required)
 
     def _start_stream(self, sending: Sending, head: ResponseHead) -> None:
         request = sending.request
@@ -785,6 +796,19 @@
         return new_events
 
 
+def origin_not_recorded() -> Refusal:
+    """Returns the refusal of a stream whose version cannot be recorded now.
+
+    No event has reached the caller, and a stream that may be resumed may run again.
+    """
+    return Refusal(
+        503,
+        "stream_origin_not_recorded",
+        remedy="Retry after the time given; the store does not take records now.",
+        retry_after_s=RECORD_RETRY_AFTER_S,
+    )
+
+
 def is_event_stream(head: ResponseHead) -> bool:
     """Returns whether a response says that its body is a stream of events."""
     media_type, _, _ = (head.value("Content-Type") or "").partition(";")
--- a/src/lagoonrill/_internal/coordination/policy/stream_history.py
+++ b/src/lagoonrill/_internal/coordination/policy/stream_history.py
@@ -130,6 +130,11 @@
         self.add(record)
         return known.version != record.version
 
+    def forget(self, key: str) -> None:
+        """Removes the record of a stream that did not begin."""
+        with self.lock:
+            self.records.pop(key, None)
+
     def _oldest_is_over(self, now: float) -> bool:
         if not self.records:
             return False
@@ -223,6 +228,16 @@
                     served.appeared_at[version] = now
                 served.present = versions
 
+    def serves_versions(self, service: str) -> bool:
+        """Returns whether endpoints of several versions are there."""
+        served = self.served.get(service)
+        return served is not None and len(served.present) > 1
+
+    def other_versions_serve(self, service: str, version: str) -> bool:
+        """Returns whether endpoints of another version are there, leaving ones too."""
+        served = self.served.get(service)
+        return served is not None and bool(served.present.keys() - {version})
+
     def only_version(self, service: str) -> str | None:
         """Returns the version that all endpoints have had, or None.
 
--- a/src/lagoonrill/_internal/coordination/record_batches.py
+++ b/src/lagoonrill/_internal/coordination/record_batches.py
@@ -43,13 +43,24 @@
 class OwnRecord:
     """A record that this instance stores."""
 
-    __slots__ = ("added_at", "is_shared", "is_stored", "stream")
+    __slots__ = (
+        "added_at",
+        "is_in_doubt",
+        "is_pending",
+        "is_shared",
+        "is_stored",
+        "stream",
+    )
 
     def __init__(self, *, stream: StoredStream, added_at: float):
         self.stream = stream
         # On the monotonic clock.
         self.added_at = added_at
         self.is_stored = False
+        # Whether a write of it is under way, and whether one got no answer: the store
+        # may still execute it.
+        self.is_pending = False
+        self.is_in_doubt = False
         # Whether peers have been sent it to hold.
         self.is_shared = False
 
@@ -151,8 +162,25 @@
     def begin_write(self, batch: RecordBatch) -> list[OwnRecord]:
         """Returns the records to write to the object of a batch."""
         batch.is_changed = False
+        for record in batch.records:
+            record.is_pending = True
         return list(batch.records)
 
+    def take_back(self, records: list[OwnRecord]) -> bool:
+        """Removes records that the store does not have; returns whether that is sure.
+
+        Records of which a write may have been executed stay.
+        """
+        if any(
+            item.is_stored or item.is_pending or item.is_in_doubt for item in records
+        ):
+            return False
+        for batch in self.batches:
+            batch.records = [item for item in batch.records if item not in records]
+            if not batch.records and not batch.is_created:
+                batch.is_changed = False
+        return True
+
     def take_unshared(self, records: list[OwnRecord]) -> list[StoredStream]:
         """Returns the records that peers have not been sent yet."""
         found = [item for item in records if not item.is_shared]
@@ -163,16 +191,21 @@
     def note_stored(self, batch: RecordBatch, written: list[OwnRecord]) -> None:
         """Records that the store has confirmed a write."""
         batch.is_created = True
-        if batch in self.batches:
-            for record in written:
-                record.is_stored = True
+        for record in written:
+            record.is_pending = False
+            record.is_stored = batch in self.batches
 
-    def note_refused(self, batch: RecordBatch) -> None:
+    def note_refused(self, batch: RecordBatch, written: list[OwnRecord]) -> None:
         """Records that a write was not executed and never will be."""
         batch.is_changed = True
+        for record in written:
+            record.is_pending = False
 
-    def note_in_doubt(self, batch: RecordBatch) -> None:
+    def note_in_doubt(self, batch: RecordBatch, written: list[OwnRecord]) -> None:
         """Moves the records of a batch whose write may still be executed."""
+        for record in written:
+            record.is_pending = False
+            record.is_in_doubt = True
         if batch in self.batches:
             self.batches.remove(batch)
             self._move(batch.records)
--- a/src/lagoonrill/_internal/coordination/stream_holders.py
+++ b/src/lagoonrill/_internal/coordination/stream_holders.py
@@ -26,29 +26,34 @@
 from .policy.engine_placement import hash_rank, highest_ranked
 from .policy.stream_history import StreamRecord
 from .record_batches import StoredStream
-from .stream_origins import HandOver, LookUp, StreamOrigins
+from .stream_origins import (
+    MAX_HOLD_S,
+    MAX_PENDING_S,
+    HandOver,
+    LookUp,
+    StreamOrigins,
+)
 
 # Peers that are handed a record; one of them may end or lose the store too.
 HOLDERS = 2
-# A peer answers once its store has confirmed the record, or after its own limit, 0.2 s.
-HAND_OVER_TIMEOUT_S = 0.3
+# A peer answers once its store has confirmed the record, or after its own limits.
+HAND_OVER_TIMEOUT_S = MAX_HOLD_S + MAX_PENDING_S + 0.1
 # A peer answers within its own limit for a list of the store, 0.5 s.
 LOOK_UP_TIMEOUT_S = 0.6
 # Records in one message, which has 40 kB then.
 MAX_SHARED_RECORDS = 500
-# After a failure, records are not handed over for this long: a peer that has ended
-# counts as live until its digests are missed.
+# After a failure, records are not handed over for this long: a peer that has ended or
+# lost the store counts as live and in touch until its digests say otherwise.
 FAILED_PAUSE_S = 1.5
 
 
 class WaitingStream:
     """A record that waits for its hand-over."""
 
-    __slots__ = ("outcome", "store", "stream")
+    __slots__ = ("outcome", "stream")
 
-    def __init__(self, *, stream: StoredStream, store: bool):
+    def __init__(self, *, stream: StoredStream):
         self.stream = stream
-        self.store = store
         self.outcome: HandOver | None = None
 
 
@@ -83,41 +88,40 @@
         link.register_handler(StreamOriginRequest, self.handle_look_up)
         link.register_handler(StreamsShared, self.handle_shared, inline=True)
 
+    def are_live(self) -> bool:
+        """Returns whether there are peers that can keep records."""
+        return bool(self.live_digests())
+
     def is_reachable(self) -> bool:
-        """Returns whether a peer is likely to take a record."""
+        """Returns whether a peer is likely to store a record."""
         is_paused = self.clock() < self.failed_at + FAILED_PAUSE_S
-        return not is_paused and bool(self.live_digests())
-
-    def hand_over(self, stream: StoredStream, *, store: bool) -> HandOver:
-        """Lets peers keep a record, and returns once they have confirmed that.
+        return not is_paused and any(
+            digest.store_in_touch for digest in self.live_digests()
+        )
 
-        With `store`, the first one that can writes it to the store; those that cannot
-        do so in time do it later.
-        """
-        own = WaitingStream(stream=stream, store=store)
+    def hand_over(self, stream: StoredStream) -> HandOver:
+        """Lets a peer store a record, and returns what became of it."""
+        own = WaitingStream(stream=stream)
         with self.lock:
             self.waiting.append(own)
         with self.turn:
             if own.outcome is None:
                 with self.lock:
                     batch, self.waiting = self.waiting, []
-                outcome = self._hand_over(
-                    [item.stream for item in batch],
-                    store=any(item.store for item in batch),
-                )
+                outcome = self._hand_over([item.stream for item in batch])
                 for item in batch:
                     item.outcome = outcome
         return own.outcome
 
-    def _hand_over(self, streams: list[StoredStream], *, store: bool) -> HandOver:
-        message = StreamsBegun(
-            instance=self.instance, streams=self._encoded(streams), store=store
-        )
-        outcome = HandOver.FAILED
+    def _hand_over(self, streams: list[StoredStream]) -> HandOver:
+        message = StreamsBegun(instance=self.instance, streams=self._encoded(streams))
+        outcome = HandOver.NOT_STORED
         for digest in self._holders(streams[0].record.key):
             reply = self.link.request(digest.address, message, HAND_OVER_TIMEOUT_S)
             answer = reply.value_or(None)
             if not isinstance(answer, StreamsBegunReply):
+                # It may still store them.
+                outcome = HandOver.IN_DOUBT
                 self.event_log.emit(
                     "stream_hand_over_failed",
                     peer=digest.instance,
@@ -126,9 +130,9 @@
                 continue
             if answer.stored:
                 return HandOver.STORED
-            outcome = HandOver.HELD
-        if outcome is HandOver.FAILED:
-            self.failed_at = self.clock()
+            if answer.in_doubt:
+                outcome = HandOver.IN_DOUBT
+        self.failed_at = self.clock()
         return outcome
 
     def share(self, streams: list[StoredStream]) -> None:
@@ -208,14 +212,12 @@
         ]
 
     def handle_begun(self, message: StreamsBegun) -> StreamsBegunReply:
-        """Keeps or stores the records of a peer; replies whether they are stored."""
-        streams = self._decoded(message.streams)
-        stored = False
-        if message.store:
-            stored = self.origins.store_for_peer(streams)
-        else:
-            self.origins.hold_for_peer(streams)
-        return StreamsBegunReply(stored=stored)
+        """Stores the records of a peer; replies what became of them."""
+        outcome = self.origins.store_for_peer(self._decoded(message.streams))
+        return StreamsBegunReply(
+            stored=outcome is HandOver.STORED,
+            in_doubt=outcome is HandOver.IN_DOUBT,
+        )
 
     def handle_shared(self, message: StreamsShared) -> None:
         """Keeps the records of a peer."""
--- a/src/lagoonrill/_internal/coordination/stream_origins.py
+++ b/src/lagoonrill/_internal/coordination/stream_origins.py
@@ -39,6 +39,11 @@
 # The first event of a stream waits this long for its record. A store that is slower is
 # in trouble, and a caller should not wait for it.
 MAX_HOLD_S = 0.2
+# An instance that has to wait longer for its turn to write waits no further.
+MAX_TURN_S = 1.0
+# A write that is under way is waited for as long as a slow store takes, since a stream
+# whose record may be stored cannot begin anew.
+MAX_PENDING_S = 0.6
 # A store that has not answered a call after this time is not waited for; it responds
 # within a few milliseconds, and within some hundred when it is slow.
 SLOW_CALL_S = 0.1
@@ -77,9 +82,27 @@
 
     # The store has confirmed it to a peer.
     STORED = "stored"
-    # Only peers have it, in memory.
-    HELD = "held"
-    FAILED = "failed"
+    # No peer has it, and no call that a peer made for it is executed later.
+    NOT_STORED = "not_stored"
+    # A peer did not answer, or got no answer of the store.
+    IN_DOUBT = "in_doubt"
+
+
+class Begin(enum.Enum):
+    """Whether a stream may begin at the version of the endpoint that runs it."""
+
+    # Its version will be found, whatever happens to the instances.
+    RECORDED = "recorded"
+    # Its version is recorded later; until then a take-up can reach no other one.
+    UNRECORDED = "unrecorded"
+    # Nothing is recorded, so it may begin anew at the default version.
+    NOT_RECORDED = "not_recorded"
+    # The store may have the record, so it may begin at no other version either.
+    IN_DOUBT = "in_doubt"
+
+    @property
+    def is_allowed(self) -> bool:
+        return self in (Begin.RECORDED, Begin.UNRECORDED)
 
 
 class LookUp(msgspec.Struct, kw_only=True, frozen=True):
@@ -96,9 +119,14 @@
 class RecordHolders(Protocol):
     """Peers that keep records, and reach the store for an instance that cannot."""
 
-    def is_reachable(self) -> bool: ...
+    def are_live(self) -> bool:
+        """Returns whether there are peers that can keep records."""
 
-    def hand_over(self, stream: StoredStream, *, store: bool) -> HandOver: ...
+    def is_reachable(self) -> bool:
+        """Returns whether a peer is likely to store a record."""
+
+    def hand_over(self, stream: StoredStream) -> HandOver:
+        """Lets a peer store a record, and returns what became of it."""
 
     def share(self, streams: list[StoredStream]) -> None:
         """Sends records to peers, which write them again if the store loses them."""
@@ -113,11 +141,14 @@
 class NoHolders:
     """The holders of an instance without peers."""
 
+    def are_live(self) -> bool:
+        return False
+
     def is_reachable(self) -> bool:
         return False
 
-    def hand_over(self, stream: StoredStream, *, store: bool) -> HandOver:
-        return HandOver.FAILED
+    def hand_over(self, stream: StoredStream) -> HandOver:
+        return HandOver.NOT_STORED
 
     def share(self, streams: list[StoredStream]) -> None:
         pass
@@ -211,7 +242,7 @@
         self.call_began_at = math.inf
         # Whether the store confirms records in time, as far as is known.
         self.is_confirming = True
-        # Begins of streams whose record nobody has taken.
+        # Begins of streams whose record the store has not confirmed in time.
         self.unrecorded = 0
 
     def start(self) -> None:
@@ -237,49 +268,88 @@
         self.history.note_endpoints(self.registry.records.values())
         self.wake.set()
 
-    def note_begun(self, service: str, request_id: str, version: str) -> bool:
+    def note_begun(self, service: str, request_id: str, version: str) -> Begin:
         """Records a stream before its caller gets the first event.
 
-        Waits only for a stream that began at another version than the default one.
-        Returns whether the stream is recorded where its version will be looked up.
+        Waits only for a stream that began at another version than the default one. A
+        record counts once the store has confirmed it, here or to a peer: all instances
+        may be killed at once, so what they keep in memory proves nothing.
         """
         record = StreamRecord(
             key=stream_key(request_id), service=service, version=version
         )
         is_corrected = self.history.replace(record)
-        stream = StoredStream(record=record, begun_at=self.wall_clock())
         if is_corrected:
+            # The earlier record may have been stored without an answer.
             with self.condition:
                 self.batches.withdraw(record.key)
-        if not self.history.needs_record(service, version):
-            if is_corrected:
-                # The earlier record may have been stored without an answer.
-                self._store([stream])
-            return True
+        elif not self.history.needs_record(service, version):
+            return Begin.RECORDED
         waited_from = self.clock()
-        is_stored = self._store([stream])
-        handed_over = HandOver.STORED
-        if not is_stored:
-            # A write that only waits for its turn is not made by peers as well.
-            handed_over = self.holders.hand_over(stream, store=self._is_turned_away())
-            self.event_log.emit(
-                "stream_handed_over",
-                request=request_id,
-                service=service,
-                version=version,
-                outcome=handed_over.value,
-                waited_s=round(self.clock() - waited_from, 3),
-            )
-        if handed_over is HandOver.FAILED:
+        stream = StoredStream(record=record, begun_at=self.wall_clock())
+        records = self._add([stream])
+        handed_over = HandOver.NOT_STORED
+        if self._wait_stored(records):
+            return Begin.RECORDED
+        # A write that only waits for its turn is not made by peers as well.
+        if self._is_turned_away() and self.holders.is_reachable():
+            handed_over = self.holders.hand_over(stream)
+        begin = self._begin_unconfirmed(records, handed_over)
+        self.event_log.emit(
+            "stream_handed_over",
+            request=request_id,
+            service=service,
+            version=version,
+            outcome=handed_over.value,
+            begin=begin.value,
+            waited_s=round(self.clock() - waited_from, 3),
+        )
+        return begin
+
+    def _begin_unconfirmed(
+        self, records: list[OwnRecord], handed_over: HandOver
+    ) -> Begin:
+        """Decides about a stream whose record this instance has not stored in time."""
+        if handed_over is HandOver.STORED:
+            return Begin.RECORDED
+        record = records[0].stream.record
+        if not self.history.other_versions_serve(record.service, record.version):
+            self.unrecorded += 1
+            return Begin.UNRECORDED
+        begin = self._take_back(records)
+        if begin is Begin.NOT_RECORDED and handed_over is HandOver.IN_DOUBT:
+            begin = Begin.IN_DOUBT
+        if not begin.is_allowed:
             self.unrecorded += 1
-        return handed_over is not HandOver.FAILED
+        return begin
 
-    def store_for_peer(self, streams: list[StoredStream]) -> bool:
-        """Stores records of a peer; returns whether that was confirmed in time."""
+    def _take_back(self, records: list[OwnRecord]) -> Begin:
+        """Takes records back that are not stored, after a write that is under way."""
+        with self.condition:
+            self.condition.wait_for(
+                lambda: not any(item.is_pending for item in records), MAX_PENDING_S
+            )
+            if all(item.is_stored for item in records):
+                return Begin.RECORDED
+            if not self.batches.take_back(records):
+                return Begin.IN_DOUBT
+        for item in records:
+            self.history.forget(item.stream.record.key)
+        return Begin.NOT_RECORDED
+
+    def store_for_peer(self, streams: list[StoredStream]) -> HandOver:
+        """Stores records of a peer, or leaves no trace of them if that is possible."""
         now = self.wall_clock()
         for stream in streams:
             self.history.add(stream.record, age_s=now - stream.begun_at)
-        return self._store(streams)
+        records = self._add(streams)
+        if self._wait_stored(records):
+            return HandOver.STORED
+        outcomes = {
+            Begin.RECORDED: HandOver.STORED,
+            Begin.NOT_RECORDED: HandOver.NOT_STORED,
+        }
+        return outcomes.get(self._take_back(records), HandOver.IN_DOUBT)
 
     def hold_for_peer(self, streams: list[StoredStream]) -> None:
         """Keeps records of a peer in case the store loses them."""
@@ -301,27 +371,39 @@
 
         While nobody confirms records, only streams of the default version need none.
         """
-        if self.is_confirming or self.holders.is_reachable():
+        if self._are_records_confirmed():
             return None
         version = self.history.default_version(service)
         if version is None or self.history.needs_record(service, version):
             return None
         return version
 
-    def _store(self, streams: list[StoredStream]) -> bool:
-        """Stores records; returns whether that was confirmed in time.
+    def may_begin(self, service: str) -> bool:
+        """Returns whether a new stream is likely to be allowed to begin somewhere."""
+        return (
+            self._are_records_confirmed()
+            or not self.history.serves_versions(service)
+            or self.required_version(service) is not None
+        )
+
+    def _are_records_confirmed(self) -> bool:
+        return self.is_confirming or self.holders.is_reachable()
+
+    def _wait_stored(self, records: list[OwnRecord]) -> bool:
+        """Waits until records are stored; returns whether that was in time.
 
         A store that does not answer is not waited for if peers can store them.
         """
         with self.condition:
-            records = self._add(streams)
             can_wait = not (self._is_turned_away() and self.holders.is_reachable())
+            turn_s = min(MAX_TURN_S, max(0.0, self._turn_at() - self.clock()))
             is_stored = self.condition.wait_for(
                 lambda: all(record.is_stored for record in records),
-                MAX_HOLD_S if can_wait else 0.0,
+                MAX_HOLD_S + turn_s if can_wait else 0.0,
             )
             if not is_stored:
                 self.is_confirming = False
+                self.wake.set()
             return is_stored
 
     def _is_turned_away(self) -> bool:
@@ -429,8 +511,11 @@
         """Makes the calls that are due; returns whether all succeeded."""
         now = self.clock()
         self._watch_list_age()
-        if self.history.list_due(self.services) or self.seen.is_list_due(
-            self.history.stream_life_s
+        if (
+            # An answer shows that records are taken again.
+            not self.is_confirming
+            or self.history.list_due(self.services)
+            or self.seen.is_list_due(self.history.stream_life_s)
         ):
             self.list_wanted_at = now
         if self.history.listed_at < self.list_wanted_at:
@@ -511,9 +596,9 @@
                 if not has_failed:
                     self.batches.note_stored(batch, written)
                 elif isinstance(result.failure(), NOT_EXECUTED):
-                    self.batches.note_refused(batch)
+                    self.batches.note_refused(batch, written)
                 else:
-                    self.batches.note_in_doubt(batch)
+                    self.batches.note_in_doubt(batch, written)
                 self.is_confirming = not has_failed
                 self.condition.notify_all()
             if has_failed:
@@ -521,7 +606,7 @@
 
     def _share(self, records: list[OwnRecord]) -> None:
         """Sends records to peers that have not been sent to any yet."""
-        if not self.holders.is_reachable():
+        if not self.holders.are_live():
             return
         with self.condition:
             streams = self.batches.take_unshared(records)
@@ -530,10 +615,14 @@
 
     def _wait_for_turn(self) -> None:
         """Waits until this instance may write to the store again."""
-        spacing_s = self.instances() / (WRITE_SHARE * self.writes_per_s)
-        self.stopping.wait(max(0.0, self.written_at + spacing_s - self.clock()))
+        self.stopping.wait(max(0.0, self._turn_at() - self.clock()))
         self.written_at = self.clock()
 
+    def _turn_at(self) -> float:
+        """Returns the time from which on this instance may write."""
+        spacing_s = self.instances() / (WRITE_SHARE * self.writes_per_s)
+        return self.written_at + spacing_s
+
     def _remove_over(self) -> bool:
         """Removes batches in which no stream can live any more from the store."""
         while (name := self._next_over()) is not None:
--- a/src/lagoonrill/_internal/protocol/errors.py
+++ b/src/lagoonrill/_internal/protocol/errors.py
@@ -78,7 +78,10 @@
 
 
 class StoreUnavailable(StoreError):
-    """The call was not sent, for example because the connection was refused."""
+    """The call was not sent, or the store says that it has done nothing.
+
+    For example, the connection was refused.
+    """
 
     default_remedy = "Try again when the Object API answers"
 
--- a/src/lagoonrill/_internal/protocol/messages.py
+++ b/src/lagoonrill/_internal/protocol/messages.py
@@ -363,20 +363,20 @@
 
 
 class StreamsBegun(PeerMessage):
-    """Asks a peer to keep records that the sender has not stored in time.
-
-    With `store`, the store does not answer the sender, and the receiver stores them.
-    """
+    """Asks a peer to store records, as the store does not answer the sender."""
 
     instance: str
     streams: list[BegunStream]
-    store: bool
 
 
 class StreamsBegunReply(PeerMessage):
-    """Reply to `StreamsBegun`; whether the store has confirmed the records."""
+    """Reply to `StreamsBegun`; whether the store has confirmed the records.
+
+    With `in_doubt`, the store may still execute a write of them.
+    """
 
     stored: bool
+    in_doubt: bool = False
 
 
 class StreamsShared(PeerMessage):
--- a/src/lagoonrill/_internal/transport/store_client.py
+++ b/src/lagoonrill/_internal/transport/store_client.py
@@ -2,6 +2,7 @@
 
 import http.client
 import threading
+from collections.abc import Collection
 
 import msgspec
 import urllib3
@@ -58,7 +59,8 @@
     There are no retries: each call is one HTTP request, and a waiting watch occupies
     one connection. TCP keep-alive probes close a connection whose peer is unresponsive;
     a peer that acknowledges and never answers is only detected by the read timeout.
-    Calls that have to end earlier are made on a `StoreConnection`.
+    Calls that have to end earlier are made on a `StoreConnection`. With one of
+    `refusal_statuses`, the store says that it has done nothing.
     """
 
     def __init__(
@@ -69,8 +71,10 @@
         connect_timeout_s: float | None = None,
         headers: dict[str, str] | None = None,
         connections: int = POOL_CONNECTIONS,
+        refusal_statuses: Collection[int] = (),
     ):
         self.call_timeout_s = call_timeout_s
+        self.refusal_statuses = frozenset(refusal_statuses)
         self.connect_timeout_s = connect_timeout_s or call_timeout_s
         self.headers = headers or {}
         self.pool = urllib3.connection_from_url(
@@ -144,7 +148,7 @@
             else:
                 response = connection.send(method, path, headers=sent, timeout=timeout)
             answer = self._read_answer(response)
-            error = status_error(kind, answer)
+            error = status_error(kind, answer, self.refusal_statuses)
         except (
             urllib3.exceptions.NewConnectionError,
             urllib3.exceptions.ConnectTimeoutError,
@@ -199,11 +203,13 @@
     return sum(len(name) + len(value) + 4 for name, value in headers.items())
 
 
-def status_error(kind: str, answer) -> StoreError | None:
+def status_error(
+    kind: str, answer, refusal_statuses: Collection[int] = ()
+) -> StoreError | None:
     """Returns the error for a status; 404 is left to each call.
 
     A status of 500 or above may come from a proxy that forwarded the call, so only 400
-    to 499 prove that nothing was written.
+    to 499 and `refusal_statuses` prove that nothing was written.
     """
     status = answer.status
     if status in (200, 201, 204, 404):
@@ -213,6 +219,8 @@
         return StoreHistoryGone(message=message)
     if status in CONFLICT_STATUSES:
         return StoreConflict(message=message)
+    if status in refusal_statuses:
+        return StoreUnavailable(message=message)
     if 400 <= status < 500 and status not in IN_DOUBT_STATUSES:
         rejected = StoreRejected(message=message)
         rejected.status = status
--- a/src/lagoonrill/platform/_store.py
+++ b/src/lagoonrill/platform/_store.py
@@ -54,6 +54,8 @@
 CONNECT_TIMEOUT_S = 0.7
 # Added to the wait of a watch to get its read timeout; the same as of a list.
 WATCH_MARGIN_S = CALL_TIMEOUT_S
+# With these statuses, the store has done nothing.
+REFUSAL_STATUSES = (503,)
 # A call for each of the four kinds; watches have connections of their own.
 CONNECTIONS = 4
 
@@ -503,6 +505,7 @@
         call_timeout_s=CALL_TIMEOUT_S,
         connect_timeout_s=CONNECT_TIMEOUT_S,
         connections=CONNECTIONS,
+        refusal_statuses=REFUSAL_STATUSES,
     )
     configs, endpoints = (
         StoreObjectSource(
--- a/tests/platform/test_stream_records.py
+++ b/tests/platform/test_stream_records.py
@@ -148,6 +148,17 @@
         for thread in threads:
             thread.join()
 
+    def kill_all(self) -> None:
+        for instance in self.instances:
+            instance.process.kill()
+            instance.process.wait()
+        for thread in self.threads:
+            thread.join()
+
+    def restart(self, *instances) -> None:
+        for instance in instances:
+            instance.start()
+
     def restore_store(self, age_s: float, *, meanwhile) -> None:
         """Takes the store away for a moment; it comes back from an older copy."""
         self.store.refusal_status = 503
@@ -239,3 +250,23 @@
     fleet.take_up()
     assert not fleet.mixed()
     assert fleet.went_on() >= STREAMS / 2
+
+
+def test_streams_begun_in_an_outage_go_on_at_their_version_after_all_are_killed(fleet):
+    """Peers kept the records of streams in memory, which all instances lost."""
+    fleet.settle()
+    time.sleep(MAX_LIST_LAG_S)
+    fleet.serve("v2")
+    time.sleep(FOLLOW_S)
+    fleet.store.refusal_status = 503
+    fleet.begin()
+    time.sleep(0.3)
+    fleet.kill_all()
+    fleet.restart(*fleet.instances)
+    fleet.store.refusal_status = 0
+    assert wait_until(fleet.taker.ready, 15)
+    fleet.take_up()
+    assert not fleet.mixed()
+    # Streams of the default version need no record, so an outage stops none of them.
+    assert all(item.status == 200 for item in fleet.streams)
+    assert fleet.went_on() == STREAMS
