Open the second idle connection of a test after the first is served

Cause: idle time counts from the start of a connection's thread, and the two threads raced; the second connection was then the longer idle one. The test now opens the second connection once the first is served; what it checks is unchanged.

--- a/tests/test_caller_memory.py
+++ b/tests/test_caller_memory.py
@@ -98,12 +98,15 @@
 def test_idle_connection_gives_way_to_a_new_one(gateway):
     gateway.listener.max_connections = 2
     address = ("127.0.0.1", gateway.port)
-    with socket.create_connection(address) as first, socket.create_connection(address):
-        assert wait_until(lambda: len(gateway.listener.served) == 2)
-        time.sleep(0.6)
-        assert gateway.ask("/order/1")[0].status == 200
-        first.settimeout(5)
-        assert first.recv(1) == b""
+    with socket.create_connection(address) as first:
+        # Each connection has a thread, and idles since that has started.
+        assert wait_until(lambda: len(gateway.listener.served) == 1)
+        with socket.create_connection(address):
+            assert wait_until(lambda: len(gateway.listener.served) == 2)
+            time.sleep(0.6)
+            assert gateway.ask("/order/1")[0].status == 200
+            first.settimeout(5)
+            assert first.recv(1) == b""
 
 
 @behaviour
