--- a/src/lagoonrill/_internal/coordination/gateway_peers.py
+++ b/src/lagoonrill/_internal/coordination/gateway_peers.py
@@ -5,6 +5,7 @@
 `routing_catch_up` queries peers whose digests show newer configurations or endpoints.
 """
 
+import secrets
 import threading
 import time
 from collections import deque
@@ -56,6 +57,9 @@
 LOST_AFTER_S = 1.5
 # A far peer is considered lost after this many missed digests.
 LOST_AFTER_DIGESTS = 4
+# Ends of processes are remembered for this long.
+END_LIFETIME_S = 120.0
+PROCESS_BYTES = 6
 # Timeout for queries to the owner of an engine, which answers from memory.
 OWNER_TIMEOUT_S = 0.05
 # Time for which an owner is not queried after a timeout.
@@ -72,6 +76,13 @@
     query_blocked_until: float = 0.0
 
 
+class ProcessEnd(msgspec.Struct, kw_only=True, frozen=True):
+    """The end of a process of a peer that was killed or lost."""
+
+    process: str
+    at: float
+
+
 class GatewayPeers:
     """Exchanges digests with all known peers."""
 
@@ -117,6 +128,9 @@
         self.clock = clock
         self.lock = threading.Lock()
         self.views: dict[str, PeerView] = {}
+        self.process = secrets.token_hex(PROCESS_BYTES)
+        # By instance, the latest end of a process that did not leave as planned.
+        self.ends: dict[str, ProcessEnd] = {}
         # Demand for the services whose endpoints are ordered by the load.
         self.demand: Callable[[], list[ServiceDemand]] = list
         self.changed = threading.Event()
@@ -401,6 +415,7 @@
             instance=self.instance,
             zone=self.zone,
             address=self.link.address,
+            process=self.process,
             config_version=self.routing.version,
             store_era=self.discovery.position.era,
             endpoint_revision=self.discovery.position.revision,
@@ -437,6 +452,7 @@
             return
         with self.lock:
             before = self.views.get(digest.instance)
+            self._note_process(digest, before)
             if digest.leaving:
                 self.views.pop(digest.instance, None)
             else:
@@ -471,6 +487,26 @@
         self._note_peer_evidence(digest)
         self.work_changed()
 
+    def _note_process(self, digest: GatewayDigest, before: PeerView | None) -> None:
+        """Notes whether a process has ended before a digest, or has come back."""
+        name = digest.instance
+        if before is not None and before.digest.process != digest.process:
+            self.ends[name] = ProcessEnd(process=before.digest.process, at=self.clock())
+        elif name in self.ends and self.ends[name].process == digest.process:
+            # It was only out of reach.
+            del self.ends[name]
+
+    def members_since(self, at: float) -> tuple[int, int]:
+        """Returns the number of instances, and of those that have lost their memory.
+
+        The second are those of which a process has ended or was lost since a time on
+        the clock. Instances that left as planned have handed on what they knew.
+        """
+        with self.lock:
+            ended = {name for name, end in self.ends.items() if end.at >= at}
+            ended.update(name for name, view in self.views.items() if view.lost)
+            return 1 + len(self.views.keys() | ended), len(ended)
+
     def _note_peer_evidence(self, digest: GatewayDigest) -> None:
         near = not self.is_zone_local() or digest.zone == self.zone
         if self.freshness.note_digest(digest, near=near):
@@ -506,6 +542,9 @@
                 limit_s = LOST_AFTER_S if self._is_near(view) else far_limit_s
                 if age_s > limit_s and not view.lost:
                     view.lost = True
+                    self.ends[name] = ProcessEnd(
+                        process=view.digest.process, at=view.heard_at
+                    )
                     self._drop_peer(name)
                     self.event_log.emit(
                         "peer_lost", peer=name, silent_s=round(age_s, 2)
@@ -514,6 +553,11 @@
                     forgotten.append((name, view.digest.address))
             for name, _ in forgotten:
                 del self.views[name]
+            self.ends = {
+                name: end
+                for name, end in self.ends.items()
+                if now - end.at <= END_LIFETIME_S
+            }
         for name, address in forgotten:
             self._drop_peer(name)
             if address not in self.seeds:
--- a/src/lagoonrill/_internal/coordination/policy/stream_history.py
+++ b/src/lagoonrill/_internal/coordination/policy/stream_history.py
@@ -228,6 +228,13 @@
                     served.appeared_at[version] = now
                 served.present = versions
 
+    def serves_default_only(self, service: str) -> bool:
+        """Returns whether all endpoints there have the default version."""
+        served = self.served.get(service)
+        return served is not None and set(served.present) == {
+            self.default_version(service)
+        }
+
     def serves_versions(self, service: str) -> bool:
         """Returns whether endpoints of several versions are there."""
         served = self.served.get(service)
--- a/src/lagoonrill/_internal/coordination/store_follower.py
+++ b/src/lagoonrill/_internal/coordination/store_follower.py
@@ -57,6 +57,10 @@
     revision: int
     era: int = 0
 
+    def contents(self) -> list:
+        """Returns the contents of all objects that could be decoded."""
+        return [item.content for item in self.objects if item.content is not None]
+
     @property
     def position(self) -> StorePosition:
         return StorePosition(self.era, self.revision)
--- a/src/lagoonrill/_internal/coordination/stream_holders.py
+++ b/src/lagoonrill/_internal/coordination/stream_holders.py
@@ -16,6 +16,8 @@
 from ..protocol.messages import (
     BegunStream,
     GatewayDigest,
+    KeptStreamReply,
+    KeptStreamRequest,
     StreamOriginReply,
     StreamOriginRequest,
     StreamsBegun,
@@ -27,6 +29,7 @@
 from .policy.stream_history import StreamRecord
 from .record_batches import StoredStream
 from .stream_origins import (
+    HOLDERS,
     MAX_HOLD_S,
     MAX_PENDING_S,
     HandOver,
@@ -34,12 +37,16 @@
     StreamOrigins,
 )
 
-# Peers that are handed a record; one of them may end or lose the store too.
-HOLDERS = 2
+# Peers that are asked to reach the store; one of them may end or lose the store too.
+ASKED = 2
+# In a larger fleet, peers are not asked what they keep: it is in the store soon.
+MAX_KEEPERS_ASKED = 16
 # A peer answers once its store has confirmed the record, or after its own limits.
 HAND_OVER_TIMEOUT_S = MAX_HOLD_S + MAX_PENDING_S + 0.1
 # A peer answers within its own limit for a list of the store, 0.5 s.
 LOOK_UP_TIMEOUT_S = 0.6
+# A peer answers from memory.
+KEPT_TIMEOUT_S = 0.2
 # Records in one message, which has 40 kB then.
 MAX_SHARED_RECORDS = 500
 # After a failure, records are not handed over for this long: a peer that has ended or
@@ -66,6 +73,7 @@
         instance: str,
         link: PeerLink,
         live_digests: Callable[[], list[GatewayDigest]],
+        members_since: Callable[[float], tuple[int, int]],
         has_peers: bool,
         origins: StreamOrigins,
         event_log: EventLog,
@@ -74,6 +82,8 @@
         self.instance = instance
         self.link = link
         self.live_digests = live_digests
+        # Numbers of instances, and of those that have lost their memory since a time.
+        self.members_since = members_since
         # Whether there should be peers, seen or not.
         self.has_peers = has_peers
         self.origins = origins
@@ -87,6 +97,7 @@
         link.register_handler(StreamsBegun, self.handle_begun)
         link.register_handler(StreamOriginRequest, self.handle_look_up)
         link.register_handler(StreamsShared, self.handle_shared, inline=True)
+        link.register_handler(KeptStreamRequest, self.handle_kept, inline=True)
 
     def are_live(self) -> bool:
         """Returns whether there are peers that can keep records."""
@@ -116,7 +127,7 @@
     def _hand_over(self, streams: list[StoredStream]) -> HandOver:
         message = StreamsBegun(instance=self.instance, streams=self._encoded(streams))
         outcome = HandOver.NOT_STORED
-        for digest in self._holders(streams[0].record.key):
+        for digest in self._asked(streams[0].record.key):
             reply = self.link.request(digest.address, message, HAND_OVER_TIMEOUT_S)
             answer = reply.value_or(None)
             if not isinstance(answer, StreamsBegunReply):
@@ -137,21 +148,28 @@
 
     def share(self, streams: list[StoredStream]) -> None:
         """Sends records to peers, which write them again if the store loses them."""
-        encoded = self._encoded(streams)
-        addresses = {item.address for item in self._holders(streams[0].record.key)}
-        for start in range(0, len(encoded), MAX_SHARED_RECORDS):
-            message = StreamsShared(
-                instance=self.instance,
-                streams=encoded[start : start + MAX_SHARED_RECORDS],
+        addresses = {digest.instance: digest.address for digest in self.live_digests()}
+        kept_by: dict[tuple[str, ...], list[StoredStream]] = {}
+        for stream in streams:
+            names = highest_ranked(
+                stream.record.key, list(addresses), HOLDERS, rank=hash_rank
             )
-            self.link.send_to(addresses, message)
+            kept_by.setdefault(tuple(names), []).append(stream)
+        for names, kept in kept_by.items():
+            encoded = self._encoded(kept)
+            for start in range(0, len(encoded), MAX_SHARED_RECORDS):
+                message = StreamsShared(
+                    instance=self.instance,
+                    streams=encoded[start : start + MAX_SHARED_RECORDS],
+                )
+                self.link.send_to({addresses[name] for name in names}, message)
 
     def look_up(self, service: str, key: str) -> LookUp | None:
         """Asks peers where a stream began; None if there may be some and none answers.
 
         The answer is not found out if no peer reaches the store either.
         """
-        digests = self._holders(key)
+        digests = self._asked(key)
         if not digests:
             return None if self.has_peers else LookUp()
         request = StreamOriginRequest(service=service, key=key)
@@ -172,19 +190,37 @@
             answers.append(found)
         return answers[0] if answers else None
 
+    def look_up_kept(self, service: str, key: str) -> str | None:
+        """Returns at which version a stream began, if the memory of peers proves it."""
+        digests = self.live_digests()
+        if len(digests) > MAX_KEEPERS_ASKED:
+            return None
+        kept = [self.origins.kept_record(service, key)]
+        for digest in digests:
+            request = KeptStreamRequest(service=service, key=key)
+            reply = self.link.request(digest.address, request, KEPT_TIMEOUT_S)
+            answer = reply.value_or(None)
+            if isinstance(answer, KeptStreamReply):
+                kept.append(answer)
+        return proved_version(kept)
+
+    def handle_kept(self, message: KeptStreamRequest) -> KeptStreamReply:
+        """Answers from memory where a stream began."""
+        return self.origins.kept_record(message.service, message.key)
+
     def handle_look_up(self, message: StreamOriginRequest) -> StreamOriginReply:
         """Looks a stream up for a peer."""
         found = self.origins.look_up(message.service, message.key)
         return StreamOriginReply(version=found.version, found_out=found.found_out)
 
-    def _holders(self, key: str) -> list[GatewayDigest]:
-        """Returns the peers for a record, those that reach the store first."""
+    def _asked(self, key: str) -> list[GatewayDigest]:
+        """Returns the peers to ask about a record, those that reach the store first."""
         digests = {digest.instance: digest for digest in self.live_digests()}
         in_touch = [name for name, item in digests.items() if item.store_in_touch]
-        names = highest_ranked(key, in_touch, HOLDERS, rank=hash_rank)
+        names = highest_ranked(key, in_touch, ASKED, rank=hash_rank)
         others = [name for name in digests if name not in in_touch]
-        more = highest_ranked(key, others, HOLDERS, rank=hash_rank)
-        names += more[: HOLDERS - len(names)]
+        more = highest_ranked(key, others, ASKED, rank=hash_rank)
+        names += more[: ASKED - len(names)]
         return [digests[name] for name in names]
 
     def _encoded(self, streams: Iterable[StoredStream]) -> list[BegunStream]:
@@ -224,6 +260,31 @@
         self.origins.hold_for_peer(self._decoded(message.streams))
 
 
+def proved_version(kept: list[KeptStreamReply]) -> str | None:
+    """Returns at which version a stream began, if what instances keep proves it.
+
+    A record is kept by its writer and by `HOLDERS` peers. If at most that many
+    instances lack what they kept, one of the others has it, so a stream that none of
+    them knows began at the default version.
+
+    >>> new, keeper = (
+    ...     KeptStreamReply(version=None, default="v1", keeps_all=keeps, instances=4)
+    ...     for keeps in (False, True)
+    ... )
+    >>> proved_version([new, keeper]), proved_version([new])
+    ('v1', None)
+    """
+    known = {item.version for item in kept if item.version is not None}
+    if known:
+        return known.pop() if len(known) == 1 else None
+    keepers = [item for item in kept if item.keeps_all]
+    instances = max(item.instances for item in kept)
+    if not keepers or instances - len(keepers) > HOLDERS:
+        return None
+    defaults = {item.default for item in keepers}
+    return defaults.pop() if len(defaults) == 1 else None
+
+
 def failure_reason(reply: Result) -> str:
     """Returns why a reply is not the expected one."""
     return str(reply.failure()) if isinstance(reply, Failure) else "another message"
--- a/src/lagoonrill/_internal/coordination/stream_origins.py
+++ b/src/lagoonrill/_internal/coordination/stream_origins.py
@@ -11,6 +11,7 @@
 import secrets
 import threading
 import time
+import zlib
 from collections.abc import Callable
 from typing import Protocol
 
@@ -18,7 +19,13 @@
 from returns.result import Failure, Result
 
 from ..event_log import EventLog
-from ..protocol.errors import StoreError, StoreRejected, StoreUnavailable
+from ..protocol.errors import (
+    StoreConflict,
+    StoreError,
+    StoreRejected,
+    StoreUnavailable,
+)
+from ..protocol.messages import KeptStreamReply
 from ..protocol.routing import RoutingConfig
 from ..state.endpoint_registry import EndpointRegistry
 from .policy.stream_history import (
@@ -35,6 +42,7 @@
     StoredBatch,
     StoredStream,
 )
+from .store_eras import MAX_COPY_AGE_S, REWRITTEN_AFTER_S, StoreEras
 
 # The first event of a stream waits this long for its record. A store that is slower is
 # in trouble, and a caller should not wait for it.
@@ -50,9 +58,12 @@
 # A take-up waits this long for a list of the store.
 LOOKUP_TIMEOUT_S = 0.5
 MIN_LIST_INTERVAL_S = 0.1
-# All instances know by then that the store is back from an older copy, and have written
-# again what it lost: a call that got no answer lasts 1.5 s, a pause after it 0.8 s.
-REWRITTEN_AFTER_S = 3.0
+# Number of peers that keep a record; they write it again if the store loses it.
+HOLDERS = 3
+# Instances that do not set default versions write after the one that does, should it
+# have ended or know nothing; their names spread them over the second of these times.
+BACKUP_DELAY_S = 1.0
+BACKUP_SPREAD_S = 1.5
 RETRY_PAUSE_S = 0.3
 # Interval of the checks for a new default version, and of the lists that show whether
 # another instance has set it.
@@ -70,9 +81,11 @@
     """Everything that the store holds about the origins of streams.
 
     The era rises each time the store comes back from an older copy; 0 if it names none.
+    In `complete_era`, all records that the copy lacked have been written again.
     """
 
     era: int = 0
+    complete_era: int = 0
     defaults: list[DefaultVersion] = []
     batches: list[StoredBatch] = []
 
@@ -137,6 +150,15 @@
         The answer is not found out if no peer reaches the store either.
         """
 
+    def look_up_kept(self, service: str, key: str) -> str | None:
+        """Returns at which version a stream began, if the memory of peers proves it."""
+
+    def members_since(self, at: float) -> tuple[int, int]:
+        """Returns the number of instances, and of those that have lost their memory.
+
+        The second are those that have ended, or were lost, since a time on the clock.
+        """
+
 
 class NoHolders:
     """The holders of an instance without peers."""
@@ -156,6 +178,12 @@
     def look_up(self, service: str, key: str) -> LookUp | None:
         return LookUp()
 
+    def look_up_kept(self, service: str, key: str) -> str | None:
+        return None
+
+    def members_since(self, at: float) -> tuple[int, int]:
+        return 1, 0
+
 
 class OriginStore(Protocol):
     """Origins in the store; all calls may be repeated."""
@@ -175,6 +203,9 @@
 
     def remove_default(self, default: DefaultVersion) -> Result[object, StoreError]: ...
 
+    def confirm_era(self, era: int) -> Result[object, StoreError]:
+        """Stores that all records are there again in this era."""
+
 
 def stream_key(request_id: str) -> str:
     """Returns a short key for the id of a request, which may be of any length."""
@@ -232,11 +263,16 @@
         )
         self.held = HeldRecords(life_s=lambda: self.history.stream_life_s, clock=clock)
         self.seen = SeenBatches(clock=clock)
-        # Latest known era of the store, and when this instance saw that it had risen.
-        self.era = 0
-        self.restored_at = -math.inf
+        self.eras = StoreEras(
+            life_s=lambda: self.history.stream_life_s,
+            lost_since=lambda at: self.holders.members_since(at)[1],
+            copies=HOLDERS,
+            clock=clock,
+        )
         self.written_at = -math.inf
         self.holders: RecordHolders = NoHolders()
+        # Whether the latest list lacked default versions that are known here.
+        self.has_lost_defaults = False
         # Whether the latest call failed, and when a pending one began.
         self.has_failed_call = False
         self.call_began_at = math.inf
@@ -283,10 +319,13 @@
             # The earlier record may have been stored without an answer.
             with self.condition:
                 self.batches.withdraw(record.key)
-        elif not self.history.needs_record(service, version):
+        stream = StoredStream(record=record, begun_at=self.wall_clock())
+        if not (is_corrected or self.needs_record(service, version)):
+            if not self.eras.is_complete():
+                # Until then, a stream that is recorded nowhere is refused.
+                self._add([stream])
             return Begin.RECORDED
         waited_from = self.clock()
-        stream = StoredStream(record=record, begun_at=self.wall_clock())
         records = self._add([stream])
         handed_over = HandOver.NOT_STORED
         if self._wait_stored(records):
@@ -374,10 +413,28 @@
         if self._are_records_confirmed():
             return None
         version = self.history.default_version(service)
-        if version is None or self.history.needs_record(service, version):
+        if version is None or self.needs_record(service, version):
             return None
         return version
 
+    def needs_record(self, service: str, version: str) -> bool:
+        """Returns whether a stream may begin at a version only with a record."""
+        if not (self.eras.saw_restore or self._are_defaults_current()):
+            return True
+        return self.history.needs_record(service, version)
+
+    def _are_defaults_current(self) -> bool:
+        """Returns whether the latest list had the latest default versions.
+
+        A restored store has earlier ones, or none, until those who know the present
+        ones have written them again.
+        """
+        written_after_s = REWRITTEN_AFTER_S + BACKUP_DELAY_S + BACKUP_SPREAD_S
+        return (
+            self.eras.is_confirmed
+            or self.history.listed_at >= self.eras.seen_at + written_after_s
+        )
+
     def may_begin(self, service: str) -> bool:
         """Returns whether a new stream is likely to be allowed to begin somewhere."""
         return (
@@ -425,15 +482,16 @@
         version is known only while no stream has begun at another one than the default.
         """
         key = stream_key(request_id) if request_id else ""
-        found = self.look_up(service, key)
-        if found.found_out:
-            return found.version
-        by_peer = self.holders.look_up(service, key)
-        if by_peer is None:
+        found: LookUp | None = self.look_up(service, key)
+        if not found.found_out:
+            found = self.holders.look_up(service, key)
+        if found is None:
             # This instance may be cut off from peers that know a newer version.
             return None
-        if by_peer.found_out:
-            return by_peer.version
+        if found.version is not None:
+            return found.version
+        if found.found_out:
+            return self.holders.look_up_kept(service, key) if key else None
         # While the store answers nobody, nobody learns of a new version.
         is_settled = self.history.is_settled(service)
         return self.history.default_version(service) if is_settled else None
@@ -457,16 +515,36 @@
         """Returns whether a stream without a record may have begun elsewhere."""
         if not key and self.history.has_other_versions(service):
             return True
+        if is_settled or self._serves_default_only(service):
+            return False
         # The record may be among those that a restored store has lost.
-        return self.restored_for_s() < REWRITTEN_AFTER_S and not is_settled
+        return not self.eras.is_complete()
+
+    def _serves_default_only(self, service: str) -> bool:
+        """Returns whether nothing shows that another version has served lately.
+
+        For a process without a past. What endpoints write is in a restored store again
+        after some seconds.
+        """
+        return (
+            self.eras.seen_for_s() >= REWRITTEN_AFTER_S
+            and not self.history.has_other_versions(service)
+            and self.history.serves_default_only(service)
+        )
 
-    def restored_for_s(self) -> float:
-        """Returns the time since the store was seen to have come back from a copy."""
-        return self.clock() - self.restored_at
+    def kept_record(self, service: str, key: str) -> KeptStreamReply:
+        """Returns what this process knows about a stream without asking anybody."""
+        instances, _ = self.holders.members_since(self.clock() - MAX_COPY_AGE_S)
+        return KeptStreamReply(
+            version=self.history.begun_at_version(service, key),
+            default=self.history.default_version(service),
+            keeps_all=self.eras.keeps_records_since_copy(),
+            instances=instances,
+        )
 
     def known_after_s(self) -> float:
         """Returns after what time an unknown stream may be asked for again."""
-        return max(0.0, REWRITTEN_AFTER_S - self.restored_for_s())
+        return self.eras.complete_after_s()
 
     def _refresh(self) -> bool:
         """Waits for a list that begins from now on; returns whether there was one."""
@@ -478,14 +556,14 @@
                 lambda: self.history.listed_at >= now, LOOKUP_TIMEOUT_S
             )
 
-    def note_era(self, era: int) -> None:
-        """Writes all records again once the store has come back from an older copy."""
+    def note_era(self, era: int, *, is_restored: bool = False) -> None:
+        """Writes all records again once the store has come back from an older copy.
+
+        `is_restored` tells that this process has known an earlier era.
+        """
         with self.condition:
-            is_restored = 0 < self.era < era
-            self.era = max(self.era, era)
-            if not is_restored:
+            if not self.eras.note_era(era, is_restored=is_restored):
                 return
-            self.restored_at = self.clock()
             self.batches.renew()
             self.batches.add(self.held.living())
             self.list_wanted_at = self.clock()
@@ -514,6 +592,7 @@
         if (
             # An answer shows that records are taken again.
             not self.is_confirming
+            or self._is_confirmation_awaited()
             or self.history.list_due(self.services)
             or self.seen.is_list_due(self.history.stream_life_s)
         ):
@@ -524,7 +603,12 @@
             )
             if not self._list():
                 return False
-        return self._write_batches() and self._review_defaults() and self._remove_over()
+        return (
+            self._write_batches()
+            and self._confirm_era()
+            and self._review_defaults()
+            and self._remove_over()
+        )
 
     def _watch_list_age(self) -> None:
         is_old = self.list_age_s() > MAX_LIST_LAG_S
@@ -540,6 +624,9 @@
         self.is_confirming = True
         found = result.unwrap()
         self.note_era(found.era)
+        self.eras.note_confirmed(found.complete_era)
+        if self.history.listed_at == -math.inf:
+            self.eras.note_first_list(is_empty=not found.batches)
         wall_now = self.wall_clock()
         for default in found.defaults:
             self.history.add_default(default)
@@ -562,16 +649,64 @@
 
     def _restore_defaults(self, found: list[DefaultVersion]) -> bool:
         """Writes defaults again that the store lost; returns whether that succeeded."""
-        if not self.is_writer():
-            return True
         stored = {default.service: default.number for default in found}
-        for service, default in list(self.history.defaults.items()):
-            if stored.get(service, -1) >= default.number:
-                continue
-            if self._has_failed(self.store.add_default(default)):
+        lost = [
+            default
+            for default in list(self.history.defaults.values())
+            if stored.get(default.service, -1) < default.number
+        ]
+        self.has_lost_defaults = bool(lost)
+        if not (self.is_writer() or self._is_backup_due(self.eras.restored_at)):
+            return True
+        for default in lost:
+            result = self.store.add_default(default)
+            if isinstance(result, Failure) and isinstance(
+                result.failure(), StoreConflict
+            ):
+                # Another instance has written one meanwhile.
+                self.list_wanted_at = self.clock()
+            elif self._has_failed(result):
                 return False
         return True
 
+    def _is_backup_due(self, since: float) -> bool:
+        """Returns whether it is time to do what the writer of defaults has not done."""
+        spread = zlib.crc32(self.instance.encode("utf-8", "surrogateescape")) / 2**32
+        delay_s = BACKUP_DELAY_S + spread * BACKUP_SPREAD_S
+        return (
+            not self.eras.is_confirmed
+            and math.isfinite(since)
+            and self.clock() - since >= delay_s
+        )
+
+    def _is_confirmation_awaited(self) -> bool:
+        """Returns whether a list may show by now that the present era is confirmed."""
+        if self.eras.is_confirmed:
+            return False
+        is_soon = self.eras.is_complete() or self.has_lost_defaults
+        interval_s = BACKUP_DELAY_S if is_soon else DEFAULT_LIST_INTERVAL_S
+        return self.clock() - self.history.listed_at >= interval_s
+
+    def _confirm_era(self) -> bool:
+        """Lets new processes know that the records are complete.
+
+        Own records have been written before. Returns False if the call failed.
+        """
+        if (
+            self.eras.is_confirmed
+            or not self.eras.is_complete()
+            or self.has_lost_defaults
+        ):
+            return True
+        if not (self.is_writer() or self._is_backup_due(self.eras.complete_since)):
+            return True
+        era = self.eras.era
+        if self._has_failed(self._call(functools.partial(self.store.confirm_era, era))):
+            return False
+        self.eras.note_confirmed(era)
+        self.event_log.emit("stream_records_complete", era=era)
+        return True
+
     def _write_batches(self) -> bool:
         while True:
             with self.condition:
@@ -656,6 +791,9 @@
                     self.list_wanted_at = self.clock()
                 continue
             before = self.history.defaults.get(service)
+            if before is None and not self._are_defaults_current():
+                # There may be one that the store has lost.
+                continue
             result = self.store.add_default(default)
             if self._has_failed(result):
                 # Another instance may have set another one.
@@ -699,4 +837,5 @@
                 "unrecorded": self.unrecorded,
                 "held_records": len(self.held),
                 "is_confirming": self.is_confirming,
+                "are_complete": self.eras.is_complete(),
             }
--- a/src/lagoonrill/_internal/gateway_daemon.py
+++ b/src/lagoonrill/_internal/gateway_daemon.py
@@ -237,6 +237,7 @@
             instance=self.settings.instance,
             link=self.link,
             live_digests=self.peers.live_digests,
+            members_since=self.peers.members_since,
             has_peers=bool(self.peers.seeds),
             origins=self.origins,
             event_log=self.event_log,
@@ -402,7 +403,7 @@
 
         Findings are written by one instance of the fleet, as its peers have the same.
         """
-        self.origins.note_era(self.config_follower.position.era)
+        self.origins.note_era(self.config_follower.position.era, is_restored=True)
         if self.peers.store_rank() == 0:
             self.findings.write_again()
 
--- a/src/lagoonrill/_internal/protocol/messages.py
+++ b/src/lagoonrill/_internal/protocol/messages.py
@@ -220,6 +220,8 @@
     instance: str
     zone: str
     address: str
+    # Random per process.
+    process: str = ""
     config_version: int = 0
     # Era and revision of the store up to which the sender knows the endpoints.
     store_era: int = 0
@@ -403,6 +405,26 @@
     found_out: bool
 
 
+class KeptStreamRequest(PeerMessage):
+    """Asks a peer what it keeps in memory about where a stream began."""
+
+    service: str
+    key: str
+
+
+class KeptStreamReply(PeerMessage):
+    """Reply to `KeptStreamRequest`."""
+
+    # None if the sender does not know the stream.
+    version: str | None
+    # The default version of the service.
+    default: str | None
+    # Whether it runs since before any copy from which the store may have come back.
+    keeps_all: bool
+    # Number of instances that may keep records, including the sender.
+    instances: int
+
+
 class WindowUsage(msgspec.Struct, kw_only=True, array_like=True):
     """Requests of each team that an instance has counted in a window so far.
 
@@ -494,6 +516,8 @@
     | StreamsShared
     | StreamOriginRequest
     | StreamOriginReply
+    | KeptStreamRequest
+    | KeptStreamReply
     | UsageCounts
 )
 
--- a/src/lagoonrill/platform/_duties.py
+++ b/src/lagoonrill/platform/_duties.py
@@ -10,7 +10,16 @@
 from .._internal.protocol.headers import decode_era
 from .._internal.protocol.messages import WindowUsage
 from .._internal.transport.store_client import StoreClient, StoreResponse
-from ._store import ERA_HEADER, OBJECTS_PATH, unwatched_source
+from ._store import (
+    ERA_HEADER,
+    JSON_HEADERS,
+    create_object,
+    delete_object,
+    object_path,
+    put_object,
+    replace_object,
+    unwatched_source,
+)
 
 LEASE_KIND = "duties"
 REPORT_KIND = "usage-reports"
@@ -20,7 +29,6 @@
 SCALE_PATH = "/scale"
 HOLDER_HEADER = "Lease-Holder"
 TOKEN_HEADER = "Fencing-Token"
-JSON_HEADERS = {"Content-Type": "application/json"}
 # A renewal has to end well before the lease time; the store responds in milliseconds.
 STORE_TIMEOUT_S = 0.75
 # A call to the API that takes longer is repeated. A renewal that waits for it must
@@ -108,9 +116,11 @@
             **{field: getattr(state, field) for field in WireLease.__struct_fields__}
         )
         if revision is None:
-            result = self._create(LEASE_KIND, name, wire)
+            result = create_object(self.client, LEASE_KIND, name, wire)
         else:
-            result = self._replace(LEASE_KIND, name, wire, {"Revision": revision})
+            result = replace_object(
+                self.client, LEASE_KIND, name, wire, Revision=revision
+            )
         return result.bind(lambda response: self._written(name, state, response))
 
     def _written(
@@ -131,7 +141,8 @@
         self, window: int, counts: dict[str, int]
     ) -> Result[object, StoreError]:
         """Creates the report of a window; fails if there is one."""
-        return self._create(REPORT_KIND, str(window), WireReport(counts=counts))
+        wire = WireReport(counts=counts)
+        return create_object(self.client, REPORT_KIND, str(window), wire)
 
     def read_report(self, window: int) -> Result[dict[str, int] | None, StoreError]:
         """Returns the counts of a window, or None if there is no report."""
@@ -143,54 +154,20 @@
 
     def remove_report(self, window: int) -> Result[object, StoreError]:
         """Removes a report; it is no error if the store does not have it."""
-        path = object_path(REPORT_KIND, str(window))
-        return self.client.call(f"delete {REPORT_KIND}", "DELETE", path)
+        return delete_object(self.client, REPORT_KIND, str(window))
 
     def write_counts(
         self, instance: str, usage: list[WindowUsage]
     ) -> Result[object, StoreError]:
         """Replaces the counts that an instance has written, or creates the object."""
-        wire = WireCounts(usage=usage)
-        result = self._replace(COUNTS_KIND, instance, wire, {})
-        if isinstance(result, Success) and result.unwrap().status == 404:
-            return self._create(COUNTS_KIND, instance, wire)
-        return result
+        return put_object(self.client, COUNTS_KIND, instance, WireCounts(usage=usage))
 
     def read_counts(self) -> Result[list[WindowUsage], StoreError]:
         """Returns the counts of all objects; those that are invalid are left out."""
         return self.counts.list().map(
-            lambda found: [
-                entry for item in found.objects for entry in item.content or []
-            ]
+            lambda found: [entry for usage in found.contents() for entry in usage]
         )
 
-    def _replace(
-        self, kind: str, name: str, wire: msgspec.Struct, condition: dict
-    ) -> Result[StoreResponse, StoreError]:
-        metadata = {"Name": name, **condition}
-        return self.client.call(
-            f"write {kind}",
-            "PUT",
-            object_path(kind, name),
-            headers=JSON_HEADERS,
-            body=msgspec.json.encode({"Metadata": metadata, "Spec": wire}),
-        )
-
-    def _create(
-        self, kind: str, name: str, wire: msgspec.Struct
-    ) -> Result[StoreResponse, StoreError]:
-        return self.client.call(
-            f"create {kind}",
-            "POST",
-            OBJECTS_PATH + kind,
-            headers=JSON_HEADERS,
-            body=msgspec.json.encode({"Metadata": {"Name": name}, "Spec": wire}),
-        )
-
-
-def object_path(kind: str, name: str) -> str:
-    return f"{OBJECTS_PATH}{kind}/{name}"
-
 
 def decode_counts(name: str, spec: object) -> list[WindowUsage]:
     """Returns the counts in an object; raises `ValueError` if it is invalid."""
--- a/src/lagoonrill/platform/_store.py
+++ b/src/lagoonrill/platform/_store.py
@@ -35,6 +35,7 @@
 log = logbook.Logger("platform")
 
 OBJECTS_PATH = "/v1/objects/"
+JSON_HEADERS = {"Content-Type": "application/json"}
 # In all answers; it rises by one each time the store comes back from an older copy.
 ERA_HEADER = "Store-Era"
 CONFIG_KIND = "config"
@@ -45,6 +46,8 @@
 FINDING_KIND = "poison-parts"
 # Objects of the router itself: at which software versions streams began.
 ORIGIN_KIND = "stream-origins"
+# Name of the object of that kind with the era in which it is complete.
+COMPLETE_ERA_NAME = "complete-era"
 # Timeout of a list call, after which it is retried. The store responds within a few
 # milliseconds, and within some hundred when it is slow. A call that is lost at the end
 # of an outage is repeated early enough for the instance to know all changes three
@@ -314,6 +317,46 @@
         return StoreObject(name=wire.metadata.name, content=content)
 
 
+def object_path(kind: str, name: str) -> str:
+    return f"{OBJECTS_PATH}{kind}/{quote(name, safe='')}"
+
+
+def create_object(
+    client: StoreClient, kind: str, name: str, wire: msgspec.Struct
+) -> Result[StoreResponse, StoreError]:
+    """Creates an object; fails if the store has one of that name."""
+    body = msgspec.json.encode({"Metadata": {"Name": name}, "Spec": wire})
+    path = OBJECTS_PATH + kind
+    return client.call(f"create {kind}", "POST", path, headers=JSON_HEADERS, body=body)
+
+
+def replace_object(
+    client: StoreClient, kind: str, name: str, wire: msgspec.Struct, **condition: int
+) -> Result[StoreResponse, StoreError]:
+    """Replaces an object; the status is 404 if the store has none of that name."""
+    metadata = {"Name": name, **condition}
+    body = msgspec.json.encode({"Metadata": metadata, "Spec": wire})
+    path = object_path(kind, name)
+    return client.call(f"write {kind}", "PUT", path, headers=JSON_HEADERS, body=body)
+
+
+def put_object(
+    client: StoreClient, kind: str, name: str, wire: msgspec.Struct
+) -> Result[StoreResponse, StoreError]:
+    """Replaces an object, or creates it if the store does not have it."""
+    result = replace_object(client, kind, name, wire)
+    if isinstance(result, Success) and result.unwrap().status == 404:
+        return create_object(client, kind, name, wire)
+    return result
+
+
+def delete_object(
+    client: StoreClient, kind: str, name: str
+) -> Result[StoreResponse, StoreError]:
+    """Removes an object; it is no error if the store does not have it."""
+    return client.call(f"delete {kind}", "DELETE", object_path(kind, name))
+
+
 def unwatched_source(client: StoreClient, kind: str, decode) -> StoreObjectSource:
     """Returns a source of the router's own objects, which are only listed."""
     return StoreObjectSource(
@@ -336,15 +379,10 @@
     def __init__(self, *, client: StoreClient):
         self.client = client
         self.source = unwatched_source(client, FINDING_KIND, decode_finding)
-        self.path = self.source.path
 
     def list(self) -> Result[list[CrashFinding], StoreError]:
         """Returns the findings; objects that cannot be decoded are left out."""
-        return self.source.list().map(
-            lambda found: [
-                item.content for item in found.objects if item.content is not None
-            ]
-        )
+        return self.source.list().map(lambda found: found.contents())
 
     def add(self, finding: CrashFinding) -> Result[object, StoreError]:
         """Writes a finding, unless the store has it."""
@@ -354,22 +392,14 @@
             parts=sorted(finding.cause.parts),
             found_ms=round(finding.found_at * 1000),
         )
-        body = {"Metadata": {"Name": finding_name(finding)}, "Spec": wire}
-        result = self.client.call(
-            f"create {FINDING_KIND}",
-            "POST",
-            self.path,
-            headers={"Content-Type": "application/json"},
-            body=msgspec.json.encode(body),
-        )
+        result = create_object(self.client, FINDING_KIND, finding_name(finding), wire)
         if isinstance(result, Failure) and isinstance(result.failure(), StoreConflict):
             return Success(None)
         return result
 
     def remove(self, finding: CrashFinding) -> Result[object, StoreError]:
         """Removes a finding; it is no error if the store does not have it."""
-        path = f"{self.path}/{finding_name(finding)}"
-        return self.client.call(f"delete {FINDING_KIND}", "DELETE", path)
+        return delete_object(self.client, FINDING_KIND, finding_name(finding))
 
 
 class WireDefaultVersion(msgspec.Struct, rename="pascal", tag="default"):
@@ -380,6 +410,12 @@
     number: Annotated[int, msgspec.Meta(ge=0, le=MAX_UNIX_MS)]
 
 
+class WireCompleteEra(msgspec.Struct, rename="pascal", tag="complete-era"):
+    """The era in which all records of streams are in the store again."""
+
+    era: Annotated[int, msgspec.Meta(ge=0, le=MAX_UNIX_MS)]
+
+
 class WireStreams(msgspec.Struct, rename="pascal"):
     """Streams of a service that began at a version, with Unix times in ms."""
 
@@ -395,9 +431,13 @@
     streams: list[WireStreams]
 
 
-def decode_origins(name: str, spec: object) -> DefaultVersion | StoredBatch:
+def decode_origins(
+    name: str, spec: object
+) -> DefaultVersion | StoredBatch | WireCompleteEra:
     """Returns what an object says of origins; raises `ValueError` if it is invalid."""
-    wire = msgspec.convert(spec, WireDefaultVersion | WireBatch)
+    wire = msgspec.convert(spec, WireDefaultVersion | WireBatch | WireCompleteEra)
+    if isinstance(wire, WireCompleteEra):
+        return wire
     if isinstance(wire, WireDefaultVersion):
         return DefaultVersion(
             service=wire.service, version=wire.version, number=wire.number
@@ -432,16 +472,17 @@
     def __init__(self, *, client: StoreClient):
         self.client = client
         self.source = unwatched_source(client, ORIGIN_KIND, decode_origins)
-        self.path = self.source.path
 
     def list(self) -> Result[StoredOrigins, StoreError]:
         """Returns the origins; objects that cannot be decoded are left out."""
         return self.source.list().map(self._origins)
 
     def _origins(self, found: ObjectList) -> StoredOrigins:
-        contents = [item.content for item in found.objects]
+        contents = found.contents()
+        eras = [item.era for item in contents if isinstance(item, WireCompleteEra)]
         return StoredOrigins(
             era=found.era,
+            complete_era=max(eras, default=0),
             defaults=[item for item in contents if isinstance(item, DefaultVersion)],
             batches=[item for item in contents if isinstance(item, StoredBatch)],
         )
@@ -450,43 +491,26 @@
         self, batch: StoredBatch, *, is_created: bool
     ) -> Result[object, StoreError]:
         """Replaces the object of a batch, or creates it."""
-        wire = encode_batch(batch)
-        if is_created:
-            path = f"{self.path}/{batch.name}"
-            result = self._call("PUT", path, batch.name, wire)
-            if not isinstance(result, Success) or result.unwrap().status != 404:
-                return result
-        return self._call("POST", self.path, batch.name, wire)
+        write = put_object if is_created else create_object
+        return write(self.client, ORIGIN_KIND, batch.name, encode_batch(batch))
+
+    def confirm_era(self, era: int) -> Result[object, StoreError]:
+        """Stores that all records are there again in this era."""
+        wire = WireCompleteEra(era=era)
+        return put_object(self.client, ORIGIN_KIND, COMPLETE_ERA_NAME, wire)
 
     def remove(self, name: str) -> Result[object, StoreError]:
         """Removes a batch; it is no error if the store does not have it."""
-        return self._delete(name)
+        return delete_object(self.client, ORIGIN_KIND, name)
 
     def add_default(self, default: DefaultVersion) -> Result[object, StoreError]:
         """Creates the object of a default; fails if one of this number exists."""
-        wire = WireDefaultVersion(
-            service=default.service, version=default.version, number=default.number
-        )
-        return self._call("POST", self.path, default_name(default), wire)
+        wire = WireDefaultVersion(**msgspec.structs.asdict(default))
+        return create_object(self.client, ORIGIN_KIND, default_name(default), wire)
 
     def remove_default(self, default: DefaultVersion) -> Result[object, StoreError]:
         """Removes a replaced default; it is no error if the store does not have it."""
-        return self._delete(default_name(default))
-
-    def _delete(self, name: str) -> Result[StoreResponse, StoreError]:
-        path = f"{self.path}/{quote(name, safe='')}"
-        return self.client.call(f"delete {ORIGIN_KIND}", "DELETE", path)
-
-    def _call(
-        self, method: str, path: str, name: str, wire: msgspec.Struct
-    ) -> Result[StoreResponse, StoreError]:
-        return self.client.call(
-            f"write {ORIGIN_KIND}",
-            method,
-            path,
-            headers={"Content-Type": "application/json"},
-            body=msgspec.json.encode({"Metadata": {"Name": name}, "Spec": wire}),
-        )
+        return delete_object(self.client, ORIGIN_KIND, default_name(default))
 
 
 class StoreSources(msgspec.Struct, kw_only=True):
--- a/tests/gateway_kit.py
+++ b/tests/gateway_kit.py
@@ -121,6 +121,7 @@
         self.down = False
         self.refuses = False
         self.era = 1
+        self.complete_era = 0
         self.calls: list[str] = []
 
     def _call(self, name: str, function):
@@ -137,6 +138,19 @@
             self.era += 1
             self.batches.clear()
             self.defaults.clear()
+            self.complete_era = 0
+
+    def copy(self):
+        """Returns a copy to come back from."""
+        with self.lock:
+            return dict(self.batches), dict(self.defaults), self.complete_era
+
+    def restore(self, copy) -> None:
+        """Comes back from a copy."""
+        with self.lock:
+            self.era += 1
+            batches, defaults, self.complete_era = copy
+            self.batches, self.defaults = dict(batches), dict(defaults)
 
     def list(self):
         return self._call(
@@ -144,6 +158,7 @@
             lambda: Success(
                 StoredOrigins(
                     era=self.era,
+                    complete_era=self.complete_era,
                     defaults=list(self.defaults.values()),
                     batches=list(self.batches.values()),
                 )
@@ -181,6 +196,13 @@
 
         return self._call("remove_default", remove)
 
+    def confirm_era(self, era):
+        def confirm():
+            self.complete_era = era
+            return Success(None)
+
+        return self._call("confirm_era", confirm)
+
 
 class Gateway:
     """Request path of a gateway; `endpoints` maps services to scripted endpoints."""
--- a/tests/platform/test_stream_records.py
+++ b/tests/platform/test_stream_records.py
@@ -270,3 +270,31 @@
     # Streams of the default version need no record, so an outage stops none of them.
     assert all(item.status == 200 for item in fleet.streams)
     assert fleet.went_on() == STREAMS
+
+
+def test_streams_go_on_at_a_process_that_starts_as_the_store_is_restored(fleet):
+    """It reached the store before those that keep the records knew of the restore."""
+    fleet.settle()
+    fleet.serve("v2")
+    time.sleep(FOLLOW_S)
+    taker, beginner, witness = fleet.instances
+    fleet.beginner = beginner
+    began_at = time.monotonic()
+    fleet.begin()
+    time.sleep(0.3)
+    assert {v for item in fleet.streams for v in item.versions()} == {b"v1", b"v2"}
+    # The only process with a past does not reach the store until all are taken up.
+    fleet.link.set_mode("silent")
+
+    def kill_both() -> None:
+        taker.process.kill()
+        taker.process.wait()
+        fleet.kill_beginner()
+
+    age_s = time.monotonic() - began_at + FOLLOW_S / 2
+    fleet.restore_store(age_s, meanwhile=kill_both)
+    taker.start()
+    assert wait_until(taker.ready, 15)
+    fleet.take_up()
+    assert not fleet.mixed()
+    assert fleet.went_on() == STREAMS
--- a/tests/test_stream_holders.py
+++ b/tests/test_stream_holders.py
@@ -48,6 +48,7 @@
             instance=name,
             link=self.link,
             live_digests=lambda: [member.digest() for member in self.live],
+            members_since=lambda at: (1 + len(self.live), 0),
             has_peers=True,
             origins=self.origins,
             event_log=self.event_log,
@@ -169,6 +170,29 @@
     assert not first.holders.look_up("models", "unknown").found_out
 
 
+def test_what_peers_keep_proves_where_a_stream_began(members):
+    """A new process finds nothing in a restored store, which lacks the record."""
+    first, second, third = members
+    default = DefaultVersion(service="models", version="v1")
+    for member in (second, third):
+        member.origins.history.add_default(default)
+        # Nothing was recorded before they started.
+        assert wait_until(lambda member=member: member.origins.history.listed_at > 0)
+    third.holders.live = [second]
+    third.holders.live_digests = lambda: [second.digest()]
+    third.link.connect(second.link.address)
+    time.sleep(0.3)
+    third.holders.share([stream("k")])
+    assert wait_until(lambda: second.origins.history.begun_at_version("models", "k"))
+    assert first.holders.look_up_kept("models", "k") == "v2"
+    assert first.holders.look_up_kept("models", "unknown") == "v1"
+    # Without a process that runs since before the copy, nothing proves that.
+    for member in (second, third):
+        member.origins.eras.keeps_since = time.monotonic()
+    assert first.holders.look_up_kept("models", "k") == "v2"
+    assert first.holders.look_up_kept("models", "unknown") is None
+
+
 def test_an_instance_without_its_peers_guesses_no_version(members):
     """Streams may have begun elsewhere at a version that it has not heard of."""
     first, second, third = members
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -13,9 +13,14 @@
     StreamHistory,
     StreamRecord,
 )
+from lagoonrill._internal.coordination.store_eras import (
+    REWRITTEN_AFTER_S,
+    StoreEras,
+)
+from lagoonrill._internal.coordination.stream_holders import proved_version
 from lagoonrill._internal.coordination.stream_origins import (
+    HOLDERS,
     KEY_BYTES,
-    REWRITTEN_AFTER_S,
     Begin,
     HandOver,
     StreamOrigins,
@@ -285,6 +290,12 @@
     def look_up(self, service, key):
         return self.peer and self.peer.origins.look_up(service, key)
 
+    def look_up_kept(self, service, key):
+        return None
+
+    def members_since(self, at):
+        return 2, 0
+
     def hand_over(self, stream) -> HandOver:
         return self.peer.origins.store_for_peer([stream])
 
@@ -382,6 +393,132 @@
     assert taker.version_of("unrecorded") == "v1"
 
 
+def test_a_process_that_starts_after_a_restore_takes_no_lost_record_for_none(
+    store, world
+):
+    """It sees one era only, and is there before those that keep the records."""
+    writer = Instance(store, world)
+    writer.serve("v1", "v1", "v2")
+    copy = store.copy()
+    assert writer.begin("r1", "v2") is Begin.RECORDED
+    store.restore(copy)
+    world.now += 1.0
+    new = Instance(store, world, name="i2", is_writer=False)
+    new.serve("v1", "v1", "v2")
+    assert new.version_of("r1") is None
+    assert 0 < new.origins.known_after_s() <= REWRITTEN_AFTER_S
+    writer.origins.make_calls()
+    writer.origins.note_era(store.era)
+    writer.origins.make_calls()
+    world.now += 0.1
+    assert new.version_of("r1") == "v2"
+    assert new.version_of("unrecorded") is None
+    world.now += REWRITTEN_AFTER_S
+    writer.origins.make_calls()
+    assert store.complete_era == store.era
+    world.now += 0.1
+    # A process that starts later is told by the store, without waiting.
+    later = Instance(store, world, name="i3", is_writer=False)
+    for instance in (new, later):
+        instance.serve("v1", "v1", "v2")
+        assert instance.version_of("unrecorded") == "v1"
+
+
+def test_after_the_loss_of_all_around_a_restore_only_later_streams_are_known(
+    store, world
+):
+    """Nobody has the records that the copy lacks, and nobody ever will."""
+    before = Instance(store, world)
+    before.serve("v1", "v1", "v2")
+    copy = store.copy()
+    before.begin("lost", "v2")
+    store.restore(copy)
+    first, second = (Instance(store, world, name=name) for name in ("i1", "i2"))
+    for instance in (first, second):
+        instance.serve("v1", "v1", "v2")
+        instance.settle()
+    assert first.begin("later v1", "v1") is Begin.RECORDED
+    assert first.begin("later v2", "v2") is Begin.RECORDED
+    first.origins.make_calls()
+    while world.now < 1_000.0 + LIFE_S:
+        assert second.version_of("lost") is None
+        assert second.version_of("later v1") == "v1"
+        assert second.version_of("later v2") == "v2"
+        assert second.origins.known_after_s() > 0
+        world.now += LIFE_S / 7
+        first.origins.make_calls()
+    world.now += 2 * MAX_LIST_LAG_S
+    first.origins.make_calls()
+    assert store.complete_era == store.era
+
+
+def test_a_new_process_knows_the_only_version_soon_after_a_restore(store, world):
+    """All were killed, but nothing shows that another version has served lately."""
+    before = Instance(store, world)
+    before.serve("v1")
+    store.restore(store.copy())
+    new = Instance(store, world, name="i2")
+    new.serve("v1")
+    # What endpoints write may not be in the store again yet.
+    assert new.version_of("r1") is None
+    world.now += REWRITTEN_AFTER_S
+    assert new.version_of("r1") == "v1"
+    new.serve("v1", "v2")
+    new.begin("r2", "v2")
+    new.serve("v1")
+    assert new.version_of("r1") is None
+
+
+def test_a_default_that_a_restored_store_lacks_is_written_by_who_knows_it(store, world):
+    """The instance that sets defaults may be a new process, which does not know it."""
+    witness = Instance(store, world, name="i2", is_writer=False)
+    writer = Instance(store, world)
+    for instance in (writer, witness):
+        instance.serve("v1")
+    copy = store.copy()
+    for instance in (writer, witness):
+        instance.serve("v2")
+    world.now += LIFE_S + 2 * MAX_LIST_LAG_S + 1
+    for instance in (writer, witness, witness):
+        instance.origins.make_calls()
+    assert witness.origins.history.default_version(SERVICE) == "v2"
+    store.restore(copy)
+    new = Instance(store, world)
+    new.serve("v1", "v2")
+    for _ in range(16):
+        # Streams of the default in the copy are recorded.
+        assert new.origins.history.default_version(
+            SERVICE
+        ) == "v2" or new.origins.needs_record(SERVICE, "v1")
+        world.now += 0.5
+        for instance in (new, witness):
+            instance.origins.note_era(store.era)
+            instance.origins.make_calls()
+    new.origins.make_calls()
+    assert new.origins.history.default_version(SERVICE) == "v2"
+    assert new.version_of("unrecorded") == "v2"
+
+
+@pytest.mark.parametrize("lost", [HOLDERS, HOLDERS + 1])
+@pytest.mark.parametrize("is_young", [False, True])
+def test_records_are_complete_if_one_that_kept_them_lives(world, lost, is_young):
+    """A process that started after the copy cannot tell who has ended before."""
+    eras = StoreEras(
+        life_s=lambda: LIFE_S,
+        lost_since=lambda at: lost,
+        copies=HOLDERS,
+        clock=lambda: world.now,
+    )
+    eras.note_era(1)
+    eras.note_first_list(is_empty=not is_young)
+    world.now += 1.0
+    assert eras.note_era(2)
+    world.now += REWRITTEN_AFTER_S
+    assert eras.is_complete() == (lost == HOLDERS and not is_young)
+    world.now += LIFE_S
+    assert eras.is_complete()
+
+
 @pytest.mark.parametrize("peer", ["none", "in-touch", "away"])
 def test_an_instance_that_is_out_of_step_guesses_no_version(world, peer):
     """It has seen one version for long, and streams begin elsewhere at a new one."""
@@ -444,6 +581,11 @@
     other = Instance(store, world, name="i2")
     other.serve("v1", "v2")
     assert other.version_of("r1") == "v2"
+    # A new process does not know whether others have written all that was lost.
+    assert other.version_of("unrecorded") is None
+    world.now += REWRITTEN_AFTER_S
+    instance.origins.make_calls()
+    world.now += 0.1
     assert other.version_of("unrecorded") == "v1"
 
 
@@ -574,11 +716,46 @@
     assert history.default_version(SERVICE) == "v2"
 
 
+class FleetHolders(Holders):
+    """Peers of an instance of a `RandomFleet`; all of them keep its records."""
+
+    def __init__(self, fleet, instance):
+        self.fleet = fleet
+        self.instance = instance
+
+    @property
+    def peers(self) -> list[Instance]:
+        return [item for item in self.fleet.instances if item is not self.instance]
+
+    @property
+    def peer(self) -> Instance:
+        return self.fleet.rng.choice(self.peers)
+
+    def are_live(self) -> bool:
+        return bool(self.peers)
+
+    def share(self, streams) -> None:
+        for peer in self.peers:
+            peer.origins.hold_for_peer(streams)
+
+    def look_up_kept(self, service, key):
+        return proved_version(
+            [item.origins.kept_record(service, key) for item in self.fleet.instances]
+        )
+
+    def members_since(self, at):
+        ended = {name for name, ended_at in self.fleet.ends if ended_at >= at}
+        names = {item.origins.instance for item in self.fleet.instances}
+        return len(names | ended), len(ended)
+
+
 class RandomFleet:
     """Instances that come and go while versions change, each with its own list."""
 
     VERSIONS = ("v1", "v2", "v3")
     MAX_LAG_S = 2.0
+    # The store comes back from copies up to this age.
+    MAX_AGE_S = 5.0
 
     def __init__(self, seed: int):
         self.rng = random.Random(seed)
@@ -587,6 +764,9 @@
         self.instances: list[Instance] = []
         # Versions in service, with the times since when.
         self.served: list[tuple[float, tuple[str, ...]]] = [(0.0, ("v1",))]
+        # Instances that were killed, with the times.
+        self.ends: list[tuple[str, float]] = []
+        self.copies = [(0.0, self.store.copy())]
         # Confirmed streams that may still be taken up.
         self.begun: dict[str, tuple[str, float]] = {}
         self.start_instances()
@@ -596,8 +776,10 @@
             taken = {instance.origins.instance for instance in self.instances}
             free = [f"i{n}" for n in range(4) if f"i{n}" not in taken]
             name = self.rng.choice(free)
-            self.instances.append(Instance(self.store, self.world, name=name))
-            self.see(self.instances[-1])
+            instance = Instance(self.store, self.world, name=name)
+            instance.origins.holders = FleetHolders(self, instance)
+            self.instances.append(instance)
+            self.see(instance)
 
     def see(self, instance, *, lag_s: float = 0.0) -> tuple[str, ...]:
         """Lets an instance take a list that is up to `lag_s` old."""
@@ -614,6 +796,7 @@
                 self.kill,
                 self.cut,
                 self.lose,
+                self.restore,
                 self.begin,
                 self.begin,
                 self.take_up,
@@ -624,6 +807,15 @@
             self.store.execute_late()
         for instance in self.instances:
             self.see(instance, lag_s=self.MAX_LAG_S)
+        self.copies.append((self.world.now, self.store.copy()))
+
+    def restore(self) -> None:
+        """Brings an older copy back, and may kill instances at the same moment."""
+        if self.rng.random() < 0.5:
+            self.kill()
+        oldest = self.world.now - self.rng.uniform(0, self.MAX_AGE_S)
+        kept = [copy for at, copy in self.copies if at <= oldest]
+        self.store.restore(kept[-1])
 
     def change(self) -> None:
         count = self.rng.choice((1, 1, 2))
@@ -633,7 +825,8 @@
     def kill(self) -> None:
         count = self.rng.choice((1, len(self.instances)))
         for _ in range(count):
-            self.instances.pop(self.rng.randrange(len(self.instances)))
+            killed = self.instances.pop(self.rng.randrange(len(self.instances)))
+            self.ends.append((killed.origins.instance, self.world.now))
         self.start_instances()
 
     def cut(self) -> None:
@@ -646,9 +839,7 @@
         instance = self.rng.choice(self.instances)
         version = self.rng.choice(self.see(instance, lag_s=self.MAX_LAG_S))
         id = f"s{len(self.begun)}-{self.world.now}"
-        unrecorded = instance.origins.unrecorded
-        instance.begin(id, version)
-        if instance.origins.unrecorded == unrecorded:
+        if instance.begin(id, version) is Begin.RECORDED:
             self.begun[id] = version, self.world.now
 
     def take_up(self) -> None:
@@ -659,7 +850,8 @@
             assert found in (None, version), (id, found, version)
 
 
-@pytest.mark.parametrize("seed", range(300))
+# With the last two, a new process set another default before the lost one was back.
+@pytest.mark.parametrize("seed", [*range(300), 2971, 5427])
 def test_no_confirmed_stream_goes_on_at_another_version(seed):
     """Versions come and go, instances and the store too, and lists differ."""
     fleet = RandomFleet(seed)
