Answer 502 to a stream that has run and cannot be recorded

Cause: answered 503 to streams whose record is in doubt, after an endpoint had begun to run them. 503 promises that a request has not run. Rule REFUSED covers only requests that are not idempotent, but the promise of the status does not.

Change: 502 with the same reason and Retry-After where it has run; 503 where it was not sent.

--- a/src/lagoonrill/_internal/coordination/forwarding.py
+++ b/src/lagoonrill/_internal/coordination/forwarding.py
@@ -263,7 +263,7 @@
         if late and sending.may_have_run:
             raise Refusal(504, "timeout", remedy="Allow more time.")
         if sending.last_reason.startswith(ORIGIN_UNRECORDED):
-            raise origin_not_recorded()
+            raise origin_not_recorded(has_run=True)
         if sending.may_have_run:
             raise Refusal(
                 502,
@@ -307,7 +307,7 @@
         else:
             can_begin = not sending.request.id or self.origins.may_begin(service)
         if not can_begin:
-            raise origin_not_recorded()
+            raise origin_not_recorded(has_run=sending.may_have_run)
 
     def _is_served(self, sending: Sending, version: str) -> bool:
         """Returns whether the request may be sent to an endpoint of a version."""
@@ -761,7 +761,7 @@
             elif begin is Begin.NOT_RECORDED and self._may_begin_anew(sending, record):
                 return False
             elif not begin.is_allowed:
-                raise origin_not_recorded()
+                raise origin_not_recorded(has_run=True)
         sending.version = record.version
         sending.origin_known = True
         return True
@@ -796,13 +796,14 @@
         return new_events
 
 
-def origin_not_recorded() -> Refusal:
+def origin_not_recorded(*, has_run: bool) -> Refusal:
     """Returns the refusal of a stream whose version cannot be recorded now.
 
-    No event has reached the caller, and a stream that may be resumed may run again.
+    No event has reached the caller, and a stream that may be resumed may run again; but
+    503 would say that it has not.
     """
     return Refusal(
-        503,
+        502 if has_run else 503,
         "stream_origin_not_recorded",
         remedy="Retry after the time given; the store does not take records now.",
         retry_after_s=RECORD_RETRY_AFTER_S,
