Have all that saw a restore write lost findings again

Cause: the first instance by name wrote the findings that a restored store lacked. As a new process it knew of no restore, and nobody else wrote them.

Change: the others look after 1 to 2.5 s, and write what is missing.

--- a/src/lagoonrill/_internal/coordination/crash_findings.py
+++ b/src/lagoonrill/_internal/coordination/crash_findings.py
@@ -95,9 +95,14 @@
         finding = CrashFinding(cause=cause, found_at=0.0)
         self._enqueue(lambda: self.store.remove(finding))
 
-    def write_again(self) -> None:
+    def write_again(self, *, after_s: float = 0.0) -> None:
         """Writes the findings that a store lost when it came back from a copy."""
-        self._enqueue(self._write_lost)
+        if not after_s:
+            self._enqueue(self._write_lost)
+            return
+        timer = threading.Timer(after_s, self._enqueue, (self._write_lost,))
+        timer.daemon = True
+        timer.start()
 
     def _write_lost(self) -> Result:
         result = self.store.list()
--- a/src/lagoonrill/_internal/coordination/store_eras.py
+++ b/src/lagoonrill/_internal/coordination/store_eras.py
@@ -9,6 +9,7 @@
 
 import math
 import time
+import zlib
 from collections.abc import Callable
 
 # An era up to this one says that the store was never restored, or that it names no era.
@@ -21,6 +22,22 @@
 MAX_COPY_AGE_S = 12.0
 
 
+# The first instance by name writes what only one has to. The others do so later, if it
+# has not: it may have ended, or be a new process. Their names spread them over a time.
+BACKUP_DELAY_S = 1.0
+BACKUP_SPREAD_S = 1.5
+
+
+def backup_delay_s(instance: str) -> float:
+    """Returns how long an instance leaves a write to the first one.
+
+    >>> BACKUP_DELAY_S <= backup_delay_s("edge-a-1") < BACKUP_DELAY_S + BACKUP_SPREAD_S
+    True
+    """
+    spread = zlib.crc32(instance.encode("utf-8", "surrogateescape")) / 2**32
+    return BACKUP_DELAY_S + spread * BACKUP_SPREAD_S
+
+
 class StoreEras:
     """What this process knows of the store's present era; not thread-safe.
 
--- a/src/lagoonrill/_internal/coordination/stream_origins.py
+++ b/src/lagoonrill/_internal/coordination/stream_origins.py
@@ -11,7 +11,6 @@
 import secrets
 import threading
 import time
-import zlib
 from collections.abc import Callable
 from typing import Protocol
 
@@ -42,7 +41,14 @@
     StoredBatch,
     StoredStream,
 )
-from .store_eras import MAX_COPY_AGE_S, REWRITTEN_AFTER_S, StoreEras
+from .store_eras import (
+    BACKUP_DELAY_S,
+    BACKUP_SPREAD_S,
+    MAX_COPY_AGE_S,
+    REWRITTEN_AFTER_S,
+    StoreEras,
+    backup_delay_s,
+)
 
 # The first event of a stream waits this long for its record. A store that is slower is
 # in trouble, and a caller should not wait for it.
@@ -60,10 +66,6 @@
 MIN_LIST_INTERVAL_S = 0.1
 # Number of peers that keep a record; they write it again if the store loses it.
 HOLDERS = 3
-# Instances that do not set default versions write after the one that does, should it
-# have ended or know nothing; their names spread them over the second of these times.
-BACKUP_DELAY_S = 1.0
-BACKUP_SPREAD_S = 1.5
 RETRY_PAUSE_S = 0.3
 # Interval of the checks for a new default version, and of the lists that show whether
 # another instance has set it.
@@ -671,12 +673,10 @@
 
     def _is_backup_due(self, since: float) -> bool:
         """Returns whether it is time to do what the writer of defaults has not done."""
-        spread = zlib.crc32(self.instance.encode("utf-8", "surrogateescape")) / 2**32
-        delay_s = BACKUP_DELAY_S + spread * BACKUP_SPREAD_S
         return (
             not self.eras.is_confirmed
             and math.isfinite(since)
-            and self.clock() - since >= delay_s
+            and self.clock() - since >= backup_delay_s(self.instance)
         )
 
     def _is_confirmation_awaited(self) -> bool:
--- a/src/lagoonrill/_internal/gateway_daemon.py
+++ b/src/lagoonrill/_internal/gateway_daemon.py
@@ -25,6 +25,7 @@
 from .coordination.policy.shared_retry_budget import SharedRetryBudget
 from .coordination.policy.store_renewal import StoreRenewal
 from .coordination.send_permits import SendPermits
+from .coordination.store_eras import backup_delay_s
 from .coordination.store_follower import ObjectSource, StoreFollower
 from .coordination.store_freshness import StoreFreshness
 from .coordination.stream_holders import StreamHolders
@@ -402,11 +403,13 @@
     def _write_again(self) -> None:
         """Writes what a restored store lost.
 
-        Findings are written by one instance of the fleet, as its peers have the same.
+        All instances have the same findings. Those after the first one look whether it
+        has written them: it may have started after the restore, and not know of it.
         """
         self.origins.note_era(self.config_follower.position.era, is_restored=True)
-        if self.peers.store_rank() == 0:
-            self.findings.write_again()
+        is_first = self.peers.store_rank() == 0
+        delay_s = 0.0 if is_first else backup_delay_s(self.settings.instance)
+        self.findings.write_again(after_s=delay_s)
 
     def _apply_config(self, follower: StoreFollower) -> None:
         configs = [
--- a/tests/platform/test_stream_records.py
+++ b/tests/platform/test_stream_records.py
@@ -13,7 +13,7 @@
 import pytest
 
 from bench.soak.endpoints import Proxy, SoakEndpoint
-from bench.soak.history import History
+from bench.soak.history import DEADLY_BODY, History
 from lagoonrill._internal.coordination.policy.stream_history import MAX_LIST_LAG_S
 from standins.metadata_store import MetadataStore, MetadataStoreServer
 from standins.platform_objects import configuration, server
@@ -56,7 +56,7 @@
                 return
             time.sleep(self.retry_after_s)
 
-    def send(self, instance, id: str, **headers) -> int:
+    def send(self, instance, id: str, *, body: bytes = b"", **headers) -> int:
         host, _, port = instance.settings["callers_address"].rpartition(":")
         connection = http.client.HTTPConnection(host, int(port), timeout=3)
         sent = {**PLATFORM_HEADERS, "Attempt-Id": id, "Deadline-Ms": "8000"}
@@ -66,7 +66,7 @@
             contextlib.closing(connection),
             contextlib.suppress(OSError, http.client.HTTPException),
         ):
-            connection.request("POST", "/ask/1", headers=sent | headers)
+            connection.request("POST", "/ask/1", body=body, headers=sent | headers)
             response = connection.getresponse()
             status = response.status
             self.retry_after_s = float(response.getheader("Retry-After") or 0)
@@ -297,3 +297,28 @@
     fleet.take_up()
     assert not fleet.mixed()
     assert fleet.went_on() == STREAMS
+
+
+def test_findings_are_written_again_if_the_first_instance_is_a_new_process(fleet):
+    """It knew of no restore, and endpoints had to crash anew after the next loss."""
+    fleet.settle()
+    fleet.serve("v1", count=6)
+    time.sleep(FOLLOW_S)
+    first, _, _ = fleet.instances
+    began_at = time.monotonic()
+    deadly = Stream("deadly")
+    for number in range(20):
+        if fleet.store.kinds.get("poison-parts"):
+            break
+        deadly.send(first, f"deadly-{number}", body=DEADLY_BODY)
+        time.sleep(0.2)
+    assert fleet.store.kinds["poison-parts"]
+
+    def kill_first() -> None:
+        first.process.kill()
+        first.process.wait()
+
+    fleet.restore_store(time.monotonic() - began_at + 0.5, meanwhile=kill_first)
+    assert not fleet.store.kinds.get("poison-parts")
+    first.start()
+    assert wait_until(lambda: fleet.store.kinds.get("poison-parts"), 8)
