Draw kills in outages and restarts around restores in the soak

The soak drew neither beside two versions, and its callers took a broken stream up at once or not at all, so a restart of all hid what they would have got.

--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -17,7 +17,16 @@
 # Threads that inject faults concurrently, so that faults overlap.
 INJECTOR_THREADS = 2
 PAUSE_S = (0.1, 0.8)
-GATEWAY_FAULTS = ("kill", "kill_all", "pause", "stop", "store_turns_away", "reload")
+GATEWAY_FAULTS = (
+    "kill",
+    "kill_all",
+    "kill_all_in_outage",
+    "pause",
+    "reload",
+    "restart_around_restore",
+    "stop",
+    "store_turns_away",
+)
 # Time after the recovery in which requests show whether service is restored.
 VERIFICATION_S = 3.0
 
@@ -27,6 +36,9 @@
     seconds: Annotated[
         float, typer.Option(help="How long faults are injected.")
     ] = 30.0,
+    faults: Annotated[
+        list[str] | None, typer.Option(help="Faults to draw; without it, all.")
+    ] = None,
     gateways: Annotated[int, typer.Option(help="Number of gateways.")] = 4,
     callers: Annotated[int, typer.Option(help="Number of callers.")] = 12,
     keep: Annotated[str, typer.Option(help="Folder for the gateways' logs.")] = "",
@@ -40,7 +52,7 @@
         )
         try:
             environment.start()
-            inject_faults(environment, seed, seconds)
+            inject_faults(environment, seed, seconds, faults or list(FAULTS.variants))
             time.sleep(RECOVERY_S + VERIFICATION_S)
             ended_at = time.monotonic()
         finally:
@@ -50,10 +62,12 @@
     raise typer.Exit(1 if violations else 0)
 
 
-def inject_faults(environment: SoakEnvironment, seed: int, seconds: float) -> None:
+def inject_faults(
+    environment: SoakEnvironment, seed: int, seconds: float, faults: list[str]
+) -> None:
     """Injects faults from several threads, each with its own seed."""
     until = time.monotonic() + seconds
-    names = [name for name in FAULTS.variants if name != "default"]
+    names = [name for name in faults if name != "default"]
     # Serializes the faults of threads beyond the first two, so that these don't affect
     # the same gateway or endpoint at the same time.
     busy = threading.Lock()
@@ -64,6 +78,8 @@
             [name for name in names if name in GATEWAY_FAULTS],
             [name for name in names if name not in GATEWAY_FAULTS],
         )
+        if not groups[number % len(groups)]:
+            return
         while time.monotonic() < until:
             name = rng.choice(groups[number % len(groups)])
             if number >= len(groups):
--- a/bench/soak/environment.py
+++ b/bench/soak/environment.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import http.client
+import itertools
 import json
 import os
 import signal
@@ -34,6 +35,9 @@
 GRACE_S = 6.0
 CALLER_PAUSE_S = 0.05
 TIME_LIMIT_S = 3.0
+# A caller comes back to a broken stream for this long, with a pause after a refusal.
+TAKE_UP_S = 8.0
+TAKE_UP_PAUSE_S = 0.3
 # Short, so that leases change hands and windows are reported within a run.
 DUTY_BOUNDS = {
     "require_fencing": True,
@@ -43,6 +47,13 @@
 }
 
 
+def is_broken_stream(outcome: Outcome) -> bool:
+    """Returns whether a caller has got a part of a stream that may be resumed."""
+    is_whole = outcome.status == 200 and outcome.whole
+    may_be_resumed = outcome.kind == "ask" and outcome.status in (0, 200)
+    return may_be_resumed and not is_whole and last_event(outcome.body) > 0
+
+
 class Gateway:
     """A gateway process; after an exit it is restarted on the same address."""
 
@@ -193,6 +204,19 @@
         )
         self.store.put("servers", id, entry)
 
+    def release_half(self, service: str, *, pause_s: float = 0.0) -> None:
+        """Replaces half of a service's endpoints by those of the next version."""
+        self.release = self.release % 3 + 1
+        old = [
+            id
+            for id, (endpoint, _) in list(self.endpoints.items())
+            if endpoint.service == service and id not in self.history.leaving
+        ]
+        for id in old[::2]:
+            self.add_endpoint(service)
+            self.drain_endpoint(id)
+            time.sleep(pause_s)
+
     def write_odd_entry(self, fields: dict) -> None:
         """Writes an entry that names no endpoint to use, and stays."""
         self.store.put("servers", "i-odd", server(Service="elsewhere") | fields)
@@ -255,17 +279,20 @@
                 connection = None
             if outcome is not None:
                 self.history.add(outcome)
-                self._take_up(outcome)
+                if is_broken_stream(outcome):
+                    self._spawn(self._take_up, outcome)
 
     def _take_up(self, first: Outcome) -> None:
-        """Takes a broken stream up again at each gateway, as long as it breaks."""
-        outcome, received = first, first.body
-        for gateway in self.gateways:
+        """Takes a broken stream up until it is whole, at one gateway after the other.
+
+        Its caller comes back for some seconds, also while no gateway serves it.
+        """
+        received = first.body
+        until = time.monotonic() + TAKE_UP_S
+        for attempt in itertools.count():
+            gateway = self.gateways[attempt % len(self.gateways)]
             last = last_event(received)
-            is_whole = outcome.status == 200 and outcome.whole
-            if first.kind != "ask" or outcome.status not in (0, 200) or not last:
-                return
-            if is_whole or self.stopping.is_set():
+            if time.monotonic() > until or self.stopping.wait(CALLER_PAUSE_S):
                 return
             headers = {
                 VOCABULARY.resume_after: str(last),
@@ -274,13 +301,16 @@
             connection = http.client.HTTPConnection(
                 "127.0.0.1", gateway.port, timeout=TIME_LIMIT_S + 2
             )
-            id = f"{first.request}-{gateway.name}"
+            id = f"{first.request}-{attempt}"
             found = self._send_request(connection, gateway, "ask", id, **headers)
             connection.close()
-            if found is not None and found.status in (0, 200):
-                outcome = found
-                received += found.body
-                self.history.add(TakeUp(first=first.request, body=received))
+            if found is None or found.status not in (0, 200):
+                self.stopping.wait(TAKE_UP_PAUSE_S)
+                continue
+            received += found.body
+            self.history.add(TakeUp(first=first.request, body=received))
+            if found.status == 200 and found.whole:
+                return
 
     def send_deadly(self, kind: str) -> None:
         """Sends the request that crashes endpoints to each gateway."""
--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -1,9 +1,11 @@
 """Faults of a soak test; each is a class that injects a fault and reverts it."""
 
 import contextlib
+import math
 import random
 import signal
 import socket
+import threading
 import time
 
 import msgspec
@@ -17,6 +19,10 @@
 FAULTS = Registry(decision="fault")
 # Longest duration of a fault.
 MAX_FAULT_S = 3.0
+# Age of the copy from which the store comes back while gateways restart.
+MAX_COPY_AGE_S = 6.0
+# Time for endpoints to become known to all gateways.
+JOIN_S = 0.8
 # Share of the writes that get no answer, and after what time they are executed.
 LATE_SHARE = 0.35
 LATE_S = (1.0, 6.0)
@@ -361,17 +367,7 @@
 
     def inject(self, environment: SoakEnvironment, target, seconds: float) -> None:
         endpoint, _ = environment.endpoints[target]
-        environment.release = environment.release % 3 + 1
-        old = [
-            id
-            for id, (other, _) in environment.endpoints.items()
-            if other.service == endpoint.service
-            and id not in environment.history.leaving
-        ]
-        for id in old[::2]:
-            environment.add_endpoint(endpoint.service)
-            environment.drain_endpoint(id)
-            time.sleep(seconds / 10)
+        environment.release_half(endpoint.service, pause_s=seconds / 10)
 
 
 @FAULTS.register("deadly_request")
@@ -403,6 +399,58 @@
             gateway.start(environment.seeds())
 
 
+class RestartBesideVersions(KillAll):
+    """Base class of faults that kill gateways while the store is away.
+
+    Half of the engines get another software version first, and the killed gateways
+    start again at any moment, before the store is back or after.
+    """
+
+    # Smallest share of the gateways that are killed.
+    least_share = 1.0
+
+    def inject(self, environment: SoakEnvironment, target, seconds: float) -> None:
+        rng = random.Random(seconds)
+        environment.release_half("models")
+        time.sleep(JOIN_S)
+        environment.store.refusal_status = 503
+        time.sleep(rng.uniform(0, seconds / 2))
+        gateways = environment.gateways
+        least = math.ceil(self.least_share * len(gateways))
+        killed = rng.sample(gateways, rng.randint(least, len(gateways)))
+        for gateway in killed:
+            gateway.end()
+        starter = threading.Timer(
+            rng.uniform(0, seconds),
+            lambda: [gateway.start(environment.seeds()) for gateway in killed],
+        )
+        starter.start()
+        time.sleep(seconds / 2)
+        self.bring_back(environment, rng)
+        environment.store.refusal_status = 0
+        starter.join()
+        environment.write_entries_again()
+
+    def bring_back(self, environment: SoakEnvironment, rng: random.Random) -> None:
+        """Prepares the store for its return."""
+
+
+@FAULTS.register("kill_all_in_outage")
+class KillAllInOutage(RestartBesideVersions):
+    """Kills all gateways in an outage of the store."""
+
+
+@FAULTS.register("restart_around_restore")
+class RestartAroundRestore(RestartBesideVersions):
+    """Kills gateways while the store is away, and it comes back from an older copy."""
+
+    least_share = 0.2
+
+    def bring_back(self, environment: SoakEnvironment, rng: random.Random) -> None:
+        environment.store.restore(rng.uniform(0.5, MAX_COPY_AGE_S))
+        environment.put_configuration()
+
+
 @FAULTS.register("endpoint_vanishes")
 class EndpointVanishes(EndpointFault):
     """Replaces an endpoint whose entry is removed without a draining state."""
