Move the types of records of streams to a module of their own

Cause: stream_origins had grown to 850 lines, with the protocols of the store and of peers in it. Change: stream_records holds them; nothing else changes.

--- a/src/lagoonrill/_internal/coordination/forwarding.py
+++ b/src/lagoonrill/_internal/coordination/forwarding.py
@@ -51,7 +51,8 @@
 from .routed_request import RequestResolver, RoutedRequest
 from .sending import Answer, CallerBreak, Outcome, Sending, Silent
 from .service_selection import ServiceSelection
-from .stream_origins import Begin, StreamOrigins
+from .stream_origins import StreamOrigins
+from .stream_records import Begin
 
 # Maximum number of failed connection attempts per request; they do not count as sends.
 MAX_CONNECT_FAILURES = 4
--- a/src/lagoonrill/_internal/coordination/stream_holders.py
+++ b/src/lagoonrill/_internal/coordination/stream_holders.py
@@ -28,14 +28,8 @@
 from .policy.engine_placement import hash_rank, highest_ranked
 from .policy.stream_history import StreamRecord
 from .record_batches import StoredStream
-from .stream_origins import (
-    HOLDERS,
-    MAX_HOLD_S,
-    MAX_PENDING_S,
-    HandOver,
-    LookUp,
-    StreamOrigins,
-)
+from .stream_origins import MAX_HOLD_S, MAX_PENDING_S, StreamOrigins
+from .stream_records import HOLDERS, HandOver, LookUp
 
 # Peers that are asked to reach the store; one of them may end or lose the store too.
 ASKED = 2
--- a/src/lagoonrill/_internal/gateway_daemon.py
+++ b/src/lagoonrill/_internal/gateway_daemon.py
@@ -29,7 +29,8 @@
 from .coordination.store_follower import ObjectSource, StoreFollower
 from .coordination.store_freshness import StoreFreshness
 from .coordination.stream_holders import StreamHolders
-from .coordination.stream_origins import OriginStore, StreamOrigins
+from .coordination.stream_origins import StreamOrigins
+from .coordination.stream_records import OriginStore
 from .duties.assembly import DutyBackend, FleetDuties
 from .event_log import EventLog, EventLogHandler
 from .memory import allocator
--- a/src/lagoonrill/platform/_store.py
+++ b/src/lagoonrill/platform/_store.py
@@ -21,7 +21,7 @@
     ObjectList,
     StoreObject,
 )
-from .._internal.coordination.stream_origins import StoredOrigins
+from .._internal.coordination.stream_records import StoredOrigins
 from .._internal.protocol.checks import check_encodable
 from .._internal.protocol.errors import StoreConflict, StoreError, StoreInDoubt
 from .._internal.protocol.headers import decode_era
--- a/tests/gateway_kit.py
+++ b/tests/gateway_kit.py
@@ -19,10 +19,8 @@
 from lagoonrill._internal.coordination.policy.stream_history import DefaultVersion
 from lagoonrill._internal.coordination.record_batches import StoredBatch
 from lagoonrill._internal.coordination.send_permits import SendPermits
-from lagoonrill._internal.coordination.stream_origins import (
-    StoredOrigins,
-    StreamOrigins,
-)
+from lagoonrill._internal.coordination.stream_origins import StreamOrigins
+from lagoonrill._internal.coordination.stream_records import StoredOrigins
 from lagoonrill._internal.event_log import EventLog
 from lagoonrill._internal.memory.account import MemoryAccount, Part, PartBounds
 from lagoonrill._internal.memory.callers import CallerMemory
--- a/tests/test_stream_holders.py
+++ b/tests/test_stream_holders.py
@@ -15,11 +15,8 @@
     HAND_OVER_TIMEOUT_S,
     StreamHolders,
 )
-from lagoonrill._internal.coordination.stream_origins import (
-    Begin,
-    HandOver,
-    StreamOrigins,
-)
+from lagoonrill._internal.coordination.stream_origins import StreamOrigins
+from lagoonrill._internal.coordination.stream_records import Begin, HandOver
 from lagoonrill._internal.event_log import EventLog
 from lagoonrill._internal.protocol.errors import StoreInDoubt
 from lagoonrill._internal.protocol.messages import GatewayDigest
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -18,12 +18,12 @@
     StoreEras,
 )
 from lagoonrill._internal.coordination.stream_holders import proved_version
-from lagoonrill._internal.coordination.stream_origins import (
+from lagoonrill._internal.coordination.stream_origins import StreamOrigins
+from lagoonrill._internal.coordination.stream_records import (
     HOLDERS,
     KEY_BYTES,
     Begin,
     HandOver,
-    StreamOrigins,
     stream_key,
 )
 from lagoonrill._internal.event_log import EventLog
