Keep callers of the only version from waiting for an absent store

Cause: with one version present, a stream begins whether its record is stored or not, and yet its first event waited 0.2 s for each record in an outage. Change: no wait where nobody confirms records and no other version is there.

--- a/src/lagoonrill/_internal/coordination/stream_origins.py
+++ b/src/lagoonrill/_internal/coordination/stream_origins.py
@@ -196,7 +196,10 @@
         waited_from = self.clock()
         records = self._add([stream])
         handed_over = HandOver.NOT_STORED
-        if self._wait_stored(records):
+        has_store = self._are_records_confirmed()
+        if (has_store or not self._begins_anyway(record)) and self._wait_stored(
+            records
+        ):
             return Begin.RECORDED
         # A write that only waits for its turn is not made by peers as well.
         if self._is_turned_away() and self.holders.is_reachable():
@@ -219,8 +222,7 @@
         """Decides about a stream whose record this instance has not stored in time."""
         if handed_over is HandOver.STORED:
             return Begin.RECORDED
-        record = records[0].stream.record
-        if not self.history.other_versions_serve(record.service, record.version):
+        if self._begins_anyway(records[0].stream.record):
             self.unrecorded += 1
             return Begin.UNRECORDED
         begin = self._take_back(records)
@@ -230,6 +232,13 @@
             self.unrecorded += 1
         return begin
 
+    def _begins_anyway(self, record: StreamRecord) -> bool:
+        """Returns whether a stream may begin before its record is stored.
+
+        A take-up cannot reach another version while no endpoint has one.
+        """
+        return not self.history.other_versions_serve(record.service, record.version)
+
     def _take_back(self, records: list[OwnRecord]) -> Begin:
         """Takes records back that are not stored, after a write that is under way."""
         with self.condition:
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -355,8 +355,12 @@
     instance.serve("v2")
     store.down = True
     assert instance.begin("r1", "v2") is Begin.UNRECORDED
+    # The callers of further streams do not wait for the store.
+    instance.origins.condition.wait_for = None
+    assert instance.begin("r2", "v2") is Begin.UNRECORDED
+    instance.origins.condition.wait_for = instance._wait_for
     instance.serve("v1", "v2")
-    assert not instance.begin("r2", "v2").is_allowed
+    assert not instance.begin("r3", "v2").is_allowed
 
 
 @pytest.mark.parametrize("ends", ["planned", "killed"])
