Count each ended process of a peer, not the latest only

Cause: a peer that was killed, started again and was then out of reach for a moment was taken for one that had never ended, as the end of its second process replaced that of its first. Change: ends are kept by instance and process.

--- a/src/lagoonrill/_internal/coordination/gateway_peers.py
+++ b/src/lagoonrill/_internal/coordination/gateway_peers.py
@@ -76,13 +76,6 @@
     query_blocked_until: float = 0.0
 
 
-class ProcessEnd(msgspec.Struct, kw_only=True, frozen=True):
-    """The end of a process of a peer that was killed or lost."""
-
-    process: str
-    at: float
-
-
 class GatewayPeers:
     """Exchanges digests with all known peers."""
 
@@ -129,8 +122,8 @@
         self.lock = threading.Lock()
         self.views: dict[str, PeerView] = {}
         self.process = secrets.token_hex(PROCESS_BYTES)
-        # By instance, the latest end of a process that did not leave as planned.
-        self.ends: dict[str, ProcessEnd] = {}
+        # Ends of processes that did not leave as planned, by instance and process.
+        self.ends: dict[tuple[str, str], float] = {}
         # Demand for the services whose endpoints are ordered by the load.
         self.demand: Callable[[], list[ServiceDemand]] = list
         self.changed = threading.Event()
@@ -489,12 +482,10 @@
 
     def _note_process(self, digest: GatewayDigest, before: PeerView | None) -> None:
         """Notes whether a process has ended before a digest, or has come back."""
-        name = digest.instance
         if before is not None and before.digest.process != digest.process:
-            self.ends[name] = ProcessEnd(process=before.digest.process, at=self.clock())
-        elif name in self.ends and self.ends[name].process == digest.process:
-            # It was only out of reach.
-            del self.ends[name]
+            self.ends[digest.instance, before.digest.process] = self.clock()
+        # If it was lost, it was only out of reach.
+        self.ends.pop((digest.instance, digest.process), None)
 
     def members_since(self, at: float) -> tuple[int, int]:
         """Returns the number of instances, and of those that have lost their memory.
@@ -503,7 +494,9 @@
         the clock. Instances that left as planned have handed on what they knew.
         """
         with self.lock:
-            ended = {name for name, end in self.ends.items() if end.at >= at}
+            ended = {
+                name for (name, _), ended_at in self.ends.items() if ended_at >= at
+            }
             ended.update(name for name, view in self.views.items() if view.lost)
             return 1 + len(self.views.keys() | ended), len(ended)
 
@@ -542,9 +535,7 @@
                 limit_s = LOST_AFTER_S if self._is_near(view) else far_limit_s
                 if age_s > limit_s and not view.lost:
                     view.lost = True
-                    self.ends[name] = ProcessEnd(
-                        process=view.digest.process, at=view.heard_at
-                    )
+                    self.ends[name, view.digest.process] = view.heard_at
                     self._drop_peer(name)
                     self.event_log.emit(
                         "peer_lost", peer=name, silent_s=round(age_s, 2)
@@ -554,9 +545,9 @@
             for name, _ in forgotten:
                 del self.views[name]
             self.ends = {
-                name: end
-                for name, end in self.ends.items()
-                if now - end.at <= END_LIFETIME_S
+                key: ended_at
+                for key, ended_at in self.ends.items()
+                if now - ended_at <= END_LIFETIME_S
             }
         for name, address in forgotten:
             self._drop_peer(name)
--- a/tests/test_gateway_peers.py
+++ b/tests/test_gateway_peers.py
@@ -6,6 +6,7 @@
 from lagoonrill._internal.coordination.crash_reports import CrashReports
 from lagoonrill._internal.coordination.endpoint_signals import EndpointSignals
 from lagoonrill._internal.coordination.gateway_peers import (
+    LOST_AFTER_S,
     OWNER_BACKOFF_S,
     SMALL_FLEET,
     GatewayPeers,
@@ -45,6 +46,9 @@
     def connect(self, address):
         pass
 
+    def disconnect(self, address):
+        pass
+
     def addresses(self):
         return set()
 
@@ -225,6 +229,34 @@
     assert kit.link.sent[-1].doubtful is None
 
 
+def test_instances_that_have_lost_their_memory_are_counted():
+    """They may have had the only records that a restored store has lost."""
+    kit = PeersKit(0)
+    for number in range(5):
+        kit.receive_digest(number, process="first")
+    since = kit.now
+    assert kit.peers.members_since(since) == (6, 0)
+    kit.now += LOST_AFTER_S + 0.1
+    kit.receive_digest(0, process="first")
+    # Restarted before it was lost, and left as planned.
+    kit.receive_digest(1, process="second")
+    kit.receive_digest(2, process="first", leaving=True)
+    kit.peers._mark_lost_peers()
+    assert kit.peers.members_since(since) == (5, 3)
+    # One was only out of reach, the other one was killed.
+    kit.receive_digest(3, process="first")
+    kit.receive_digest(4, process="second")
+    assert kit.peers.members_since(since) == (5, 2)
+    # The second process of an instance being out of reach brings the first not back.
+    kit.now += LOST_AFTER_S + 0.1
+    for number in (0, 3, 4):
+        kit.receive_digest(number, process="first" if number < 4 else "second")
+    kit.peers._mark_lost_peers()
+    kit.receive_digest(1, process="second")
+    assert kit.peers.members_since(since) == (5, 2)
+    assert kit.peers.members_since(kit.now) == (5, 0)
+
+
 def test_instances_ask_the_store_in_an_order_that_all_know(kit):
     # If each zone had its own, the calls to the store would grow with the zones.
     assert kit.peers.store_rank() == 0
