--- a/tests/test_duty_lease.py
+++ b/tests/test_duty_lease.py
@@ -185,6 +185,30 @@
     assert fleet.leases["a"].token() > token + 2**31
 
 
+@pytest.mark.parametrize("restored", [True, False], ids=["restored", "outage"])
+def test_new_processes_use_no_token_of_the_ones_that_were_killed(fleet, restored):
+    """All were killed while the store was away, so nobody remembers a token."""
+    kept = fleet.store.copy()
+    fleet.run(3)
+    # The lease changes hands, which the copy does not show.
+    fleet.stopped.add("a")
+    fleet.run(2 * LEASE_S)
+    fleet.stopped.clear()
+    used = {token for _, _, token in fleet.acted}
+    assert len(used) > 1
+    fleet.store.mode = "down"
+    fleet.run(1)
+    fleet.leases = {name: fleet.lease(name) for name in fleet.leases}
+    fleet.run(1)
+    if restored:
+        fleet.store.restore(kept)
+    fleet.store.mode = "ok"
+    fleet.acted.clear()
+    fleet.run(2 * LEASE_S)
+    tokens = {token for _, _, token in fleet.acted}
+    assert tokens and min(tokens) > max(used)
+
+
 def test_a_store_restored_to_before_the_lease(fleet):
     token = fleet.leases["a"].token()
     fleet.store.restore((10, {}, {}))
