Let a take-up at a new process wait until it hears of its peers

Change: in the first 3 s of an era, peers are asked again for up to 1 s. Result: the new test fails without the change (the take-up is refused) and passes with it; 377 tests of the touched modules pass.

--- a/src/lagoonrill/_internal/coordination/stream_origins.py
+++ b/src/lagoonrill/_internal/coordination/stream_origins.py
@@ -69,6 +69,9 @@
 # A take-up waits this long for a list of the store.
 LOOKUP_TIMEOUT_S = 0.5
 MIN_LIST_INTERVAL_S = 0.1
+# Peers of a process that has just started are asked so many times what they keep.
+KEPT_ATTEMPTS = 10
+KEPT_PAUSE_S = 0.1
 RETRY_PAUSE_S = 0.3
 # Interval of the checks for a new default version, and of the lists that show whether
 # another instance has set it.
@@ -368,11 +371,27 @@
         if found.version is not None:
             return found.version
         if found.found_out:
-            return self.holders.look_up_kept(service, key) if key else None
+            return self._find_kept(service, key) if key else None
         # While the store answers nobody, nobody learns of a new version.
         is_settled = self.history.is_settled(service)
         return self.history.default_version(service) if is_settled else None
 
+    def _find_kept(self, service: str, key: str) -> str | None:
+        """Returns the version at which a stream began, if what peers keep proves it.
+
+        A process that has just started has to hear of its peers first, which takes less
+        time than its caller would need to come back.
+        """
+        for _ in range(KEPT_ATTEMPTS):
+            version = self.holders.look_up_kept(service, key)
+            if version is None:
+                # The store may have got the record meanwhile.
+                version = self.history.begun_at_version(service, key)
+            if version is not None or self.eras.seen_for_s() >= REWRITTEN_AFTER_S:
+                return version
+            self.stopping.wait(KEPT_PAUSE_S)
+        return None
+
     def look_up(self, service: str, key: str) -> LookUp:
         """Looks a stream up here and in the store."""
         known = self.history.begun_at_version(service, key)
--- a/tests/test_stream_holders.py
+++ b/tests/test_stream_holders.py
@@ -11,12 +11,21 @@
     StreamRecord,
 )
 from lagoonrill._internal.coordination.record_batches import StoredStream
+from lagoonrill._internal.coordination.store_eras import REWRITTEN_AFTER_S
 from lagoonrill._internal.coordination.stream_holders import (
     HAND_OVER_TIMEOUT_S,
     StreamHolders,
 )
-from lagoonrill._internal.coordination.stream_origins import StreamOrigins
-from lagoonrill._internal.coordination.stream_records import Begin, HandOver
+from lagoonrill._internal.coordination.stream_origins import (
+    KEPT_ATTEMPTS,
+    KEPT_PAUSE_S,
+    StreamOrigins,
+)
+from lagoonrill._internal.coordination.stream_records import (
+    Begin,
+    HandOver,
+    stream_key,
+)
 from lagoonrill._internal.event_log import EventLog
 from lagoonrill._internal.protocol.errors import StoreInDoubt
 from lagoonrill._internal.protocol.messages import GatewayDigest
@@ -214,6 +223,25 @@
     assert first.holders.look_up_kept("models", "unknown") is None
 
 
+def test_a_take_up_at_a_new_process_waits_until_it_hears_of_its_peers(members):
+    """It was refused, and its caller had to come back after 3 s."""
+    first, second, _ = members
+    assert wait_until(lambda: second.origins.history.listed_at > 0)
+    second.origins.hold_for_peer([stream(stream_key("r1"))])
+    first.origins.store.down = False
+    first.origins.store.era = 2
+    first.live = []
+    timer = threading.Timer(0.4, setattr, (first, "live", [second]))
+    timer.start()
+    assert first.origins.version_of("models", "r1") == "v2"
+    # A record that nobody has is not waited for any longer after some seconds.
+    first.origins.eras.seen_at -= REWRITTEN_AFTER_S
+    second.origins.eras.keeps_since = time.monotonic()
+    began_at = time.monotonic()
+    assert first.origins.version_of("models", "unknown") is None
+    assert time.monotonic() - began_at < KEPT_ATTEMPTS * KEPT_PAUSE_S
+
+
 def test_an_instance_without_its_peers_guesses_no_version(members):
     """Streams may have begun elsewhere at a version that it has not heard of."""
     first, second, third = members
