Repeat the write of a record soon if it gets no answer

Cause: a write without an answer held its thread for 1.5 s, longer than a stream waits (0.8 s), and was repeated after a pause. Change: writes of the router's own objects time out after 0.5 s, and one in doubt is repeated at once, three times in a row; a stream whose record is in doubt waits for that.

--- a/src/lagoonrill/_internal/coordination/stream_origins.py
+++ b/src/lagoonrill/_internal/coordination/stream_origins.py
@@ -79,6 +79,8 @@
 DEFAULT_LIST_INTERVAL_S = 3.0
 # All instances together use this share of the writes that the store takes.
 WRITE_SHARE = 0.25
+# A write without an answer is repeated at once, so many times in a row: streams wait.
+WRITE_ATTEMPTS = 3
 PROCESS_BYTES = 6
 # Failures of a write that is not executed later either.
 NOT_EXECUTED = (StoreRejected, StoreUnavailable)
@@ -243,10 +245,15 @@
         return not self.history.other_versions_serve(record.service, record.version)
 
     def _take_back(self, records: list[OwnRecord]) -> Begin:
-        """Takes records back that are not stored, after a write that is under way."""
+        """Takes records back that are not stored, after writes that are under way."""
         with self.condition:
+            # A record in doubt is written again, and counts once that is confirmed.
             self.condition.wait_for(
-                lambda: not any(item.is_pending for item in records), MAX_PENDING_S
+                lambda: (
+                    all(item.is_stored for item in records)
+                    or not any(item.is_pending or item.is_in_doubt for item in records)
+                ),
+                MAX_PENDING_S,
             )
             if all(item.is_stored for item in records):
                 return Begin.RECORDED
@@ -602,6 +609,7 @@
         return True
 
     def _write_batches(self) -> bool:
+        attempts_left = WRITE_ATTEMPTS
         while True:
             with self.condition:
                 if (batch := self.batches.next_due()) is None:
@@ -630,7 +638,9 @@
                     self.batches.note_in_doubt(batch, written)
                 self.is_confirming = not has_failed
                 self.condition.notify_all()
-            if has_failed:
+            attempts_left = attempts_left - 1 if has_failed else WRITE_ATTEMPTS
+            is_refused = has_failed and isinstance(result.failure(), NOT_EXECUTED)
+            if is_refused or not attempts_left:
                 return False
 
     def _share(self, records: list[OwnRecord]) -> None:
--- a/src/lagoonrill/_internal/transport/store_client.py
+++ b/src/lagoonrill/_internal/transport/store_client.py
@@ -71,9 +71,12 @@
         connect_timeout_s: float | None = None,
         headers: dict[str, str] | None = None,
         connections: int = POOL_CONNECTIONS,
+        write_timeout_s: float | None = None,
         refusal_statuses: Collection[int] = (),
     ):
         self.call_timeout_s = call_timeout_s
+        # Of calls that write, which may be repeated sooner.
+        self.write_timeout_s = write_timeout_s or call_timeout_s
         self.refusal_statuses = frozenset(refusal_statuses)
         self.connect_timeout_s = connect_timeout_s or call_timeout_s
         self.headers = headers or {}
@@ -130,8 +133,9 @@
         """Makes one call; without `connection`, on a connection of the pool."""
         sent = self.headers | (headers or {})
         self._count_sent(kind, path, sent, body)
+        timeout_s = self.call_timeout_s if method == "GET" else self.write_timeout_s
         timeout = urllib3.Timeout(
-            connect=self.connect_timeout_s, read=read_timeout_s or self.call_timeout_s
+            connect=self.connect_timeout_s, read=read_timeout_s or timeout_s
         )
         answer = None
         try:
--- a/src/lagoonrill/platform/_store.py
+++ b/src/lagoonrill/platform/_store.py
@@ -47,7 +47,7 @@
 # Objects of the router itself: at which software versions streams began.
 ORIGIN_KIND = "stream-origins"
 # Name of the object of that kind with the era in which it is complete.
-COMPLETE_ERA_NAME = "complete-era"
+ERA_NAME = "complete-era"
 # Timeout of a list call, after which it is retried. The store responds within a few
 # milliseconds, and within some hundred when it is slow. A call that is lost at the end
 # of an outage is repeated early enough for the instance to know all changes three
@@ -57,6 +57,8 @@
 CONNECT_TIMEOUT_S = 0.7
 # Added to the wait of a watch to get its read timeout; the same as of a list.
 WATCH_MARGIN_S = CALL_TIMEOUT_S
+# A stream waits for the write of its record, which is repeated after this time.
+WRITE_TIMEOUT_S = 0.5
 # With these statuses, the store has done nothing.
 REFUSAL_STATUSES = (503,)
 # A call for each of the four kinds; watches have connections of their own.
@@ -439,9 +441,7 @@
     if isinstance(wire, WireCompleteEra):
         return wire
     if isinstance(wire, WireDefaultVersion):
-        return DefaultVersion(
-            service=wire.service, version=wire.version, number=wire.number
-        )
+        return DefaultVersion(**msgspec.structs.asdict(wire))
     streams = tuple(
         StoredStream(
             record=StreamRecord(key=key, service=group.service, version=group.version),
@@ -496,8 +496,7 @@
 
     def confirm_era(self, era: int) -> Result[object, StoreError]:
         """Stores that all records are there again in this era."""
-        wire = WireCompleteEra(era=era)
-        return put_object(self.client, ORIGIN_KIND, COMPLETE_ERA_NAME, wire)
+        return put_object(self.client, ORIGIN_KIND, ERA_NAME, WireCompleteEra(era=era))
 
     def remove(self, name: str) -> Result[object, StoreError]:
         """Removes a batch; it is no error if the store does not have it."""
@@ -529,6 +528,7 @@
         call_timeout_s=CALL_TIMEOUT_S,
         connect_timeout_s=CONNECT_TIMEOUT_S,
         connections=CONNECTIONS,
+        write_timeout_s=WRITE_TIMEOUT_S,
         refusal_statuses=REFUSAL_STATUSES,
     )
     configs, endpoints = (
--- a/tests/platform/test_stream_records.py
+++ b/tests/platform/test_stream_records.py
@@ -223,7 +223,7 @@
     fleet.taker, fleet.beginner = fleet.beginner, fleet.taker
     fleet.begin()
     fleet.link.set_mode(mode)
-    time.sleep(0.3)
+    assert wait_until(lambda: all(item.versions() for item in fleet.streams))
     fleet.kill_beginner()
     fleet.take_up()
     assert not fleet.mixed()
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -347,6 +347,28 @@
     assert origin in (None, after.version_of("r1"))
 
 
+def test_a_record_whose_write_gets_no_answer_is_written_again_at_once(world):
+    """A store that loses some answers made each stream of another version fail."""
+    store = LateStore()
+    instance = Instance(store, world)
+    instance.serve("v1", "v1", "v2")
+    instance.settle()
+    write, lost = store.write, [True, True, False, True, False]
+
+    def write_sometimes(batch, *, is_created):
+        store.is_lossy = lost.pop(0)
+        return write(batch, is_created=is_created)
+
+    store.write = write_sometimes
+    assert instance.begin("r1", "v2") is Begin.RECORDED
+    assert instance.begin("r2", "v2") is Begin.RECORDED
+    assert not lost
+    store.execute_late()
+    after = Instance(store, world, name="i2")
+    after.serve("v1", "v1", "v2")
+    assert [after.version_of(name) for name in ("r1", "r2")] == ["v2", "v2"]
+
+
 def test_a_stream_of_the_only_version_begins_without_a_record(world):
     """Nothing could go on with it at another version; refusing it helps nobody."""
     store = MemoryOrigins()
