Begin at the default version while a turn to write is far

Cause: since only stored records count, a stream that begins at another version waits for its instance's turn to write. At 390 instances and 400 writes a second that is 3.9 s: it would have run, waited 1.2 s and begun anew; and with one version present each stream would have waited 1.2 s for nothing.

Change: with a turn over 1 s away new streams begin at the default version, and a stream that begins anyway waits 0.2 s at most. StreamsBegun keeps its field store, which instances of earlier versions need during an upgrade. The test of a write that waits for its turn has endpoints of two versions now, as it is about streams that need a record.

--- a/src/lagoonrill/_internal/coordination/stream_origins.py
+++ b/src/lagoonrill/_internal/coordination/stream_origins.py
@@ -201,10 +201,10 @@
         waited_from = self.clock()
         records = self._add([stream])
         handed_over = HandOver.NOT_STORED
-        has_store = self._are_records_confirmed()
-        if (has_store or not self._begins_anyway(record)) and self._wait_stored(
-            records
-        ):
+        # A stream that begins anyway waits for a store that answers, not for a turn.
+        turn_s = 0.0 if self._begins_anyway(record) else self._turn_wait_s()
+        can_wait = self._are_records_confirmed() or not self._begins_anyway(record)
+        if can_wait and self._wait_stored(records, turn_s=turn_s):
             return Begin.RECORDED
         # A write that only waits for its turn is not made by peers as well.
         if self._is_turned_away() and self.holders.is_reachable():
@@ -269,7 +269,7 @@
         for stream in streams:
             self.history.add(stream.record, age_s=now - stream.begun_at)
         records = self._add(streams)
-        if self._wait_stored(records):
+        if self._wait_stored(records, turn_s=self._turn_wait_s()):
             return HandOver.STORED
         outcomes = {
             Begin.RECORDED: HandOver.STORED,
@@ -331,21 +331,23 @@
         )
 
     def _are_records_confirmed(self) -> bool:
-        return self.is_confirming or self.holders.is_reachable()
+        """Returns whether the store is likely to confirm a record in time."""
+        is_soon = self.is_confirming and self._turn_wait_s() <= MAX_TURN_S
+        return is_soon or (self._is_turned_away() and self.holders.is_reachable())
 
-    def _wait_stored(self, records: list[OwnRecord]) -> bool:
+    def _wait_stored(self, records: list[OwnRecord], *, turn_s: float) -> bool:
         """Waits until records are stored; returns whether that was in time.
 
-        A store that does not answer is not waited for if peers can store them.
+        `turn_s` is the time until this instance may write. A store that does not
+        answer is not waited for if peers can store them.
         """
         with self.condition:
             can_wait = not (self._is_turned_away() and self.holders.is_reachable())
-            turn_s = min(MAX_TURN_S, max(0.0, self._turn_at() - self.clock()))
             is_stored = self.condition.wait_for(
                 lambda: all(record.is_stored for record in records),
-                MAX_HOLD_S + turn_s if can_wait else 0.0,
+                MAX_HOLD_S + min(turn_s, MAX_TURN_S) if can_wait else 0.0,
             )
-            if not is_stored:
+            if not is_stored and self._turn_wait_s() == 0.0:
                 self.is_confirming = False
                 self.wake.set()
             return is_stored
@@ -654,13 +656,13 @@
 
     def _wait_for_turn(self) -> None:
         """Waits until this instance may write to the store again."""
-        self.stopping.wait(max(0.0, self._turn_at() - self.clock()))
+        self.stopping.wait(self._turn_wait_s())
         self.written_at = self.clock()
 
-    def _turn_at(self) -> float:
-        """Returns the time from which on this instance may write."""
+    def _turn_wait_s(self) -> float:
+        """Returns the time until this instance may write."""
         spacing_s = self.instances() / (WRITE_SHARE * self.writes_per_s)
-        return self.written_at + spacing_s
+        return max(0.0, self.written_at + spacing_s - self.clock())
 
     def _remove_over(self) -> bool:
         """Removes batches in which no stream can live any more from the store."""
--- a/src/lagoonrill/_internal/protocol/messages.py
+++ b/src/lagoonrill/_internal/protocol/messages.py
@@ -369,6 +369,8 @@
 
     instance: str
     streams: list[BegunStream]
+    # Without it, receivers of earlier versions keep the records in memory only.
+    store: bool = True
 
 
 class StreamsBegunReply(PeerMessage):
--- a/tests/test_stream_holders.py
+++ b/tests/test_stream_holders.py
@@ -29,6 +29,7 @@
 from lagoonrill._internal.event_log import EventLog
 from lagoonrill._internal.protocol.errors import StoreInDoubt
 from lagoonrill._internal.protocol.messages import GatewayDigest
+from lagoonrill._internal.protocol.routing import EndpointRecord
 from lagoonrill._internal.state.endpoint_registry import EndpointRegistry
 from lagoonrill._internal.transport.peer_link import PeerLink
 from standins.ports import free_port
@@ -257,6 +258,13 @@
     first, second, third = members
     first.origins.store.down = False
     first.origins.instances = lambda: 1_000
+    endpoints = [
+        EndpointRecord(
+            id=name, service="models", address="x:1", zone="a", slots=1, version=name
+        )
+        for name in ("v1", "v2")
+    ]
+    first.origins.history.note_endpoints(endpoints)
     for number in range(2):
         begin = first.origins.note_begun("models", f"r{number}", "v2")
         assert begin is Begin.RECORDED
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -18,7 +18,10 @@
     StoreEras,
 )
 from lagoonrill._internal.coordination.stream_holders import proved_version
-from lagoonrill._internal.coordination.stream_origins import StreamOrigins
+from lagoonrill._internal.coordination.stream_origins import (
+    WRITE_SHARE,
+    StreamOrigins,
+)
 from lagoonrill._internal.coordination.stream_records import (
     HOLDERS,
     KEY_BYTES,
@@ -347,6 +350,19 @@
     assert origin in (None, after.version_of("r1"))
 
 
+def test_streams_begin_at_the_default_while_a_turn_to_write_is_far(store, world):
+    """With many instances each stream of another version ran, waited and ran anew."""
+    instance = Instance(store, world)
+    instance.serve("v1", "v1", "v2")
+    instance.settle()
+    assert instance.origins.required_version(SERVICE) is None
+    instance.origins.writes_per_s = 2.0
+    assert instance.begin("r1", "v2") is Begin.RECORDED
+    assert instance.origins.required_version(SERVICE) == "v1"
+    world.now += 2 / (WRITE_SHARE * 2.0)
+    assert instance.origins.required_version(SERVICE) is None
+
+
 def test_a_record_whose_write_gets_no_answer_is_written_again_at_once(world):
     """A store that loses some answers made each stream of another version fail."""
     store = LateStore()
