--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -5,5 +5,6 @@
 cd "$(dirname "$0")/.." || exit 1
 PYTHONDONTWRITEBYTECODE=1 PYTHONPATH=target/deps:src:. exec python3 -c '
 import review.harness_3.clients, review.harness_3.fleet, review.harness_3.workers
+import review.harness_3.platform
 import standins.metadata_store, standins.platform_objects, standins.ports
 '
