--- a/review/11/case.py
+++ b/review/11/case.py
@@ -1,9 +1,10 @@
-"""Requests with one Attempt-Id wait for an engine; others then wait for good."""
+"""Streams that wait for a worker of their version go on at a new one of another."""
 
 import os
 import random
 import sys
 import tempfile
+import threading
 import time
 from pathlib import Path
 
@@ -15,52 +16,53 @@
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 ZONES = ("a", "b")
-TIMEOUT_S = 3.0
-LATE_S = 0.5
-# A consumer leaves after a gap of 4 s: eight times the pause of 500 ms (PROTOCOL.md).
-PATIENCE_S = 4.0
-# Rule CONFIG: eight or more, and more than half of those that last so long.
-MIN_UNANSWERED = 8
-# Rates of the long requests, and the length of each phase in seconds.
-CALM = (4.0, 4.0)
-BUSY = (24.0, 8.0)
-AFTER = (4.0, 12.0)
-# Number of the client's requests at once.
-STRAY_REQUESTS = 8
-# Time for which it keeps its connections open without an answer.
-STRAY_PATIENCE_S = 60.0
-
-
-def routes() -> dict:
-    """Returns a configuration with a route for long prompts, as in the sheet."""
-    base = configuration()
-    plan = {
-        **base["Routes"][1],
-        "Service": "models",
-        "TimeoutMs": int(TIMEOUT_S * 1000),
-        "TargetLatencyMs": 800,
-        "GapAimMs": 500,
-        "Priority": 1,
-    }
-    del plan["Backends"]
-    return {**base, "Routes": [base["Routes"][0], plan]}
+WORKERS = 3
+# Of the sheet: events of a short question; an event holds 5 tokens.
+EVENTS, EVENT_S = 58, 0.04
+QUESTIONS_PER_S = 18.0
+RUN_S = 24.0
+# A release of v2, in seconds since the start of the traffic: each worker of it starts
+# first, and then an old one drains and leaves.
+FIRST_AT, GAP_S, DRAIN_AFTER_S = 8.0, 2.0, 0.3
+LEAVES_AFTER_S = 4.0
+# The last old worker crashes shortly before its successor starts.
+CRASH_BEFORE_S = 0.7
+# A consumer takes a broken stream up once, after this time, at another gateway.
+TAKE_UP_AFTER_S = 0.05
+# Rule ORDER: more than two streams hold events of two versions.
+MOST_MIXED = 2
+# A consumer leaves after a gap of eight times the pause of 300 ms (PROTOCOL.md).
+PATIENCE_S = 2.4
 
 
 def main() -> int:
-    folder = Path(__file__).parent
-    record = Record(folder / "record.txt")
-    rng = random.Random(11)
+    record = Record(Path(__file__).parent / "record.txt")
     store = MetadataStore()
     server = MetadataStoreServer(store)
-    store.put("config", "main", routes())
+    base = configuration()
+    store.put("config", "main", {**base, "Routes": base["Routes"][:1]})
 
     def began(request, id, version):
-        record.add("run", request=request.id, worker=id)
+        record.add(
+            "run",
+            request=request.id,
+            worker=id,
+            version=version,
+            after=request.headers.get("last-event-id"),
+        )
 
-    workers = [
-        ModelWorker(id=f"i-{number}", zone=ZONES[number % 2], store=store, began=began)
-        for number in range(3)
-    ]
+    def make(number: int, version: str) -> ModelWorker:
+        return ModelWorker(
+            id=f"i-{number}",
+            zone=ZONES[number % 2],
+            store=store,
+            version=version,
+            events=EVENTS,
+            event_s=EVENT_S,
+            began=began,
+        )
+
+    workers = [make(number, "v1") for number in range(WORKERS)]
     for worker in workers:
         worker.start()
     with tempfile.TemporaryDirectory() as settings:
@@ -77,14 +79,13 @@
             if not start_fleet(gateways):
                 record.add("not_ready")
                 return 2
-            status = play(gateways, record, rng)
-            for gateway in gateways:
-                if keep := os.environ.get("KEEP_LOGS"):
-                    Path(keep, f"{gateway.name}.log").write_bytes(
-                        gateway.log_path.read_bytes()
-                    )
-            return status
+            return play(gateways, workers, make, record)
         finally:
+            if keep := os.environ.get("KEEP_LOGS"):
+                for item in gateways:
+                    Path(keep, item.log_path.name).write_bytes(
+                        item.log_path.read_bytes()
+                    )
             for gateway in gateways:
                 gateway.end()
             for worker in workers:
@@ -92,75 +93,94 @@
             server.close()
 
 
-def play(gateways: list[Gateway], record: Record, rng: random.Random) -> int:
+def release(workers: list[ModelWorker], make, record: Record) -> None:
+    """Replaces the workers one after the other; one of them crashes before its turn."""
+    begun_at = time.monotonic()
+
+    def wait_until(at: float) -> None:
+        time.sleep(max(0.0, begun_at + at - time.monotonic()))
+
+    for number, old in enumerate(list(workers)):
+        starts_at = FIRST_AT + number * GAP_S
+        is_last = number == WORKERS - 1
+        if is_last and TROUBLE:
+            wait_until(starts_at - CRASH_BEFORE_S)
+            old.crash()
+            record.add(f"{old.id}_crashes")
+        wait_until(starts_at)
+        new = make(WORKERS + number, "v2")
+        workers.append(new)
+        new.start()
+        record.add(f"{new.id}_starts_v2")
+        if is_last and TROUBLE:
+            return
+        wait_until(starts_at + DRAIN_AFTER_S)
+        old.drain()
+        record.add(f"{old.id}_drains")
+        threading.Timer(LEAVES_AFTER_S, old.leave).start()
+
+
+def play(
+    gateways: list[Gateway], workers: list[ModelWorker], make, record: Record
+) -> int:
+    rng = random.Random(11)
     traffic = Traffic()
+    # Whole streams as their consumers got them, in one or two attempts.
+    streams: dict[str, bytes] = {}
 
-    def plan():
-        """Sends a catalogue; its own part is new, as each session begins with one."""
-        gateway = rng.choice(gateways)
-        parts = [("aa01", 2520), (new_id(), 3780), (new_id(), 2890)]
+    def attempt(gateway: Gateway, parts, **more: str):
         outcome = send(
             port=gateway.port,
-            kind="plan",
+            kind="ask",
             gateway=gateway.name,
-            headers=headers_of(id=new_id(), deadline_ms=5000, parts=parts),
+            headers=headers_of(id=new_id(), deadline_ms=15_000, parts=parts, **more),
             patience_s=PATIENCE_S,
         )
         record.add(
             "consumer",
             request=outcome.id,
             gateway=outcome.gateway,
+            resumes=more.get("Resumes"),
             status=outcome.status,
             whole=outcome.is_whole,
-            answered=outcome.ended_at is not None,
-            lasted_ms=round((time.monotonic() - outcome.sent_at) * 1000),
+            events=outcome.body.count(b"\n\n"),
+            versions=versions_in(outcome.body),
         )
         return outcome
 
-    def stray():
-        """Sends one of several requests at the same time, with the same Attempt-Id."""
-        parts = [("aa01", 2520), (new_id(), 3780), (new_id(), 2890)]
-        outcome = send(
-            port=gateways[0].port,
-            kind="plan",
-            gateway=gateways[0].name,
-            headers=headers_of(id="batch-1", deadline_ms=1500, parts=parts),
-            patience_s=STRAY_PATIENCE_S,
-        )
-        record.add("stray", status=outcome.status)
-
-    traffic.run(per_s=CALM[0], for_s=CALM[1], make=plan)
-    busy_from = time.monotonic()
-    strays = Traffic()
-    half = BUSY[1] / 2
-    traffic.run(per_s=BUSY[0], for_s=half, make=plan)
-    if TROUBLE:
-        for _ in range(STRAY_REQUESTS):
-            strays.start(stray)
-    traffic.run(per_s=BUSY[0], for_s=half, make=plan)
-    traffic.run(per_s=AFTER[0], for_s=AFTER[1], make=plan)
-    traffic.join(PATIENCE_S + 4)
-    return judge(traffic.outcomes, record, busy_from)
-
-
-def judge(outcomes, record: Record, busy_from: float) -> int:
-    """Applies rule CONFIG; returns 1 if it is broken."""
-    long = [item for item in outcomes if item.lasted_s() > TIMEOUT_S]
-    late = [item for item in long if item.lasted_s() > TIMEOUT_S + LATE_S]
-    after = [item for item in outcomes if item.sent_at > busy_from + BUSY[1] + 2]
+    def ask():
+        """Asks a question; takes its stream up once if that breaks off."""
+        first, second = rng.sample(gateways, 2)
+        parts = [("aa01", 119), (f"bb{rng.randrange(100):02x}", 79), (new_id(), 430)]
+        outcome = attempt(first, parts)
+        streams[outcome.id] = outcome.body
+        last = outcome.body.count(b"\n\n")
+        if last and not outcome.is_whole and outcome.ended_at is not None:
+            time.sleep(TAKE_UP_AFTER_S)
+            more = {"Last-Event-Id": str(last), "Resumes": outcome.id}
+            streams[outcome.id] += attempt(second, parts, **more).body
+        return outcome
+
+    thread = threading.Thread(target=release, args=(workers, make, record))
+    thread.start()
+    traffic.run(per_s=QUESTIONS_PER_S, for_s=RUN_S, make=ask)
+    thread.join()
+    traffic.join(20)
+    mixed = [id for id, body in streams.items() if len(versions_in(body)) > 1]
     record.add(
         "judged",
-        requests=len(outcomes),
-        served=sum(item.status == 200 and item.is_whole for item in outcomes),
-        refused=sum(item.status == 503 for item in outcomes),
-        unanswered_at_timeout=len(long),
-        unanswered_half_a_second_later=len(late),
-        sent_after_the_burst=len(after),
-        of_these_never_answered=sum(item.ended_at is None for item in after),
-        gateways_with_unanswered=sorted({item.gateway for item in late}),
+        streams=len(streams),
+        whole=sum(body.count(b"\n\n") == EVENTS for body in streams.values()),
+        with_events_of_two_versions=len(mixed),
+        requests=mixed,
     )
-    is_broken = len(late) >= MIN_UNANSWERED and len(late) > len(long) / 2
-    return int(is_broken)
+    return int(len(mixed) > MOST_MIXED)
+
+
+def versions_in(body: bytes) -> list[str]:
+    """Returns the versions that the whole events of a stream name."""
+    events = body.split(b"\n\n")[:-1]
+    return sorted({event.rpartition(b" ")[2].decode() for event in events})
 
 
 if __name__ == "__main__":
--- a/review/harness_3/workers.py
+++ b/review/harness_3/workers.py
@@ -11,6 +11,8 @@
 
 # Value of SO_LINGER with which a close resets the connection.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+# An entry is removed after three check-in intervals of silence (PROTOCOL.md).
+ENTRY_LIFETIME_S = 3 * 1.2
 # Of the sheets: prompt tokens that an engine reads in a second.
 PREFILL_TOKENS_PER_S = 36_100
 MAX_HEAD_BYTES = 65_536
@@ -94,6 +96,7 @@
         self.began = began
         self.born = 0
         self.is_up = False
+        self.is_draining = False
         self.open: set[socket.socket] = set()
         self.lock = threading.Lock()
         self.reading = threading.Lock()
@@ -137,15 +140,34 @@
             "Zone": self.zone,
             "Version": self.version,
             "Slots": self.slots,
-            "State": "ready",
+            "State": "draining" if self.is_draining else "ready",
             "ColdRemainingMs": 0,
             "Sequence": 1,
             "born": self.born,
         }
 
+    def drain(self) -> None:
+        """Tells the store that the worker leaves; it goes on to serve."""
+        self.is_draining = True
+        self.store.put("servers", self.id, self.entry())
+
+    def leave(self) -> None:
+        """Removes the entry and ends, after a drain."""
+        if self.is_up:
+            self.store.delete("servers", self.id)
+            self.crash()
+
+    def _expire(self, born: int) -> None:
+        """Removes the entry of a worker that has fallen silent, as the store does."""
+        if not self.is_up and self.born == born:
+            self.store.delete("servers", self.id)
+
     def crash(self) -> None:
         """Ends the lifetime at once, as a killed process does."""
         self.is_up = False
+        expiry = threading.Timer(ENTRY_LIFETIME_S, self._expire, (self.born,))
+        expiry.daemon = True
+        expiry.start()
         with contextlib.suppress(OSError):
             # A close alone would leave the port open while a thread waits in accept.
             self.listener.shutdown(socket.SHUT_RDWR)
