--- a/review/harness_3/fleet.py
+++ b/review/harness_3/fleet.py
@@ -111,13 +111,13 @@
             connection.close()
 
     def memory_mb(self) -> float:
-        """Returns the resident memory of the process; 0 if it has ended."""
+        """Returns the memory of the process without pages of files; 0 at its end."""
         try:
             status = Path(f"/proc/{self.process.pid}/status").read_text()
         except OSError:
             return 0.0
         for line in status.splitlines():
-            if line.startswith("VmRSS:"):
+            if line.startswith("RssAnon:"):
                 return int(line.split()[1]) / 1024
         return 0.0
 
