--- a/review/11/case.py
+++ b/review/11/case.py
@@ -9,7 +9,7 @@
 from pathlib import Path
 
 from review.harness_3.clients import Record, Traffic, headers_of, new_id, send
-from review.harness_3.fleet import Gateway, start_fleet
+from review.harness_3.fleet import Gateway, run_case, start_fleet
 from review.harness_3.workers import ModelWorker
 from standins.metadata_store import MetadataStore, MetadataStoreServer
 from standins.platform_objects import configuration
@@ -184,4 +184,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(run_case(main))
--- a/review/harness_3/fleet.py
+++ b/review/harness_3/fleet.py
@@ -8,6 +8,8 @@
 import sys
 import time
 import tomllib
+import traceback
+from collections.abc import Callable
 from pathlib import Path
 
 from standins.ports import free_port
@@ -132,3 +134,20 @@
             return True
         time.sleep(0.1)
     return False
+
+
+def run_case(main: Callable[[], int]) -> int:
+    """Returns the exit status of a case: 2 if it fails for a reason of its own.
+
+    A script that is stopped ends its processes first.
+    """
+
+    def stop(number, frame) -> None:
+        raise KeyboardInterrupt
+
+    signal.signal(signal.SIGTERM, stop)
+    try:
+        return main()
+    except (Exception, KeyboardInterrupt):
+        traceback.print_exc()
+        return 2
