--- a/review/11/case.py
+++ b/review/11/case.py
@@ -16,17 +16,17 @@
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 ZONES = ("a", "b")
-WORKERS = 3
+# One worker of v2 beside three of v1.
+VERSIONS = ("v2", "v1", "v1", "v1")
 # Of the sheet: events of a short question; an event holds 5 tokens.
 EVENTS, EVENT_S = 58, 0.04
 QUESTIONS_PER_S = 18.0
 RUN_S = 24.0
-# A release of v2, in seconds since the start of the traffic: each worker of it starts
-# first, and then an old one drains and leaves.
-FIRST_AT, GAP_S, DRAIN_AFTER_S = 8.0, 2.0, 0.3
-LEAVES_AFTER_S = 4.0
-# The last old worker crashes shortly before its successor starts.
-CRASH_BEFORE_S = 0.7
+# A release that replaces a worker of v1, in seconds since the start of the traffic: the
+# new one starts first, and then the old one drains and leaves.
+RELEASE_AT, DRAIN_AFTER_S, LEAVES_AFTER_S = 8.0, 0.3, 4.0
+# The worker of v2 crashes shortly before that, and is back after 2 s in a new lifetime.
+CRASH_BEFORE_S, DOWN_S = 0.7, 2.0
 # A consumer takes a broken stream up once, after this time, at another gateway.
 TAKE_UP_AFTER_S = 0.05
 # Rule ORDER: more than two streams hold events of two versions.
@@ -62,7 +62,7 @@
             began=began,
         )
 
-    workers = [make(number, "v1") for number in range(WORKERS)]
+    workers = [make(number, version) for number, version in enumerate(VERSIONS)]
     for worker in workers:
         worker.start()
     with tempfile.TemporaryDirectory() as settings:
@@ -94,30 +94,30 @@
 
 
 def release(workers: list[ModelWorker], make, record: Record) -> None:
-    """Replaces the workers one after the other; one of them crashes before its turn."""
-    begun_at = time.monotonic()
+    """Replaces a worker of v1; the one of v2 crashes before, and comes back."""
+    single, old = workers[:2]
 
-    def wait_until(at: float) -> None:
-        time.sleep(max(0.0, begun_at + at - time.monotonic()))
+    def start(number: int, version: str) -> None:
+        worker = make(number, version)
+        workers.append(worker)
+        worker.start()
 
-    for number, old in enumerate(list(workers)):
-        starts_at = FIRST_AT + number * GAP_S
-        is_last = number == WORKERS - 1
-        if is_last and TROUBLE:
-            wait_until(starts_at - CRASH_BEFORE_S)
-            old.crash()
-            record.add(f"{old.id}_crashes")
-        wait_until(starts_at)
-        new = make(WORKERS + number, "v2")
-        workers.append(new)
-        new.start()
-        record.add(f"{new.id}_starts_v2")
-        if is_last and TROUBLE:
-            return
-        wait_until(starts_at + DRAIN_AFTER_S)
-        old.drain()
-        record.add(f"{old.id}_drains")
-        threading.Timer(LEAVES_AFTER_S, old.leave).start()
+    steps = [
+        (RELEASE_AT, "new_worker_of_v1", lambda: start(4, "v1")),
+        (RELEASE_AT + DRAIN_AFTER_S, "old_worker_of_v1_drains", old.drain),
+        (RELEASE_AT + LEAVES_AFTER_S, "old_worker_of_v1_leaves", old.leave),
+    ]
+    if TROUBLE:
+        crash_at = RELEASE_AT - CRASH_BEFORE_S
+        steps += [
+            (crash_at, "worker_of_v2_crashes", single.crash),
+            (crash_at + DOWN_S, "worker_of_v2_is_back", lambda: start(5, "v2")),
+        ]
+    begun_at = time.monotonic()
+    for at, what, step in sorted(steps, key=lambda item: item[0]):
+        time.sleep(max(0.0, begun_at + at - time.monotonic()))
+        step()
+        record.add(what)
 
 
 def play(
