--- a/bench/placement_cost.py
+++ b/bench/placement_cost.py
@@ -104,7 +104,7 @@
 
 def submit(admission: EngineAdmission, item: Generation) -> Waiter:
     admission._note_prompt(item)
-    waiter = Waiter(generation=item, view=admission._view(item), excluded=frozenset())
+    waiter = Waiter(generation=item, view=admission._view(item))
     admission.submit(waiter)
     return waiter
 
--- a/src/lagoonrill/_internal/coordination/crash_guard.py
+++ b/src/lagoonrill/_internal/coordination/crash_guard.py
@@ -81,12 +81,21 @@
         service = sending.request.service
         return self.evidence.crash_count(service, sending.fingerprint) > 0
 
+    def note_suspicion(self, sending: Sending) -> bool:
+        """Returns whether a crash speaks against the request; its send asks again."""
+        sending.was_suspected = self.is_suspected(sending)
+        return sending.was_suspected
+
+    def is_newly_suspected(self, sending: Sending) -> bool:
+        """Returns whether a request became suspected after its endpoint was chosen."""
+        return not sending.was_suspected and self.is_suspected(sending)
+
     def isolated(self, sending: Sending, endpoints: list[str]) -> list[str]:
         """Returns the endpoints to which a request may be sent.
 
         A request that was on a crashed endpoint has one of its own.
         """
-        if not endpoints or not self.is_suspected(sending):
+        if not self.note_suspicion(sending) or not endpoints:
             return endpoints
         trusted = [name for name in endpoints if not self.registry.is_suspect(name)]
         return [isolated_endpoint(sending.fingerprint, trusted or endpoints)]
--- a/src/lagoonrill/_internal/coordination/engine_admission.py
+++ b/src/lagoonrill/_internal/coordination/engine_admission.py
@@ -7,12 +7,12 @@
 import threading
 import time
 import zlib
-from collections import Counter
+from collections import defaultdict
 
 import logbook
 
 from ..event_log import EventLog
-from ..protocol.messages import LAST_RANK, PromptRequest
+from ..protocol.messages import PromptRequest
 from ..protocol.refusals import Refusal
 from ..protocol.routing import (
     EndpointRecord,
@@ -23,6 +23,7 @@
 from ..state.arrival_counts import ArrivalCounts
 from ..state.endpoint_registry import EndpointRegistry
 from ..state.engine_load_table import EngineLoadTable
+from .engine_eligibility import ANY_ENGINE, Eligibility, FailedPlacements
 from .engine_fleet import Fleet, NoPeers, PeerInfo, RouteMeans
 from .engine_requests import Admission, Engine, Generation, Waiter, WaiterState
 from .policy.engine_placement import (
@@ -55,8 +56,8 @@
 MEAN_WEIGHT = 0.1
 # Time to the first event in addition to prefill: network and a few decoding steps.
 FIRST_EVENT_S = 0.15
-# After this many requests of a rank could not be placed, a review tries only more
-# urgent ones: for those, an engine's backlog of less urgent prompts does not count.
+# Requests of a rank that may use the same engines and could not be placed before a
+# review tries no further ones.
 MAX_FAILED_PLACEMENTS = 2
 # A cached prefix is copied from another engine if this takes at most this fraction of
 # the time to prefill it and saves at least the minimum number of tokens.
@@ -85,6 +86,13 @@
     return max(REVIEW_SPACING_S, took_s / MAX_REVIEW_SHARE - took_s)
 
 
+def allowed_of(engines: list[str], allowed: frozenset[str] | None) -> list[str]:
+    """Returns those of some engines that are allowed; None allows all."""
+    if allowed is None:
+        return engines
+    return [engine for engine in engines if engine in allowed]
+
+
 class EngineAdmission:
     """Decides which engine runs a generation, and when."""
 
@@ -142,7 +150,7 @@
         self,
         generation: Generation,
         *,
-        excluded: frozenset[str],
+        eligibility: Eligibility = ANY_ENGINE,
         caller_disconnected,
     ) -> Admission | None:
         """Returns an engine for a generation, or None if its caller disconnected.
@@ -152,7 +160,9 @@
         self._note_prompt(generation)
         started_at = self.clock()
         waiter = Waiter(
-            generation=generation, view=self._view(generation), excluded=excluded
+            generation=generation,
+            view=self._view(generation),
+            eligibility=eligibility,
         )
         self.arrivals.note(generation.service, tokens=waiter.view.prompt_tokens)
         while True:
@@ -176,6 +186,11 @@
             if caller_disconnected():
                 self.withdraw(waiter)
                 return False
+            try:
+                waiter.eligibility.check_wait()
+            except Refusal:
+                self.withdraw(waiter)
+                raise
         return True
 
     def _is_granted(self, waiter: Waiter) -> bool:
@@ -247,7 +262,9 @@
                 waiter.move_to(WaiterState.REFUSED)
                 return
             ahead = any(
-                other.view.on_time(now) and other.view.priority <= waiter.view.priority
+                other.has_engines
+                and other.view.on_time(now)
+                and other.view.priority <= waiter.view.priority
                 for other in line
             )
             heavy = self._is_heavy(generation)
@@ -267,6 +284,7 @@
             request=generation.id,
             route=generation.route.name,
             line=length,
+            has_engines=waiter.has_engines,
             time_left_s=round(generation.deadline - now, 3),
         )
 
@@ -351,24 +369,47 @@
             waiters = {waiter.view.id: waiter for waiter in line}
             engines = self._fleet(service)
             earliest = now + self._held_s(engines)
-            failed_placements = Counter()
-            blocked_rank = LAST_RANK + 1
+            failed = FailedPlacements(most=MAX_FAILED_PLACEMENTS)
             for view in self.order.order([item.view for item in line], now):
-                if view.priority >= blocked_rank:
+                if failed.blocks(view.priority):
                     continue
+                waiter = waiters[view.id]
                 if not view.can_finish(earliest):
-                    waiters[view.id].move_to(WaiterState.REFUSED)
+                    waiter.move_to(WaiterState.REFUSED)
                     continue
-                if not self._try_place(waiters[view.id], engines, now):
-                    failed_placements[view.priority] += 1
-                    if failed_placements[view.priority] >= MAX_FAILED_PLACEMENTS:
-                        blocked_rank = view.priority
-            left = [item.view for item in line if item.state is WaiterState.WAITING]
-            rate = self._tokens_per_s(service)
-            for view in self.order.jobs_to_reject(left, now, rate):
+                group = waiter.eligibility.group(engines)
+                if failed.blocks(view.priority, group):
+                    continue
+                if not self._try_place(waiter, engines, now) and waiter.has_engines:
+                    failed.note(view.priority, group)
+            for view in self._late_jobs(service, now):
                 waiters[view.id].move_to(WaiterState.REFUSED)
             line[:] = [item for item in line if item.state is WaiterState.WAITING]
 
+    def _late_jobs(self, service: str, now: float) -> list[WaitingJob]:
+        """Returns the queued jobs of a service that cannot finish in time.
+
+        Jobs for the engines of one software version do not wait for those of another
+        one, and a job without any engine is in nobody's way.
+        """
+        fleet = self._fleet(service)
+        late = []
+        queues: dict[str | None, list[WaitingJob]] = defaultdict(list)
+        for waiter in self.waiting[service]:
+            if waiter.state is not WaiterState.WAITING:
+                continue
+            if waiter.has_engines:
+                queues[waiter.eligibility.version(fleet)].append(waiter.view)
+            elif not waiter.view.can_finish(now):
+                late.append(waiter.view)
+        rate = self._tokens_per_s(service)
+        for version, jobs in queues.items():
+            share = 1.0
+            if version is not None:
+                share = len(fleet.of_version(version)) / len(fleet.records)
+            late += self.order.jobs_to_reject(jobs, now, rate * share)
+        return late
+
     def refuse_waiting(self) -> None:
         """Refuses all queued requests, as the instance is about to exit."""
         with self.lock:
@@ -398,11 +439,6 @@
             self.fleets[service] = fleet
         return fleet
 
-    def near_engines(self, service: str) -> list[str]:
-        """Returns the engines that get the requests of this instance first."""
-        with self.lock:
-            return self._fleet(service).ordered
-
     def stream_engines(self) -> dict[str, int]:
         """Returns the number of engines reserved for streams here, by service."""
         return {
@@ -448,7 +484,9 @@
             goal_s=generation.route.goal_s if on_time else 0.0,
             pause_goal_s=self._tightest_pause_s(service),
         )
-        ordered, limited = self._usable_engines(waiter.excluded, fleet)
+        allowed = waiter.eligibility.allowed(fleet)
+        waiter.has_engines = allowed is None or bool(allowed)
+        ordered, limited = self._usable_engines(allowed, fleet)
         if not ordered:
             return False
         count = self.placement.stream_engine_count(
@@ -457,7 +495,9 @@
             fleet.smoothed_streams(self.load_table.light_streams(fleet.ordered), now),
             self._read_fraction(service),
         )
-        fleet.stream_engines = count
+        if allowed is None:
+            # Peers keep long prompts from so many engines of the whole fleet.
+            fleet.stream_engines = count
         if job.heavy:
             # An engine that any peer reserves for streams gets no long prompt.
             most = self.peers.most_stream_engines(service)
@@ -480,7 +520,8 @@
         placement = self._choose(job, generation, fleet, holder, listed, ratio)
         if placement.engine is None and job.heavy and on_time:
             most = self.peers.most_stream_engines(service, far=True)
-            far = self._far_shortlist(job, waiter, fleet, max(count, most))
+            count = max(count, most)
+            far = self._far_shortlist(job, waiter, fleet, allowed, count)
             ratio *= FAR_DELAY_FACTOR
             placement = self._choose(job, generation, fleet, holder, far, ratio)
         if placement.engine is None:
@@ -498,7 +539,7 @@
             zone=fleet.records[placement.engine].zone,
             job=engine_job,
             placement=placement,
-            copy_from=holder.record.address if copies else None,
+            copy_from=holder.record if copies else None,
             waited_s=0.0,
             run_s=waiter.view.run_s,
         )
@@ -506,14 +547,18 @@
         return True
 
     def _usable_engines(
-        self, excluded: frozenset[str], fleet: Fleet
+        self, allowed: frozenset[str] | None, fleet: Fleet
     ) -> tuple[list[str], list[str]]:
         """Returns the engines for a request, and further ones that limit requests.
 
         Without a permit, an engine that limits its requests is as good as absent. With
         one, it takes requests of any kind, so it belongs to neither group of engines.
         """
-        engines = [engine for engine in fleet.ordered if engine not in excluded]
+        engines = allowed_of(fleet.ordered, allowed)
+        if not engines:
+            engines = [
+                engine for names in fleet.far for engine in allowed_of(names, allowed)
+            ]
         limited = self._restricted_engines(fleet)
         free = [engine for engine in engines if engine not in limited]
         trusted = [engine for engine in free if not self.registry.is_suspect(engine)]
@@ -531,10 +576,8 @@
         far = [
             engine
             for ordered in fleet.far
-            for engine in ordered
-            if engine not in limited
-            and engine not in excluded
-            and not self.registry.is_suspect(engine)
+            for engine in allowed_of(ordered, allowed)
+            if engine not in limited and not self.registry.is_suspect(engine)
         ]
         return permitted or far or free, []
 
@@ -582,14 +625,19 @@
         )
 
     def _far_shortlist(
-        self, job: PromptJob, waiter: Waiter, fleet: Fleet, count: int
+        self,
+        job: PromptJob,
+        waiter: Waiter,
+        fleet: Fleet,
+        allowed: frozenset[str] | None,
+        count: int,
     ) -> Shortlist:
         """Returns engines of other zones that are not reserved for streams there."""
-        unwanted = waiter.excluded | waiter.denied_by | self._restricted_engines(fleet)
+        unwanted = waiter.denied_by | self._restricted_engines(fleet)
         names = [
             name
             for ordered in fleet.far
-            for name in ordered[count:]
+            for name in allowed_of(ordered[count:], allowed)
             if name not in unwanted and not self.registry.is_suspect(name)
         ]
         return Shortlist(main=highest_ranked(job.id, names, RANDOM_CHOICES), paced=[])
--- a/src/lagoonrill/_internal/coordination/engine_fleet.py
+++ b/src/lagoonrill/_internal/coordination/engine_fleet.py
@@ -53,6 +53,7 @@
     """
 
     __slots__ = (
+        "by_version",
         "edition",
         "far",
         "members",
@@ -83,6 +84,7 @@
             if other != zone and len(near) < len(records):
                 self.far.append(interactive_order(found))
         self.edition = edition
+        self.by_version: dict[str, frozenset[str]] = {}
         self.members: list[str] = []
         self.owned: frozenset[str] = frozenset()
         self.streams = 0.0
@@ -90,6 +92,16 @@
         # Number of engines, in this order, that this instance reserves for streams.
         self.stream_engines = 0
 
+    def of_version(self, version: str) -> frozenset[str]:
+        """Returns the engines of a software version, of all zones."""
+        if version not in self.by_version:
+            self.by_version[version] = frozenset(
+                name
+                for name, record in self.records.items()
+                if record.version == version
+            )
+        return self.by_version[version]
+
     def smoothed_streams(self, streams: int, now: float) -> int:
         """Returns the number of streams, which rises immediately but decays slowly.
 
--- a/src/lagoonrill/_internal/coordination/engine_requests.py
+++ b/src/lagoonrill/_internal/coordination/engine_requests.py
@@ -9,6 +9,7 @@
 from ..protocol.messages import EngineWork
 from ..protocol.routing import EndpointRecord, PromptPart, Route
 from ..state.engine_load_table import CachedParts, EngineJob
+from .engine_eligibility import ANY_ENGINE, Eligibility
 from .policy.engine_placement import Placement
 from .policy.waiting_order import WaitingJob
 
@@ -45,8 +46,8 @@
     zone: str
     job: EngineJob
     placement: Placement
-    # Address of the engine from which the cached part of the prompt is copied.
-    copy_from: str | None
+    # Engine from which the cached part of the prompt is copied.
+    copy_from: EndpointRecord | None
     waited_s: float
     # Estimated time from sending to the end of the answer.
     run_s: float
@@ -113,18 +114,25 @@
         "decided",
         "denials",
         "denied_by",
-        "excluded",
+        "eligibility",
         "generation",
+        "has_engines",
         "state",
         "view",
     )
 
     def __init__(
-        self, *, generation: Generation, view: WaitingJob, excluded: frozenset[str]
+        self,
+        *,
+        generation: Generation,
+        view: WaitingJob,
+        eligibility: Eligibility = ANY_ENGINE,
     ):
         self.generation = generation
         self.view = view
-        self.excluded = excluded
+        self.eligibility = eligibility
+        # Whether the latest attempt to place it found an engine that it may use.
+        self.has_engines = True
         self.state = WaiterState.NEW
         # Wakes the request's thread once it no longer waits.
         self.decided = threading.Event()
--- a/src/lagoonrill/_internal/coordination/forwarding.py
+++ b/src/lagoonrill/_internal/coordination/forwarding.py
@@ -46,6 +46,7 @@
 from .crash_reports import CrashReports
 from .endpoint_signals import EndpointSignals
 from .engine_admission import EngineAdmission
+from .engine_eligibility import SendingEligibility, stream_version_gone
 from .engine_requests import Admission, Generation
 from .policy.shared_retry_budget import SharedRetryBudget
 from .routed_request import RequestResolver, RoutedRequest
@@ -169,12 +170,7 @@
         sending.version = version
         sending.origin_known = True
         if not any(map(sending.may_use, self.registry.ready(request.service))):
-            raise Refusal(
-                503,
-                "stream_version_gone",
-                remedy="Begin a new stream; no endpoint can go on with this one.",
-                retry_after_s=RETRY_AFTER_S,
-            )
+            raise stream_version_gone()
 
     def _send_until_answered(self, sending: Sending) -> None:
         while True:
@@ -333,7 +329,11 @@
             self.crash_guard.check(sending)
             admission = self.admission.admit(
                 generation,
-                excluded=self._excluded_engines(sending),
+                eligibility=SendingEligibility(
+                    sending=sending,
+                    crash_guard=self.crash_guard,
+                    registry=self.registry,
+                ),
                 caller_disconnected=sending.caller.is_disconnected,
             )
         except Refusal as refusal:
@@ -372,20 +372,6 @@
                 token_s=sending.token_s(self.admission.tokens_per_event(generation)),
             )
 
-    def _excluded_engines(self, sending: Sending) -> frozenset[str]:
-        """Returns the engines to which a request may not be sent."""
-        tried = frozenset(sending.tried)
-        suspected = self.crash_guard.is_suspected(sending)
-        if sending.version is None and not suspected:
-            return tried
-        ready = self.registry.ready(sending.request.service)
-        usable = {item.id for item in ready if sending.may_use(item)}
-        near = self.admission.near_engines(sending.request.service)
-        near_usable = [name for name in near if name in usable]
-        if suspected and near_usable:
-            usable = set(self.crash_guard.isolated(sending, near_usable))
-        return tried.union(item.id for item in ready if item.id not in usable)
-
     def _begun(
         self, sending: Sending, admission: Admission, generation: Generation
     ) -> None:
@@ -433,21 +419,16 @@
     ) -> Outcome | None:
         """Sends to `record` and relays its answer if it is valid."""
         request = sending.request
-        if not sending.may_have_run and self.routing.table is not None:
-            # The request may have waited while its key was revoked.
-            self.resolver.check_key(request, self.routing.table)
-        sending.tried.add(record.id)
         sending.endpoint = record.id
         sending.begun = False
         begun_at = time.monotonic()
         connection = None
         try:
+            has_limit = self.permits.limit(record) is not None
             connection = self._connect(sending, record)
-            if not self.registry.takes_work(record):
-                return Outcome(reason="endpoint_left", may_have_run=False)
-            # The request may have waited while it was found to crash endpoints.
-            if reason := self.crash_guard.refused_reason(sending):
+            if reason := self._refused_send(sending, record, has_limit=has_limit):
                 return Outcome(reason=reason, may_have_run=False)
+            sending.tried.add(record.id)
             if sending.sends == 0:
                 self.budget.note_request(request.service)
             sending.sends += 1
@@ -471,9 +452,39 @@
             if connection is not None and connection.finish():
                 self.pool.put(connection)
 
+    def _refused_send(
+        self, sending: Sending, record: EndpointRecord, *, has_limit: bool
+    ) -> str:
+        """Returns why a request must not be sent to its endpoint, or nothing.
+
+        It may have waited for a permit or its connection since the endpoint was chosen.
+        Raises `Refusal` if it may be sent to no endpoint. `has_limit` tells whether the
+        permit that it has counts for a limit of the endpoint.
+        """
+        request = sending.request
+        if not sending.may_have_run and self.routing.table is not None:
+            self.resolver.check_key(request, self.routing.table)
+        if not self.registry.takes_work(record):
+            # The next decision may be made on the same list.
+            sending.tried.add(record.id)
+            return "endpoint_left"
+        if reason := self.crash_guard.refused_reason(sending):
+            return reason
+        if self.crash_guard.is_newly_suspected(sending):
+            return "request_suspected"
+        self._choose_version(sending)
+        if not sending.fits_version(record):
+            return "endpoint_version"
+        if self.permits.is_paused(record):
+            return "endpoint_paused"
+        if not has_limit and self.permits.limit(record) is not None:
+            return "endpoint_limited"
+        return ""
+
     def _failed(
         self, sending: Sending, record: EndpointRecord, failure: EndpointFailure
     ) -> Outcome:
+        sending.tried.add(record.id)
         if not failure.may_have_run:
             sending.connect_failures += 1
         if time.monotonic() > sending.request.deadline - TIME_LIMIT_SLACK_S:
@@ -513,9 +524,11 @@
         headers = request.headers_for(
             self.header_names, endpoint=record.id, now=time.monotonic()
         )
-        if sending.copy_from is not None:
+        holder = sending.copy_from
+        # The address of an engine that left may be in use by another service.
+        if holder is not None and self.registry.takes_work(holder):
             name = self.header_names.copy_prompt_from.encode()
-            headers.append((name, sending.copy_from.encode()))
+            headers.append((name, holder.address.encode()))
         if sending.last_event is not None:
             name = self.header_names.resume_after.encode()
             headers = [item for item in headers if item[0].lower() != name.lower()]
--- a/src/lagoonrill/_internal/coordination/send_permits.py
+++ b/src/lagoonrill/_internal/coordination/send_permits.py
@@ -149,6 +149,10 @@
         permits = self.permits.get(key)
         return permits is not None and permits.asking
 
+    def is_paused(self, record: EndpointRecord) -> bool:
+        """Returns whether the endpoint wants nothing from this instance now."""
+        return self.pauses.remaining_s(record.id, record.incarnation) > 0
+
     def held_for_s(self, record: EndpointRecord) -> float:
         """Returns the time until this instance may send, or ask for a permit."""
         paused_s = self.pauses.remaining_s(record.id, record.incarnation)
@@ -159,7 +163,7 @@
 
     def take(self, record: EndpointRecord, *, request: str) -> bool:
         """Takes a permit for one send; returns False if there is none now."""
-        if self.pauses.remaining_s(record.id, record.incarnation) > 0:
+        if self.is_paused(record):
             return False
         if not self._take_permit(record, request=request):
             return False
--- a/src/lagoonrill/_internal/coordination/sending.py
+++ b/src/lagoonrill/_internal/coordination/sending.py
@@ -72,8 +72,10 @@
         self.last_event_at = 0.0
         self.longest_pause_s = 0.0
         self.events = 0
-        # Address of an engine that has a part of the prompt cached.
-        self.copy_from: str | None = None
+        # Engine that has a part of the prompt cached.
+        self.copy_from: EndpointRecord | None = None
+        # Whether a crash spoke against the request when its endpoint was chosen.
+        self.was_suspected = False
 
     @functools.cached_property
     def fingerprint(self) -> str:
@@ -82,8 +84,10 @@
 
     def may_use(self, record: EndpointRecord) -> bool:
         """Returns whether the request may be sent to an endpoint."""
-        if record.id in self.tried:
-            return False
+        return record.id not in self.tried and self.fits_version(record)
+
+    def fits_version(self, record: EndpointRecord) -> bool:
+        """Returns whether an endpoint has the version that the request needs."""
         return self.version is None or record.version == self.version
 
     def note_event(self) -> None:
--- a/tests/test_admission_races.py
+++ b/tests/test_admission_races.py
@@ -81,9 +81,7 @@
 
     def run():
         try:
-            outcome.append(
-                built.admit(item, excluded=frozenset(), caller_disconnected=bool)
-            )
+            outcome.append(built.admit(item, caller_disconnected=bool))
         except Refusal as refusal:
             outcome.append(refusal.status)
 
--- a/tests/test_admission_stateful.py
+++ b/tests/test_admission_stateful.py
@@ -35,9 +35,7 @@
         item.arrived_at = self.now
         item.deadline = self.now + limit_s
         self.built._note_prompt(item)
-        waiter = Waiter(
-            generation=item, view=self.built._view(item), excluded=frozenset()
-        )
+        waiter = Waiter(generation=item, view=self.built._view(item))
         self.waiters.append(waiter)
         self.built.submit(waiter)
 
--- /dev/null
+++ b/tests/test_eligibility.py
@@ -0,0 +1,200 @@
+"""Guards against decisions that rest on what was known before a wait."""
+
+import pytest
+
+from lagoonrill._internal.coordination.crash_guard import CrashGuard
+from lagoonrill._internal.coordination.engine_eligibility import (
+    FailedPlacements,
+    SendingEligibility,
+)
+from lagoonrill._internal.coordination.engine_requests import Waiter, WaiterState
+from lagoonrill._internal.protocol.headers import HeaderNames
+from lagoonrill._internal.protocol.routing import EndpointRecord
+from tests.gateway_kit import config
+from tests.test_engine_admission import Peers, admission, generation
+
+NAMES = HeaderNames()
+
+
+class OnlyVersion(SendingEligibility):
+    """Eligibility of a request that needs a version and has tried nothing."""
+
+    __slots__ = ()
+
+    def __init__(self, version: str):
+        sending = StubSending()
+        sending.version = version
+        super().__init__(sending=sending, crash_guard=NoCrashes(), registry=None)
+
+
+class StubSending:
+    def __init__(self):
+        self.version = None
+        self.tried = set()
+
+
+class NoCrashes:
+    def note_suspicion(self, sending) -> bool:
+        return False
+
+    def is_suspected(self, sending) -> bool:
+        return False
+
+
+def versioned(built, versions: dict[str, str], *, zones: dict[str, str] | None = None):
+    """Installs engines with versions in an admission."""
+    zones = zones or {}
+    built.registry.replace(
+        {
+            name: EndpointRecord(
+                id=name,
+                service="models",
+                address="127.0.0.1:1",
+                zone=zones.get(name, "a"),
+                slots=8,
+                version=version,
+            )
+            for name, version in versions.items()
+        }
+    )
+
+
+def submitted(built, number: int, version: str | None, *, route="plan") -> Waiter:
+    item = generation(route, 4_000)
+    item.id = f"r{number}"
+    item.arrived_at = built.clock()
+    item.deadline = item.arrived_at + 10
+    built._note_prompt(item)
+    more = {"eligibility": OnlyVersion(version)} if version else {}
+    waiter = Waiter(generation=item, view=built._view(item), **more)
+    built.submit(waiter)
+    return waiter
+
+
+@pytest.mark.parametrize("has_engine", [False, True], ids=["gone", "busy"])
+def test_streams_of_one_version_do_not_hold_up_those_of_another(has_engine):
+    # A few requests that cannot be placed stop the review for all of their rank, and
+    # their prompts count as a backlog that the others would have to wait for.
+    built = admission(1)
+    versions = {"e1": "v2"} if has_engine else {}
+    versioned(built, versions)
+    if has_engine:
+        built.load_table.begin(engine="e1", tokens=10_000_000, heavy=True)
+    waiters = [submitted(built, number, "v2") for number in range(100)]
+    sound = [submitted(built, 200, "v1"), submitted(built, 201, "v1")]
+    versioned(built, versions | {f"sound{number}": "v1" for number in range(4)})
+    built.review("models")
+    assert [waiter.state for waiter in sound] == [WaiterState.PLACED] * 2
+    if not has_engine:
+        assert {waiter.state for waiter in waiters} == {WaiterState.WAITING}
+
+
+def test_a_request_that_any_engine_may_serve_speaks_for_all_others():
+    failed = FailedPlacements(most=2)
+    for _ in range(2):
+        failed.note(3, "v2")
+    assert failed.blocks(3, "v2") and failed.blocks(4, "v2")
+    assert not (failed.blocks(2, "v2") or failed.blocks(3, "v1") or failed.blocks(3))
+    for _ in range(2):
+        failed.note(3, None)
+    assert failed.blocks(3)
+
+
+def test_a_stream_reaches_an_engine_of_its_version_in_another_zone():
+    # In a large fleet a zone has enough engines of its own, but none of that version.
+    built = admission(8)
+    built.peers = Peers(count=8, zone_local=True)
+    near = {f"e{number}": "v2" for number in range(6)}
+    versioned(built, near | {"far": "v1"}, zones={"far": "b"})
+    waiter = submitted(built, 1, "v1", route="ask")
+    assert waiter.admission.engine == "far"
+
+
+def test_a_request_for_few_engines_does_not_tell_peers_how_many_are_reserved():
+    # Peers keep long prompts from as many engines of the whole fleet.
+    built = admission(1)
+    versioned(built, {f"e{n}": "v1" for n in range(16)} | {"other": "v2"})
+    for name in ("ask", "plan"):
+        built._note_prompt(generation(name, 800 if name == "ask" else 9_000))
+    for number in range(40):
+        built.load_table.begin(engine=f"e{number % 16}", tokens=100, heavy=False)
+    submitted(built, 1, None, route="ask")
+    before = built.stream_engines()["models"]
+    assert before > 1
+    submitted(built, 2, "v2", route="ask")
+    assert built.stream_engines()["models"] == before
+
+
+def on_connect(gateway, action) -> None:
+    """Runs an action once, while the next connection is opened."""
+    pool_new = gateway.pool.new
+
+    def new(*args, **options):
+        gateway.pool.new = pool_new
+        action()
+        return pool_new(*args, **options)
+
+    gateway.pool.new = new
+
+
+PATHS = [("/ask/1", "models", "stream"), ("/status/1", "app", "answer")]
+
+
+@pytest.mark.parametrize("path, service, script", PATHS)
+def test_a_request_is_not_sent_to_an_endpoint_that_paused_meanwhile(
+    gateway_for, path, service, script
+):
+    gateway, [endpoint] = gateway_for(service, [script])
+    on_connect(gateway, lambda: gateway.permits.pauses.begin(endpoint.id, 0, 0.4))
+    began_at = gateway.permits.clock()
+    assert gateway.ask(path)[0].status == 200
+    assert endpoint.received[0].at - began_at >= 0.4
+    reasons = [fields["reason"] for fields in gateway.events("send_failed")]
+    assert reasons == ["endpoint_paused"]
+
+
+@pytest.mark.parametrize("path, service, script", PATHS)
+def test_a_request_is_not_sent_with_a_key_that_was_revoked_meanwhile(
+    gateway_for, path, service, script
+):
+    gateway, [endpoint] = gateway_for(service, [script])
+    on_connect(gateway, lambda: gateway.routing.install(config(version=2, teams={})))
+    assert gateway.ask(path)[0].status == 401
+    assert not endpoint.received
+
+
+@pytest.mark.parametrize("path, service, script", PATHS)
+def test_a_request_is_decided_again_if_it_becomes_suspected_meanwhile(
+    gateway_for, monkeypatch, path, service, script
+):
+    """A request that may crash endpoints has one of its own at all instances."""
+    gateway, endpoints = gateway_for(service, [script], [script])
+    crashes = []
+    monkeypatch.setattr(CrashGuard, "is_suspected", lambda *args: bool(crashes))
+    on_connect(gateway, lambda: crashes.append("e0"))
+    assert gateway.ask(path)[0].status == 200
+    reasons = [fields["reason"] for fields in gateway.events("send_failed")]
+    assert reasons == ["request_suspected"]
+    assert sum(len(endpoint.received) for endpoint in endpoints) == 1
+
+
+@pytest.mark.parametrize("leaving", [False, True], ids=["there", "left"])
+def test_a_prompt_is_not_copied_from_an_engine_that_left_meanwhile(
+    gateway_for, leaving
+):
+    # Addresses of engines that left are used again by other services.
+    gateway, [engine, holder] = gateway_for("models", ["stream"], ["stream"])
+    admit = gateway.admission.admit
+
+    def leave_after_choice(*args, **options):
+        admission = admit(*args, **options)
+        admission.copy_from = gateway.registry.records[holder.id]
+        admission.engine = engine.id
+        if leaving:
+            gateway.set_endpoints({"models": [engine]})
+        return admission
+
+    gateway.admission.admit = leave_after_choice
+    assert gateway.ask("/ask/1")[0].status == 200
+    named = engine.received[0].header(NAMES.copy_prompt_from)
+    assert named == (None if leaving else holder.address)
--- a/tests/test_engine_admission.py
+++ b/tests/test_engine_admission.py
@@ -204,9 +204,7 @@
     item.id = f"r{number}"
     item.deadline = built.clock() + 10
     item.arrived_at = built.clock()
-    admission = built.admit(
-        item, excluded=frozenset(), caller_disconnected=lambda: False
-    )
+    admission = built.admit(item, caller_disconnected=lambda: False)
     return admission.engine
 
 
@@ -424,9 +422,7 @@
     waiting.deadline = built.clock() + 5
     waiting.output_tokens = 10
     thread = threading.Thread(
-        target=lambda: built.admit(
-            waiting, excluded=frozenset(), caller_disconnected=lambda: False
-        )
+        target=lambda: built.admit(waiting, caller_disconnected=lambda: False)
     )
     thread.start()
     assert wait_until(lambda: built.waiting["models"])
@@ -435,7 +431,7 @@
     late.deadline = built.clock() + 5
     late.output_tokens = 200
     with pytest.raises(Refusal) as refused:
-        built.admit(late, excluded=frozenset(), caller_disconnected=lambda: False)
+        built.admit(late, caller_disconnected=lambda: False)
     assert refused.value.status == 503
     assert refused.value.retry_after_s > 0
     built.load_table.end(
--- a/tests/test_prompt_kinds.py
+++ b/tests/test_prompt_kinds.py
@@ -148,9 +148,7 @@
         item.id = f"{name}{number}"
         item.arrived_at = built.clock()
         item.deadline = built.clock() + 6
-        waiter = built.admit(
-            item, excluded=frozenset(), caller_disconnected=lambda: False
-        )
+        waiter = built.admit(item, caller_disconnected=lambda: False)
         return waiter.engine
 
     built.start()
--- a/tests/test_scaling_orders.py
+++ b/tests/test_scaling_orders.py
@@ -230,9 +230,7 @@
     fleet.digests = [peer_digest(arrived=100, arrived_tokens=400_000)]
     fleet.view(0.0)
     item = generation("ask", 1_000)
-    found = fleet.admission.admit(
-        item, excluded=frozenset(), caller_disconnected=lambda: False
-    )
+    found = fleet.admission.admit(item, caller_disconnected=lambda: False)
     fleet.admission.load_table.update_peer_work("p", fleet.digests[0].work)
     fleet.digests = [
         peer_digest(arrived=119, arrived_tokens=439_000, waiting=3, waiting_tokens=9)
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -3,6 +3,7 @@
 What two versions write does not fit together, and endpoints do not check it.
 """
 
+import threading
 import time
 
 import pytest
@@ -247,3 +248,96 @@
     headers = {NAMES.resume_after: after.encode("latin-1"), NAMES.resumes: "r1"}
     assert gateway.ask("/ask/1", id="r2", headers=headers)[0].status == 400
     assert gateway.ask("/ask/1", id="r3")[0].status == 200
+
+
+def take_up_in_background(gateway, **headers: str):
+    """Takes stream r1 up in a thread; returns the thread and where its answer goes."""
+    answers = []
+    names = {NAMES.resume_after: "2", NAMES.resumes: "r1", "X-Deadline-Ms": "2900"}
+
+    def run():
+        answers.append(gateway.ask("/ask/1", id="r2", headers=names | headers))
+
+    thread = threading.Thread(target=run, daemon=True)
+    thread.start()
+    return thread, answers
+
+
+def waiting_take_up(fleet):
+    """Returns a gateway and a take-up that waits, as the engine of v1 has crashed."""
+    crashed, other = fleet.endpoint("v1", "stream"), fleet.endpoint("v2", "stream")
+    crashed.close()
+    gateway = fleet.gateway(fleet.endpoint("v1", "stream"))
+    assert gateway.ask("/ask/1", id="r1")[0].status == 200
+    fleet.serve(gateway, crashed, other)
+    thread, answers = take_up_in_background(gateway)
+    assert wait_until(lambda: gateway.events("request_waits"))
+    return gateway, [crashed, other], thread, answers
+
+
+def test_a_stream_that_waits_does_not_go_on_at_a_new_engine_of_another_version(fleet):
+    """Guards against a list of engines made before a wait, which lacks the new ones."""
+    gateway, engines, thread, answers = waiting_take_up(fleet)
+    late = fleet.endpoint("v2", "stream")
+    fleet.serve(gateway, *engines, late)
+    gateway.admission.note_change()
+    # Several reviews of the queue.
+    thread.join(0.5)
+    assert not (answers or late.runs)
+    same = fleet.endpoint("v1", "stream")
+    fleet.serve(gateway, *engines, late, same)
+    thread.join(5)
+    assert [response.status for response, _ in answers] == [200]
+    assert len(same.runs) == 1
+    assert not (engines[1].runs or late.runs)
+
+
+def test_a_stream_waits_for_its_version_no_longer_than_its_caller(fleet):
+    """Guards against a wait until the time limit; callers leave after 8 pause goals."""
+    began_at = time.monotonic()
+    _, engines, thread, answers = waiting_take_up(fleet)
+    thread.join(5)
+    assert 1.4 < time.monotonic() - began_at < 2.6
+    response, body = answers[0]
+    assert response.status == 503
+    assert b"stream_version_gone" in body
+    assert float(response.getheader("Retry-After")) > 0
+    assert not engines[1].runs
+
+
+def test_a_stream_is_not_sent_to_an_engine_that_came_back_with_another_version(fleet):
+    """Guards against an entry that is replaced after the engine was chosen."""
+    engine = fleet.endpoint("v1", "stream")
+    gateway = fleet.gateway(engine)
+    assert gateway.ask("/ask/1", id="r1")[0].status == 200
+    admit = gateway.admission.admit
+
+    def replace_after_choice(*args, **options):
+        admission = admit(*args, **options)
+        engine.version = "v2"
+        fleet.serve(gateway, engine)
+        return admission
+
+    gateway.admission.admit = replace_after_choice
+    response, _ = resume(gateway, "/ask/1")
+    assert response.status == 503
+    assert [run_id(run) for run in engine.runs] == ["r1"]
+
+
+def test_a_new_stream_asks_at_its_send_which_versions_can_be_recorded(fleet):
+    """Guards against a version that was required, or not, before a wait."""
+    old, new = fleet.endpoint("v1", "stream"), fleet.endpoint("v2", "stream")
+    gateway = settled_gateway(fleet, old, origins=MemoryOrigins())
+    fleet.serve(gateway, new)
+    pool_new = gateway.pool.new
+
+    def stop_confirming(*args, **options):
+        gateway.pool.new = pool_new
+        gateway.origins.required_version = lambda service: "v1"
+        fleet.serve(gateway, old, new)
+        return pool_new(*args, **options)
+
+    gateway.pool.new = stop_confirming
+    assert gateway.ask("/ask/1", id="r1")[0].status == 200
+    assert len(old.runs) == 1
+    assert not new.runs
