Route a waiting request anew once a newer configuration is in force

What callers could see: a request that waited for an endpoint, a permit or a connection while a configuration came into force was sent to the service that its route had left, on a route that was gone, or for the team that had had its key. Only the key was looked up again, and not for a request that had been sent before.

Cause: the route, the service and the team of a request were those of its arrival.

Change: a request is routed again, from its own head, at each decision, during the wait and after the connect, if the configuration has changed since. It stays at its service if its route still leads there (a split moves no request), and gets no more time than it had. If it can go nowhere, it gets the refusal of the configuration in force if it has not run, and otherwise ends as a request that cannot be repeated.

--- a/src/lagoonrill/_internal/coordination/engine_admission.py
+++ b/src/lagoonrill/_internal/coordination/engine_admission.py
@@ -155,7 +155,8 @@
     ) -> Admission | None:
         """Returns an engine for a generation, or None if its caller disconnected.
 
-        Raises `Refusal` if the generation cannot be served in time.
+        Raises `Refusal` if the generation cannot be served in time, and what the wait
+        check of `eligibility` raises.
         """
         self._note_prompt(generation)
         started_at = self.clock()
@@ -188,7 +189,7 @@
                 return False
             try:
                 waiter.eligibility.check_wait()
-            except Refusal:
+            except Exception:
                 self.withdraw(waiter)
                 raise
         return True
--- a/src/lagoonrill/_internal/coordination/engine_eligibility.py
+++ b/src/lagoonrill/_internal/coordination/engine_eligibility.py
@@ -8,7 +8,7 @@
 
 import time
 from collections import Counter
-from collections.abc import Hashable
+from collections.abc import Callable, Hashable
 from typing import Protocol
 
 from ..protocol.messages import LAST_RANK
@@ -16,7 +16,7 @@
 from ..state.endpoint_registry import EndpointRegistry
 from .crash_guard import CrashGuard
 from .engine_fleet import Fleet
-from .sending import Sending
+from .sending import Rerouted, Sending
 
 # A caller waits this many pause goals for the next event of its stream.
 CALLER_PAUSE_GOALS = 8.0
@@ -37,7 +37,7 @@
         """Returns the only version that the request may use, if others serve."""
 
     def check_wait(self) -> None:
-        """Raises `Refusal` if the request must not wait any longer."""
+        """Raises `Refusal` or `Rerouted` if the request must not wait any longer."""
 
 
 class AnyEngine:
@@ -64,12 +64,18 @@
 class SendingEligibility:
     """Decides by the version, the endpoints tried and the evidence of crashes."""
 
-    __slots__ = ("crash_guard", "registry", "sending")
+    __slots__ = ("crash_guard", "is_rerouted", "registry", "sending")
 
     def __init__(
-        self, *, sending: Sending, crash_guard: CrashGuard, registry: EndpointRegistry
+        self,
+        *,
+        sending: Sending,
+        crash_guard: CrashGuard,
+        registry: EndpointRegistry,
+        is_rerouted: Callable[[Sending], bool],
     ):
         self.sending = sending
+        self.is_rerouted = is_rerouted
         self.crash_guard = crash_guard
         self.registry = registry
 
@@ -109,9 +115,12 @@
     def check_wait(self) -> None:
         """Raises `Refusal` if no engine can go on with a stream while its caller waits.
 
-        An engine that crashed may be back in time.
+        An engine that crashed may be back in time. Raises `Rerouted` if the request has
+        to wait elsewhere, or nowhere.
         """
         sending = self.sending
+        if self.is_rerouted(sending):
+            raise Rerouted
         route = sending.request.route
         if not (sending.origin_known and route.pause_goal_s > 0):
             return
--- a/src/lagoonrill/_internal/coordination/forwarding.py
+++ b/src/lagoonrill/_internal/coordination/forwarding.py
@@ -50,7 +50,7 @@
 from .engine_requests import Admission, Generation
 from .policy.shared_retry_budget import SharedRetryBudget
 from .routed_request import RequestResolver, RoutedRequest
-from .sending import Answer, CallerBreak, Outcome, Sending, Silent
+from .sending import Answer, CallerBreak, Outcome, Rerouted, Sending, Silent
 from .service_selection import ServiceSelection
 from .stream_origins import StreamOrigins
 from .stream_records import Begin
@@ -81,6 +81,7 @@
 TIME_LIMIT_SLACK_S = 0.5
 # Statuses that tell the caller "not run"; only the router itself may return them.
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
+REROUTED = "rerouted"
 # Outcomes that say nothing about the engine that was sent the request.
 ORIGIN_UNRECORDED = "origin_unrecorded"
 SOUND_ENGINE_REASONS = frozenset(("time_limit", ORIGIN_UNRECORDED, NO_ANSWER_MEMORY))
@@ -178,6 +179,9 @@
             if outcome is None:
                 return
             self._note_outcome(sending, outcome)
+            if sending.refusal is not None:
+                self._give_up_refused(sending, sending.refusal)
+                return
             if not self._may_retry(sending):
                 self._give_up(sending)
                 return
@@ -288,11 +292,33 @@
 
     def _send_once(self, sending: Sending) -> Outcome | None:
         """Sends to one endpoint; returns None once the caller has its answer."""
+        if self._is_rerouted(sending) and sending.refusal is not None:
+            return Outcome(reason=sending.refusal.reason, may_have_run=False)
         self._choose_version(sending)
         if sending.request.route.uses_engine:
             return self._send_to_engine(sending)
         return self._send_to_service(sending)
 
+    def _is_rerouted(self, sending: Sending) -> bool:
+        """Routes a request anew if a configuration came into force since.
+
+        Returns whether it goes elsewhere now, or nowhere: `sending.refusal` says why.
+        """
+        request, table = sending.request, self.routing.table
+        if table is None or table.config.version == request.config_version:
+            return False
+        try:
+            sending.request = self.resolver.accept_again(request, table)
+            if sending.request.service == request.service:
+                return False
+            if sending.stream_started:
+                raise stream_version_gone()
+            sending.version, sending.origin_known = None, False
+            self._find_version(sending)
+        except Refusal as refusal:
+            sending.refusal = refusal
+        return True
+
     def _choose_version(self, sending: Sending) -> None:
         """Lets a resumable stream begin where its origin can be recorded, if it can."""
         if sending.origin_known or not sending.request.route.resumable:
@@ -333,9 +359,12 @@
                     sending=sending,
                     crash_guard=self.crash_guard,
                     registry=self.registry,
+                    is_rerouted=self._is_rerouted,
                 ),
                 caller_disconnected=sending.caller.is_disconnected,
             )
+        except Rerouted:
+            return Outcome(reason=REROUTED, may_have_run=False)
         except Refusal as refusal:
             self._give_up_refused(sending, refusal)
             return None
@@ -405,7 +434,10 @@
         except Refusal as refusal:
             self._give_up_refused(sending, refusal)
             return None
-        record = self.selection.choose(sending)
+        try:
+            record = self.selection.choose(sending, is_rerouted=self._is_rerouted)
+        except Rerouted:
+            return Outcome(reason=REROUTED, may_have_run=False)
         if record is None:
             self._give_up(sending)
             return None
@@ -458,12 +490,11 @@
         """Returns why a request must not be sent to its endpoint, or nothing.
 
         It may have waited for a permit or its connection since the endpoint was chosen.
-        Raises `Refusal` if it may be sent to no endpoint. `has_limit` tells whether the
+        Raises `Refusal` if the stream can begin nowhere. `has_limit` tells whether the
         permit that it has counts for a limit of the endpoint.
         """
-        request = sending.request
-        if not sending.may_have_run and self.routing.table is not None:
-            self.resolver.check_key(request, self.routing.table)
+        if self._is_rerouted(sending):
+            return REROUTED
         if not self.registry.takes_work(record):
             # The next decision may be made on the same list.
             sending.tried.add(record.id)
--- a/src/lagoonrill/_internal/coordination/routed_request.py
+++ b/src/lagoonrill/_internal/coordination/routed_request.py
@@ -129,10 +129,19 @@
             config_version=table.config.version,
         )
 
-    def check_key(self, request: RoutedRequest, table: RouteTable) -> None:
-        """Raises `Refusal` if a request's key was revoked after it was accepted."""
-        if table.config.version != request.config_version:
-            self._team(request.incoming, table, request.route)
+    def accept_again(self, request: RoutedRequest, table: RouteTable) -> RoutedRequest:
+        """Returns a request as the configuration in force routes it; raises `Refusal`.
+
+        It stays at its service if its route still leads there, and gets no more time
+        than it had.
+        """
+        if table.config.version == request.config_version:
+            return request
+        current = self.accept(request.incoming, table)
+        if any(item.service == request.service for item in current.route.services):
+            current.service = request.service
+        current.deadline = min(current.deadline, request.deadline)
+        return current
 
     def _resume_after(self, text: str | None, route: Route) -> int | None:
         if not text:
--- a/src/lagoonrill/_internal/coordination/sending.py
+++ b/src/lagoonrill/_internal/coordination/sending.py
@@ -7,6 +7,7 @@
 
 from ..memory.answers import AnswerShare
 from ..protocol.headers import RawHeaders
+from ..protocol.refusals import Refusal
 from ..protocol.routing import EndpointRecord
 from ..transport.caller_connection import CallerConnection
 from .routed_request import RoutedRequest
@@ -36,6 +37,10 @@
     """Raised if an endpoint is silent for longer than a repeatable request may wait."""
 
 
+class Rerouted(Exception):
+    """Raised if a configuration came into force that routes a waiting request anew."""
+
+
 class Sending:
     """State of one request across all send attempts."""
 
@@ -61,6 +66,8 @@
         self.may_have_run = False
         self.last_failure: Answer | None = None
         self.last_reason = ""
+        # Why the configuration in force lets the request go nowhere.
+        self.refusal: Refusal | None = None
         self.last_event = request.resume_after
         self.stream_started = False
         # Version of the endpoints that may be sent the request; None for any. Once a
--- a/src/lagoonrill/_internal/coordination/service_selection.py
+++ b/src/lagoonrill/_internal/coordination/service_selection.py
@@ -10,6 +10,7 @@
 import threading
 import time
 import zlib
+from collections.abc import Callable
 
 from ..protocol.refusals import Refusal
 from ..protocol.routing import EndpointRecord
@@ -18,7 +19,7 @@
 from .crash_guard import CrashGuard
 from .policy.service_placement import LeastLoadedEndpoint, ServiceEndpointView
 from .send_permits import SendPermits
-from .sending import Sending
+from .sending import Rerouted, Sending
 
 # Interval at which a waiting call looks for a permit and for its caller.
 POLL_INTERVAL_S = 0.02
@@ -47,11 +48,13 @@
         self.lock = threading.Lock()
         self.waiting: dict[str, list[Place]] = {}
 
-    def choose(self, sending: Sending) -> EndpointRecord | None:
+    def choose(
+        self, sending: Sending, *, is_rerouted: Callable[[Sending], bool]
+    ) -> EndpointRecord | None:
         """Returns the endpoint to call, or None if there is none.
 
-        Raises `Refusal` for a call that would wait too long and `CallerGone` if its
-        caller disconnects meanwhile.
+        Raises `Refusal` for a call that would wait too long, `CallerGone` if its caller
+        disconnects meanwhile and `Rerouted` if a configuration routes it anew.
         """
         request = sending.request
         place = (
@@ -66,13 +69,17 @@
         with self.lock:
             bisect.insort(self.waiting.setdefault(request.service, []), place)
         try:
-            return self._wait(sending, place)
+            return self._wait(sending, place, is_rerouted)
         finally:
             with self.lock:
                 self.waiting[request.service].remove(place)
 
-    def _wait(self, sending: Sending, place: Place) -> EndpointRecord | None:
+    def _wait(
+        self, sending: Sending, place: Place, is_rerouted: Callable[[Sending], bool]
+    ) -> EndpointRecord | None:
         while self._untried(sending):
+            if is_rerouted(sending):
+                raise Rerouted
             self._check_wait(sending, place)
             if sending.caller.is_disconnected():
                 raise CallerGone
--- a/tests/test_eligibility.py
+++ b/tests/test_eligibility.py
@@ -1,5 +1,8 @@
 """Guards against decisions that rest on what was known before a wait."""
 
+import threading
+
+import msgspec
 import pytest
 
 from lagoonrill._internal.coordination.crash_guard import CrashGuard
@@ -9,8 +12,13 @@
 )
 from lagoonrill._internal.coordination.engine_requests import Waiter, WaiterState
 from lagoonrill._internal.protocol.headers import HeaderNames
-from lagoonrill._internal.protocol.routing import EndpointRecord
-from tests.gateway_kit import config
+from lagoonrill._internal.protocol.routing import (
+    EndpointRecord,
+    RoutedTeam,
+    WeightedService,
+)
+from standins.scripted_endpoint import ScriptedEndpoint
+from tests.gateway_kit import KEY, ROUTES, config
 from tests.test_engine_admission import Peers, admission, generation
 
 NAMES = HeaderNames()
@@ -24,7 +32,12 @@
     def __init__(self, version: str):
         sending = StubSending()
         sending.version = version
-        super().__init__(sending=sending, crash_guard=NoCrashes(), registry=None)
+        super().__init__(
+            sending=sending,
+            crash_guard=NoCrashes(),
+            registry=None,
+            is_rerouted=lambda sending: False,
+        )
 
 
 class StubSending:
@@ -153,16 +166,115 @@
     assert reasons == ["endpoint_paused"]
 
 
+def moved_routes(version: int = 2):
+    """Returns a configuration whose routes lead to the service `moved`."""
+    to = (WeightedService(service="moved"),)
+    routes = tuple(msgspec.structs.replace(route, services=to) for route in ROUTES)
+    return config(version, routes=routes)
+
+
+def moving_gateway(gateway_for, service: str, script: str):
+    """Returns a gateway, the endpoint of a service and the one of `moved`."""
+    gateway, [old, new] = gateway_for(service, [script], [script])
+    gateway.set_endpoints({service: [old], "moved": [new]})
+    return gateway, old, new
+
+
 @pytest.mark.parametrize("path, service, script", PATHS)
-def test_a_request_is_not_sent_with_a_key_that_was_revoked_meanwhile(
+def test_a_request_that_waits_follows_its_route_to_another_service(
     gateway_for, path, service, script
+):
+    """Guards against a request that waits for endpoints that its route has left."""
+    gateway, old, new = moving_gateway(gateway_for, service, script)
+    gateway.permits.pauses.begin(old.id, 0, 1.0)
+    threading.Timer(0.2, gateway.routing.install, (moved_routes(),)).start()
+    headers = {"X-Deadline-Ms": "2900"}
+    assert gateway.ask(path, headers=headers)[0].status == 200
+    assert not old.received
+    assert len(new.received) == 1
+
+
+@pytest.mark.parametrize("path, service, script", PATHS)
+def test_a_request_is_not_sent_to_a_service_that_its_route_left_meanwhile(
+    gateway_for, path, service, script
+):
+    gateway, old, new = moving_gateway(gateway_for, service, script)
+    on_connect(gateway, lambda: gateway.routing.install(moved_routes()))
+    assert gateway.ask(path)[0].status == 200
+    assert not old.received
+    assert len(new.received) == 1
+
+
+def test_a_retry_goes_where_the_route_leads_now(gateway_for):
+    gateway, old, new = moving_gateway(gateway_for, "app", "answer")
+    third = ScriptedEndpoint(id="third")
+    old.script = ["closed_before_answer"]
+    gateway.set_endpoints({"app": [old, third], "moved": [new]})
+    emit = gateway.event_log.emit
+
+    def move_after_first_send(event, **fields):
+        emit(event, **fields)
+        if event == "request_sent" and fields["send"] == 1:
+            gateway.routing.install(moved_routes())
+
+    gateway.event_log.emit = move_after_first_send
+    gateway.registry.note_failure("third", unreachable=True)
+    assert gateway.ask("/status/1")[0].status == 200
+    assert not third.received
+    assert len(new.received) == 1
+    third.close()
+
+
+@pytest.mark.parametrize("is_allowed", [False, True], ids=["left", "split"])
+def test_a_stream_in_progress_does_not_go_on_where_its_route_does_not_lead(
+    gateway_for, is_allowed
+):
+    """A split keeps the service, so the stream goes on."""
+    gateway, [cut, same, new] = gateway_for(
+        "models", ["stream_cut"], ["stream"], ["stream"]
+    )
+    gateway.set_endpoints({"models": [cut], "moved": [new]})
+    after = moved_routes()
+    if is_allowed:
+        to = (*after.routes[0].services, WeightedService(service="models", weight=0))
+        routes = [msgspec.structs.replace(item, services=to) for item in after.routes]
+        after = config(2, routes=tuple(routes))
+    emit = gateway.event_log.emit
+
+    def move_after_first_send(event, **fields):
+        emit(event, **fields)
+        if event == "request_sent" and fields["send"] == 1:
+            gateway.set_endpoints({"models": [cut, same], "moved": [new]})
+            gateway.routing.install(after)
+
+    gateway.event_log.emit = move_after_first_send
+    response, body = gateway.ask("/ask/1")
+    assert b"token 2" in body
+    assert response.whole == is_allowed
+    assert len(same.runs) == is_allowed
+    assert not new.runs
+
+
+@pytest.mark.parametrize("path, service, script", PATHS)
+@pytest.mark.parametrize("change", ["key", "route"])
+def test_a_request_is_not_sent_if_its_key_or_route_is_dropped_meanwhile(
+    gateway_for, path, service, script, change
 ):
     gateway, [endpoint] = gateway_for(service, [script])
-    on_connect(gateway, lambda: gateway.routing.install(config(version=2, teams={})))
-    assert gateway.ask(path)[0].status == 401
+    after = config(2, teams={}) if change == "key" else config(2, routes=())
+    on_connect(gateway, lambda: gateway.routing.install(after))
+    assert gateway.ask(path)[0].status == {"key": 401, "route": 404}[change]
     assert not endpoint.received
 
 
+def test_a_request_is_sent_for_the_team_that_has_its_key_now(gateway_for):
+    gateway, [endpoint] = gateway_for("app", ["answer"])
+    after = config(2, teams={KEY: RoutedTeam(name="other")})
+    on_connect(gateway, lambda: gateway.routing.install(after))
+    assert gateway.ask("/status/1")[0].status == 200
+    assert endpoint.received[0].header(NAMES.team) == "other"
+
+
 @pytest.mark.parametrize("path, service, script", PATHS)
 def test_a_request_is_decided_again_if_it_becomes_suspected_meanwhile(
     gateway_for, monkeypatch, path, service, script
