--- a/src/lagoonrill/_internal/coordination/engine_admission.py
+++ b/src/lagoonrill/_internal/coordination/engine_admission.py
@@ -179,11 +179,18 @@
         return waiter.admission
 
     def _await_decision(self, waiter: Waiter, caller_disconnected) -> bool:
-        """Waits for a decision; returns False if the caller disconnected before it."""
+        """Waits for a decision; returns False if the caller disconnected before it.
+
+        Raises `Refusal` at the time limit of the request, whatever became of it.
+        """
         if waiter.decided.is_set():
             return True
         self.changed.set()
+        deadline = waiter.generation.deadline
         while not waiter.decided.wait(CHECK_INTERVAL_S):
+            if self.clock() >= deadline:
+                self.withdraw(waiter)
+                raise self._refusal(waiter.generation)
             if caller_disconnected():
                 self.withdraw(waiter)
                 return False
@@ -366,26 +373,43 @@
             line = self.waiting.get(service)
             if not line:
                 return
-            now = self.clock()
-            waiters = {waiter.view.id: waiter for waiter in line}
-            engines = self._fleet(service)
-            earliest = now + self._held_s(engines)
-            failed = FailedPlacements(most=MAX_FAILED_PLACEMENTS)
-            for view in self.order.order([item.view for item in line], now):
-                if failed.blocks(view.priority):
-                    continue
-                waiter = waiters[view.id]
-                if not view.can_finish(earliest):
+            try:
+                self._decide(service, line)
+            finally:
+                line[:] = [item for item in line if item.state is WaiterState.WAITING]
+
+    def _decide(self, service: str, line: list[Waiter]) -> None:
+        now = self.clock()
+        # Callers choose the ids of requests, so several may have the same one.
+        waiters = {id(waiter.view): waiter for waiter in line}
+        fleet = self._fleet(service)
+        earliest = now + self._held_s(fleet)
+        failed = FailedPlacements(most=MAX_FAILED_PLACEMENTS)
+        for view in self.order.order([item.view for item in line], now):
+            if failed.blocks(view.priority):
+                continue
+            waiter = waiters[id(view)]
+            if not view.can_finish(earliest):
+                waiter.move_to(WaiterState.REFUSED)
+                continue
+            try:
+                self._place_waiting(waiter, fleet, now, failed)
+            except Exception:
+                log.exception("placement of a generation failed")
+                if waiter.state is WaiterState.WAITING:
                     waiter.move_to(WaiterState.REFUSED)
-                    continue
-                group = waiter.eligibility.group(engines)
-                if failed.blocks(view.priority, group):
-                    continue
-                if not self._try_place(waiter, engines, now) and waiter.has_engines:
-                    failed.note(view.priority, group)
-            for view in self._late_jobs(service, now):
-                waiters[view.id].move_to(WaiterState.REFUSED)
-            line[:] = [item for item in line if item.state is WaiterState.WAITING]
+        for view in self._late_jobs(service, now):
+            waiters[id(view)].move_to(WaiterState.REFUSED)
+
+    def _place_waiting(
+        self, waiter: Waiter, fleet: Fleet, now: float, failed: FailedPlacements
+    ) -> None:
+        rank = waiter.view.priority
+        group = waiter.eligibility.group(fleet)
+        if failed.blocks(rank, group):
+            return
+        if not self._try_place(waiter, fleet, now) and waiter.has_engines:
+            failed.note(rank, group)
 
     def _late_jobs(self, service: str, now: float) -> list[WaitingJob]:
         """Returns the queued jobs of a service that cannot finish in time.
@@ -422,8 +446,13 @@
     def review_all(self) -> None:
         """Reviews the queues of all services."""
         for service, line in list(self.waiting.items()):
-            if line:
+            if not line:
+                continue
+            try:
                 self.review(service)
+            except Exception:
+                # The requests of the other services must not wait for this one.
+                log.exception("review of generations for {} failed", service)
 
     def _fleet(self, service: str) -> Fleet:
         """Returns the engines of a service, cached until the endpoint list changes."""
