--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -1,6 +1,7 @@
 """Runs a soak test: `python -m bench.soak --seed 1 --seconds 30`."""
 
 import random
+import shutil
 import tempfile
 import threading
 import time
@@ -43,7 +44,10 @@
     callers: Annotated[int, typer.Option(help="Number of callers.")] = 12,
     keep: Annotated[str, typer.Option(help="Folder for the gateways' logs.")] = "",
 ) -> None:
-    """Injects faults into gateways and checks what callers and endpoints observed."""
+    """Injects faults into gateways and checks what callers and endpoints observed.
+
+    The logs of a run that breaks a guarantee are kept in any case.
+    """
     with tempfile.TemporaryDirectory() as temporary:
         folder = Path(keep or temporary)
         folder.mkdir(parents=True, exist_ok=True)
@@ -57,8 +61,12 @@
             ended_at = time.monotonic()
         finally:
             environment.close()
-    violations = check(environment.history, ended_at=ended_at)
-    report(environment, seed, violations)
+        violations = check(environment.history, ended_at=ended_at)
+        report(environment, seed, violations)
+        if violations and not keep:
+            kept = tempfile.mkdtemp(prefix=f"soak-{seed}-")
+            shutil.copytree(folder, kept, dirs_exist_ok=True)
+            print(f"logs: {kept}")
     raise typer.Exit(1 if violations else 0)
 
 
--- a/bench/soak/environment.py
+++ b/bench/soak/environment.py
@@ -175,14 +175,21 @@
     def seeds(self) -> list[str]:
         return [gateway.peer for gateway in self.gateways[:3]]
 
-    def add_endpoint(self, service: str) -> str:
-        """Starts and registers an endpoint; returns its id."""
+    def next_release(self) -> None:
+        """Gives endpoints that are started from now on another software version."""
+        self.release = self.release % 3 + 1
+
+    def add_endpoint(self, service: str, *, version: str | None = None) -> str:
+        """Starts and registers an endpoint, of the newest version unless it is named.
+
+        Returns its id.
+        """
         self.next_endpoint += 1
         id = f"i-{self.next_endpoint}"
         endpoint = SoakEndpoint(
             id=id,
             service=service,
-            version=f"v{self.release}",
+            version=version or f"v{self.release}",
             history=self.history,
             seed=self.seed * 1_000 + self.next_endpoint,
         )
@@ -206,7 +213,7 @@
 
     def release_half(self, service: str, *, pause_s: float = 0.0) -> None:
         """Replaces half of a service's endpoints by those of the next version."""
-        self.release = self.release % 3 + 1
+        self.next_release()
         old = [
             id
             for id, (endpoint, _) in list(self.endpoints.items())
--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -370,6 +370,44 @@
         environment.release_half(endpoint.service, pause_s=seconds / 10)
 
 
+@FAULTS.register("single_version_crashes")
+class SingleVersionCrashes(EndpointFault):
+    """The only engine of a version crashes; others register before it is back.
+
+    Its streams wait for their version while engines of another one have room.
+    """
+
+    def choose(self, environment: SoakEnvironment, rng: random.Random):
+        service = "models"
+        ready = [
+            endpoint
+            for id, (endpoint, _) in environment.endpoints.items()
+            if endpoint.service == service and id not in environment.history.leaving
+        ]
+        return rng.choice(ready).id
+
+    def inject(self, environment: SoakEnvironment, target, seconds: float) -> None:
+        endpoint, _ = environment.endpoints[target]
+        environment.next_release()
+        single = environment.add_endpoint(endpoint.service)
+        version = environment.endpoints[single][0].version
+        time.sleep(JOIN_S + seconds / 3)
+        environment.endpoints[single][1].close()
+        added = []
+        for _ in range(2):
+            time.sleep(seconds / 6)
+            added.append(
+                environment.add_endpoint(endpoint.service, version=endpoint.version)
+            )
+        time.sleep(seconds / 6)
+        environment.remove_endpoint(single)
+        time.sleep(seconds / 6)
+        added.append(environment.add_endpoint(endpoint.service, version=version))
+        time.sleep(JOIN_S)
+        for id in added:
+            environment.drain_endpoint(id)
+
+
 @FAULTS.register("deadly_request")
 class DeadlyRequest(WholeStoreFault):
     """A request that crashes each endpoint that runs it comes again and again."""
