--- a/src/lagoonrill/_internal/memory/callers.py
+++ b/src/lagoonrill/_internal/memory/callers.py
@@ -19,6 +19,14 @@
 # waiting. They are held twice while they are sent, together with their head.
 SMALL_BODY_BYTES = 65_536
 SMALL_BODY_COPIES = 2
+# The cost of a connection covers a head of this size. A larger one is reserved by what
+# it becomes: its fields as objects, and what lists in them are decoded to.
+FREE_HEAD_FIELDS = 64
+FREE_HEAD_BYTES = 4_096
+FIELD_BYTES = 160
+DECODED_HEAD_FACTOR = 16
+# Time that such a head, which is in memory already, waits for room.
+HEAD_WAIT_S = 0.1
 # Buffers of the socket and the parser while a large body is received.
 RECEIVE_BUFFERS_BYTES = 98_304
 # A chunked body is reserved in steps of this size, and a growing buffer takes up to an
@@ -34,12 +42,23 @@
 NOTICE_INTERVAL_S = 1.0
 
 
+def head_cost_bytes(fields: int, size: int) -> int:
+    """Returns what a decoded head takes beyond the cost of its connection.
+
+    >>> head_cost_bytes(20, 900), head_cost_bytes(3_200, 16_000)
+    (0, 692224)
+    """
+    many = max(0, fields - FREE_HEAD_FIELDS) * FIELD_BYTES
+    return many + max(0, size - FREE_HEAD_BYTES) * DECODED_HEAD_FACTOR
+
+
 class Upload:
-    """Memory of one request body, from its first byte until its answer is sent."""
+    """Memory of one request, from its head until its answer is sent."""
 
     __slots__ = (
         "abort",
         "aborted",
+        "head_bytes",
         "is_waiting",
         "key",
         "memory",
@@ -58,12 +77,19 @@
         self.abort = abort
         self.aborted = False
         self.part: AccountPart = memory.account.parts[Part.SMALL_BODIES]
+        # Reserved for the head in the part of small bodies, whatever the body takes.
+        self.head_bytes = 0
         self.reserved_bytes = 0
         self.received_bytes = 0
         self.started_at = self.progress_at = time.monotonic()
         self.is_waiting = False
         self.receiving = True
 
+    def reserve_head(self, count: int, is_wanted: Callable[[], bool]) -> None:
+        """Reserves the memory of a large head; raises `Refusal`."""
+        self._reserve(count, is_wanted, HEAD_WAIT_S)
+        self.head_bytes, self.reserved_bytes = count, 0
+
     def reserve_length(self, length: int, is_wanted: Callable[[], bool]) -> None:
         """Reserves the memory of a body of known length; raises `Refusal`."""
         if length <= FREE_BODY_BYTES:
@@ -100,12 +126,17 @@
         finally:
             small.give_back(held)
 
-    def _reserve(self, count: int, is_wanted: Callable[[], bool]) -> None:
+    def _reserve(
+        self,
+        count: int,
+        is_wanted: Callable[[], bool],
+        most_wait_s: float = math.inf,
+    ) -> None:
         if not self.part.take(count):
             self.is_waiting = True
             begun_at = time.monotonic()
             try:
-                self.memory.wait_for_room(self.part, count, is_wanted)
+                self.memory.wait_for_room(self.part, count, is_wanted, most_wait_s)
             finally:
                 # The caller could not send during the wait.
                 self.progress_at = time.monotonic()
@@ -135,11 +166,13 @@
         self.memory.forget(self)
         reserved, self.reserved_bytes = self.reserved_bytes, 0
         self.part.give_back(reserved)
+        head, self.head_bytes = self.head_bytes, 0
+        self.memory.account.parts[Part.SMALL_BODIES].give_back(head)
 
     def view(self) -> policy.UploadView:
         return policy.UploadView(
             key=self.key,
-            held_bytes=self.reserved_bytes,
+            held_bytes=self.reserved_bytes + self.head_bytes,
             received_bytes=self.received_bytes,
             started_at=self.started_at,
             progress_at=self.progress_at,
@@ -163,6 +196,8 @@
         self.event_log = event_log
         self.room_wait_s = room_wait_s
         self.lock = threading.Lock()
+        # Held while a large head is decoded, so that only one is not reserved yet.
+        self.large_heads = threading.Lock()
         self.keys = itertools.count()
         self.uploads: dict[int, Upload] = {}
         # Refusals by reason since the last line in the log, and the time of that line.
@@ -183,7 +218,11 @@
             self.uploads.pop(upload.key, None)
 
     def wait_for_room(
-        self, part: AccountPart, count: int, is_wanted: Callable[[], bool]
+        self,
+        part: AccountPart,
+        count: int,
+        is_wanted: Callable[[], bool],
+        most_wait_s: float = math.inf,
     ) -> None:
         """Reserves bytes, and raises `Refusal` if there is no room for them in time."""
 
@@ -197,7 +236,9 @@
             self.note_refusal("body_over_memory")
             raise Refusal(413, "body_over_memory", remedy="Send less, or in parts.")
         if not part.wait_and_take(
-            count, timeout_s=self.room_wait_s, while_waiting=while_waiting
+            count,
+            timeout_s=min(self.room_wait_s, most_wait_s),
+            while_waiting=while_waiting,
         ):
             self.note_refusal("no_memory")
             raise no_memory("no_memory")
@@ -206,7 +247,7 @@
         with self.lock:
             uploads = dict(self.uploads)
         # Memory of uploads that were ended before is about to become free.
-        ending = sum(item.reserved_bytes for item in uploads.values() if item.aborted)
+        ending = sum(i.view().held_bytes for i in uploads.values() if i.aborted)
         views = [item.view() for item in uploads.values() if not item.aborted]
         chosen = policy.choose_uploads(
             views, needed_bytes=needed_bytes - ending, now=time.monotonic()
--- a/src/lagoonrill/_internal/transport/caller_connection.py
+++ b/src/lagoonrill/_internal/transport/caller_connection.py
@@ -9,7 +9,7 @@
 import h11
 import msgspec
 
-from ..memory.callers import CallerMemory, Upload, no_memory
+from ..memory.callers import CallerMemory, Upload, head_cost_bytes, no_memory
 from ..protocol.headers import RawHeaders
 from ..protocol.routing import CallerLimits
 from .sockets import (
@@ -71,6 +71,8 @@
         # Accounts for bodies; without it, only their limit applies.
         self.memory = memory
         self.upload: Upload | None = None
+        # Lines and bytes of the head that is being received.
+        self.head_seen = (0, 0)
         # Head of the current request, also if its body was refused.
         self.head: IncomingRequest | None = None
         # Time since which no complete head has arrived (monotonic clock), or None.
@@ -107,20 +109,10 @@
         arrived_at = time.monotonic()
         deadline = arrived_at + self.limits.header_timeout_s
         try:
-            head = self._next_event(deadline)
-            if not isinstance(head, h11.Request):
+            length = self._read_head(arrived_at, deadline)
+            if self.head is None:
                 return None
-            self._check_head_size(head)
-            if not self._leave_idle():
-                return None
-            self.head = IncomingRequest(
-                method=head.method,
-                target=head.target,
-                headers=head.headers.raw_items(),
-                body=b"",
-                arrived_at=arrived_at,
-            )
-            body = self._read_body(head)
+            body = self._read_body(length)
         except h11.RemoteProtocolError as error:
             raise BadHead(
                 status=error.error_status_hint or 400, reason=str(error)
@@ -133,6 +125,53 @@
             return None
         return msgspec.structs.replace(self.head, body=body)
 
+    def _read_head(self, arrived_at: float, deadline: float) -> int | None:
+        """Reads the head of a request; returns the length of its body, None if chunked.
+
+        `head` stays None if the caller disconnected. Raises `Refusal` if there is no
+        room for a large head.
+        """
+        while True:
+            with self._head_lock():
+                event = self.parser.next_event()
+                if isinstance(event, h11.Request):
+                    return self._accept_head(event, arrived_at)
+            if event is not h11.NEED_DATA:
+                return None
+            received = self._receive(deadline)
+            if received is None:
+                return None
+            self._note_head_bytes(received)
+            self.parser.receive_data(received)
+
+    def _head_lock(self) -> contextlib.AbstractContextManager:
+        if self.memory is None or not head_cost_bytes(*self.head_seen):
+            return contextlib.nullcontext()
+        return self.memory.large_heads
+
+    def _note_head_bytes(self, received: bytes) -> None:
+        head, _, _ = received.partition(b"\r\n\r\n")
+        fields, size = self.head_seen
+        self.head_seen = (fields + head.count(b"\n"), size + len(head))
+
+    def _accept_head(self, head: h11.Request, arrived_at: float) -> int | None:
+        """Takes a decoded head, and reserves what it takes beyond its connection."""
+        self._check_head_size(head)
+        if not self._leave_idle():
+            return None
+        self.head = IncomingRequest(
+            method=head.method,
+            target=head.target,
+            headers=head.headers.raw_items(),
+            body=b"",
+            arrived_at=arrived_at,
+        )
+        cost = head_cost_bytes(*self.head_seen)
+        if cost and self.memory is not None:
+            self.upload = self.memory.begin_upload(self._end_reading)
+            self.upload.reserve_head(cost, self._is_waiting_caller)
+        return announced_length(head)
+
     def _check_head_size(self, head: h11.Request) -> None:
         # h11 limits the size only of a head that is still incomplete.
         size = len(head.target) + sum(
@@ -141,17 +180,16 @@
         if size > self.limits.max_header_bytes:
             raise BadHead(status=431, reason="the header fields are too large")
 
-    def _read_body(self, head: h11.Request) -> bytes | bytearray | None:
+    def _read_body(self, length: int | None) -> bytes | bytearray | None:
         """Reads the body once there is room for it; raises `Refusal` if there is none.
 
         A body over the limit is refused before it is read, if its length is announced.
         """
-        length = announced_length(head)
         if length is not None and length > self.limits.max_body_bytes:
             raise BadHead(status=413, reason="the body is too large")
         # Callers that send a whole body before they read still get a refusal.
         self.discard_bytes = max(MAX_DISCARDED_BYTES, self.limits.max_body_bytes)
-        if length != 0 and self.memory is not None:
+        if length != 0 and self.memory is not None and self.upload is None:
             self.upload = self.memory.begin_upload(self._end_reading)
         if length and self.upload is not None:
             self.upload.reserve_length(length, self._is_waiting_caller)
@@ -220,17 +258,24 @@
 
     def _next_event(self, deadline: float):
         while (event := self.parser.next_event()) is h11.NEED_DATA:
+            received = self._receive(deadline)
+            if not received:
+                return None
+            self.parser.receive_data(received)
+        return event
+
+    def _receive(self, deadline: float) -> bytes | None:
+        """Returns received bytes, none at the end of the input, or None after an error.
+
+        Raises `TimeoutError` at the deadline.
+        """
+        while True:
             try:
-                received = self.sock.recv(RECEIVE_BYTES)
+                return self.sock.recv(RECEIVE_BYTES)
             except BlockingIOError:
                 wait_for(self.sock, select.POLLIN, deadline, None)
-                continue
             except OSError:
                 return None
-            if not received and self.parser.their_state is h11.SEND_BODY:
-                return None
-            self.parser.receive_data(received)
-        return event
 
     def send_complete(
         self, status: int, reason: bytes, headers: RawHeaders, body: bytes
@@ -298,6 +343,8 @@
             return False
         if self.parser.their_state is not h11.DONE:
             return False
+        self.head_seen = (0, 0)
+        self._note_head_bytes(self.parser.trailing_data[0])
         self.parser.start_next_cycle()
         self.answer_started = False
         self.served += 1
--- a/tests/platform/test_memory_overload.py
+++ b/tests/platform/test_memory_overload.py
@@ -26,6 +26,8 @@
 MAX_BODY_BYTES = 1_048_576
 # For the callers that send more than the limit, which hold memory only up to there.
 LARGER_MAX_BODY_BYTES = 4_194_304
+# For the callers that send many fields.
+LARGER_MAX_HEADER_BYTES = 65_536
 MEMORY_MB = 96
 MAX_DESCRIPTORS = 560
 CALLERS = 64
@@ -115,6 +117,12 @@
     yield HEAD + b"X-More: " + b"x" * 8_000
 
 
+@kind
+def large_head_and_all_but_the_last_byte() -> Iterator[bytes | None]:
+    fields = b"a:\r\n" * (LARGER_MAX_HEADER_BYTES // 6)
+    yield HEAD + fields + b"Content-Length: 8000\r\n\r\n" + bytes(7_999)
+
+
 @kind
 def nothing() -> Iterator[bytes | None]:
     yield from ()
@@ -125,7 +133,11 @@
     yield with_length(2) + b"{}"
 
 
-CROWD_SIZES = {"nothing": SILENT_CALLERS, "half_a_head": SILENT_CALLERS}
+CROWD_SIZES = {
+    "nothing": SILENT_CALLERS,
+    "half_a_head": SILENT_CALLERS,
+    "large_head_and_all_but_the_last_byte": SILENT_CALLERS,
+}
 SCRIPTS = {"requests_whose_answers_are_not_read": "large_platform_answer"}
 # Callers of these kinds leave answers in the socket.
 UNREAD_KINDS = frozenset(("requests_whose_answers_are_not_read",))
@@ -262,6 +274,8 @@
     endpoint = ENDPOINTS.get(kind, ScriptedEndpoint)(id="i-1", script=script)
     max_body_bytes = LARGER_MAX_BODY_BYTES if "over" in kind else MAX_BODY_BYTES
     limits = {**configuration()["Limits"], "MaxBodyBytes": max_body_bytes}
+    if "head_and" in kind:
+        limits["MaxHeaderBytes"] = LARGER_MAX_HEADER_BYTES
     store.put("config", "main", configuration(Limits=limits))
     store.put("servers", "i-1", server(Service="desk", Address=endpoint.address))
     instance = Instance(tmp_path, "a", store_server.address, [])
