--- a/src/lagoonrill/_internal/memory/callers.py
+++ b/src/lagoonrill/_internal/memory/callers.py
@@ -253,13 +253,17 @@
             views, needed_bytes=needed_bytes - ending, now=time.monotonic()
         )
         for view in chosen:
-            upload = uploads[view.key]
-            with self.lock:
-                if not upload.receiving:
-                    continue
-                upload.aborted = True
-            self.note_refusal("slow_upload")
-            upload.abort()
+            self.end_upload(uploads[view.key])
+
+    def end_upload(self, upload: Upload) -> bool:
+        """Ends an upload; returns False if it has ended in the meantime."""
+        with self.lock:
+            if not upload.receiving or upload.aborted:
+                return False
+            upload.aborted = True
+        self.note_refusal("slow_upload")
+        upload.abort()
+        return True
 
     def note_refusal(self, reason: str) -> None:
         """Counts a refusal; logs the first of each second, with the number so far."""
--- a/src/lagoonrill/_internal/memory/policy.py
+++ b/src/lagoonrill/_internal/memory/policy.py
@@ -41,7 +41,12 @@
     >>> is_slow(steady, now=10.0), is_slow(steady, now=11.0)
     (False, True)
     """
-    if upload.is_waiting or not upload.held_bytes:
+    return bool(upload.held_bytes) and is_stalled(upload, now)
+
+
+def is_stalled(upload: UploadView, now: float) -> bool:
+    """Returns whether an upload makes too little progress, whatever memory it holds."""
+    if upload.is_waiting:
         return False
     if now - upload.progress_at >= STALLED_S:
         return True
@@ -71,13 +76,15 @@
 class WaitingView(msgspec.Struct, kw_only=True, frozen=True):
     """A connection that waits for its caller since a time.
 
-    It waits for a complete head, or for the caller to take more of an answer.
+    It waits for a complete head, for the rest of a body that has stalled, or for the
+    caller to take more of an answer.
     """
 
     key: int
     since: float
     served: int = 0
     is_sending: bool = False
+    is_receiving: bool = False
 
 
 def choose_waiting(
@@ -85,8 +92,9 @@
 ) -> WaitingView | None:
     """Returns the connection to close for memory that another needs, or None.
 
-    Connections that have never sent a request come first, then those whose caller
-    takes nothing of its answer, then idle ones; each with the longest wait first.
+    Connections that have never sent a request come first, then those with a stalled
+    body, then those whose caller takes nothing of its answer, then idle ones; each with
+    the longest wait first.
 
     >>> used = WaitingView(key=1, served=3, since=0.0)
     >>> unused = WaitingView(key=2, since=4.0)
@@ -105,6 +113,8 @@
 
 
 def _waiting_order(item: WaitingView) -> tuple[int, float]:
-    if item.is_sending:
+    if item.is_receiving:
         return 1, item.since
-    return 2 if item.served else 0, item.since
+    if item.is_sending:
+        return 2, item.since
+    return 3 if item.served else 0, item.since
--- a/src/lagoonrill/_internal/transport/caller_connection.py
+++ b/src/lagoonrill/_internal/transport/caller_connection.py
@@ -9,6 +9,7 @@
 import h11
 import msgspec
 
+from ..memory import policy
 from ..memory.callers import CallerMemory, Upload, head_cost_bytes, no_memory
 from ..protocol.headers import RawHeaders
 from ..protocol.routing import CallerLimits
@@ -249,6 +250,22 @@
             self.sock.shutdown(socket.SHUT_RDWR)
         return True
 
+    def stalled_since(self, now: float) -> float | None:
+        """Returns the time of the last progress of a body that has stalled, or None."""
+        upload = self.upload
+        if upload is None or not upload.receiving or upload.aborted:
+            return None
+        view = upload.view()
+        return view.progress_at if policy.is_stalled(view, now) else None
+
+    def end_upload(self) -> bool:
+        """Ends a body that is being received, from another thread.
+
+        Its caller gets a refusal. Returns False if the body has ended in the meantime.
+        """
+        upload = self.upload
+        return upload is not None and self.memory.end_upload(upload)
+
     def release_body(self) -> None:
         """Gives back the memory of the body of the current request."""
         self.head = None
--- a/src/lagoonrill/_internal/transport/gateway_listener.py
+++ b/src/lagoonrill/_internal/transport/gateway_listener.py
@@ -185,20 +185,28 @@
         """
         with self.lock:
             served = dict(self.served)
+        now = time.monotonic()
         views = []
         for key, item in served.items():
             idle, sending = item.idle_since, item.sending_since
             if item.ended:
                 continue
-            if sending is not None:
+            stalled = None if readers_only else item.stalled_since(now)
+            if stalled is not None:
+                view = policy.WaitingView(key=key, since=stalled, is_receiving=True)
+            elif sending is not None:
                 view = policy.WaitingView(key=key, since=sending, is_sending=True)
             elif idle is not None and not readers_only:
                 view = policy.WaitingView(key=key, since=idle, served=item.served)
             else:
                 continue
             views.append(view)
-        chosen = policy.choose_waiting(views, now=time.monotonic())
-        if chosen is None or not served[chosen.key].end_waiting():
+        chosen = policy.choose_waiting(views, now=now)
+        if chosen is None:
+            return False
+        if chosen.is_receiving:
+            return served[chosen.key].end_upload()
+        if not served[chosen.key].end_waiting():
             return False
         reason = "slow_reader" if chosen.is_sending else "idle_connection"
         self.memory.note_refusal(reason)
--- a/tests/test_caller_memory.py
+++ b/tests/test_caller_memory.py
@@ -127,3 +127,29 @@
             assert wait_until(lambda: listener.end_one(readers_only=True))
             assert wait_until(lambda: not gateway.answer_memory.held_bytes)
             assert len(listener.served) == 1
+
+
+def test_stalled_small_bodies_give_way_to_a_new_connection(gateway):
+    """Guards against callers that hold all connections in the middle of a body.
+
+    Bodies up to 8 kB hold no memory of their own, and no connection was idle.
+    """
+    gateway.listener.max_connections = 2
+    line = "Transfer-Encoding: chunked"
+    with (
+        send(gateway, line, body=b"1\r\nx\r\n") as first,
+        send(gateway, line, body=b"1\r\nx\r\n") as second,
+    ):
+        assert wait_until(lambda: len(gateway.memory.uploads) == 2)
+        time.sleep(policy.STALLED_S + 0.1)
+        assert gateway.ask("/order/1")[0].status == 200
+        ended = [sock for sock in (first, second) if is_refused(sock)]
+    assert len(ended) == 1
+    assert gateway.events("memory_refused")[0]["reason"] == "slow_upload"
+
+
+def is_refused(sock: socket.socket) -> bool:
+    sock.settimeout(0.3)
+    with contextlib.suppress(TimeoutError):
+        return sock.recv(4_096).startswith(b"HTTP/1.1 503 ")
+    return False
