--- a/src/lagoonrill/_internal/protocol/headers.py
+++ b/src/lagoonrill/_internal/protocol/headers.py
@@ -3,6 +3,7 @@
 A platform adapter can replace the default names.
 """
 
+import hashlib
 import re
 
 import msgspec
@@ -12,6 +13,10 @@
 _DECIMAL = re.compile(r"[0-9]+(\.[0-9]*)?|\.[0-9]+")
 # More digits than a float distinguishes.
 MAX_DECIMAL_CHARACTERS = 30
+# Callers name parts of prompts; more of them, and longer names, would only take memory.
+MAX_PROMPT_PARTS = 256
+MAX_PART_ID_CHARACTERS = 64
+PART_DIGEST_BYTES = 16
 
 # Hop-by-hop headers (RFC 9110, section 7.6.1) and headers for message framing.
 CONNECTION_HEADERS = frozenset(
@@ -143,9 +148,17 @@
     )
 
 
-def parse_prompt_parts(text: str | None) -> tuple[PromptPart, ...]:
+def parse_prompt_parts(
+    text: str | None, *, most: int = MAX_PROMPT_PARTS
+) -> tuple[PromptPart, ...]:
     """Parses a list of prompt parts; returns no parts if the list is invalid.
 
+    If there are more than `most`, the last ones become one part; long ids become
+    digests.
+
+    >>> parts = parse_prompt_parts("5c:800,e4:250,77:9", most=2)
+    >>> [part.tokens for part in parts]
+    [800, 259]
     >>> parse_prompt_parts("5c:800,e4:250")
     (PromptPart(id='5c', tokens=800), PromptPart(id='e4', tokens=250))
     >>> parse_prompt_parts("5c:800,e4")
@@ -157,10 +170,25 @@
         count = parse_positive_int(tokens)
         if not (part_id and separator and count):
             return ()
+        if len(part_id) > MAX_PART_ID_CHARACTERS:
+            part_id = part_digest(part_id)
         parts.append(PromptPart(id=part_id, tokens=count))
+    if len(parts) > most:
+        rest = parts[most - 1 :]
+        parts[most - 1 :] = [
+            PromptPart(
+                id=part_digest(",".join(part.id for part in rest)),
+                tokens=sum(part.tokens for part in rest),
+            )
+        ]
     return tuple(parts)
 
 
+def part_digest(text: str) -> str:
+    """Returns an id of fixed length in place of a longer one."""
+    return hashlib.blake2b(text.encode(), digest_size=PART_DIGEST_BYTES).hexdigest()
+
+
 def decode_era(text: str | None) -> int:
     """Returns the era that an answer names; 0 if it names none.
 
--- a/src/lagoonrill/_internal/state/engine_load_table.py
+++ b/src/lagoonrill/_internal/state/engine_load_table.py
@@ -38,6 +38,10 @@
 # That estimate contains the time that does not depend on the prompt's length, so it is
 # too low. A fit that tells the two apart may exceed it by this factor.
 MAX_FIT_RATIO = 4.0
+# Number of cached parts remembered for all engines together, and for each at least.
+# One takes 0.3 kB, whatever its number of tokens.
+MAX_CACHED_PARTS = 40_000
+MIN_CACHED_PARTS = 256
 # Number of engines remembered per prompt part, and number of parts remembered.
 MAX_READERS_PER_PART = 3
 MAX_TRACKED_PARTS = 20_000
@@ -142,10 +146,12 @@
     90
     """
 
-    __slots__ = ("limit_tokens", "parts", "tokens")
+    __slots__ = ("limit_parts", "limit_tokens", "parts", "tokens")
 
-    def __init__(self, *, limit_tokens: int):
+    def __init__(self, *, limit_tokens: int, limit_parts: int = MAX_CACHED_PARTS):
         self.limit_tokens = limit_tokens
+        # Callers choose how small the parts of a prompt are.
+        self.limit_parts = limit_parts
         # Tokens of each part, and whether it was read.
         self.parts: OrderedDict[str, tuple[int, bool]] = OrderedDict()
         self.tokens = 0
@@ -156,7 +162,9 @@
             tokens, was_read = self.parts.pop(part.id, (0, False))
             self.tokens += part.tokens - tokens
             self.parts[part.id] = (part.tokens, read or was_read)
-        while self.tokens > self.limit_tokens and self.parts:
+        while self.parts and (
+            self.tokens > self.limit_tokens or len(self.parts) > self.limit_parts
+        ):
             _, (tokens, _) = self.parts.popitem(last=False)
             self.tokens -= tokens
 
@@ -266,6 +274,8 @@
         cache = self.caches.get(engine)
         if cache is None:
             cache = self.caches[engine] = CachedParts(limit_tokens=INITIAL_CACHE_TOKENS)
+        share = MAX_CACHED_PARTS // len(self.caches)
+        cache.limit_parts = max(MIN_CACHED_PARTS, share)
         return cache
 
     def note_sent(self, engine: str, parts: tuple[PromptPart, ...]) -> None:
