--- a/tests/test_eligibility.py
+++ b/tests/test_eligibility.py
@@ -17,6 +17,7 @@
     RoutedTeam,
     WeightedService,
 )
+from lagoonrill._internal.state.endpoint_limits import LimitEvidence
 from standins.scripted_endpoint import ScriptedEndpoint
 from tests.gateway_kit import KEY, ROUTES, config
 from tests.test_engine_admission import Peers, admission, generation
@@ -166,6 +167,22 @@
     assert reasons == ["endpoint_paused"]
 
 
+@pytest.mark.parametrize("path, service, script", PATHS)
+def test_a_request_asks_for_a_permit_if_a_limit_was_named_meanwhile(
+    gateway_for, path, service, script
+):
+    gateway, [endpoint] = gateway_for(service, [script])
+    now = gateway.permits.clock()
+    named = LimitEvidence(
+        endpoint=endpoint.id, incarnation=0, limit=50.0, sent_at=now, received_at=now
+    )
+    on_connect(gateway, lambda: gateway.permits.note_answer(named))
+    assert gateway.ask(path)[0].status == 200
+    assert gateway.permits.sent == 1
+    reasons = [fields["reason"] for fields in gateway.events("send_failed")]
+    assert reasons == ["endpoint_limited"]
+
+
 def moved_routes(version: int = 2):
     """Returns a configuration whose routes lead to the service `moved`."""
     to = (WeightedService(service="moved"),)
