--- a/Makefile
+++ b/Makefile
@@ -29,6 +29,8 @@
 	$(PYTHON) -m bench.measure --quick
 	$(PYTHON) -m bench.soak --seed 1 --seconds 8 || \
 	    grep -qx 'test: bench.soak --seed 1 --seconds 8' KNOWN-RED.txt
+	$(PYTHON) -m bench.soak --seed 3 --seconds 10 \
+	    --faults single_version_crashes --faults pause
 
 # Faults from outside against real gateways; `make soak SEED=7 SECONDS=60`.
 SECONDS := 30
