Decide on after the last engine of a version has left

The backlog of late requests is counted for each version since. If the rank of some was not tried in a review, they were taken to have engines, though the last one of their version had left; their rate was 0, and a division by it ended each review. The share of such a version is now that of one engine.

Result: test_requests_are_decided_after_the_last_engine_of_their_version_has_left fails with the division before and passes now.

--- a/src/lagoonrill/_internal/coordination/engine_admission.py
+++ b/src/lagoonrill/_internal/coordination/engine_admission.py
@@ -431,7 +431,9 @@
         for version, jobs in queues.items():
             share = 1.0
             if version is not None:
-                share = len(fleet.of_version(version)) / len(fleet.records)
+                # The last of them may have left since a job was tried.
+                engines = max(1, len(fleet.of_version(version)))
+                share = engines / len(fleet.records)
             late += self.order.jobs_to_reject(jobs, now, rate * share)
         return late
 
--- a/tests/test_eligibility.py
+++ b/tests/test_eligibility.py
@@ -103,6 +103,24 @@
         assert {waiter.state for waiter in waiters} == {WaiterState.WAITING}
 
 
+def test_requests_are_decided_after_the_last_engine_of_their_version_has_left():
+    # A rank that is not tried any more keeps what was known of its engines before; with
+    # no engine, their rate is 0, and a division by it ended each review.
+    built = admission(1)
+    versioned(built, {"e0": "v1", "e1": "v2"})
+    for engine in ("e0", "e1"):
+        built.load_table.begin(engine=engine, tokens=10_000_000, heavy=True)
+    free = [submitted(built, number, None) for number in range(2)]
+    late = [submitted(built, number, "v2") for number in range(2, 4)]
+    for waiter in (*late, *free):
+        waiter.view.goal_at = 0.0
+    for waiter in late:
+        waiter.view.priority += 1
+    versioned(built, {"e0": "v1"})
+    built.review("models")
+    assert {waiter.state for waiter in (*late, *free)} == {WaiterState.WAITING}
+
+
 def test_a_request_that_any_engine_may_serve_speaks_for_all_others():
     failed = FailedPlacements(most=2)
     for _ in range(2):
