Keep no request at a service whose weight is zero now

A request that is routed again stays at its service if its route still leads there. A service with weight 0 gets no new requests, so it counts as left.

--- a/src/lagoonrill/_internal/coordination/routed_request.py
+++ b/src/lagoonrill/_internal/coordination/routed_request.py
@@ -138,7 +138,10 @@
         if table.config.version == request.config_version:
             return request
         current = self.accept(request.incoming, table)
-        if any(item.service == request.service for item in current.route.services):
+        services = current.route.services
+        if any(
+            item.service == request.service and item.weight > 0 for item in services
+        ):
             current.service = request.service
         current.deadline = min(current.deadline, request.deadline)
         return current
--- a/tests/test_eligibility.py
+++ b/tests/test_eligibility.py
@@ -260,9 +260,9 @@
     third.close()
 
 
-@pytest.mark.parametrize("is_allowed", [False, True], ids=["left", "split"])
+@pytest.mark.parametrize("weight", [None, 0, 1e-9], ids=["left", "none", "split"])
 def test_a_stream_in_progress_does_not_go_on_where_its_route_does_not_lead(
-    gateway_for, is_allowed
+    gateway_for, weight
 ):
     """A split keeps the service, so the stream goes on."""
     gateway, [cut, same, new] = gateway_for(
@@ -270,8 +270,9 @@
     )
     gateway.set_endpoints({"models": [cut], "moved": [new]})
     after = moved_routes()
-    if is_allowed:
-        to = (*after.routes[0].services, WeightedService(service="models", weight=0))
+    if weight is not None:
+        here = WeightedService(service="models", weight=weight)
+        to = (*after.routes[0].services, here)
         routes = [msgspec.structs.replace(item, services=to) for item in after.routes]
         after = config(2, routes=tuple(routes))
     emit = gateway.event_log.emit
@@ -285,8 +286,8 @@
     gateway.event_log.emit = move_after_first_send
     response, body = gateway.ask("/ask/1")
     assert b"token 2" in body
-    assert response.whole == is_allowed
-    assert len(same.runs) == is_allowed
+    assert response.whole == bool(weight)
+    assert len(same.runs) == bool(weight)
     assert not new.runs
 
 
