Fetch changes of the endpoint list sooner while a request lacks an engine

Change: while a queued request has no engine that it may use, changes come 0.2 s apart. Without such a request nothing changes.

The test test_changes_come_sooner_while_requests_wait_for_one has no counterpart before.

--- a/src/lagoonrill/_internal/coordination/engine_admission.py
+++ b/src/lagoonrill/_internal/coordination/engine_admission.py
@@ -355,6 +355,14 @@
         if any(self.waiting.values()):
             self.changed.set()
 
+    def lacks_engines(self) -> bool:
+        """Returns whether a queued request waits without any engine that it may use."""
+        return any(
+            not (waiter.has_engines and self.registry.ready(service))
+            for service, line in list(self.waiting.items())
+            for waiter in list(line)
+        )
+
     def _run(self) -> None:
         while not self.stopping.is_set():
             self.changed.wait(REVIEW_INTERVAL_S)
--- a/src/lagoonrill/_internal/coordination/store_follower.py
+++ b/src/lagoonrill/_internal/coordination/store_follower.py
@@ -34,6 +34,8 @@
 
 # Changes within this time are fetched by one call.
 CHANGE_SPACING_S = 0.8
+# The same while requests wait that only a change can help.
+WANTED_SPACING_S = 0.2
 # Backoff after failed calls; the store counts every call.
 FIRST_PAUSE_S = 0.15
 MAX_PAUSE_S = 0.8
@@ -137,6 +139,8 @@
         # The same, by evidence that is passed on to near peers: answers of the store,
         # and answers that peers of other zones received.
         self.shared_at: float | None = None
+        # Whether requests wait that only a change can help.
+        self.is_wanted: Callable[[], bool] = lambda: False
         # Called with the time of each answer of the store.
         self.answered: Callable[[float], None] = lambda answered_at: None
         # Called after the first list of a store that came back from an older copy.
@@ -252,7 +256,8 @@
         # while watches keep failing.
         self.failures = 0
         if answer.changed or answer.removed:
-            return self.spacing_s
+            most_s = WANTED_SPACING_S if self.is_wanted() else self.spacing_s
+            return min(self.spacing_s, most_s)
         # A store that answers watches before their time must not be asked at once.
         waited = self.clock() - began_at >= wait_s / 2
         return 0.0 if waited else self.spacing_s
--- a/src/lagoonrill/_internal/gateway_daemon.py
+++ b/src/lagoonrill/_internal/gateway_daemon.py
@@ -221,6 +221,7 @@
             event_log=self.event_log,
         )
         self.load_table.changed = self.peers.note_change
+        self.endpoint_follower.is_wanted = self.admission.lacks_engines
         self.config_follower.restored = self._write_again
         self.admission.peers = self.peers
 
--- a/tests/test_eligibility.py
+++ b/tests/test_eligibility.py
@@ -101,6 +101,8 @@
     assert [waiter.state for waiter in sound] == [WaiterState.PLACED] * 2
     if not has_engine:
         assert {waiter.state for waiter in waiters} == {WaiterState.WAITING}
+    # Only then can a change of the list help them.
+    assert built.lacks_engines() != has_engine
 
 
 def test_requests_are_decided_after_the_last_engine_of_their_version_has_left():
--- a/tests/test_endpoint_discovery.py
+++ b/tests/test_endpoint_discovery.py
@@ -17,7 +17,9 @@
     ExpiredEntries,
 )
 from lagoonrill._internal.coordination.store_follower import (
+    CHANGE_SPACING_S,
     MAX_PAUSE_S,
+    WANTED_SPACING_S,
     ObjectChanges,
     ObjectList,
     StoreFollower,
@@ -163,6 +165,19 @@
     assert simulation.ready() == ["b"]
 
 
+@pytest.mark.parametrize("is_wanted", [False, True])
+def test_changes_come_sooner_while_requests_wait_for_one(simulation, is_wanted):
+    """Guards against streams whose caller leaves before their engine is known.
+
+    Their engine is back, but its entry waits for the next batch of changes.
+    """
+    simulation.follower.is_wanted = lambda: is_wanted
+    simulation.run_steps(listed(entry("a")))
+    simulation.source.script.append(changes(entry("b")))
+    expected_s = WANTED_SPACING_S if is_wanted else CHANGE_SPACING_S
+    assert simulation.follower.step() == expected_s
+
+
 def test_an_older_list_does_not_replace_newer_entries(simulation):
     simulation.run_steps(listed(entry("a", leaving=True), revision=9), HISTORY_GONE)
     simulation.run_steps(listed(entry("a"), revision=4))
