Name the method that routes a request anew after what it does

`_is_rerouted` read like a question, but it replaces the request of a sending. Behaviour and tests are unchanged; 71 tests of the modules that use it pass.

--- a/src/lagoonrill/_internal/coordination/engine_eligibility.py
+++ b/src/lagoonrill/_internal/coordination/engine_eligibility.py
@@ -64,7 +64,7 @@
 class SendingEligibility:
     """Decides by the version, the endpoints tried and the evidence of crashes."""
 
-    __slots__ = ("crash_guard", "is_rerouted", "registry", "sending")
+    __slots__ = ("crash_guard", "registry", "reroute", "sending")
 
     def __init__(
         self,
@@ -72,10 +72,10 @@
         sending: Sending,
         crash_guard: CrashGuard,
         registry: EndpointRegistry,
-        is_rerouted: Callable[[Sending], bool],
+        reroute: Callable[[Sending], bool],
     ):
         self.sending = sending
-        self.is_rerouted = is_rerouted
+        self.reroute = reroute
         self.crash_guard = crash_guard
         self.registry = registry
 
@@ -119,7 +119,7 @@
         to wait elsewhere, or nowhere.
         """
         sending = self.sending
-        if self.is_rerouted(sending):
+        if self.reroute(sending):
             raise Rerouted
         route = sending.request.route
         if not (sending.origin_known and route.pause_goal_s > 0):
--- a/src/lagoonrill/_internal/coordination/forwarding.py
+++ b/src/lagoonrill/_internal/coordination/forwarding.py
@@ -81,6 +81,7 @@
 TIME_LIMIT_SLACK_S = 0.5
 # Statuses that tell the caller "not run"; only the router itself may return them.
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
+# Outcome of a request that goes elsewhere by a newer configuration.
 REROUTED = "rerouted"
 # Outcomes that say nothing about the engine that was sent the request.
 ORIGIN_UNRECORDED = "origin_unrecorded"
@@ -292,14 +293,14 @@
 
     def _send_once(self, sending: Sending) -> Outcome | None:
         """Sends to one endpoint; returns None once the caller has its answer."""
-        if self._is_rerouted(sending) and sending.refusal is not None:
+        if self._reroute(sending) and sending.refusal is not None:
             return Outcome(reason=sending.refusal.reason, may_have_run=False)
         self._choose_version(sending)
         if sending.request.route.uses_engine:
             return self._send_to_engine(sending)
         return self._send_to_service(sending)
 
-    def _is_rerouted(self, sending: Sending) -> bool:
+    def _reroute(self, sending: Sending) -> bool:
         """Routes a request anew if a configuration came into force since.
 
         Returns whether it goes elsewhere now, or nowhere: `sending.refusal` says why.
@@ -359,7 +360,7 @@
                     sending=sending,
                     crash_guard=self.crash_guard,
                     registry=self.registry,
-                    is_rerouted=self._is_rerouted,
+                    reroute=self._reroute,
                 ),
                 caller_disconnected=sending.caller.is_disconnected,
             )
@@ -435,7 +436,7 @@
             self._give_up_refused(sending, refusal)
             return None
         try:
-            record = self.selection.choose(sending, is_rerouted=self._is_rerouted)
+            record = self.selection.choose(sending, reroute=self._reroute)
         except Rerouted:
             return Outcome(reason=REROUTED, may_have_run=False)
         if record is None:
@@ -493,7 +494,7 @@
         Raises `Refusal` if the stream can begin nowhere. `has_limit` tells whether the
         permit that it has counts for a limit of the endpoint.
         """
-        if self._is_rerouted(sending):
+        if self._reroute(sending):
             return REROUTED
         if not self.registry.takes_work(record):
             # The next decision may be made on the same list.
--- a/src/lagoonrill/_internal/coordination/service_selection.py
+++ b/src/lagoonrill/_internal/coordination/service_selection.py
@@ -49,7 +49,7 @@
         self.waiting: dict[str, list[Place]] = {}
 
     def choose(
-        self, sending: Sending, *, is_rerouted: Callable[[Sending], bool]
+        self, sending: Sending, *, reroute: Callable[[Sending], bool]
     ) -> EndpointRecord | None:
         """Returns the endpoint to call, or None if there is none.
 
@@ -69,16 +69,16 @@
         with self.lock:
             bisect.insort(self.waiting.setdefault(request.service, []), place)
         try:
-            return self._wait(sending, place, is_rerouted)
+            return self._wait(sending, place, reroute)
         finally:
             with self.lock:
                 self.waiting[request.service].remove(place)
 
     def _wait(
-        self, sending: Sending, place: Place, is_rerouted: Callable[[Sending], bool]
+        self, sending: Sending, place: Place, reroute: Callable[[Sending], bool]
     ) -> EndpointRecord | None:
         while self._untried(sending):
-            if is_rerouted(sending):
+            if reroute(sending):
                 raise Rerouted
             self._check_wait(sending, place)
             if sending.caller.is_disconnected():
--- a/tests/test_eligibility.py
+++ b/tests/test_eligibility.py
@@ -37,7 +37,7 @@
             sending=sending,
             crash_guard=NoCrashes(),
             registry=None,
-            is_rerouted=lambda sending: False,
+            reroute=lambda sending: False,
         )
 
 
